--- /dev/null
+++ b/internal/failover/events.go
@@ -0,0 +1,79 @@
+package failover
+
+// Event is something that happened to a service or to a step of the machine.
+type Event interface{ isEvent() }
+
+// Observed is the node's regular look at the service.
+type Observed struct{ Observation Observation }
+
+// LeaseKnown is the lease object as read from the store.
+type LeaseKnown struct {
+	// Failed is set if the store gave no answer.
+	Failed bool
+	// Missing is set if there is no lease object yet.
+	Missing  bool
+	Revision uint64
+	Lease    Lease
+}
+
+// WriteResult is the store's answer to a conditional write.
+type WriteResult uint8
+
+// The results of a conditional write.
+const (
+	Written WriteResult = iota
+	// Superseded: another node wrote first.
+	Superseded
+	// Uncertain: the write may or may not have been done.
+	Uncertain
+)
+
+// LeaseWritten answers WriteLease.
+type LeaseWritten struct {
+	Result   WriteResult
+	Revision uint64
+}
+
+// Surveyed answers Survey with the reports of the servers that answered.
+type Surveyed struct{ Reports []Report }
+
+// Ordered answers Order.
+type Ordered struct{ Outcome PromotionOutcome }
+
+func (Observed) isEvent()     {}
+func (LeaseKnown) isEvent()   {}
+func (LeaseWritten) isEvent() {}
+func (Surveyed) isEvent()     {}
+func (Ordered) isEvent()      {}
+
+// Effect is something for the runtime to do. Each is answered by one event,
+// except LeaderFound.
+type Effect interface{ isEffect() }
+
+// ReadLease asks for the lease object; LeaseKnown answers it.
+type ReadLease struct{}
+
+// WriteLease creates the lease object, or replaces it at a revision.
+type WriteLease struct {
+	Create   bool
+	Revision uint64
+	Lease    Lease
+}
+
+// Survey asks all servers of the service, but one, for their status.
+type Survey struct{ Except string }
+
+// Order tells the platform to promote a server under a fencing token.
+type Order struct {
+	Target string
+	Token  uint64
+}
+
+// LeaderFound tells that a server reports to be the primary.
+type LeaderFound struct{ ID string }
+
+func (ReadLease) isEffect()   {}
+func (WriteLease) isEffect()  {}
+func (Survey) isEffect()      {}
+func (Order) isEffect()       {}
+func (LeaderFound) isEffect() {}
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -58,6 +58,16 @@
 	TooLarge
 	// Isolated: the node has lately reached neither another node nor the store.
 	Isolated
+	// ServerFailed: a server ran the statement, and it failed.
+	ServerFailed
+	// ServerTimedOut: a server ran the statement longer than it allows.
+	ServerTimedOut
+	// UnknownStatement: no statement is prepared under that name.
+	UnknownStatement
+	// ReadOnlyTransaction: the transaction was opened for reads only.
+	ReadOnlyTransaction
+	// TooManyValues: the session keeps as much as a node allows.
+	TooManyValues
 )
 
 type description struct {
@@ -69,25 +79,30 @@
 }
 
 var descriptions = map[Kind]description{
-	Overloaded:        {"overloaded", "53000", "request refused: the queue for this group is full", "send the request again after the time given in the detail", false},
-	WaitLimit:         {"wait_limit", "53400", "request refused: it waited as long as its policy allows", "send the request again after the time given in the detail, or allow a longer wait in the policy", false},
-	NoPrimary:         {"no_primary", "57P03", "request refused: the group has no confirmed primary at the moment", "send the request again after the time given in the detail", false},
-	NoServer:          {"no_server", "57P03", "request refused: no server of the group is fit to serve it", "send the request again after the time given in the detail; operators see 'dewknot status'", false},
-	RefusedByPolicy:   {"refused_by_policy", "42501", "request refused by the policy of this service", "come back after the time given in the detail", false},
-	OutcomeUnknown:    {"outcome_unknown", "08007", "the outcome of the request is unknown: it may have taken effect", "read back whether it took effect before sending it again", false},
-	TransactionLost:   {"transaction_lost", "40001", "the transaction was rolled back: its back-end connection was lost", "run the whole transaction again", false},
-	Unsupported:       {"unsupported", "0A000", "the statement needs a connection of its own, which pooling cannot carry", "use a transaction, or connect to the database directly for this statement", false},
-	Protocol:          {"protocol", "08P01", "protocol violation", "check the client library", true},
-	Authentication:    {"authentication", "28P01", "authentication failed", "check user name and password; operators set verifiers with 'dewknot user'", true},
-	Stopping:          {"stopping", "57P01", "this node is being stopped as planned", "connect again: other nodes serve", true},
-	UnknownService:    {"unknown_service", "3D000", "no such service", "name a configured service as the database", true},
-	NotOwner:          {"not_owner", "57P03", "the node asked does not own the group", "send the request again", false},
-	NotReady:          {"not_ready", "57P03", "this node has no configuration yet", "connect to another node, or again shortly", true},
-	BadParameter:      {"bad_parameter", "22023", "a dewknot parameter has a value that cannot be used", "see docs/CALLERS.md for the parameters and their forms", false},
-	Canceled:          {"canceled", "57014", "canceling statement due to user request", "none needed: the statement was not run", false},
-	FailedTransaction: {"failed_transaction", "25P02", "current transaction is aborted, commands ignored until end of transaction block", "send ROLLBACK", false},
-	Isolated:          {"isolated", "57P03", "request refused: this node has lost contact with the others", "connect to another node, or send the request again after the time given in the detail", false},
-	TooLarge:          {"too_large", "54000", "message exceeds the size limit", "send less in one message, or raise max_message_bytes in the settings", true},
+	Overloaded:          {"overloaded", "53000", "request refused: the queue for this group is full", "send the request again after the time given in the detail", false},
+	WaitLimit:           {"wait_limit", "53400", "request refused: it waited as long as its policy allows", "send the request again after the time given in the detail, or allow a longer wait in the policy", false},
+	NoPrimary:           {"no_primary", "57P03", "request refused: the group has no confirmed primary at the moment", "send the request again after the time given in the detail", false},
+	NoServer:            {"no_server", "57P03", "request refused: no server of the group is fit to serve it", "send the request again after the time given in the detail; operators see 'dewknot status'", false},
+	RefusedByPolicy:     {"refused_by_policy", "42501", "request refused by the policy of this service", "come back after the time given in the detail", false},
+	OutcomeUnknown:      {"outcome_unknown", "08007", "the outcome of the request is unknown: it may have taken effect", "read back whether it took effect before sending it again", false},
+	TransactionLost:     {"transaction_lost", "40001", "the transaction was rolled back: its back-end connection was lost", "run the whole transaction again", false},
+	Unsupported:         {"unsupported", "0A000", "the statement needs a connection of its own, which pooling cannot carry", "use a transaction, or connect to the database directly for this statement", false},
+	Protocol:            {"protocol", "08P01", "protocol violation", "check the client library", true},
+	Authentication:      {"authentication", "28P01", "authentication failed", "check user name and password; operators set verifiers with 'dewknot user'", true},
+	Stopping:            {"stopping", "57P01", "this node is being stopped as planned", "connect again: other nodes serve", true},
+	UnknownService:      {"unknown_service", "3D000", "no such service", "name a configured service as the database", true},
+	NotOwner:            {"not_owner", "57P03", "the node asked does not own the group", "send the request again", false},
+	NotReady:            {"not_ready", "57P03", "this node has no configuration yet", "connect to another node, or again shortly", true},
+	BadParameter:        {"bad_parameter", "22023", "a dewknot parameter has a value that cannot be used", "see docs/CALLERS.md for the parameters and their forms", false},
+	Canceled:            {"canceled", "57014", "canceling statement due to user request", "none needed: the statement was not run", false},
+	FailedTransaction:   {"failed_transaction", "25P02", "current transaction is aborted, commands ignored until end of transaction block", "send ROLLBACK", false},
+	Isolated:            {"isolated", "57P03", "request refused: this node has lost contact with the others", "connect to another node, or send the request again after the time given in the detail", false},
+	ServerFailed:        {"server_failed", "XX000", "the server ran the statement, and it failed", "see the detail; a statement that only reads may be sent again", false},
+	ServerTimedOut:      {"server_timed_out", "57014", "the server ended the statement, which ran too long", "see the detail; read back before sending a write again", false},
+	UnknownStatement:    {"unknown_statement", "26000", "no statement is prepared under that name", "prepare it in this session first", false},
+	ReadOnlyTransaction: {"read_only_transaction", "25006", "the transaction was opened for reads only", "open a transaction that may write", false},
+	TooManyValues:       {"too_many_values", "54000", "the session keeps as many values or statements as a node allows", "deallocate what is no longer used, or open another session", false},
+	TooLarge:            {"too_large", "54000", "message exceeds the size limit", "send less in one message, or raise max_message_bytes in the settings", true},
 }
 
 // String returns the name of the kind as it appears in metrics and logs.
@@ -108,7 +123,14 @@
 func (k Kind) Fatal() bool { return descriptions[k].fatal }
 
 // NotRun reports whether the kind promises that the request was not run.
-func (k Kind) NotRun() bool { return k != OutcomeUnknown && k != None }
+func (k Kind) NotRun() bool {
+	switch k {
+	case None, OutcomeUnknown, ServerFailed, ServerTimedOut:
+		return false
+	default:
+		return true
+	}
+}
 
 // Error is a failure with its particulars.
 type Error struct {
--- /dev/null
+++ b/internal/objectstore/follow.go
@@ -0,0 +1,109 @@
+package objectstore
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+)
+
+// Sink receives the objects of one kind, in the order of their revisions.
+type Sink interface {
+	// Reset replaces all that is known by a complete listing.
+	Reset(objects []Object)
+	// Apply takes changes since the last call.
+	Apply(events []Object)
+	// Lost and Regained tell when the store stops and starts to answer.
+	Lost(err error)
+	Regained()
+}
+
+// Delays between calls that failed. Jitter spreads the calls of many nodes.
+const (
+	firstRetryDelay = 100 * time.Millisecond
+	lastRetryDelay  = 1500 * time.Millisecond
+)
+
+// Follow keeps a sink up to date with one kind until ctx ends: it lists the
+// kind, then watches it, and lists again when the history is gone. wait bounds
+// one watch; a watch that stays silent well past it is given up, so a dead
+// connection delays a change by no more than about wait.
+func Follow(ctx context.Context, store Store, kind string, wait time.Duration, sink Sink) {
+	follower := &follower{store: store, kind: kind, wait: wait, sink: sink, answering: true}
+	for ctx.Err() == nil {
+		follower.step(ctx)
+	}
+}
+
+type follower struct {
+	store     Store
+	kind      string
+	wait      time.Duration
+	sink      Sink
+	listed    bool
+	revision  uint64
+	answering bool
+	delay     time.Duration
+}
+
+// step makes one call and takes its answer.
+func (f *follower) step(ctx context.Context) {
+	if f.listed {
+		f.watch(ctx)
+		return
+	}
+	f.list(ctx)
+}
+
+func (f *follower) list(ctx context.Context) {
+	objects, revision, err := f.store.List(ctx, f.kind)
+	if err != nil {
+		f.failed(ctx, err)
+		return
+	}
+	f.succeeded()
+	f.listed, f.revision = true, revision
+	f.sink.Reset(objects)
+}
+
+func (f *follower) watch(ctx context.Context) {
+	events, revision, err := f.store.Watch(ctx, f.kind, f.revision, f.wait)
+	if err != nil {
+		if OutcomeOf(err) == HistoryGone {
+			f.listed = false
+			return
+		}
+		f.failed(ctx, err)
+		return
+	}
+	f.succeeded()
+	f.revision = revision
+	if len(events) > 0 {
+		f.sink.Apply(events)
+	}
+}
+
+func (f *follower) succeeded() {
+	f.delay = 0
+	if !f.answering {
+		f.answering = true
+		f.sink.Regained()
+	}
+}
+
+func (f *follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	if f.answering {
+		f.answering = false
+		f.sink.Lost(err)
+	}
+	f.delay = min(max(2*f.delay, firstRetryDelay), lastRetryDelay)
+	jittered := f.delay/2 + rand.N(f.delay/2)
+	timer := time.NewTimer(jittered)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/objectstore/objectstore.go
@@ -0,0 +1,83 @@
+// Package objectstore is the port to a durable store of versioned objects:
+// conditional create and replace, listings and watches, with typed outcomes.
+//
+// An adapter implements Store. What the outcomes mean for the caller, and when
+// to ask again, is decided by the users of the port.
+package objectstore
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Object is a stored object.
+type Object struct {
+	Name string
+	// Revision is the store's revision of the last change.
+	Revision uint64
+	// Content is the object's content, in the encoding of its writer.
+	Content []byte
+	// Deleted is set in events that tell of a removal.
+	Deleted bool
+}
+
+// Store is a durable store of objects by kind and name.
+type Store interface {
+	// List returns all objects of a kind and the revision up to which they are complete.
+	List(ctx context.Context, kind string) ([]Object, uint64, error)
+	// Watch waits up to wait for changes after a revision and returns them with
+	// the revision to go on from. No change within wait is no error.
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Object, uint64, error)
+	// Get returns one object; a missing one is an Error with outcome NotFound.
+	Get(ctx context.Context, kind, name string) (Object, error)
+	// Create makes an object; one that exists is an Error with outcome Conflict.
+	Create(ctx context.Context, kind, name string, content []byte) (Object, error)
+	// Replace changes an object at a given revision; another revision is a Conflict.
+	Replace(ctx context.Context, kind, name string, revision uint64, content []byte) (Object, error)
+}
+
+// Outcome tells what is known of a call that failed.
+type Outcome uint8
+
+// The outcomes of failed calls.
+const (
+	// NotDone: the call surely changed nothing and will not.
+	NotDone Outcome = iota
+	// Unknown: the call may have been done, or may be done later.
+	Unknown
+	// Conflict: the object has another revision, or exists already.
+	Conflict
+	// NotFound: there is no such object.
+	NotFound
+	// HistoryGone: the changes since the revision are forgotten; list again.
+	HistoryGone
+)
+
+var outcomeTexts = map[Outcome]string{
+	NotDone:     "the store did nothing; ask again later",
+	Unknown:     "the outcome is unknown; read the object before changing it again",
+	Conflict:    "the object has changed; read it and decide anew",
+	NotFound:    "there is no such object; create it",
+	HistoryGone: "the history is gone; list the objects again",
+}
+
+// Error is a failed call; its message names the remedy.
+type Error struct {
+	Outcome Outcome
+	Detail  string
+}
+
+// Error implements the error interface.
+func (e *Error) Error() string { return fmt.Sprintf("%s (%s)", outcomeTexts[e.Outcome], e.Detail) }
+
+// OutcomeOf returns the outcome that err tells; errors of other types count as Unknown.
+func OutcomeOf(err error) Outcome {
+	var failed *Error
+	if errors.As(err, &failed) {
+		return failed.Outcome
+	}
+	return Unknown
+}
--- /dev/null
+++ b/internal/proxy/follow.go
@@ -0,0 +1,144 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/failover"
+	"dewknot/internal/objectstore"
+)
+
+// follow starts the watches on configuration and directory.
+func (n *Node) follow(ctx context.Context) {
+	wait := n.options.ConfigurationBound
+	go objectstore.Follow(ctx, n.ports.Store, n.options.Kinds.Configuration, wait, &configurationSink{n})
+	go objectstore.Follow(ctx, n.ports.Store, n.options.Kinds.Servers, wait, &directorySink{n})
+	go n.readLeases(ctx)
+}
+
+type configurationSink struct{ *Node }
+
+// Reset implements objectstore.Sink.
+func (s *configurationSink) Reset(objects []objectstore.Object) { s.Apply(objects) }
+
+// Apply implements objectstore.Sink.
+func (s *configurationSink) Apply(objects []objectstore.Object) {
+	for _, object := range objects {
+		if object.Deleted {
+			continue
+		}
+		configuration, err := s.ports.Decoder.Configuration(object.Content)
+		if err != nil {
+			s.log.Error("configuration: refused a version that cannot be read", zap.String("object", object.Name), zap.Error(err))
+			continue
+		}
+		if s.catalog.ApplyConfiguration(configuration) {
+			s.log.Info("configuration: took a version into force", zap.Uint64("version", configuration.Version),
+				zap.Uint64("revision", object.Revision), zap.Int("routes", len(configuration.Routes)))
+		}
+	}
+}
+
+// Lost implements objectstore.Sink.
+func (s *configurationSink) Lost(err error) {
+	s.storeDown.Store(true)
+	s.log.Warn("store: stopped answering", zap.Error(err))
+}
+
+// Regained implements objectstore.Sink.
+func (s *configurationSink) Regained() {
+	s.storeDown.Store(false)
+	s.log.Info("store: answers again")
+}
+
+type directorySink struct{ *Node }
+
+// Reset implements objectstore.Sink.
+func (s *directorySink) Reset(objects []objectstore.Object) {
+	servers := make([]catalog.Server, 0, len(objects))
+	for _, object := range objects {
+		if server, ok := s.decode(object); ok {
+			servers = append(servers, server)
+		}
+	}
+	s.catalog.ReplaceDirectory(servers, time.Now())
+	s.log.Info("directory: listed", zap.Int("servers", len(servers)))
+}
+
+// Apply implements objectstore.Sink.
+func (s *directorySink) Apply(events []objectstore.Object) {
+	now := time.Now()
+	for _, event := range events {
+		if event.Deleted {
+			s.log.Info("directory: a server is gone", zap.String("server", event.Name))
+			s.catalog.RemoveServer(event.Name, now)
+			continue
+		}
+		server, ok := s.decode(event)
+		if !ok {
+			continue
+		}
+		s.log.Info("directory: a server changed", zap.String("server", server.ID), zap.String("service", server.Service),
+			zap.Stringer("role", server.Role), zap.Bool("draining", server.Draining), zap.Uint64("revision", server.Revision))
+		s.catalog.MergeServer(server, now)
+	}
+}
+
+func (s *directorySink) decode(object objectstore.Object) (catalog.Server, bool) {
+	server, err := s.ports.Decoder.Server(object)
+	if err != nil {
+		s.log.Error("directory: passed over an entry that cannot be read", zap.String("server", object.Name), zap.Error(err))
+		return server, false
+	}
+	return server, true
+}
+
+// Lost implements objectstore.Sink.
+func (s *directorySink) Lost(err error) { s.log.Warn("directory: watch lost", zap.Error(err)) }
+
+// Regained implements objectstore.Sink.
+func (s *directorySink) Regained() { s.log.Info("directory: watch regained") }
+
+// storeCallLimit bounds a call to the store.
+const storeCallLimit = 1500 * time.Millisecond
+
+// readLeases learns once, at the start, who holds the failover leases.
+func (n *Node) readLeases(ctx context.Context) {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+		objects, _, err := n.ports.Store.List(limited, n.options.Kinds.Leases)
+		cancel()
+		if err == nil && n.catalog.Current().Configuration != nil {
+			n.leasesKnown(objects)
+			return
+		}
+		time.Sleep(time.Second)
+	}
+}
+
+func (n *Node) leasesKnown(objects []objectstore.Object) {
+	known := map[string]failover.LeaseKnown{}
+	for _, object := range objects {
+		known[object.Name] = decodeLease(object)
+	}
+	for name := range n.catalog.Current().Configuration.Services {
+		event, found := known[name]
+		if !found {
+			event = failover.LeaseKnown{Missing: true}
+		}
+		n.service(name).submit(event)
+	}
+}
+
+func decodeLease(object objectstore.Object) failover.LeaseKnown {
+	event := failover.LeaseKnown{Revision: object.Revision}
+	if err := json.Unmarshal(object.Content, &event.Lease); err != nil {
+		// An unreadable lease is replaced at its revision.
+		event.Lease = failover.Lease{}
+	}
+	return event
+}
--- /dev/null
+++ b/internal/proxy/health.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/failover"
+)
+
+// Times of the look at the services.
+const (
+	// lookInterval is the pause between two looks.
+	lookInterval = 100 * time.Millisecond
+	// pauseLimit: a longer gap between looks means that the process stood still.
+	pauseLimit = 400 * time.Millisecond
+	// silenceLimit is how long a primary with work may be silent before it is asked.
+	silenceLimit = 250 * time.Millisecond
+	// idleLimit is how long a primary without work may be silent before the
+	// holder of the lease asks it.
+	idleLimit = time.Second
+	// pingLimit bounds the answer to a question that needs no slot.
+	pingLimit = 350 * time.Millisecond
+	// pingsToDown is how many questions in a row have to go unanswered.
+	pingsToDown = 2
+	// trimInterval is the pause between closing idle connections, trimAge how
+	// long they must have been idle.
+	trimInterval = 5 * time.Second
+	trimAge      = 20 * time.Second
+	// seekLimit bounds one round of asking all servers who is the primary.
+	seekLimit = 300 * time.Millisecond
+)
+
+// leaderHealth is the evidence against the primary. It is used by the looking
+// goroutine only, except for results that come through the channel.
+type leaderHealth struct {
+	leader  string
+	missed  int
+	asking  bool
+	results chan bool
+}
+
+// watchServices looks at all services at regular times.
+func (n *Node) watchServices(ctx context.Context) {
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	last, trimmed := time.Now(), time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		stoodStill := now.Sub(last) > pauseLimit
+		last = now
+		n.services.Range(func(_, value any) bool {
+			value.(*service).look(now, stoodStill)
+			return true
+		})
+		if now.Sub(trimmed) > trimInterval {
+			trimmed = now
+			n.trim(now)
+		}
+	}
+}
+
+func (n *Node) trim(now time.Time) {
+	n.servers.Range(func(_, value any) bool {
+		value.(*server).pool.Trim(now.Add(-trimAge))
+		return true
+	})
+}
+
+// look gathers evidence and gives the failover machine an observation.
+func (s *service) look(now time.Time, stoodStill bool) {
+	leader := s.belief.Leader()
+	if leader != s.health.leader || stoodStill || s.health.results == nil {
+		s.health = leaderHealth{leader: leader, results: make(chan bool, 1)}
+	}
+	s.takePing()
+	target := s.node.server(leader)
+	down := target != nil && s.health.missed >= pingsToDown
+	if target != nil && !s.health.asking && s.wantsPing(target, now) {
+		s.ping(target)
+	}
+	if target == nil || down {
+		s.seek()
+	}
+	s.submit(failover.Observed{Observation: s.observe(leader, down)})
+}
+
+func (s *service) takePing() {
+	select {
+	case answered := <-s.health.results:
+		s.health.asking = false
+		if answered {
+			s.health.missed = 0
+		} else {
+			s.health.missed++
+		}
+	default:
+	}
+}
+
+// wantsPing reports whether the primary's silence calls for a question.
+func (s *service) wantsPing(target *server, now time.Time) bool {
+	if s.health.missed > 0 {
+		return true
+	}
+	silent := target.stats.SinceAnswer(now)
+	if failures, _ := target.stats.Failures(); failures > 0 {
+		return true
+	}
+	if target.stats.OldestWait(now) > silenceLimit && silent > silenceLimit {
+		return true
+	}
+	return silent > idleLimit && s.holding()
+}
+
+func (s *service) holding() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.machine.Holding()
+}
+
+func (s *service) ping(target *server) {
+	s.health.asking = true
+	results := s.health.results
+	go func() {
+		_, answered := s.prove(target, time.Now().Add(pingLimit))
+		results <- answered
+	}()
+}
+
+func (s *service) observe(leader string, down bool) failover.Observation {
+	observation := failover.Observation{Leader: leader, LeaderDown: down}
+	for _, entry := range s.node.catalog.Current().ByService[s.name] {
+		if entry.ID == leader {
+			observation.LeaderDraining = entry.Draining
+			observation.LeaderGone = entry.Gone
+		}
+		if entry.Gone {
+			continue
+		}
+		observation.Servers = append(observation.Servers, failover.Server{ID: entry.ID, Leaving: entry.Leaving()})
+	}
+	return observation
+}
+
+// seek asks the servers, other than the one believed in, who is the primary.
+func (s *service) seek() {
+	if !s.seeking.TryLock() {
+		return
+	}
+	go func() {
+		defer s.seeking.Unlock()
+		now := time.Now()
+		believed := s.belief.Leader()
+		for _, entry := range s.node.catalog.Current().ByService[s.name] {
+			target := s.node.server(entry.ID)
+			if entry.ID == believed || entry.Gone || target == nil || s.belief.Refuted(entry.ID, now) || target.stats.Avoided(now) {
+				continue
+			}
+			if primary, _ := s.prove(target, time.Now().Add(seekLimit)); primary {
+				s.node.log.Info("leadership: found the primary by asking", zap.String("service", s.name), zap.String("server", target.id))
+				return
+			}
+		}
+	}()
+}
--- /dev/null
+++ b/internal/proxy/node.go
@@ -0,0 +1,168 @@
+// Package proxy is the node's runtime: it accepts sessions, runs their commands
+// on database servers and keeps what is known of the servers up to date.
+//
+// Decisions are made by pure packages (routing, freshness, failover); this
+// package carries them out. Outside systems are reached through ports: callers
+// (Client), servers (upstream.Dialer), the durable store (objectstore.Store)
+// and the platform's promotions (Promoter).
+package proxy
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/command"
+	"dewknot/internal/failover"
+	"dewknot/internal/failure"
+	"dewknot/internal/objectstore"
+	"dewknot/internal/upstream"
+)
+
+// Client is the caller's end of a session.
+type Client interface {
+	// ReadStart reads the database that the caller asks for.
+	ReadStart(deadline time.Time) (database string, err error)
+	// Accept tells the caller that the session is open.
+	Accept() error
+	// Refuse tells the caller why the session is not opened; a close follows.
+	Refuse(reason *failure.Error) error
+	// ReadCommand reads the next command. A zero deadline waits forever; a
+	// deadline that passes before the command begins is ErrIdle.
+	ReadCommand(deadline time.Time) (command.Command, error)
+	// Reply answers the last command.
+	Reply(reply Reply) error
+	// Interrupt makes a ReadCommand that waits for a command return ErrIdle.
+	Interrupt()
+	// Close closes the connection.
+	Close()
+}
+
+// Reply is the answer to a command.
+type Reply struct {
+	// Failure is set if the command failed.
+	Failure   *failure.Error
+	Rows      [][]byte
+	Signature string
+	State     upstream.TransactionState
+}
+
+// Promoter orders promotions.
+type Promoter interface {
+	// Promote makes a server the primary of its service.
+	Promote(ctx context.Context, service, server, holder string, token uint64) failover.PromotionOutcome
+}
+
+// Decoder reads the platform's objects into the product's own.
+type Decoder interface {
+	Configuration(content []byte) (*catalog.Configuration, error)
+	Server(object objectstore.Object) (catalog.Server, error)
+}
+
+// Kinds names the kinds of objects in the store.
+type Kinds struct {
+	Configuration string
+	Servers       string
+	Leases        string
+}
+
+// Options are the node's settings.
+type Options struct {
+	Name    string
+	Zone    string
+	Regions map[string]string // region by zone
+	// Life is unique to the process.
+	Life string
+	// ConfigurationBound is within how long a change has to be in force.
+	ConfigurationBound time.Duration
+	// DrainBound is within how long a leaving server must receive no new work.
+	DrainBound time.Duration
+	// StopGrace is the time from the signal to stop until the process is killed.
+	StopGrace time.Duration
+	// ConnectionsPerServer bounds the connections of this node to one server.
+	ConnectionsPerServer int
+	Kinds                Kinds
+}
+
+// Ports are the node's ways to the outside.
+type Ports struct {
+	Store    objectstore.Store
+	Dialer   upstream.Dialer
+	Promoter Promoter
+	Decoder  Decoder
+	// Client wraps an accepted connection.
+	Client func(net.Conn) Client
+}
+
+// Node is a running node.
+type Node struct {
+	options Options
+	ports   Ports
+	log     *zap.Logger
+	catalog *catalog.Catalog
+
+	servers  sync.Map // server ID to *server
+	services sync.Map // service name to *service
+
+	sessions     sync.Map // *session to struct{}
+	sessionCount atomic.Int64
+	stopping     atomic.Bool
+	closing      atomic.Bool
+	aborting     atomic.Bool
+	storeDown    atomic.Bool
+}
+
+// New returns a node that is not running yet.
+func New(options Options, ports Ports, log *zap.Logger) *Node {
+	node := &Node{
+		options: options, ports: ports, log: log,
+		catalog: catalog.New(options.DrainBound),
+	}
+	node.catalog.OnChange(node.catalogChanged)
+	return node
+}
+
+// Run serves until ctx ends; the node then stops as planned.
+func (n *Node) Run(ctx context.Context, listener net.Listener) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	n.follow(background)
+	go n.watchServices(background)
+	go n.accept(listener)
+	<-ctx.Done()
+	n.stop(listener)
+	return nil
+}
+
+// Ready reports whether the node wants new callers.
+func (n *Node) Ready() bool {
+	snapshot := n.catalog.Current()
+	return !n.stopping.Load() && snapshot.Configuration != nil && len(snapshot.Servers) > 0
+}
+
+func (n *Node) accept(listener net.Listener) {
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			if n.closing.Load() {
+				return
+			}
+			time.Sleep(acceptPause)
+			continue
+		}
+		if n.closing.Load() {
+			_ = connection.Close()
+			continue
+		}
+		go n.serve(n.ports.Client(connection))
+	}
+}
+
+// acceptPause is the pause after a connection could not be accepted, for
+// instance for want of descriptors.
+const acceptPause = 20 * time.Millisecond
--- /dev/null
+++ b/internal/proxy/run.go
@@ -0,0 +1,369 @@
+package proxy
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/command"
+	"dewknot/internal/failure"
+	"dewknot/internal/freshness"
+	"dewknot/internal/routing"
+	"dewknot/internal/upstream"
+)
+
+// Times of a statement's way.
+const (
+	// answerMargin is kept of a statement's time-out for the answer's way back.
+	answerMargin = 30 * time.Millisecond
+	// busyPause is the pause before a server that refused for want of a slot is
+	// asked again, busyLife how long other requests avoid it.
+	busyPause = 15 * time.Millisecond
+	busyLife  = 25 * time.Millisecond
+	// behindPause is the pause before replicas that lack a position are asked again.
+	behindPause = 20 * time.Millisecond
+	// leaderPause is the longest wait for a change of the primary before
+	// another look.
+	leaderPause = 50 * time.Millisecond
+	// connectionWait bounds the wait for a connection to one of several servers.
+	connectionWait = 150 * time.Millisecond
+	// silentRead is the shortest time after which a read whose answer has not
+	// come is asked of another server; slowFactor times the expected latency is
+	// waited if that is longer.
+	silentRead = 400 * time.Millisecond
+	slowFactor = 6
+	// comeBack is the time to come back given with a refusal.
+	comeBack = 200 * time.Millisecond
+	// maxAttempts bounds how often one statement is tried.
+	maxAttempts = 12
+)
+
+// run is one statement on its way.
+type run struct {
+	session   *session
+	service   *service
+	statement *command.Statement
+	arrived   time.Time
+	deadline  time.Time
+	attempts  int
+	tried     map[string]bool
+}
+
+func (s *session) newRun(statement *command.Statement, arrived time.Time) *run {
+	return &run{
+		session: s, service: s.node.service(s.bound.Service), statement: statement,
+		arrived: arrived, deadline: arrived.Add(s.bound.StatementTimeout - answerMargin),
+	}
+}
+
+func (r *run) log() *zap.Logger { return r.session.node.log }
+
+// goesOn counts an attempt and reports whether another one may be made.
+func (r *run) goesOn() bool {
+	r.attempts++
+	return r.attempts <= maxAttempts && time.Now().Before(r.deadline)
+}
+
+// pause waits, but not past the deadline.
+func (r *run) pause(span time.Duration) {
+	if left := time.Until(r.deadline); span > left {
+		span = left
+	}
+	if span > 0 {
+		time.Sleep(span)
+	}
+}
+
+func (r *run) refuse(kind failure.Kind) Reply {
+	return r.session.fail(failure.Refuse(kind, comeBack))
+}
+
+// answer turns the result of a statement that ran, or failed for good, into a reply.
+func (r *run) answer(result *upstream.Result) Reply {
+	switch result.Outcome {
+	case upstream.Succeeded:
+		return Reply{Rows: result.Rows, Signature: result.Signature, State: r.session.state()}
+	case upstream.Failed:
+		return r.session.fail(failure.New(failure.ServerFailed, result.Detail))
+	case upstream.TimedOut:
+		return r.session.fail(failure.New(failure.ServerTimedOut, result.Detail))
+	default:
+		return r.session.fail(failure.New(failure.Protocol, result.Detail))
+	}
+}
+
+// awaitLeader waits a moment for a primary to be known.
+func (r *run) awaitLeader() {
+	changed := r.service.belief.Changed()
+	if r.service.leader(time.Now()) != nil {
+		r.pause(busyPause)
+		return
+	}
+	wait := min(leaderPause, time.Until(r.deadline))
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	}
+}
+
+// onLeader lends a connection to the primary; nil if there is none in time.
+func (r *run) onLeader() (*server, *upstream.Lease) {
+	for time.Now().Before(r.deadline) {
+		now := time.Now()
+		target := r.service.leader(now)
+		if target == nil || target.stats.Avoided(now) {
+			r.awaitLeader()
+			continue
+		}
+		lease, err := target.pool.Get(r.deadline)
+		if err == nil {
+			return target, lease
+		}
+		r.awaitLeader()
+	}
+	return nil, nil
+}
+
+// write runs a single write on the primary. It is sent again only after an
+// answer which promises that it did not run.
+func (r *run) write() Reply {
+	for r.goesOn() {
+		target, lease := r.onLeader()
+		if lease == nil {
+			return r.refuse(failure.NoPrimary)
+		}
+		operations := append(lease.Adapt(r.session.values, r.statement), r.operation())
+		batch := lease.Run(operations, r.deadline)
+		if batch.Err != nil {
+			lease.Discard()
+			r.log().Info("request: the answer of a write was lost", zap.String("request", r.statement.RequestID),
+				zap.String("server", target.id), zap.Error(batch.Err))
+			return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
+		}
+		lease.Return()
+		result := batch.Last()
+		if !result.Outcome.NotRun() {
+			if result.Outcome == upstream.Succeeded {
+				r.service.proved(target, batch.SentAt, result)
+				r.session.own = freshness.OwnCommit{At: time.Now(), Position: result.Position}
+			}
+			return r.answer(result)
+		}
+		r.notRun(target, result)
+	}
+	return r.refuse(failure.Overloaded)
+}
+
+func (r *run) operation() upstream.Operation {
+	return upstream.Operation{Kind: upstream.RunStatement, RequestID: r.statement.RequestID, Statement: r.statement}
+}
+
+// notRun takes an answer which promises that the statement did not run, and
+// waits where the next attempt would meet the same.
+func (r *run) notRun(target *server, result *upstream.Result) {
+	now := time.Now()
+	switch result.Outcome {
+	case upstream.Busy:
+		target.stats.Busied(now.Add(busyLife))
+		r.pause(busyPause)
+	case upstream.NotPrimary:
+		if r.service.belief.Refute(target.id, now) {
+			r.log().Info("leadership: the primary denied its role", zap.String("service", r.service.name),
+				zap.String("server", target.id), zap.String("request", r.statement.RequestID))
+		}
+		r.awaitLeader()
+	default:
+	}
+}
+
+// readCurrent runs a read that must see every acknowledged commit: in a
+// transaction that only the primary accepts, which proves that it was the
+// primary when the read ran.
+func (r *run) readCurrent() Reply {
+	for r.goesOn() {
+		target, lease := r.onLeader()
+		if lease == nil {
+			return r.refuse(failure.NoPrimary)
+		}
+		reply, final := r.provenRead(target, lease)
+		if final {
+			return reply
+		}
+	}
+	return r.refuse(failure.Overloaded)
+}
+
+// provenRead makes one attempt on a connection to the primary.
+func (r *run) provenRead(target *server, lease *upstream.Lease) (Reply, bool) {
+	deadline := r.readDeadline(target)
+	operations := append(lease.Adapt(r.session.values, r.statement), upstream.Operation{Kind: upstream.Begin})
+	batch := lease.Run(operations, deadline)
+	if batch.Err != nil {
+		lease.Discard()
+		return Reply{}, false
+	}
+	begin := batch.Last()
+	if !r.service.judgeBegin(target, &batch, begin) {
+		r.settle(lease, begin)
+		r.notRun(target, begin)
+		return Reply{}, false
+	}
+	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, deadline)
+	if batch.Err != nil {
+		lease.Discard()
+		return Reply{}, false
+	}
+	r.settle(lease, batch.Last())
+	result := &batch.Results[0]
+	if result.Outcome.NotRun() {
+		r.notRun(target, result)
+		return Reply{}, false
+	}
+	if result.Outcome == upstream.Succeeded {
+		r.service.proved(target, batch.SentAt, result)
+	}
+	return r.answer(result), true
+}
+
+// settle returns a connection that is idle, and discards one that is not.
+func (r *run) settle(lease *upstream.Lease, last *upstream.Result) {
+	if last.State == upstream.Idle {
+		lease.Return()
+		return
+	}
+	lease.Discard()
+}
+
+// readDeadline is when a read that has not been answered is asked elsewhere.
+func (r *run) readDeadline(target *server) time.Time {
+	now := time.Now()
+	patience := max(silentRead, slowFactor*target.stats.Latency(now))
+	if limit := now.Add(patience); limit.Before(r.deadline) {
+		return limit
+	}
+	return r.deadline
+}
+
+// read runs a read that may miss commits of the route's span, on whichever
+// server is expected to answer first and has what the read must see.
+func (r *run) read() Reply {
+	for r.goesOn() {
+		floor, found := r.floor()
+		if !found {
+			r.service.refreshProof(r.deadline)
+			continue
+		}
+		target := r.choose(floor)
+		if target == nil {
+			r.pause(behindPause)
+			continue
+		}
+		lease, err := target.pool.Get(r.connectionDeadline())
+		if err != nil {
+			r.markTried(target)
+			continue
+		}
+		operation := r.operation()
+		operation.Floor = floor.Position
+		batch := lease.Run(append(lease.Adapt(r.session.values, r.statement), operation), r.readDeadline(target))
+		if batch.Err != nil {
+			lease.Discard()
+			r.markTried(target)
+			continue
+		}
+		result := batch.Last()
+		r.settle(lease, result)
+		if !result.Outcome.NotRun() {
+			target.stats.CaughtUp(time.Now(), floor.Since)
+			return r.answer(result)
+		}
+		r.readNotRun(target, result, floor)
+	}
+	return r.refuse(failure.Overloaded)
+}
+
+func (r *run) connectionDeadline() time.Time {
+	if limit := time.Now().Add(connectionWait); limit.Before(r.deadline) {
+		return limit
+	}
+	return r.deadline
+}
+
+func (r *run) readNotRun(target *server, result *upstream.Result, floor freshness.Floor) {
+	now := time.Now()
+	switch result.Outcome {
+	case upstream.Busy:
+		target.stats.Busied(now.Add(busyLife))
+	case upstream.Behind:
+		target.stats.Lagged(now, floor.Since)
+	default:
+	}
+	if r.tried[target.id] {
+		r.pause(behindPause)
+	}
+	r.markTried(target)
+}
+
+func (r *run) markTried(target *server) {
+	if r.tried == nil {
+		r.tried = map[string]bool{}
+	}
+	r.tried[target.id] = true
+}
+
+// proofRefreshShare is the part of the staleness bound after which a new proof
+// is asked for in the background, so that no read has to wait for one.
+const proofRefreshShare = 0.5
+
+// stalenessMargin is kept of the staleness bound for clocks that tick unevenly.
+const stalenessMargin = 50 * time.Millisecond
+
+// floor returns what the read must see.
+func (r *run) floor() (freshness.Floor, bool) {
+	span := r.session.bound.MaxStaleness - stalenessMargin
+	now := time.Now()
+	if age := now.Sub(r.service.proofs.Newest().At); age > time.Duration(proofRefreshShare*float64(span)) {
+		go r.service.refreshProof(now.Add(proofLimit))
+	}
+	var own freshness.OwnCommit
+	if r.session.bound.Freshness == catalog.ReadYourWrites {
+		own = r.session.own
+	}
+	return r.service.proofs.Floor(now, span, own)
+}
+
+// choose returns the server to run the read; nil if there is none.
+func (r *run) choose(floor freshness.Floor) *server {
+	now := time.Now()
+	node := r.session.node
+	leader := r.service.belief.Leader()
+	var servers []*server
+	var candidates []routing.Candidate
+	for _, entry := range node.catalog.Current().ByService[r.service.name] {
+		target := node.server(entry.ID)
+		if target == nil || !r.service.usable(entry.ID, now) {
+			continue
+		}
+		servers = append(servers, target)
+		candidates = append(candidates, routing.Candidate{
+			SameZone:   entry.Zone == node.options.Zone,
+			SameRegion: node.options.Regions[entry.Zone] == node.options.Regions[node.options.Zone],
+			Primary:    entry.ID == leader,
+			Latency:    target.stats.Latency(now), InFlight: target.stats.InFlight(),
+			Covers:  target.stats.Covers(floor.Position, floor.Since, now),
+			Avoided: target.stats.Avoided(now), Congested: target.stats.Congested(now),
+			Leaving: entry.Leaving(), Tried: r.tried[entry.ID],
+		})
+	}
+	chosen := routing.Choose(candidates)
+	if chosen < 0 {
+		return nil
+	}
+	return servers[chosen]
+}
--- /dev/null
+++ b/internal/proxy/service.go
@@ -0,0 +1,225 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"hash/fnv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/failover"
+	"dewknot/internal/freshness"
+	"dewknot/internal/leadership"
+	"dewknot/internal/objectstore"
+	"dewknot/internal/upstream"
+)
+
+// server is the runtime state of a database server.
+type server struct {
+	id      string
+	service string
+	stats   *upstream.Stats
+	pool    *upstream.Pool
+}
+
+// service is the runtime state of a service.
+type service struct {
+	node   *Node
+	name   string
+	belief *leadership.Belief
+	proofs freshness.Proofs
+
+	// refresh lets one goroutine at a time ask the primary for a proof.
+	refresh refresher
+
+	health   leaderHealth
+	seeking  sync.Mutex
+	mutex    sync.Mutex
+	machine  *failover.Machine
+	lastSeen failover.Phase
+}
+
+func (n *Node) service(name string) *service {
+	if found, ok := n.services.Load(name); ok {
+		return found.(*service)
+	}
+	created := &service{
+		node: n, name: name, belief: leadership.NewBelief(),
+		machine: failover.New(n.options.Name, n.options.Life, n.takeoverRank(name)),
+	}
+	found, _ := n.services.LoadOrStore(name, created)
+	return found.(*service)
+}
+
+// Takeovers of different nodes are spread over this span, in steps.
+const (
+	takeoverSteps = 8
+	takeoverStep  = 250 * time.Millisecond
+)
+
+func (n *Node) takeoverRank(service string) time.Duration {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(n.options.Name + "/" + service))
+	return time.Duration(hash.Sum32()%takeoverSteps) * takeoverStep
+}
+
+// catalogChanged brings the runtime in line with a new snapshot.
+func (n *Node) catalogChanged(previous, current *catalog.Snapshot) {
+	for id, entry := range current.Servers {
+		if previous.Servers[id] == entry {
+			continue
+		}
+		n.serverChanged(entry)
+	}
+	for id := range previous.Servers {
+		if _, kept := current.Servers[id]; !kept {
+			n.forgetServer(id)
+		}
+	}
+}
+
+func (n *Node) serverChanged(entry *catalog.Server) {
+	if found, ok := n.servers.Load(entry.ID); !ok {
+		stats := upstream.NewStats()
+		n.servers.Store(entry.ID, &server{
+			id: entry.ID, service: entry.Service, stats: stats,
+			pool: upstream.NewPool(n.ports.Dialer, entry.Address, entry.Service, entry.ID, n.options.ConnectionsPerServer, stats),
+		})
+	} else if entry.Leaving() {
+		found.(*server).pool.Trim(time.Now())
+	}
+	if entry.Role == catalog.Primary && !entry.Gone {
+		if n.service(entry.Service).belief.Announce(entry.ID, entry.Revision) {
+			n.log.Info("leadership: the directory announced a primary", zap.String("service", entry.Service),
+				zap.String("server", entry.ID), zap.Uint64("revision", entry.Revision))
+		}
+	}
+}
+
+func (n *Node) forgetServer(id string) {
+	if found, ok := n.servers.LoadAndDelete(id); ok {
+		found.(*server).pool.Shut()
+	}
+}
+
+func (n *Node) server(id string) *server {
+	if found, ok := n.servers.Load(id); ok {
+		return found.(*server)
+	}
+	return nil
+}
+
+// leader returns the server believed to be the primary, nil if none is usable.
+func (s *service) leader(now time.Time) *server {
+	id := s.belief.Leader()
+	if id == "" || !s.usable(id, now) {
+		return nil
+	}
+	return s.node.server(id)
+}
+
+// leavingShare is the part of the drain bound during which a leaving server may
+// still receive work that no other server can take.
+const leavingShare = 0.7
+
+// usable reports whether a server may receive new work.
+func (s *service) usable(id string, now time.Time) bool {
+	entry := s.node.catalog.Current().Servers[id]
+	if entry == nil {
+		return false
+	}
+	if !entry.Leaving() {
+		return true
+	}
+	limit := time.Duration(leavingShare * float64(s.node.options.DrainBound))
+	return now.Sub(entry.LeavingSince) < limit
+}
+
+// submit gives the failover machine an event and carries out its effects.
+func (s *service) submit(event failover.Event) {
+	s.mutex.Lock()
+	effects := s.machine.Step(time.Now(), event)
+	phase := s.machine.Phase()
+	if phase != s.lastSeen {
+		s.node.log.Info("failover: phase changed", zap.String("service", s.name), zap.Stringer("phase", phase),
+			zap.String("leader", s.belief.Leader()), zap.Bool("holding", s.machine.Holding()))
+		s.lastSeen = phase
+	}
+	s.mutex.Unlock()
+	for _, effect := range effects {
+		go s.perform(effect)
+	}
+}
+
+func (s *service) perform(effect failover.Effect) {
+	switch effect := effect.(type) {
+	case failover.ReadLease:
+		s.readLease()
+	case failover.WriteLease:
+		s.writeLease(effect)
+	case failover.Survey:
+		s.submit(failover.Surveyed{Reports: s.survey(effect.Except)})
+	case failover.Order:
+		s.order(effect)
+	case failover.LeaderFound:
+		if s.belief.Confirm(effect.ID, s.belief.Term(), time.Now()) {
+			s.node.log.Info("leadership: a survey found a primary", zap.String("service", s.name), zap.String("server", effect.ID))
+		}
+	}
+}
+
+func (s *service) readLease() {
+	ctx, cancel := context.WithTimeout(context.Background(), storeCallLimit)
+	defer cancel()
+	object, err := s.node.ports.Store.Get(ctx, s.node.options.Kinds.Leases, s.name)
+	switch {
+	case err == nil:
+		s.submit(decodeLease(object))
+	case objectstore.OutcomeOf(err) == objectstore.NotFound:
+		s.submit(failover.LeaseKnown{Missing: true})
+	default:
+		s.submit(failover.LeaseKnown{Failed: true})
+	}
+}
+
+func (s *service) writeLease(effect failover.WriteLease) {
+	content, err := json.Marshal(effect.Lease)
+	if err != nil {
+		s.submit(failover.LeaseWritten{Result: failover.Uncertain})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeCallLimit)
+	defer cancel()
+	kind := s.node.options.Kinds.Leases
+	var object objectstore.Object
+	if effect.Create {
+		object, err = s.node.ports.Store.Create(ctx, kind, s.name, content)
+	} else {
+		object, err = s.node.ports.Store.Replace(ctx, kind, s.name, effect.Revision, content)
+	}
+	result := failover.Written
+	if err != nil {
+		result = failover.Uncertain
+		if objectstore.OutcomeOf(err) == objectstore.Conflict {
+			result = failover.Superseded
+		}
+	}
+	s.node.log.Info("failover: wrote the lease", zap.String("service", s.name),
+		zap.Uint64("epoch", effect.Lease.Epoch), zap.Bool("written", result == failover.Written), zap.Error(err))
+	s.submit(failover.LeaseWritten{Result: result, Revision: object.Revision})
+}
+
+// orderLimit bounds an order to promote.
+const orderLimit = time.Second
+
+func (s *service) order(effect failover.Order) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
+	defer cancel()
+	outcome := s.node.ports.Promoter.Promote(ctx, s.name, effect.Target, s.node.options.Name, effect.Token)
+	s.node.log.Info("failover: ordered a promotion", zap.String("service", s.name), zap.String("leader", s.belief.Leader()),
+		zap.String("target", effect.Target), zap.Uint64("token", effect.Token), zap.Uint8("outcome", uint8(outcome)))
+	s.submit(failover.Ordered{Outcome: outcome})
+}
--- /dev/null
+++ b/internal/proxy/session.go
@@ -0,0 +1,253 @@
+package proxy
+
+import (
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/command"
+	"dewknot/internal/failure"
+	"dewknot/internal/freshness"
+	"dewknot/internal/upstream"
+)
+
+// ErrIdle is returned by Client.ReadCommand when no command began in time.
+var ErrIdle = errors.New("no command began before the deadline; read again or close")
+
+// startLimit bounds the wait for the first message of a session.
+const startLimit = 5 * time.Second
+
+// session is one caller's session.
+type session struct {
+	node     *Node
+	client   Client
+	database string
+	// bound is the route of the session; it changes between transactions only.
+	bound    catalog.Route
+	values   map[string]string
+	prepared map[string]command.PreparedStatement
+	// own is the session's newest commit.
+	own         freshness.OwnCommit
+	transaction *transaction
+	// ended is a transaction whose rollback the caller does not wait for.
+	ended *transaction
+}
+
+// serve runs a session until its end.
+func (n *Node) serve(client Client) {
+	defer client.Close()
+	s := &session{node: n, client: client}
+	if !s.start() {
+		return
+	}
+	n.sessions.Store(s, struct{}{})
+	n.sessionCount.Add(1)
+	defer func() {
+		n.sessions.Delete(s)
+		n.sessionCount.Add(-1)
+		s.abandon()
+	}()
+	for s.next() {
+	}
+}
+
+func (s *session) start() bool {
+	database, err := s.client.ReadStart(time.Now().Add(startLimit))
+	if err != nil {
+		if failed, ok := failure.As(err); ok {
+			_ = s.client.Refuse(failed)
+		}
+		return false
+	}
+	s.database = database
+	if refusal := s.bind(); refusal != nil {
+		_ = s.client.Refuse(refusal)
+		return false
+	}
+	return s.client.Accept() == nil
+}
+
+// bind looks up the route that is in force now.
+func (s *session) bind() *failure.Error {
+	configuration := s.node.catalog.Current().Configuration
+	if configuration == nil {
+		return failure.New(failure.NotReady, "")
+	}
+	route, found := configuration.Routes[s.database]
+	if !found {
+		return failure.New(failure.UnknownService, s.database)
+	}
+	s.bound = route
+	return nil
+}
+
+// next serves one command and reports whether the session goes on.
+func (s *session) next() bool {
+	received, err := s.client.ReadCommand(s.idleDeadline())
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrIdle):
+		return s.idled()
+	default:
+		if failed, ok := failure.As(err); ok {
+			_ = s.client.Reply(Reply{Failure: failed, State: s.state()})
+		}
+		return false
+	}
+	reply := s.handle(&received, time.Now())
+	if reply.Failure != nil {
+		s.node.log.Info("request: failed", zap.String("request", received.RequestID), zap.Stringer("command", received.Kind),
+			zap.String("route", s.bound.Name), zap.Stringer("kind", reply.Failure.Kind), zap.String("detail", reply.Failure.FullDetail()))
+	}
+	if err := s.client.Reply(reply); err != nil {
+		return false
+	}
+	s.afterReply()
+	return reply.Failure == nil || !reply.Failure.Kind.Fatal()
+}
+
+// idleDeadline is when a resting transaction may be ended; zero without one.
+func (s *session) idleDeadline() time.Time {
+	if s.transaction == nil || s.transaction.lease == nil {
+		return time.Time{}
+	}
+	limit := s.node.catalog.Current().Configuration.TransactionIdle
+	if limit <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(limit)
+}
+
+// idled ends a transaction that has rested too long, or the session if the node stops.
+func (s *session) idled() bool {
+	if s.node.closing.Load() && s.mayClose() {
+		return false
+	}
+	if s.transaction != nil && s.transaction.lease != nil && !s.node.closing.Load() {
+		s.transaction.fail(s)
+	}
+	return true
+}
+
+// mayClose reports whether nothing of the session would be lost by a close.
+func (s *session) mayClose() bool {
+	return s.transaction == nil || s.node.aborting.Load()
+}
+
+func (s *session) state() upstream.TransactionState {
+	switch {
+	case s.transaction == nil:
+		return upstream.Idle
+	case s.transaction.failed:
+		return upstream.FailedTransaction
+	default:
+		return upstream.InTransaction
+	}
+}
+
+// abandon rolls back what the caller has left open.
+func (s *session) abandon() {
+	if s.transaction != nil {
+		s.transaction.end()
+		s.transaction = nil
+	}
+}
+
+// handle runs a command that arrived at a time and returns its answer.
+func (s *session) handle(received *command.Command, arrived time.Time) Reply {
+	if s.transaction == nil {
+		if refusal := s.bind(); refusal != nil {
+			return s.fail(refusal)
+		}
+	} else if s.transaction.failed && received.Kind != command.Commit && received.Kind != command.Rollback {
+		return s.fail(failure.New(failure.FailedTransaction, ""))
+	}
+	switch received.Kind {
+	case command.Begin, command.BeginReadOnly:
+		return s.begin(received)
+	case command.Commit:
+		return s.commit(received, arrived)
+	case command.Rollback:
+		return s.rollback()
+	case command.SetValue:
+		return s.setValue(received)
+	case command.Prepare:
+		return s.prepare(received)
+	case command.Deallocate:
+		return s.deallocate(received)
+	case command.Read, command.Write, command.Execute:
+		return s.statement(received, arrived)
+	default:
+		return s.fail(failure.New(failure.Protocol, "the command is not known"))
+	}
+}
+
+func (s *session) fail(reason *failure.Error) Reply {
+	return Reply{Failure: reason, State: s.state()}
+}
+
+func (s *session) done() Reply { return Reply{State: s.state()} }
+
+// The bounds of what a session may keep at a node.
+const (
+	maxSessionValues      = 256
+	maxPreparedStatements = 1024
+)
+
+func (s *session) setValue(received *command.Command) Reply {
+	if s.values == nil {
+		s.values = map[string]string{}
+	}
+	if _, known := s.values[received.Name]; !known && len(s.values) >= maxSessionValues {
+		return s.fail(failure.New(failure.TooManyValues, received.Name))
+	}
+	s.values[received.Name] = received.Value
+	return s.done()
+}
+
+func (s *session) prepare(received *command.Command) Reply {
+	if s.prepared == nil {
+		s.prepared = map[string]command.PreparedStatement{}
+	}
+	if _, known := s.prepared[received.Name]; !known && len(s.prepared) >= maxPreparedStatements {
+		return s.fail(failure.New(failure.TooManyValues, received.Name))
+	}
+	s.prepared[received.Name] = received.Statement
+	return s.done()
+}
+
+func (s *session) deallocate(received *command.Command) Reply {
+	if _, found := s.prepared[received.Name]; !found {
+		return s.fail(failure.New(failure.UnknownStatement, received.Name))
+	}
+	delete(s.prepared, received.Name)
+	return s.done()
+}
+
+// statement runs a read or write, inside the transaction if one is open.
+func (s *session) statement(received *command.Command, arrived time.Time) Reply {
+	statement := command.Statement{
+		RequestID: received.RequestID, Text: received.Text, Writes: received.Kind == command.Write,
+	}
+	if received.Kind == command.Execute {
+		definition, found := s.prepared[received.Name]
+		if !found {
+			return s.fail(failure.New(failure.UnknownStatement, received.Name))
+		}
+		statement.Prepared, statement.Definition, statement.Arguments = true, definition, received.Value
+		statement.Writes = definition.Writes
+	}
+	run := s.newRun(&statement, arrived)
+	switch {
+	case s.transaction != nil:
+		return s.transaction.run(run)
+	case statement.Writes:
+		return run.write()
+	case s.bound.Freshness == catalog.Current:
+		return run.readCurrent()
+	default:
+		return run.read()
+	}
+}
--- /dev/null
+++ b/internal/proxy/survey.go
@@ -0,0 +1,158 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/failover"
+	"dewknot/internal/freshness"
+	"dewknot/internal/upstream"
+)
+
+// surveyLimit bounds the wait for the servers' reports.
+const surveyLimit = 250 * time.Millisecond
+
+// survey asks the servers of the service for their status.
+func (s *service) survey(except string) []failover.Report {
+	var reports []failover.Report
+	var mutex sync.Mutex
+	var asked sync.WaitGroup
+	for _, entry := range s.node.catalog.Current().ByService[s.name] {
+		if entry.ID == except || entry.Gone {
+			continue
+		}
+		target := s.node.server(entry.ID)
+		if target == nil {
+			continue
+		}
+		asked.Go(func() {
+			status := target.report(time.Now().Add(surveyLimit))
+			if status == nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			reports = append(reports, failover.Report{ID: target.id, Primary: status.Primary, Term: status.Term, Received: status.Received})
+		})
+	}
+	asked.Wait()
+	s.node.log.Info("failover: surveyed the servers", zap.String("service", s.name), zap.Any("reports", reports))
+	return reports
+}
+
+// report asks a server for its status until it answers or the deadline passes.
+func (t *server) report(deadline time.Time) *upstream.Status {
+	for time.Now().Before(deadline) {
+		lease, err := t.pool.Reserve(deadline)
+		if err != nil {
+			return nil
+		}
+		batch := lease.Run([]upstream.Operation{{Kind: upstream.ReportStatus}}, deadline)
+		if batch.Err != nil {
+			lease.Discard()
+			return nil
+		}
+		lease.Return()
+		if result := batch.Last(); result.Outcome == upstream.Succeeded {
+			return result.Status
+		}
+		time.Sleep(busyPause)
+	}
+	return nil
+}
+
+// prove asks a server to open and end a transaction that only a primary
+// accepts. It reports whether the server is the primary, and whether it answered.
+func (s *service) prove(target *server, deadline time.Time) (primary, answered bool) {
+	lease, err := target.pool.Reserve(deadline)
+	if err != nil {
+		_, refused := upstream.RefusalOf(err)
+		return false, refused
+	}
+	batch := lease.Run([]upstream.Operation{{Kind: upstream.Begin}, {Kind: upstream.Rollback}}, deadline)
+	if batch.Err != nil {
+		lease.Discard()
+		return false, false
+	}
+	lease.Return()
+	return s.judgeBegin(target, &batch, &batch.Results[0]), true
+}
+
+// judgeBegin takes what a server's answer to Begin tells of the primary.
+func (s *service) judgeBegin(target *server, batch *upstream.Batch, begin *upstream.Result) bool {
+	now := time.Now()
+	switch begin.Outcome {
+	case upstream.Succeeded:
+		s.proved(target, batch.SentAt, begin)
+		return true
+	case upstream.NotPrimary:
+		if s.belief.Refute(target.id, now) {
+			s.node.log.Info("leadership: the primary denied its role", zap.String("service", s.name), zap.String("server", target.id))
+		}
+	default:
+	}
+	return false
+}
+
+// proved takes an answer that only the primary gives to a question sent at a time.
+func (s *service) proved(target *server, sentAt time.Time, result *upstream.Result) {
+	if s.belief.Confirm(target.id, result.Position.Term, time.Now()) {
+		s.node.log.Info("leadership: a server proved to be the primary", zap.String("service", s.name),
+			zap.String("server", target.id), zap.Stringer("position", result.Position))
+	}
+	if !result.Position.IsZero() {
+		s.proofs.Add(freshness.Proof{At: sentAt, Position: result.Position})
+	}
+}
+
+// refresher makes concurrent callers share one question to the primary.
+type refresher struct {
+	mutex   sync.Mutex
+	running chan struct{}
+}
+
+// refreshProof asks the primary for a new proof, or waits for the question
+// under way. A question under way began before the caller's, which is fine:
+// the caller looks whether the proof is new enough.
+func (s *service) refreshProof(deadline time.Time) {
+	s.refresh.mutex.Lock()
+	running := s.refresh.running
+	if running == nil {
+		running = make(chan struct{})
+		s.refresh.running = running
+		go s.askProof(running, deadline)
+	}
+	s.refresh.mutex.Unlock()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-running:
+	case <-timer.C:
+	}
+}
+
+func (s *service) askProof(done chan struct{}, deadline time.Time) {
+	defer func() {
+		s.refresh.mutex.Lock()
+		s.refresh.running = nil
+		s.refresh.mutex.Unlock()
+		close(done)
+	}()
+	target := s.leader(time.Now())
+	if target == nil {
+		time.Sleep(leaderPause)
+		return
+	}
+	limit := time.Now().Add(proofLimit)
+	if deadline.Before(limit) {
+		limit = deadline
+	}
+	if _, answered := s.prove(target, limit); !answered {
+		time.Sleep(leaderPause)
+	}
+}
+
+// proofLimit bounds one question for a proof.
+const proofLimit = 300 * time.Millisecond
--- /dev/null
+++ b/internal/proxy/transaction.go
@@ -0,0 +1,287 @@
+package proxy
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/command"
+	"dewknot/internal/failure"
+	"dewknot/internal/freshness"
+	"dewknot/internal/upstream"
+)
+
+// transaction is a caller's open transaction. It takes a connection with its
+// first statement and keeps it until its end.
+type transaction struct {
+	readOnly bool
+	// server and lease are set from the first statement on.
+	server *server
+	lease  *upstream.Lease
+	// proven is set if the server accepted the transaction as the primary.
+	proven bool
+	wrote  bool
+	// failed transactions have left nothing behind and await their end.
+	failed bool
+}
+
+func (s *session) begin(received *command.Command) Reply {
+	if s.transaction != nil {
+		return s.fail(failure.New(failure.Protocol, "a transaction is open already"))
+	}
+	s.transaction = &transaction{readOnly: received.Kind == command.BeginReadOnly}
+	return s.done()
+}
+
+// fail rolls back; the caller learns of it with its next command.
+func (t *transaction) fail(s *session) {
+	t.end()
+	t.failed = true
+	s.node.log.Info("transaction: rolled back", zap.String("route", s.bound.Name))
+}
+
+// end gives up the connection; what is open on it is rolled back.
+func (t *transaction) end() {
+	if t.lease == nil {
+		return
+	}
+	lease := t.lease
+	t.lease = nil
+	batch := lease.Run([]upstream.Operation{{Kind: upstream.Rollback}}, time.Now().Add(rollbackLimit))
+	if batch.Err != nil || batch.Last().State != upstream.Idle {
+		lease.Discard()
+		return
+	}
+	lease.Return()
+}
+
+// rollbackLimit bounds the wait for the answer to a rollback.
+const rollbackLimit = 500 * time.Millisecond
+
+func (t *transaction) discard() {
+	if t.lease != nil {
+		t.lease.Discard()
+		t.lease = nil
+	}
+}
+
+// open begins the transaction on a server. The reply is final if it reports false.
+func (t *transaction) open(r *run) (Reply, bool) {
+	if t.readOnly && r.session.bound.Freshness != catalog.Current {
+		return t.openOnReplica(r)
+	}
+	return t.openOnLeader(r)
+}
+
+func (t *transaction) openOnLeader(r *run) (Reply, bool) {
+	for r.goesOn() {
+		target, lease := r.onLeader()
+		if lease == nil {
+			return r.refuseTransaction(failure.NoPrimary), false
+		}
+		operations := append(lease.Adapt(r.session.values, nil), upstream.Operation{Kind: upstream.Begin})
+		batch := lease.Run(operations, r.readDeadline(target))
+		if batch.Err != nil {
+			lease.Discard()
+			continue
+		}
+		begin := batch.Last()
+		if r.service.judgeBegin(target, &batch, begin) {
+			t.server, t.lease, t.proven = target, lease, true
+			return Reply{}, true
+		}
+		r.settle(lease, begin)
+		r.notRun(target, begin)
+	}
+	return r.refuseTransaction(failure.Overloaded), false
+}
+
+func (t *transaction) openOnReplica(r *run) (Reply, bool) {
+	for r.goesOn() {
+		floor, found := r.floor()
+		if !found {
+			r.service.refreshProof(r.deadline)
+			continue
+		}
+		target := r.choose(floor)
+		if target == nil {
+			r.pause(behindPause)
+			continue
+		}
+		lease, err := target.pool.Get(r.connectionDeadline())
+		if err != nil {
+			r.markTried(target)
+			continue
+		}
+		operations := append(lease.Adapt(r.session.values, nil), upstream.Operation{Kind: upstream.BeginReadOnly, Floor: floor.Position})
+		batch := lease.Run(operations, r.readDeadline(target))
+		if batch.Err != nil {
+			lease.Discard()
+			r.markTried(target)
+			continue
+		}
+		begin := batch.Last()
+		if begin.Outcome == upstream.Succeeded {
+			target.stats.CaughtUp(time.Now(), floor.Since)
+			t.server, t.lease = target, lease
+			return Reply{}, true
+		}
+		r.settle(lease, begin)
+		r.readNotRun(target, begin, floor)
+	}
+	return r.refuseTransaction(failure.Overloaded), false
+}
+
+// refuseTransaction fails the transaction; nothing of it has run.
+func (r *run) refuseTransaction(kind failure.Kind) Reply {
+	r.session.transaction.failed = true
+	return r.refuse(kind)
+}
+
+// run runs a statement of the transaction.
+func (t *transaction) run(r *run) Reply {
+	if t.readOnly && r.statement.Writes {
+		t.fail(r.session)
+		return r.session.fail(failure.New(failure.ReadOnlyTransaction, ""))
+	}
+	if t.lease == nil {
+		if reply, opened := t.open(r); !opened {
+			return reply
+		}
+	} else if !t.lease.Alive() {
+		return t.lost(r)
+	}
+	for r.goesOn() {
+		operations := append(t.lease.Adapt(r.session.values, r.statement), r.operation())
+		batch := t.lease.Run(operations, r.deadline)
+		if batch.Err != nil {
+			r.log().Info("transaction: the answer of a statement was lost", zap.String("request", r.statement.RequestID),
+				zap.String("server", t.server.id), zap.Error(batch.Err))
+			return t.lost(r)
+		}
+		result := batch.Last()
+		switch {
+		case result.Outcome == upstream.Succeeded:
+			t.wrote = t.wrote || r.statement.Writes
+			if t.proven {
+				r.service.proved(t.server, batch.SentAt, result)
+			}
+			return r.answer(result)
+		case result.Outcome == upstream.Busy && result.State == upstream.InTransaction,
+			result.Outcome == upstream.StatementMissing && result.State == upstream.InTransaction:
+			r.pause(busyPause)
+		case result.Outcome.NotRun():
+			r.log().Info("transaction: the server refused a statement", zap.String("request", r.statement.RequestID),
+				zap.String("server", t.server.id), zap.Stringer("outcome", result.Outcome), zap.Uint8("state", uint8(result.State)))
+			if result.Outcome == upstream.NotPrimary {
+				r.service.belief.Refute(t.server.id, time.Now())
+			}
+			return t.refused(r)
+		default:
+			t.end()
+			t.failed = true
+			return r.answer(result)
+		}
+	}
+	return t.refused(r)
+}
+
+// lost answers after the connection was lost or is in doubt. The transaction
+// was not committed, so closing its connection leaves nothing of it.
+func (t *transaction) lost(r *run) Reply {
+	t.discard()
+	t.failed = true
+	return r.session.fail(failure.Refuse(failure.TransactionLost, comeBack))
+}
+
+// refused answers after the server did not run a statement.
+func (t *transaction) refused(r *run) Reply {
+	t.end()
+	t.failed = true
+	return r.session.fail(failure.Refuse(failure.TransactionLost, comeBack))
+}
+
+func (s *session) rollback() Reply {
+	if s.transaction == nil {
+		return s.fail(failure.New(failure.Protocol, "no transaction is open"))
+	}
+	s.ended = s.transaction
+	s.transaction = nil
+	return s.done()
+}
+
+// afterReply does what the caller need not wait for.
+func (s *session) afterReply() {
+	if s.ended != nil {
+		s.ended.end()
+		s.ended = nil
+	}
+}
+
+// commit ends the transaction. Its outcome is unknown if the answer is lost and
+// the transaction wrote.
+func (s *session) commit(received *command.Command, arrived time.Time) Reply {
+	t := s.transaction
+	if t == nil {
+		return s.fail(failure.New(failure.Protocol, "no transaction is open"))
+	}
+	if t.failed {
+		s.transaction = nil
+		return s.fail(failure.Refuse(failure.TransactionLost, comeBack))
+	}
+	r := s.newRun(&command.Statement{RequestID: received.RequestID}, arrived)
+	if t.lease == nil {
+		if reply, opened := t.open(r); !opened {
+			s.transaction = nil
+			reply.State = upstream.Idle
+			return reply
+		}
+	}
+	reply := t.commit(r, received)
+	s.transaction = nil
+	reply.State = upstream.Idle
+	return reply
+}
+
+func (t *transaction) commit(r *run, received *command.Command) Reply {
+	if !t.lease.Alive() {
+		return t.lost(r)
+	}
+	for r.goesOn() {
+		batch := t.lease.Run([]upstream.Operation{{Kind: upstream.Commit, RequestID: received.RequestID, Text: received.Text}}, r.deadline)
+		if batch.Err != nil {
+			r.log().Info("transaction: the answer of a commit was lost", zap.String("request", received.RequestID),
+				zap.String("server", t.server.id), zap.Error(batch.Err))
+			wrote := t.wrote
+			reply := t.lost(r)
+			if wrote {
+				reply.Failure = failure.New(failure.OutcomeUnknown, "")
+			}
+			return reply
+		}
+		result := batch.Last()
+		if result.Outcome == upstream.Succeeded {
+			t.committed(r, result)
+			return r.answer(result)
+		}
+		if result.Outcome == upstream.Busy && result.State == upstream.InTransaction {
+			r.pause(busyPause)
+			continue
+		}
+		if result.Outcome.NotRun() {
+			return t.refused(r)
+		}
+		t.end()
+		return r.answer(result)
+	}
+	return t.refused(r)
+}
+
+func (t *transaction) committed(r *run, result *upstream.Result) {
+	if t.wrote {
+		r.session.own = freshness.OwnCommit{At: time.Now(), Position: result.Position}
+	}
+	r.settle(t.lease, result)
+	t.lease = nil
+}
--- /dev/null
+++ b/internal/settings/proxy.go
@@ -0,0 +1,102 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pkg/errors"
+)
+
+// Proxy holds the settings of a node that reaches its servers directly
+// (dewknot-proxy).
+type Proxy struct {
+	// Name names the node; it is unique in the fleet.
+	Name string `toml:"name" validate:"required,max=128"`
+	Zone string `toml:"zone" validate:"required,max=64"`
+	// Callers is the address for callers, Readiness that of the readiness probe,
+	// Metrics that of the metrics; an empty Metrics serves none.
+	Callers   string `toml:"callers" validate:"required,hostname_port"`
+	Readiness string `toml:"readiness" validate:"required,hostname_port"`
+	Metrics   string `toml:"metrics" validate:"omitempty,hostname_port"`
+	// Store is the durable store, Promotions takes orders to promote a server.
+	Store      string `toml:"store" validate:"required,hostname_port"`
+	Promotions string `toml:"promotions" validate:"omitempty,hostname_port"`
+	// ConfigurationBound is within how long a change has to be in force.
+	ConfigurationBound Duration `toml:"configuration_bound"`
+	// DrainBound is within how long a leaving server must receive no new work.
+	DrainBound Duration `toml:"drain_bound"`
+	// StopGrace is the time from SIGTERM until the process is killed.
+	StopGrace Duration `toml:"stop_grace"`
+	// MemoryLimitMB is the memory that the process may use, in MiB.
+	MemoryLimitMB int    `toml:"memory_limit_mb" validate:"min=16,max=1048576"`
+	LogLevel      string `toml:"log_level" validate:"oneof=debug info warn error"`
+	// LogLinesPerSecond bounds the volume of logs.
+	LogLinesPerSecond int `toml:"log_lines_per_second" validate:"min=1,max=1000000"`
+	// Regions gives the region of each zone.
+	Regions map[string]string `toml:"regions"`
+}
+
+// ProxyDefaults returns the settings that hold where the file says nothing.
+func ProxyDefaults() Proxy {
+	return Proxy{
+		ConfigurationBound: Duration{4 * time.Second}, DrainBound: Duration{7 * time.Second},
+		StopGrace: Duration{6 * time.Second}, MemoryLimitMB: 256, LogLevel: "info", LogLinesPerSecond: 200,
+	}
+}
+
+// LoadProxy reads and checks a settings file over the defaults.
+func LoadProxy(path string) (Proxy, error) {
+	loaded := ProxyDefaults()
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return loaded, errors.Wrap(err, "read settings; name the file with --settings")
+	}
+	decoder := toml.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&loaded); err != nil {
+		return loaded, describe(path, err)
+	}
+	return loaded, loaded.Check()
+}
+
+// Limits on durations, which tags cannot express.
+const (
+	minimumBound = 100 * time.Millisecond
+	maximumBound = time.Hour
+)
+
+// Check refuses values that cannot be used, naming each with its remedy.
+func (p *Proxy) Check() error {
+	var lines []string
+	checker := validator.New()
+	checker.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("toml") })
+	var faults validator.ValidationErrors
+	if err := checker.Struct(p); errors.As(err, &faults) {
+		for _, fault := range faults {
+			lines = append(lines, fmt.Sprintf("%s = %v: %s", fault.Field(), shown(fault), remedy(fault)))
+		}
+	}
+	bounds := []struct {
+		key   string
+		value Duration
+	}{
+		{"configuration_bound", p.ConfigurationBound},
+		{"drain_bound", p.DrainBound},
+		{"stop_grace", p.StopGrace},
+	}
+	for _, bound := range bounds {
+		if bound.value.Duration < minimumBound || bound.value.Duration > maximumBound {
+			lines = append(lines, fmt.Sprintf("%s = %s: use %s to %s", bound.key, bound.value, minimumBound, maximumBound))
+		}
+	}
+	if len(lines) > 0 {
+		return errors.New("settings are refused:\n  " + strings.Join(lines, "\n  "))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upstream/batch.go
@@ -0,0 +1,121 @@
+package upstream
+
+import (
+	"errors"
+	"os"
+	"time"
+
+	"dewknot/internal/command"
+)
+
+// Batch is the outcome of a run of operations.
+type Batch struct {
+	// SentAt is a time before the first byte was sent.
+	SentAt  time.Time
+	Results []Result
+	// Err is set if not all operations were answered; the connection is then in
+	// doubt and must be discarded.
+	Err error
+}
+
+// Last returns the last result; there must be one.
+func (b *Batch) Last() *Result { return &b.Results[len(b.Results)-1] }
+
+// TimedOut reports whether answers are missing because the deadline passed.
+func (b *Batch) TimedOut() bool { return errors.Is(b.Err, os.ErrDeadlineExceeded) }
+
+// Run sends operations and waits for all their answers.
+func (l *Lease) Run(operations []Operation, deadline time.Time) Batch {
+	stats := l.pool.stats
+	batch := Batch{SentAt: time.Now(), Results: make([]Result, 0, len(operations))}
+	waiting := stats.Started(batch.SentAt)
+	defer stats.Finished(waiting)
+	if batch.Err = l.Send(operations); batch.Err != nil {
+		stats.Unreachable(time.Now())
+		return batch
+	}
+	for i := range operations {
+		result, err := l.Receive(operations[i].Kind, deadline)
+		if err != nil {
+			batch.Err = err
+			if !batch.TimedOut() {
+				stats.Unreachable(time.Now())
+			}
+			return batch
+		}
+		l.note(&operations[i], &result)
+		batch.Results = append(batch.Results, result)
+	}
+	now := time.Now()
+	stats.Answered(now)
+	stats.Observe(batch.Last().Position)
+	if runsStatement(operations) {
+		stats.Sample(now, now.Sub(batch.SentAt))
+	}
+	return batch
+}
+
+func runsStatement(operations []Operation) bool {
+	for i := range operations {
+		if operations[i].Kind == RunStatement {
+			return true
+		}
+	}
+	return false
+}
+
+// note follows the session state that the server keeps for the connection.
+func (l *Lease) note(operation *Operation, result *Result) {
+	if operation.Kind == RunStatement && result.Outcome == StatementMissing {
+		clear(l.Prepared)
+		return
+	}
+	if result.Outcome != Succeeded {
+		return
+	}
+	switch operation.Kind {
+	case ResetSession:
+		clear(l.Values)
+		clear(l.Prepared)
+	case SetValue:
+		l.Values[operation.Name] = operation.Value
+	case PrepareStatement:
+		l.Prepared[operation.Name] = operation.Definition
+	default:
+	}
+}
+
+// Adapt returns the operations that give the connection a session's values and,
+// if the statement executes a prepared one, the statement under its name.
+func (l *Lease) Adapt(values map[string]string, statement *command.Statement) []Operation {
+	var operations []Operation
+	for name := range l.Values {
+		if _, wanted := values[name]; !wanted {
+			operations = append(operations, Operation{Kind: ResetSession})
+			clear(l.Values)
+			clear(l.Prepared)
+			break
+		}
+	}
+	for name, value := range values {
+		if present, set := l.Values[name]; !set || present != value {
+			operations = append(operations, Operation{Kind: SetValue, Name: name, Value: value})
+		}
+	}
+	if statement != nil && statement.Prepared {
+		name := ServerName(statement.Definition)
+		if _, prepared := l.Prepared[name]; !prepared {
+			operations = append(operations, Operation{Kind: PrepareStatement, Name: name, Definition: statement.Definition})
+		}
+	}
+	return operations
+}
+
+// ServerName is the name under which a statement is prepared on connections:
+// the same for the same statement, whatever its callers name it.
+func ServerName(definition command.PreparedStatement) string {
+	if definition.Writes {
+		return "w_" + definition.Shape
+	}
+	return "r_" + definition.Shape
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,275 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"os"
+	"sync"
+	"time"
+
+	"dewknot/internal/command"
+)
+
+// Lease is a pooled connection lent to one user, with the session state that
+// the server keeps for it.
+type Lease struct {
+	Connection
+	// Values are the session values set on the connection.
+	Values map[string]string
+	// Prepared holds the names prepared on the connection.
+	Prepared map[string]command.PreparedStatement
+
+	pool     *Pool
+	returned time.Time
+	used     bool
+}
+
+// Pool lends connections to one server. It is safe for concurrent use.
+type Pool struct {
+	dialer  Dialer
+	address string
+	service string
+	id      string
+	stats   *Stats
+
+	mutex   sync.Mutex
+	idle    []*Lease
+	open    int
+	limit   int
+	waiters []chan *Lease
+	closed  bool
+	// refusedUntil holds back new connections after the server refused one for
+	// its connection limit.
+	refusedUntil time.Time
+}
+
+// refusalPause is how long no new connection is tried after the server's limit was met.
+const refusalPause = 200 * time.Millisecond
+
+// dialTimeout bounds the opening of a connection.
+const dialTimeout = 1500 * time.Millisecond
+
+// NewPool returns a pool of at most limit connections.
+func NewPool(dialer Dialer, address, service, id string, limit int, stats *Stats) *Pool {
+	return &Pool{dialer: dialer, address: address, service: service, id: id, limit: limit, stats: stats}
+}
+
+// SetLimit changes the greatest number of connections.
+func (p *Pool) SetLimit(limit int) {
+	p.mutex.Lock()
+	p.limit = limit
+	p.mutex.Unlock()
+}
+
+// Open returns the number of open connections.
+func (p *Pool) Open() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.open
+}
+
+// Get lends a connection, waiting for one until deadline.
+func (p *Pool) Get(deadline time.Time) (*Lease, error) { return p.get(deadline, 0) }
+
+// reserved is the number of connections beyond the limit that only Reserve opens.
+const reserved = 1
+
+// Reserve lends a connection for questions about the server itself, which must
+// not wait behind callers' work.
+func (p *Pool) Reserve(deadline time.Time) (*Lease, error) { return p.get(deadline, reserved) }
+
+func (p *Pool) get(deadline time.Time, beyond int) (*Lease, error) {
+	for {
+		lease, waiter, mayDial := p.take(beyond)
+		switch {
+		case lease != nil:
+		case mayDial:
+			return p.dial(deadline)
+		case waiter == nil:
+			return nil, ErrNoConnection
+		default:
+			lease = p.await(waiter, deadline)
+			if lease == nil {
+				return nil, ErrNoConnection
+			}
+			if lease.Connection == nil {
+				// A place became free, not a connection.
+				continue
+			}
+		}
+		if lease.Alive() {
+			return lease, nil
+		}
+		lease.Discard()
+	}
+}
+
+// take returns an idle connection, or leave to dial (a place is then reserved),
+// or a waiter.
+func (p *Pool) take(beyond int) (*Lease, chan *Lease, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed {
+		return nil, nil, false
+	}
+	if last := len(p.idle) - 1; last >= 0 {
+		lease := p.idle[last]
+		p.idle = p.idle[:last]
+		return lease, nil, false
+	}
+	if p.open < p.limit+beyond && (p.open == 0 || time.Now().After(p.refusedUntil)) {
+		p.open++
+		return nil, nil, true
+	}
+	waiter := make(chan *Lease, 1)
+	p.waiters = append(p.waiters, waiter)
+	return nil, waiter, false
+}
+
+// await waits for a connection or a free place; nil means neither came in time.
+func (p *Pool) await(waiter chan *Lease, deadline time.Time) *Lease {
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case lease := <-waiter:
+		return lease
+	case <-timer.C:
+	}
+	p.mutex.Lock()
+	for i, other := range p.waiters {
+		if other == waiter {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			p.mutex.Unlock()
+			return nil
+		}
+	}
+	p.mutex.Unlock()
+	// The hand-over was under way already.
+	lease := <-waiter
+	if lease.Connection != nil {
+		lease.Return()
+	} else {
+		p.wakeOne()
+	}
+	return nil
+}
+
+func (p *Pool) dial(deadline time.Time) (*Lease, error) {
+	limit := time.Now().Add(dialTimeout)
+	if deadline.Before(limit) {
+		limit = deadline
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), limit)
+	defer cancel()
+	asked := time.Now()
+	connection, at, err := p.dialer.Dial(ctx, p.address, p.service, p.id)
+	if err != nil {
+		p.dialFailed(err, time.Since(asked))
+		return nil, err
+	}
+	p.stats.Answered(time.Now())
+	p.stats.Observe(at)
+	p.stats.dialed(time.Since(asked))
+	return &Lease{
+		Connection: connection, pool: p,
+		Values: map[string]string{}, Prepared: map[string]command.PreparedStatement{},
+	}, nil
+}
+
+// silentDial is how long an attempt must have gone unanswered to count against
+// the server; a shorter one was cut off by the caller's deadline.
+const silentDial = 250 * time.Millisecond
+
+func (p *Pool) dialFailed(err error, took time.Duration) {
+	refusal, refused := RefusalOf(err)
+	if !refused && (!errors.Is(err, os.ErrDeadlineExceeded) || took >= silentDial) {
+		p.stats.Unreachable(time.Now())
+	}
+	p.mutex.Lock()
+	p.open--
+	if refused && refusal == ConnectionLimit {
+		p.refusedUntil = time.Now().Add(refusalPause)
+	}
+	p.mutex.Unlock()
+	p.wakeOne()
+}
+
+// wakeOne lets a waiter try again, since a place has become free.
+func (p *Pool) wakeOne() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.handOver(&Lease{pool: p})
+}
+
+// handOver gives a lease to the longest waiter; the lock is held.
+func (p *Pool) handOver(lease *Lease) bool {
+	if len(p.waiters) == 0 {
+		return false
+	}
+	waiter := p.waiters[0]
+	p.waiters = p.waiters[1:]
+	waiter <- lease
+	return true
+}
+
+// Return gives a clean connection back: no answer outstanding, no transaction open.
+func (l *Lease) Return() {
+	pool := l.pool
+	pool.mutex.Lock()
+	if pool.closed || pool.open > pool.limit {
+		pool.open--
+		pool.mutex.Unlock()
+		l.Close()
+		return
+	}
+	l.returned = time.Now()
+	l.used = true
+	if !pool.handOver(l) {
+		pool.idle = append(pool.idle, l)
+	}
+	pool.mutex.Unlock()
+}
+
+// Discard closes a connection that is in doubt.
+func (l *Lease) Discard() {
+	l.Close()
+	pool := l.pool
+	pool.mutex.Lock()
+	pool.open--
+	pool.mutex.Unlock()
+	pool.wakeOne()
+}
+
+// Trim closes connections that have been idle since before a time.
+func (p *Pool) Trim(before time.Time) {
+	p.mutex.Lock()
+	kept := 0
+	for kept < len(p.idle) && p.idle[kept].returned.Before(before) {
+		kept++
+	}
+	old := append([]*Lease(nil), p.idle[:kept]...)
+	p.idle = append(p.idle[:0], p.idle[kept:]...)
+	p.open -= len(old)
+	p.mutex.Unlock()
+	for _, lease := range old {
+		lease.Close()
+	}
+}
+
+// Shut closes all idle connections and refuses further use.
+func (p *Pool) Shut() {
+	p.mutex.Lock()
+	p.closed = true
+	idle := p.idle
+	p.idle = nil
+	p.open -= len(idle)
+	waiters := p.waiters
+	p.waiters = nil
+	p.mutex.Unlock()
+	for _, waiter := range waiters {
+		waiter <- &Lease{pool: p}
+	}
+	for _, lease := range idle {
+		lease.Close()
+	}
+}
--- /dev/null
+++ b/internal/upstream/stats.go
@@ -0,0 +1,211 @@
+package upstream
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dewknot/internal/position"
+)
+
+// Weights and times of the estimates.
+const (
+	// latencyWeight is the weight of a new sample in the latency estimate.
+	latencyWeight = 0.2
+	// latencyForgetting is the time in which an estimate without samples falls
+	// by the factor e towards the lowest latency seen.
+	latencyForgetting = time.Second
+	// lagForgetting is the same for the lag estimate.
+	lagForgetting = 700 * time.Millisecond
+	// failurePause is how long a server that could not be reached is avoided.
+	failurePause = 400 * time.Millisecond
+)
+
+// Stats is what answers have told about one server. It is safe for concurrent use.
+type Stats struct {
+	inFlight   atomic.Int32
+	lastAnswer atomic.Int64 // nanoseconds since epoch
+	epoch      time.Time
+
+	mutex         sync.Mutex
+	latency       float64 // seconds
+	lowest        float64
+	latencyAt     time.Time
+	lag           time.Duration
+	lagAt         time.Time
+	applied       position.Position
+	failedAt      time.Time
+	failures      int
+	busyUntil     time.Time
+	waitingSince  map[uint64]time.Time
+	nextWaitingID uint64
+}
+
+// NewStats returns empty statistics.
+func NewStats() *Stats {
+	return &Stats{epoch: time.Now(), waitingSince: map[uint64]time.Time{}}
+}
+
+// Started notes that a request was sent; the result is given to Finished.
+func (s *Stats) Started(now time.Time) uint64 {
+	s.inFlight.Add(1)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.nextWaitingID++
+	s.waitingSince[s.nextWaitingID] = now
+	return s.nextWaitingID
+}
+
+// Finished notes that a request was answered, or given up.
+func (s *Stats) Finished(id uint64) {
+	s.inFlight.Add(-1)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.waitingSince, id)
+}
+
+// OldestWait returns how long the oldest unanswered request has waited.
+func (s *Stats) OldestWait(now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	longest := time.Duration(0)
+	for _, since := range s.waitingSince {
+		longest = max(longest, now.Sub(since))
+	}
+	return longest
+}
+
+// InFlight returns the number of unanswered requests.
+func (s *Stats) InFlight() int { return int(s.inFlight.Load()) }
+
+// Answered notes that the server has said something.
+func (s *Stats) Answered(now time.Time) {
+	s.lastAnswer.Store(int64(now.Sub(s.epoch)))
+	s.mutex.Lock()
+	s.failures = 0
+	s.mutex.Unlock()
+}
+
+// SinceAnswer returns the time since the server last said something.
+func (s *Stats) SinceAnswer(now time.Time) time.Duration {
+	return now.Sub(s.epoch.Add(time.Duration(s.lastAnswer.Load())))
+}
+
+// Unreachable notes that a connection could not be opened or broke.
+func (s *Stats) Unreachable(now time.Time) {
+	s.mutex.Lock()
+	s.failures++
+	s.failedAt = now
+	s.mutex.Unlock()
+}
+
+// Failures returns the failures in a row and the time of the last.
+func (s *Stats) Failures() (int, time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.failures, s.failedAt
+}
+
+// Avoided reports whether the server has lately been unreachable.
+func (s *Stats) Avoided(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.failures > 0 && now.Sub(s.failedAt) < failurePause
+}
+
+// Busied notes that the server refused for want of a slot.
+func (s *Stats) Busied(until time.Time) {
+	s.mutex.Lock()
+	s.busyUntil = until
+	s.mutex.Unlock()
+}
+
+// Congested reports whether the server has just refused for want of a slot.
+func (s *Stats) Congested(now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return now.Before(s.busyUntil)
+}
+
+// Sample takes the latency of an answered statement.
+func (s *Stats) Sample(now time.Time, latency time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	sample := latency.Seconds()
+	if s.latencyAt.IsZero() {
+		s.latency, s.lowest = sample, sample
+	} else {
+		s.latency = s.estimate(now)
+		s.latency += latencyWeight * (sample - s.latency)
+		s.lowest = min(s.lowest, sample)
+	}
+	s.latencyAt = now
+}
+
+// dialed takes the time that opening a connection took as a first estimate.
+func (s *Stats) dialed(took time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.latencyAt.IsZero() {
+		s.latency, s.lowest = took.Seconds()/2, took.Seconds()/2
+		s.latencyAt = time.Now()
+	}
+}
+
+// estimate returns the latency expected now; the lock is held.
+func (s *Stats) estimate(now time.Time) float64 {
+	age := now.Sub(s.latencyAt)
+	keep := math.Exp(-age.Seconds() / latencyForgetting.Seconds())
+	return s.lowest + (s.latency-s.lowest)*keep
+}
+
+// Latency returns the latency expected of a statement; 0 if nothing is known.
+func (s *Stats) Latency(now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.latencyAt.IsZero() {
+		return 0
+	}
+	return time.Duration(s.estimate(now) * float64(time.Second))
+}
+
+// Observe takes a position that the server has applied.
+func (s *Stats) Observe(at position.Position) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.applied.Less(at) {
+		s.applied = at
+	}
+}
+
+// Lagged notes that the server lacked a position which the primary had since a time.
+func (s *Stats) Lagged(now, since time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lag = max(s.lagEstimate(now), now.Sub(since)*5/4)
+	s.lagAt = now
+	// What was applied may have been rolled back by a promotion.
+	s.applied = position.Position{}
+}
+
+// CaughtUp notes that the server had a position which the primary had since a time.
+func (s *Stats) CaughtUp(now, since time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lag = min(s.lagEstimate(now), now.Sub(since))
+	s.lagAt = now
+}
+
+func (s *Stats) lagEstimate(now time.Time) time.Duration {
+	keep := math.Exp(-now.Sub(s.lagAt).Seconds() / lagForgetting.Seconds())
+	return time.Duration(float64(s.lag) * keep)
+}
+
+// Covers reports whether the server surely has a position, or should by now,
+// given the time since which the primary has had it.
+func (s *Stats) Covers(floor position.Position, since, now time.Time) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.applied.Covers(floor) || now.Sub(since) >= s.lagEstimate(now)
+}
