failover: tokens stay unique when a lease is held again; the protocol is explored exhaustively

Cause: a test of the rejected order showed that reading one's own lease again reset the token counter, so one token named two targets. Change: the counter is never reset. Ruled out: a new epoch for each reading (costs a write for each order).

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -287,10 +287,9 @@
 	return nil
 }
 
+// hold notes that the lease is held. The counter is never reset, since a lease
+// that is held again under the same epoch must not give out a token twice.
 func (m *Machine) hold(epoch uint64) {
-	if !m.holding || m.epoch != epoch {
-		m.counter = 0
-	}
 	m.holding, m.epoch = true, epoch
 }
 
--- /dev/null
+++ b/internal/failover/machine_test.go
@@ -0,0 +1,137 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/position"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(milliseconds int) time.Time { return epoch.Add(time.Duration(milliseconds) * time.Millisecond) }
+
+func healthy() Observation {
+	return Observation{Leader: "a", Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+}
+
+func down() Observation {
+	seen := healthy()
+	seen.LeaderDown = true
+	return seen
+}
+
+func reports(b, c uint64) Surveyed {
+	return Surveyed{Reports: []Report{
+		{ID: "b", Term: 1, Received: position.Position{Term: 1, Offset: b}},
+		{ID: "c", Term: 1, Received: position.Position{Term: 1, Offset: c}},
+	}}
+}
+
+// holder returns a machine that holds the lease at epoch 1.
+func holder(t *testing.T) *Machine {
+	t.Helper()
+	machine := New("n1", "life", 0)
+	effects := machine.Step(at(0), LeaseKnown{Missing: true})
+	must.Eq(t, []Effect{WriteLease{Create: true, Lease: Lease{Holder: "n1", Epoch: 1, Life: "life"}}}, effects)
+	must.SliceEmpty(t, machine.Step(at(1), LeaseWritten{Result: Written, Revision: 7}))
+	must.True(t, machine.Holding())
+	return machine
+}
+
+func TestHealthyPrimaryStays(t *testing.T) {
+	machine := holder(t)
+	for i := range 100 {
+		must.SliceEmpty(t, machine.Step(at(100*i), Observed{healthy()}))
+	}
+}
+
+func TestHolderPromotesTheServerThatReceivedMost(t *testing.T) {
+	machine := holder(t)
+	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(100), Observed{down()}))
+	must.Eq(t, []Effect{Order{Target: "c", Token: tokensPerEpoch + 1}}, machine.Step(at(150), reports(10, 11)))
+	must.SliceEmpty(t, machine.Step(at(160), Ordered{Accepted}))
+	must.SliceEmpty(t, machine.Step(at(200), Observed{down()}))
+	settled := healthy()
+	settled.Leader = "c"
+	must.SliceEmpty(t, machine.Step(at(1200), Observed{settled}))
+	must.Eq(t, Watching, machine.Phase())
+}
+
+func TestUnansweredOrderIsFollowedByAHigherToken(t *testing.T) {
+	machine := holder(t)
+	machine.Step(at(100), Observed{down()})
+	machine.Step(at(150), reports(10, 11))
+	must.SliceEmpty(t, machine.Step(at(1150), Ordered{Unanswered}))
+	must.SliceEmpty(t, machine.Step(at(1200), Observed{down()}))
+	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(2400), Observed{down()}))
+	must.Eq(t, []Effect{Order{Target: "b", Token: tokensPerEpoch + 2}}, machine.Step(at(2450), reports(12, 11)))
+}
+
+func TestRejectedTargetIsAvoidedAndTheLeaseReadAgain(t *testing.T) {
+	machine := holder(t)
+	machine.Step(at(100), Observed{down()})
+	machine.Step(at(150), reports(10, 11))
+	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(160), Ordered{Rejected}))
+	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(170), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 1, Life: "life"}}))
+	must.Eq(t, []Effect{Order{Target: "b", Token: tokensPerEpoch + 2}}, machine.Step(at(200), reports(10, 11)))
+}
+
+func TestHolderThatWasReplacedDoesNotAct(t *testing.T) {
+	machine := holder(t)
+	machine.Step(at(100), Observed{down()})
+	machine.Step(at(150), reports(10, 11))
+	machine.Step(at(160), Ordered{Rejected})
+	must.SliceEmpty(t, machine.Step(at(170), LeaseKnown{Revision: 9, Lease: Lease{Holder: "n2", Epoch: 2}}))
+	must.False(t, machine.Holding())
+	must.SliceEmpty(t, machine.Step(at(200), Observed{down()}))
+}
+
+func TestOtherNodeTakesOverFromAHolderThatDoesNotAct(t *testing.T) {
+	machine := New("n2", "life", 250*time.Millisecond)
+	must.SliceEmpty(t, machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}}))
+	must.SliceEmpty(t, machine.Step(at(100), Observed{down()}))
+	must.SliceEmpty(t, machine.Step(at(2800), Observed{down()}))
+	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(2900), Observed{down()}))
+	must.Eq(t, []Effect{WriteLease{Revision: 7, Lease: Lease{Holder: "n2", Epoch: 4, Life: "life"}}},
+		machine.Step(at(2910), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}}))
+	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(2920), LeaseWritten{Result: Written, Revision: 9}))
+	must.Eq(t, []Effect{Order{Target: "b", Token: 4*tokensPerEpoch + 1}}, machine.Step(at(2950), reports(5, 4)))
+}
+
+func TestLeaseTakenLatelyByAnotherNodeIsRespected(t *testing.T) {
+	machine := New("n2", "life", 0)
+	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
+	machine.Step(at(100), Observed{down()})
+	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(2700), Observed{down()}))
+	must.SliceEmpty(t, machine.Step(at(2710), LeaseKnown{Revision: 8, Lease: Lease{Holder: "n3", Epoch: 4}}))
+	must.SliceEmpty(t, machine.Step(at(2800), Observed{down()}))
+}
+
+func TestLeaseOfAnEarlierLifeIsTakenAgainUnderANewEpoch(t *testing.T) {
+	machine := New("n1", "second", 0)
+	must.Eq(t, []Effect{WriteLease{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 2, Life: "second"}}},
+		machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 1, Life: "first"}}))
+}
+
+func TestDrainingPrimaryIsHandedOverAtOnce(t *testing.T) {
+	machine := holder(t)
+	seen := healthy()
+	seen.LeaderDraining = true
+	must.Eq(t, []Effect{Survey{}}, machine.Step(at(100), Observed{seen}))
+}
+
+func TestPrimaryWithoutAnotherServerStays(t *testing.T) {
+	machine := holder(t)
+	seen := Observation{Leader: "a", LeaderDown: true, Servers: []Server{{ID: "a"}, {ID: "b", Leaving: true}}}
+	must.SliceEmpty(t, machine.Step(at(100), Observed{seen}))
+}
+
+func TestPrimaryFoundByASurveyIsNotReplaced(t *testing.T) {
+	machine := holder(t)
+	machine.Step(at(100), Observed{down()})
+	found := Surveyed{Reports: []Report{{ID: "b", Primary: true, Term: 2}}}
+	must.Eq(t, []Effect{LeaderFound{ID: "b"}}, machine.Step(at(150), found))
+}
--- /dev/null
+++ b/internal/failover/model_test.go
@@ -0,0 +1,271 @@
+package failover
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/position"
+)
+
+// The model explores, exhaustively up to a depth, two nodes that both find the
+// primary down: store answers that are lost before or after they took effect,
+// orders that are carried out late, and nodes that crash and return under their
+// name. It checks what the platform demands of tokens:
+//
+//   - no two holders order under one token,
+//   - no two targets are ordered under one token,
+//   - the tokens rise with every change of holder, in the order of the leases.
+
+// faultyVariant is a broken mechanism that the check must notice.
+type faultyVariant uint8
+
+const (
+	intact faultyVariant = iota
+	unconditionalWrites
+	tokensWithoutEpoch
+	tokensWithoutCounter
+	epochKept
+)
+
+type order struct {
+	holder string
+	life   string
+	target string
+	token  uint64
+}
+
+// world is a state of the model; clone makes an independent copy.
+type world struct {
+	variant  faultyVariant
+	now      int
+	revision uint64
+	missing  bool
+	lease    Lease
+	machines []*Machine
+	lives    []int
+	pending  [][]Effect
+	orders   []order
+	// leases lists the holders in the order in which the store accepted them.
+	leases []Lease
+	crashes,
+	losses int
+}
+
+func newWorld(variant faultyVariant) *world {
+	w := &world{variant: variant, missing: true, machines: make([]*Machine, 2), lives: make([]int, 2), pending: make([][]Effect, 2)}
+	for i := range w.machines {
+		w.start(i)
+	}
+	return w
+}
+
+func (w *world) start(i int) {
+	w.lives[i]++
+	w.machines[i] = New(fmt.Sprintf("n%d", i), fmt.Sprintf("n%d.%d", i, w.lives[i]), 0)
+	w.pending[i] = nil
+	w.step(i, w.known())
+}
+
+func (w *world) known() LeaseKnown {
+	return LeaseKnown{Missing: w.missing, Revision: w.revision, Lease: w.lease}
+}
+
+func (w *world) step(i int, event Event) {
+	w.pending[i] = append(w.pending[i], w.machines[i].Step(at(w.now), event)...)
+}
+
+func (w *world) clone() *world {
+	copied := *w
+	copied.machines = make([]*Machine, len(w.machines))
+	copied.pending = make([][]Effect, len(w.pending))
+	for i, machine := range w.machines {
+		duplicate := *machine
+		duplicate.rejected = maps.Clone(machine.rejected)
+		copied.machines[i] = &duplicate
+		copied.pending[i] = append([]Effect(nil), w.pending[i]...)
+	}
+	copied.lives = append([]int(nil), w.lives...)
+	copied.orders = append([]order(nil), w.orders...)
+	copied.leases = append([]Lease(nil), w.leases...)
+	return &copied
+}
+
+// write applies a conditional write and reports whether it was accepted.
+func (w *world) write(effect WriteLease) bool {
+	matches := w.missing == effect.Create && (effect.Create || effect.Revision == w.revision)
+	if !matches && w.variant != unconditionalWrites {
+		return false
+	}
+	if w.variant == epochKept && !w.missing {
+		effect.Lease.Epoch = w.lease.Epoch
+	}
+	w.missing = false
+	w.revision++
+	w.lease = effect.Lease
+	w.leases = append(w.leases, effect.Lease)
+	return true
+}
+
+func (w *world) token(effect Order) uint64 {
+	switch w.variant {
+	case tokensWithoutEpoch:
+		return effect.Token % tokensPerEpoch
+	case tokensWithoutCounter:
+		return effect.Token / tokensPerEpoch
+	default:
+		return effect.Token
+	}
+}
+
+const (
+	maxCrashes = 1
+	maxLosses  = 2
+)
+
+// next returns all states that one event leads to.
+func (w *world) next() []*world {
+	var states []*world
+	branch := func(change func(*world)) {
+		state := w.clone()
+		change(state)
+		states = append(states, state)
+	}
+	for i := range w.machines {
+		if len(w.pending[i]) == 0 {
+			branch(func(s *world) { s.now += 3000; s.step(i, Observed{down()}) })
+		} else {
+			w.answers(i, branch)
+		}
+		if w.crashes < maxCrashes {
+			branch(func(s *world) { s.crashes++; s.start(i) })
+		}
+	}
+	return states
+}
+
+// answers branches over the ways in which the oldest effect of a node ends.
+func (w *world) answers(i int, branch func(func(*world))) {
+	effect := w.pending[i][0]
+	take := func(s *world) { s.pending[i] = s.pending[i][1:] }
+	switch effect := effect.(type) {
+	case ReadLease:
+		branch(func(s *world) { take(s); s.step(i, s.known()) })
+		if w.losses < maxLosses {
+			branch(func(s *world) { take(s); s.losses++; s.step(i, LeaseKnown{Failed: true}) })
+		}
+	case WriteLease:
+		branch(func(s *world) {
+			take(s)
+			if s.write(effect) {
+				s.step(i, LeaseWritten{Result: Written, Revision: s.revision})
+				return
+			}
+			s.step(i, LeaseWritten{Result: Superseded})
+		})
+		if w.losses < maxLosses {
+			branch(func(s *world) { take(s); s.losses++; s.write(effect); s.step(i, LeaseWritten{Result: Uncertain}) })
+			branch(func(s *world) { take(s); s.losses++; s.step(i, LeaseWritten{Result: Uncertain}) })
+		}
+	case Survey:
+		for offset := range uint64(2) {
+			branch(func(s *world) {
+				take(s)
+				s.step(i, Surveyed{Reports: []Report{
+					{ID: "b", Received: position.Position{Term: 1, Offset: offset}},
+					{ID: "c", Received: position.Position{Term: 1, Offset: 1 - offset}},
+				}})
+			})
+		}
+	case Order:
+		for _, outcome := range []PromotionOutcome{Accepted, Rejected, Unanswered} {
+			branch(func(s *world) {
+				take(s)
+				machine := s.machines[i]
+				s.orders = append(s.orders, order{holder: machine.node, life: machine.life, target: effect.Target, token: s.token(effect)})
+				s.step(i, Ordered{outcome})
+			})
+		}
+	default:
+		branch(take)
+	}
+}
+
+// violation returns what a state breaks, "" if nothing.
+func (w *world) violation() string {
+	for i, first := range w.orders {
+		for _, second := range w.orders[i+1:] {
+			if first.token == second.token && (first.life != second.life || first.target != second.target) {
+				return fmt.Sprintf("one token for two orders: %+v and %+v", first, second)
+			}
+		}
+	}
+	for i, first := range w.orders {
+		for _, second := range w.orders[i+1:] {
+			if w.leaseOrder(first.life) < w.leaseOrder(second.life) && first.token > second.token {
+				return fmt.Sprintf("a later holder has the lower token: %+v and %+v", first, second)
+			}
+		}
+	}
+	return ""
+}
+
+// leaseOrder returns the place of a life's last lease among those accepted.
+func (w *world) leaseOrder(life string) int {
+	for i := len(w.leases) - 1; i >= 0; i-- {
+		if w.leases[i].Life == life {
+			return i
+		}
+	}
+	return -1
+}
+
+// key identifies a state, so that each is explored once.
+func (w *world) key() string {
+	text := fmt.Sprint(w.revision, w.missing, w.lease, w.lives, w.orders, w.crashes, w.losses)
+	for i, machine := range w.machines {
+		text += fmt.Sprint("|", machine.phase, machine.holding, machine.epoch, machine.counter, machine.revision, machine.target,
+			machine.settleUntil.Sub(at(w.now)), machine.notBefore.Sub(at(w.now)), w.pending[i])
+	}
+	return text
+}
+
+// explore searches breadth first and returns the first violation.
+func explore(variant faultyVariant, depth int) (string, int) {
+	frontier := []*world{newWorld(variant)}
+	seen := map[string]bool{}
+	for range depth {
+		var following []*world
+		for _, state := range frontier {
+			for _, reached := range state.next() {
+				if broken := reached.violation(); broken != "" {
+					return broken, len(seen)
+				}
+				if key := reached.key(); !seen[key] {
+					seen[key] = true
+					following = append(following, reached)
+				}
+			}
+		}
+		frontier = following
+	}
+	return "", len(seen)
+}
+
+const modelDepth = 12
+
+func TestTokensOfAllInterleavings(t *testing.T) {
+	broken, states := explore(intact, modelDepth)
+	must.Eq(t, "", broken)
+	must.Greater(t, 10_000, states)
+	t.Logf("%d states", states)
+}
+
+func TestBrokenMechanismsAreNoticed(t *testing.T) {
+	for _, variant := range []faultyVariant{unconditionalWrites, tokensWithoutEpoch, tokensWithoutCounter, epochKept} {
+		broken, _ := explore(variant, 14)
+		must.NotEq(t, "", broken, must.Sprintf("variant %d", variant))
+	}
+}
--- /dev/null
+++ b/internal/freshness/freshness_test.go
@@ -0,0 +1,155 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"dewknot/internal/position"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(milliseconds int) time.Time { return epoch.Add(time.Duration(milliseconds) * time.Millisecond) }
+
+func pos(term, offset uint64) position.Position {
+	return position.Position{Term: term, Offset: offset}
+}
+
+func TestFloorNeedsARecentProof(t *testing.T) {
+	var proofs Proofs
+	_, found := proofs.Floor(at(0), time.Second, OwnCommit{})
+	must.False(t, found)
+	proofs.Add(Proof{At: at(0), Position: pos(1, 10)})
+	_, found = proofs.Floor(at(1001), time.Second, OwnCommit{})
+	must.False(t, found)
+	floor, found := proofs.Floor(at(1000), time.Second, OwnCommit{})
+	must.True(t, found)
+	must.Eq(t, pos(1, 10), floor.Position)
+}
+
+func TestFloorAsksAsLittleAsAllowed(t *testing.T) {
+	var proofs Proofs
+	for i := range 20 {
+		proofs.Add(Proof{At: at(100 * i), Position: pos(1, uint64(i))})
+	}
+	floor, found := proofs.Floor(at(1900), time.Second, OwnCommit{})
+	must.True(t, found)
+	must.Eq(t, pos(1, 9), floor.Position)
+}
+
+func TestFloorHoldsTheOwnCommit(t *testing.T) {
+	var proofs Proofs
+	proofs.Add(Proof{At: at(0), Position: pos(1, 10)})
+	own := OwnCommit{At: at(500), Position: pos(1, 20)}
+	floor, found := proofs.Floor(at(600), time.Second, own)
+	must.True(t, found)
+	must.Eq(t, pos(1, 20), floor.Position)
+	must.Eq(t, at(500), floor.Since)
+}
+
+func TestOwnCommitThatWasRolledBackIsNotAwaited(t *testing.T) {
+	var proofs Proofs
+	proofs.Add(Proof{At: at(0), Position: pos(1, 10)})
+	own := OwnCommit{At: at(500), Position: pos(1, 20)}
+	proofs.Add(Proof{At: at(900), Position: pos(2, 15)})
+	floor, found := proofs.Floor(at(950), time.Second, own)
+	must.True(t, found)
+	must.Eq(t, pos(2, 15), floor.Position)
+
+	// The same where the new primary has not written in its own term yet.
+	var same Proofs
+	same.Add(Proof{At: at(0), Position: pos(1, 10)})
+	same.Add(Proof{At: at(900), Position: pos(1, 15)})
+	floor, found = same.Floor(at(950), time.Second, own)
+	must.True(t, found)
+	must.Eq(t, pos(1, 15), floor.Position)
+}
+
+func TestProofsOfAnOlderTermAreLeftAfterAPromotion(t *testing.T) {
+	var proofs Proofs
+	proofs.Add(Proof{At: at(0), Position: pos(1, 20)})
+	proofs.Add(Proof{At: at(500), Position: pos(2, 15)})
+	floor, found := proofs.Floor(at(600), time.Second, OwnCommit{})
+	must.True(t, found)
+	must.Eq(t, pos(2, 15), floor.Position)
+}
+
+// logModel is a service's log under commits and promotions, as a reference.
+type logModel struct {
+	commits []modelCommit
+	term    uint64
+	now     int
+}
+
+type modelCommit struct {
+	at       int
+	position position.Position
+	lost     bool
+}
+
+func (m *logModel) head() position.Position {
+	for i := len(m.commits) - 1; i >= 0; i-- {
+		if !m.commits[i].lost {
+			return m.commits[i].position
+		}
+	}
+	return pos(m.term, 0)
+}
+
+func (m *logModel) commit() modelCommit {
+	made := modelCommit{at: m.now, position: pos(m.term, m.head().Offset+1)}
+	m.commits = append(m.commits, made)
+	return made
+}
+
+// promote removes the newest commits from the log.
+func (m *logModel) promote(lost int) {
+	for i := len(m.commits) - 1; i >= 0 && lost > 0; i-- {
+		if !m.commits[i].lost {
+			m.commits[i].lost = true
+			lost--
+		}
+	}
+	m.term++
+}
+
+// TestFloorCoversEveryCommitOwed drives random histories of commits, proofs and
+// promotions, and checks that a server which has the floor has every surviving
+// commit that the read is owed.
+func TestFloorCoversEveryCommitOwed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := logModel{term: 1}
+		var proofs Proofs
+		var own OwnCommit
+		var ownIndex = -1
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for range steps {
+			model.now += rapid.IntRange(1, 400).Draw(t, "gap")
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				model.promote(rapid.IntRange(0, 3).Draw(t, "lost"))
+			case 1, 2, 3:
+				proofs.Add(Proof{At: at(model.now), Position: model.head()})
+			case 4:
+				made := model.commit()
+				own, ownIndex = OwnCommit{At: at(model.now), Position: made.position}, len(model.commits)-1
+			default:
+				model.commit()
+			}
+			span := rapid.IntRange(50, 2000).Draw(t, "span")
+			floor, found := proofs.Floor(at(model.now), time.Duration(span)*time.Millisecond, own)
+			if !found {
+				continue
+			}
+			for i, commit := range model.commits {
+				owed := commit.at < model.now-span || i == ownIndex
+				if owed && !commit.lost && floor.Position.Less(commit.position) {
+					t.Fatalf("floor %v at %d (span %d) lacks commit %+v", floor.Position, model.now, span, commit)
+				}
+			}
+		}
+	})
+}
