Admission gates: a limit a server, found by refusals; early refusal under overload

Ruled out: slots (busy answers were 8; the refusals were replicas that lack a position, asked every 20 ms). Change: internal/admission (additive increase, multiplicative decrease, ordered by class, priority and age), connection limits that fall when the server's own limit is met, pauses that double before a server that lacked a position is asked again, new work that only waits for a slot refused after a fifth of its objective.

--- a/internal/freshness/freshness_test.go
+++ b/internal/freshness/freshness_test.go
@@ -124,7 +124,7 @@
 		model := logModel{term: 1}
 		var proofs Proofs
 		var own OwnCommit
-		var ownIndex = -1
+		ownIndex := -1
 		steps := rapid.IntRange(1, 60).Draw(t, "steps")
 		for range steps {
 			model.now += rapid.IntRange(1, 400).Draw(t, "gap")
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -14,20 +14,20 @@
 	// lookInterval is the pause between two looks.
 	lookInterval = 100 * time.Millisecond
 	// pauseLimit: a longer gap between looks means that the process stood still.
-	pauseLimit = 400 * time.Millisecond
+	pauseLimit = 250 * time.Millisecond
 	// silenceLimit is how long a primary with work may be silent before it is asked.
 	silenceLimit = 250 * time.Millisecond
 	// idleLimit is how long a primary without work may be silent before the
 	// holder of the lease asks it.
 	idleLimit = time.Second
 	// pingLimit bounds the answer to a question that needs no slot.
-	pingLimit = 350 * time.Millisecond
+	pingLimit = 250 * time.Millisecond
 	// pingsToDown is how many questions in a row have to go unanswered.
 	pingsToDown = 2
 	// trimInterval is the pause between closing idle connections, trimAge how
 	// long they must have been idle.
-	trimInterval = 5 * time.Second
-	trimAge      = 20 * time.Second
+	trimInterval = time.Second
+	trimAge      = 3 * time.Second
 	// seekLimit bounds one round of asking all servers who is the primary.
 	seekLimit = 300 * time.Millisecond
 )
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -84,9 +84,7 @@
 	DrainBound time.Duration
 	// StopGrace is the time from the signal to stop until the process is killed.
 	StopGrace time.Duration
-	// ConnectionsPerServer bounds the connections of this node to one server.
-	ConnectionsPerServer int
-	Kinds                Kinds
+	Kinds     Kinds
 }
 
 // Ports are the node's ways to the outside.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"dewknot/internal/admission"
 	"dewknot/internal/catalog"
 	"dewknot/internal/command"
 	"dewknot/internal/failure"
@@ -21,8 +22,10 @@
 	// asked again, busyLife how long other requests avoid it.
 	busyPause = 15 * time.Millisecond
 	busyLife  = 25 * time.Millisecond
-	// behindPause is the pause before replicas that lack a position are asked again.
-	behindPause = 20 * time.Millisecond
+	// behindPause is the first pause before servers that could not run a read
+	// are asked again; it doubles up to longestPause.
+	behindPause  = 10 * time.Millisecond
+	longestPause = 100 * time.Millisecond
 	// leaderPause is the longest wait for a change of the primary before
 	// another look.
 	leaderPause = 50 * time.Millisecond
@@ -35,8 +38,10 @@
 	slowFactor = 6
 	// comeBack is the time to come back given with a refusal.
 	comeBack = 200 * time.Millisecond
-	// maxAttempts bounds how often one statement is tried.
-	maxAttempts = 12
+	// overloadShare is the part of the latency objective after which new work
+	// that only waits for a slot is refused: early enough for the caller to
+	// come back within the objective.
+	overloadShare = 0.2
 )
 
 // run is one statement on its way.
@@ -46,23 +51,49 @@
 	statement *command.Statement
 	arrived   time.Time
 	deadline  time.Time
-	attempts  int
-	tried     map[string]bool
+	// overload is when new work that only waits for a slot is refused.
+	overload time.Time
+	tried    map[string]bool
+	// fruitless counts attempts on servers that had already failed to run it.
+	fruitless int
 }
 
 func (s *session) newRun(statement *command.Statement, arrived time.Time) *run {
 	return &run{
 		session: s, service: s.node.service(s.bound.Service), statement: statement,
 		arrived: arrived, deadline: arrived.Add(s.bound.StatementTimeout - answerMargin),
+		overload: arrived.Add(time.Duration(overloadShare * float64(s.bound.TargetLatency))),
 	}
 }
 
 func (r *run) log() *zap.Logger { return r.session.node.log }
 
-// goesOn counts an attempt and reports whether another one may be made.
-func (r *run) goesOn() bool {
-	r.attempts++
-	return r.attempts <= maxAttempts && time.Now().Before(r.deadline)
+// goesOn reports whether another attempt may be made.
+func (r *run) goesOn() bool { return time.Now().Before(r.deadline) }
+
+// enter waits for leave to run on a server. Work of an open transaction may
+// wait until the statement's deadline, new work until it counts as refused for
+// overload.
+func (r *run) enter(target *server, class admission.Class) bool {
+	deadline := r.overload
+	if class == admission.Continuation || r.deadline.Before(deadline) {
+		deadline = r.deadline
+	}
+	return target.gate.Enter(admission.Request{Class: class, Priority: r.session.bound.Priority, Arrived: r.arrived}, deadline)
+}
+
+// leave ends work that was let in.
+func leave(target *server, batch *upstream.Batch, result *upstream.Result) {
+	ended := admission.Other
+	switch {
+	case batch.Err != nil:
+	case result.Outcome == upstream.Busy:
+		ended = admission.Refused
+	case result.Outcome == upstream.Succeeded:
+		ended = admission.Ran
+	default:
+	}
+	target.gate.Leave(ended, time.Now())
 }
 
 // pause waits, but not past the deadline.
@@ -130,6 +161,9 @@
 	return nil, nil
 }
 
+// overloaded reports whether new work has waited for a slot as long as it may.
+func (r *run) overloaded() bool { return !time.Now().Before(r.overload) }
+
 // write runs a single write on the primary. It is sent again only after an
 // answer which promises that it did not run.
 func (r *run) write() Reply {
@@ -138,8 +172,13 @@
 		if lease == nil {
 			return r.refuse(failure.NoPrimary)
 		}
+		if !r.enter(target, admission.OnlyHere) {
+			lease.Return()
+			return r.refuse(failure.Overloaded)
+		}
 		operations := append(lease.Adapt(r.session.values, r.statement), r.operation())
 		batch := lease.Run(operations, r.deadline)
+		leave(target, &batch, batch.Last())
 		if batch.Err != nil {
 			lease.Discard()
 			r.log().Info("request: the answer of a write was lost", zap.String("request", r.statement.RequestID),
@@ -155,6 +194,9 @@
 			}
 			return r.answer(result)
 		}
+		if result.Outcome == upstream.Busy && r.overloaded() {
+			break
+		}
 		r.notRun(target, result)
 	}
 	return r.refuse(failure.Overloaded)
@@ -214,14 +256,22 @@
 		r.notRun(target, begin)
 		return Reply{}, false
 	}
-	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, deadline)
+	if !r.enter(target, admission.OnlyHere) {
+		r.rollback(lease)
+		return r.refuse(failure.Overloaded), true
+	}
+	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, r.readDeadline(target))
+	leave(target, &batch, batch.First())
 	if batch.Err != nil {
 		lease.Discard()
 		return Reply{}, false
 	}
 	r.settle(lease, batch.Last())
-	result := &batch.Results[0]
+	result := batch.First()
 	if result.Outcome.NotRun() {
+		if result.Outcome == upstream.Busy && r.overloaded() {
+			return r.refuse(failure.Overloaded), true
+		}
 		r.notRun(target, result)
 		return Reply{}, false
 	}
@@ -231,6 +281,16 @@
 	return r.answer(result), true
 }
 
+// rollback ends a transaction that has run nothing and returns its connection.
+func (r *run) rollback(lease *upstream.Lease) {
+	batch := lease.Run([]upstream.Operation{{Kind: upstream.Rollback}}, time.Now().Add(rollbackLimit))
+	if batch.Err != nil {
+		lease.Discard()
+		return
+	}
+	r.settle(lease, batch.Last())
+}
+
 // settle returns a connection that is idle, and discards one that is not.
 func (r *run) settle(lease *upstream.Lease, last *upstream.Result) {
 	if last.State == upstream.Idle {
@@ -264,14 +324,19 @@
 			r.pause(behindPause)
 			continue
 		}
+		if !r.enter(target, admission.Anywhere) {
+			return r.refuse(failure.Overloaded)
+		}
 		lease, err := target.pool.Get(r.connectionDeadline())
 		if err != nil {
+			target.gate.Leave(admission.Other, time.Now())
 			r.markTried(target)
 			continue
 		}
 		operation := r.operation()
 		operation.Floor = floor.Position
 		batch := lease.Run(append(lease.Adapt(r.session.values, r.statement), operation), r.readDeadline(target))
+		leave(target, &batch, batch.Last())
 		if batch.Err != nil {
 			lease.Discard()
 			r.markTried(target)
@@ -283,6 +348,9 @@
 			target.stats.CaughtUp(time.Now(), floor.Since)
 			return r.answer(result)
 		}
+		if result.Outcome == upstream.Busy && r.overloaded() {
+			break
+		}
 		r.readNotRun(target, result, floor)
 	}
 	return r.refuse(failure.Overloaded)
@@ -305,7 +373,8 @@
 	default:
 	}
 	if r.tried[target.id] {
-		r.pause(behindPause)
+		r.fruitless++
+		r.pause(min(behindPause<<r.fruitless, longestPause))
 	}
 	r.markTried(target)
 }
@@ -355,7 +424,7 @@
 			SameZone:   entry.Zone == node.options.Zone,
 			SameRegion: node.options.Regions[entry.Zone] == node.options.Regions[node.options.Zone],
 			Primary:    entry.ID == leader,
-			Latency:    target.stats.Latency(now), InFlight: target.stats.InFlight(),
+			Latency:    target.stats.Latency(now), InFlight: target.load(),
 			Covers:  target.stats.Covers(floor.Position, floor.Since, now),
 			Avoided: target.stats.Avoided(now), Congested: target.stats.Congested(now),
 			Leaving: entry.Leaving(), Tried: r.tried[entry.ID],
@@ -367,3 +436,9 @@
 	}
 	return servers[chosen]
 }
+
+// load returns the work of this node that a server has or that waits for it.
+func (t *server) load() int {
+	running, waiting := t.gate.Load()
+	return running + waiting
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"dewknot/internal/admission"
 	"dewknot/internal/catalog"
 	"dewknot/internal/failover"
 	"dewknot/internal/freshness"
@@ -23,6 +24,7 @@
 	service string
 	stats   *upstream.Stats
 	pool    *upstream.Pool
+	gate    *admission.Gate
 }
 
 // service is the runtime state of a service.
@@ -68,6 +70,9 @@
 
 // catalogChanged brings the runtime in line with a new snapshot.
 func (n *Node) catalogChanged(previous, current *catalog.Snapshot) {
+	if previous.Configuration != current.Configuration {
+		n.setCeilings()
+	}
 	for id, entry := range current.Servers {
 		if previous.Servers[id] == entry {
 			continue
@@ -86,7 +91,8 @@
 		stats := upstream.NewStats()
 		n.servers.Store(entry.ID, &server{
 			id: entry.ID, service: entry.Service, stats: stats,
-			pool: upstream.NewPool(n.ports.Dialer, entry.Address, entry.Service, entry.ID, n.options.ConnectionsPerServer, stats),
+			pool: upstream.NewPool(n.ports.Dialer, entry.Address, entry.Service, entry.ID, n.connectionCeiling(entry.Service), stats),
+			gate: admission.NewGate(statementCeiling),
 		})
 	} else if entry.Leaving() {
 		found.(*server).pool.Trim(time.Now())
@@ -99,6 +105,38 @@
 	}
 }
 
+// Limits of one node's use of one server, before the server's own refusals
+// lower them.
+const (
+	// statementCeiling bounds the statements running at a time.
+	statementCeiling = 8
+	// connectionShare is the part of a server's connections that a node may take.
+	connectionShare = 4
+	// defaultConnections is the ceiling while the service is not configured.
+	defaultConnections = 4
+)
+
+// connectionCeiling returns the most connections this node opens to one server.
+func (n *Node) connectionCeiling(service string) int {
+	configuration := n.catalog.Current().Configuration
+	if configuration == nil {
+		return defaultConnections
+	}
+	known, found := configuration.Services[service]
+	if !found || known.MaxConnections <= 0 {
+		return defaultConnections
+	}
+	return max(1, known.MaxConnections/connectionShare)
+}
+
+func (n *Node) setCeilings() {
+	n.servers.Range(func(_, value any) bool {
+		known := value.(*server)
+		known.pool.SetCeiling(n.connectionCeiling(known.service))
+		return true
+	})
+}
+
 func (n *Node) forgetServer(id string) {
 	if found, ok := n.servers.LoadAndDelete(id); ok {
 		found.(*server).pool.Shut()
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -5,6 +5,7 @@
 
 	"go.uber.org/zap"
 
+	"dewknot/internal/admission"
 	"dewknot/internal/catalog"
 	"dewknot/internal/command"
 	"dewknot/internal/failure"
@@ -153,8 +154,12 @@
 		return t.lost(r)
 	}
 	for r.goesOn() {
+		if !r.enter(t.server, admission.Continuation) {
+			return t.refused(r)
+		}
 		operations := append(t.lease.Adapt(r.session.values, r.statement), r.operation())
 		batch := t.lease.Run(operations, r.deadline)
+		leave(t.server, &batch, batch.Last())
 		if batch.Err != nil {
 			r.log().Info("transaction: the answer of a statement was lost", zap.String("request", r.statement.RequestID),
 				zap.String("server", t.server.id), zap.Error(batch.Err))
@@ -249,7 +254,11 @@
 		return t.lost(r)
 	}
 	for r.goesOn() {
+		if !r.enter(t.server, admission.Continuation) {
+			return t.refused(r)
+		}
 		batch := t.lease.Run([]upstream.Operation{{Kind: upstream.Commit, RequestID: received.RequestID, Text: received.Text}}, r.deadline)
+		leave(t.server, &batch, batch.Last())
 		if batch.Err != nil {
 			r.log().Info("transaction: the answer of a commit was lost", zap.String("request", received.RequestID),
 				zap.String("server", t.server.id), zap.Error(batch.Err))
--- a/internal/upstream/batch.go
+++ b/internal/upstream/batch.go
@@ -18,8 +18,21 @@
 	Err error
 }
 
-// Last returns the last result; there must be one.
-func (b *Batch) Last() *Result { return &b.Results[len(b.Results)-1] }
+// First returns the first result, nil if there is none.
+func (b *Batch) First() *Result {
+	if len(b.Results) == 0 {
+		return nil
+	}
+	return &b.Results[0]
+}
+
+// Last returns the last result, nil if there is none.
+func (b *Batch) Last() *Result {
+	if len(b.Results) == 0 {
+		return nil
+	}
+	return &b.Results[len(b.Results)-1]
+}
 
 // TimedOut reports whether answers are missing because the deadline passed.
 func (b *Batch) TimedOut() bool { return errors.Is(b.Err, os.ErrDeadlineExceeded) }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,33 +32,43 @@
 	id      string
 	stats   *Stats
 
-	mutex   sync.Mutex
-	idle    []*Lease
-	open    int
-	limit   int
-	waiters []chan *Lease
-	closed  bool
-	// refusedUntil holds back new connections after the server refused one for
-	// its connection limit.
-	refusedUntil time.Time
+	mutex sync.Mutex
+	idle  []*Lease
+	open  int
+	// limit is the greatest number of connections now; it falls when the server
+	// refuses one for its own limit, and rises again up to ceiling.
+	limit     int
+	ceiling   int
+	limitedAt time.Time
+	waiters   []chan *Lease
+	closed    bool
 }
 
-// refusalPause is how long no new connection is tried after the server's limit was met.
-const refusalPause = 200 * time.Millisecond
+// Times of the limit's law.
+const (
+	// refusalPause is how long no new connection is tried after the server's
+	// limit was met.
+	refusalPause = 200 * time.Millisecond
+	// raiseInterval is the pause between raises of a limit that was lowered.
+	raiseInterval = time.Second
+)
 
 // dialTimeout bounds the opening of a connection.
 const dialTimeout = 1500 * time.Millisecond
 
-// NewPool returns a pool of at most limit connections.
-func NewPool(dialer Dialer, address, service, id string, limit int, stats *Stats) *Pool {
-	return &Pool{dialer: dialer, address: address, service: service, id: id, limit: limit, stats: stats}
+// NewPool returns a pool of at most ceiling connections.
+func NewPool(dialer Dialer, address, service, id string, ceiling int, stats *Stats) *Pool {
+	return &Pool{dialer: dialer, address: address, service: service, id: id, limit: ceiling, ceiling: ceiling, stats: stats}
 }
 
-// SetLimit changes the greatest number of connections.
-func (p *Pool) SetLimit(limit int) {
+// SetCeiling changes the greatest number of connections.
+func (p *Pool) SetCeiling(ceiling int) {
 	p.mutex.Lock()
-	p.limit = limit
-	p.mutex.Unlock()
+	defer p.mutex.Unlock()
+	if p.limit == p.ceiling || p.limit > ceiling {
+		p.limit = ceiling
+	}
+	p.ceiling = ceiling
 }
 
 // Open returns the number of open connections.
@@ -117,7 +127,8 @@
 		p.idle = p.idle[:last]
 		return lease, nil, false
 	}
-	if p.open < p.limit+beyond && (p.open == 0 || time.Now().After(p.refusedUntil)) {
+	p.raise(time.Now())
+	if p.open < p.limit+beyond {
 		p.open++
 		return nil, nil, true
 	}
@@ -126,6 +137,21 @@
 	return nil, waiter, false
 }
 
+// raise lets a lowered limit rise again; the lock is held.
+func (p *Pool) raise(now time.Time) {
+	if p.limit >= p.ceiling {
+		return
+	}
+	pause := raiseInterval
+	if p.limit == 0 {
+		pause = refusalPause
+	}
+	if now.Sub(p.limitedAt) >= pause {
+		p.limit++
+		p.limitedAt = now
+	}
+}
+
 // await waits for a connection or a free place; nil means neither came in time.
 func (p *Pool) await(waiter chan *Lease, deadline time.Time) *Lease {
 	timer := time.NewTimer(time.Until(deadline))
@@ -188,7 +214,8 @@
 	p.mutex.Lock()
 	p.open--
 	if refused && refusal == ConnectionLimit {
-		p.refusedUntil = time.Now().Add(refusalPause)
+		p.limit = p.open
+		p.limitedAt = time.Now()
 	}
 	p.mutex.Unlock()
 	p.wakeOne()
