Changes are in force in time after the store was silent; synchronous services; simulation on virtual time

Ruled out: the retry delay (at most 1.5 s), the decoding. Change: Follow bounds every call, and while the store does not answer its calls are short; waits are a little over half of the bound. Tests on virtual time fail first. Services with synchronous replicas: replicas are held while they are surveyed, a target must hold every acknowledged commit, unanswered orders are fenced off before replicas are let go. internal/standin/managed and internal/proxy's simulation play the real runtime on virtual time with random troubles and check every answer.

--- a/internal/failover/events.go
+++ b/internal/failover/events.go
@@ -47,7 +47,7 @@
 func (Ordered) isEvent()      {}
 
 // Effect is something for the runtime to do. Each is answered by one event,
-// except LeaderFound.
+// except LeaderFound and Resume.
 type Effect interface{ isEffect() }
 
 // ReadLease asks for the lease object; LeaseKnown answers it.
@@ -61,7 +61,15 @@
 }
 
 // Survey asks all servers of the service, but one, for their status.
-type Survey struct{ Except string }
+type Survey struct {
+	Except string
+	// Hold keeps the replicas from receiving until a promotion or Resume, so
+	// that no commit can be acknowledged which the survey does not show.
+	Hold bool
+}
+
+// Resume lets the replicas receive again after a survey that held them.
+type Resume struct{}
 
 // Order tells the platform to promote a server under a fencing token.
 type Order struct {
@@ -75,5 +83,6 @@
 func (ReadLease) isEffect()   {}
 func (WriteLease) isEffect()  {}
 func (Survey) isEffect()      {}
+func (Resume) isEffect()      {}
 func (Order) isEffect()       {}
 func (LeaderFound) isEffect() {}
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -51,9 +51,13 @@
 	Surveying
 	Promoting
 	Settling
+	// Withdrawing: an order that was not answered is fenced off.
+	Withdrawing
 )
 
-var phaseNames = [...]string{"watching", "reading_lease", "writing_lease", "surveying", "promoting", "settling"}
+var phaseNames = [...]string{
+	"watching", "reading_lease", "writing_lease", "surveying", "promoting", "settling", "withdrawing",
+}
 
 // String returns the phase's name in logs.
 func (p Phase) String() string { return phaseNames[p] }
@@ -78,6 +82,8 @@
 	LeaderGone     bool
 	// Servers are all servers of the service known to the node.
 	Servers []Server
+	// SynchronousReplicas is how many replicas hold a commit when it is acknowledged.
+	SynchronousReplicas int
 }
 
 // Server is a possible target.
@@ -123,6 +129,8 @@
 	notBefore   time.Time
 	settleUntil time.Time
 	target      string
+	// unanswered is set while an order may still be carried out late.
+	unanswered  bool
 	rejected    map[string]time.Time
 	observation Observation
 }
@@ -183,9 +191,7 @@
 func (m *Machine) observed(now time.Time) []Effect {
 	if m.phase == Settling {
 		if m.observation.Leader == m.target && !m.observation.LeaderDown {
-			m.rest(now, 0)
-			m.needSince = time.Time{}
-			return nil
+			return m.settled(now)
 		}
 		if now.Before(m.settleUntil) {
 			return nil
@@ -198,7 +204,7 @@
 	needed, delay := m.need()
 	if !needed {
 		m.needSince = time.Time{}
-		return nil
+		return m.withdraw()
 	}
 	if m.needSince.IsZero() {
 		m.needSince = now
@@ -212,10 +218,34 @@
 	return m.act()
 }
 
+// settled ends a change of the primary that has succeeded.
+func (m *Machine) settled(now time.Time) []Effect {
+	m.rest(now, 0)
+	m.needSince = time.Time{}
+	m.unanswered = false
+	return m.resume()
+}
+
+// withdraw fences off an order that was not answered and is no longer needed,
+// by ordering the present primary under a higher token. Only services with
+// synchronous replicas need it: their replicas are held until then, since an
+// order carried out late would lose what they acknowledge afterwards. If the
+// late order is carried out first, the present primary has become the only
+// replica that is not held, so it holds all that was acknowledged since.
+func (m *Machine) withdraw() []Effect {
+	if !m.unanswered || !m.holding || m.observation.SynchronousReplicas == 0 {
+		return nil
+	}
+	m.phase = Withdrawing
+	m.target = m.observation.Leader
+	m.counter++
+	return []Effect{Order{Target: m.target, Token: m.epoch*tokensPerEpoch + m.counter}}
+}
+
 func (m *Machine) act() []Effect {
 	if m.holding {
 		m.phase = Surveying
-		return []Effect{Survey{Except: m.downLeader()}}
+		return []Effect{Survey{Except: m.downLeader(), Hold: m.observation.SynchronousReplicas > 0}}
 	}
 	m.phase = ReadingLease
 	return []Effect{ReadLease{}}
@@ -277,7 +307,12 @@
 		m.revision = event.Revision
 		m.hold(m.epoch)
 		m.phase = Watching
-		return m.observed(now)
+		effects := m.observed(now)
+		if m.phase == Watching {
+			// An earlier holder may have ended between a survey and its order.
+			return append(effects, m.resume()...)
+		}
+		return effects
 	case Superseded:
 		m.rest(now, 0)
 		m.needSince = now
@@ -298,18 +333,41 @@
 	if m.phase != Surveying {
 		return nil
 	}
+	for _, report := range event.Reports {
+		if report.Primary && report.ID != m.observation.Leader {
+			m.rest(now, pauseAfterFailure)
+			return append(m.resume(), LeaderFound{ID: report.ID})
+		}
+	}
 	needed, _ := m.need()
-	if !needed {
-		m.rest(now, 0)
+	best := m.furthest(now, event.Reports)
+	if !needed || best == nil || !m.holdsAllCommits(best, event.Reports) {
+		m.rest(now, pauseAfterFailure)
+		if m.unanswered {
+			return nil
+		}
+		return m.resume()
+	}
+	m.target = best.ID
+	m.phase = Promoting
+	m.counter++
+	return []Effect{Order{Target: best.ID, Token: m.epoch*tokensPerEpoch + m.counter}}
+}
+
+// resume ends what a survey that held the replicas began.
+func (m *Machine) resume() []Effect {
+	if m.observation.SynchronousReplicas == 0 {
 		return nil
 	}
+	return []Effect{Resume{}}
+}
+
+// furthest returns the report of the eligible server that has received most,
+// nil if there is none.
+func (m *Machine) furthest(now time.Time, reports []Report) *Report {
 	var best *Report
-	for i := range event.Reports {
-		report := &event.Reports[i]
-		if report.Primary && report.ID != m.observation.Leader {
-			m.rest(now, pauseAfterFailure)
-			return []Effect{LeaderFound{ID: report.ID}}
-		}
+	for i := range reports {
+		report := &reports[i]
 		if !m.eligible(report.ID, now) {
 			continue
 		}
@@ -317,14 +375,37 @@
 			best = report
 		}
 	}
-	if best == nil {
-		m.rest(now, pauseAfterFailure)
-		return nil
+	return best
+}
+
+// holdsAllCommits reports whether the best server surely holds every
+// acknowledged commit of a service with synchronous replicas. Either it holds
+// all that the primary itself holds, or so many replicas have reported, none
+// with more, that each commit's synchronous replicas are among them.
+func (m *Machine) holdsAllCommits(best *Report, reports []Report) bool {
+	if m.observation.SynchronousReplicas == 0 {
+		return true
 	}
-	m.target = best.ID
-	m.phase = Promoting
-	m.counter++
-	return []Effect{Order{Target: best.ID, Token: m.epoch*tokensPerEpoch + m.counter}}
+	replicas := 0
+	for _, server := range m.observation.Servers {
+		if server.ID != m.observation.Leader {
+			replicas++
+		}
+	}
+	reported := 0
+	for _, report := range reports {
+		if report.ID == m.observation.Leader {
+			if best.Received.Covers(report.Received) {
+				return true
+			}
+			continue
+		}
+		if best.Received.Less(report.Received) {
+			return false
+		}
+		reported++
+	}
+	return reported >= replicas-m.observation.SynchronousReplicas+1
 }
 
 func (m *Machine) eligible(id string, now time.Time) bool {
@@ -343,6 +424,9 @@
 }
 
 func (m *Machine) ordered(now time.Time, event Ordered) []Effect {
+	if m.phase == Withdrawing {
+		return m.withdrawn(now, event)
+	}
 	if m.phase != Promoting {
 		return nil
 	}
@@ -350,6 +434,7 @@
 	case Accepted:
 		m.phase, m.settleUntil = Settling, now.Add(settleLimit)
 	case Unanswered:
+		m.unanswered = true
 		m.phase, m.settleUntil = Settling, now.Add(unansweredLimit)
 	case Rejected:
 		// Either the target does not run, or another node holds a newer token.
@@ -361,6 +446,16 @@
 	return nil
 }
 
+func (m *Machine) withdrawn(now time.Time, event Ordered) []Effect {
+	m.rest(now, pauseAfterFailure)
+	if event.Outcome == Unanswered {
+		return nil
+	}
+	// A rejection shows a newer token, which fences the order off as well.
+	m.unanswered = false
+	return m.resume()
+}
+
 func (m *Machine) rest(now time.Time, pause time.Duration) {
 	m.phase = Watching
 	m.notBefore = now.Add(pause)
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -135,3 +135,67 @@
 	found := Surveyed{Reports: []Report{{ID: "b", Primary: true, Term: 2}}}
 	must.Eq(t, []Effect{LeaderFound{ID: "b"}}, machine.Step(at(150), found))
 }
+
+func synchronous(leaderDown bool) Observation {
+	seen := healthy()
+	seen.LeaderDown, seen.LeaderDraining, seen.SynchronousReplicas = leaderDown, !leaderDown, 1
+	return seen
+}
+
+func TestSynchronousServiceNeedsEnoughReports(t *testing.T) {
+	machine := holder(t)
+	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, machine.Step(at(100), Observed{synchronous(true)}))
+	only := Surveyed{Reports: []Report{{ID: "b", Received: position.Position{Term: 1, Offset: 10}}}}
+	must.Eq(t, []Effect{Resume{}}, machine.Step(at(150), only), must.Sprint("c may hold more"))
+	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, machine.Step(at(500), Observed{synchronous(true)}))
+	must.Eq(t, []Effect{Order{Target: "c", Token: tokensPerEpoch + 1}}, machine.Step(at(550), reports(10, 11)))
+}
+
+func TestSynchronousHandOverToAServerThatHoldsWhatThePrimaryHolds(t *testing.T) {
+	machine := holder(t)
+	must.Eq(t, []Effect{Survey{Hold: true}}, machine.Step(at(100), Observed{synchronous(false)}))
+	behind := Surveyed{Reports: []Report{
+		{ID: "a", Primary: true, Received: position.Position{Term: 1, Offset: 12}},
+		{ID: "b", Received: position.Position{Term: 1, Offset: 11}},
+	}}
+	must.Eq(t, []Effect{Resume{}}, machine.Step(at(150), behind))
+	machine.Step(at(500), Observed{synchronous(false)})
+	behind.Reports[1].Received.Offset = 12
+	must.Eq(t, []Effect{Order{Target: "b", Token: tokensPerEpoch + 1}}, machine.Step(at(550), behind))
+}
+
+func TestReplicasAreLetGoAfterTheChange(t *testing.T) {
+	machine := holder(t)
+	machine.Step(at(100), Observed{synchronous(true)})
+	machine.Step(at(150), reports(10, 11))
+	machine.Step(at(160), Ordered{Accepted})
+	settled := synchronous(true)
+	settled.Leader, settled.LeaderDown = "c", false
+	must.Eq(t, []Effect{Resume{}}, machine.Step(at(1200), Observed{settled}))
+}
+
+// TestUnansweredOrderIsFencedOffBeforeReplicasAreLetGo: the primary has come
+// back, but an order to replace it may still be carried out.
+func TestUnansweredOrderIsFencedOffBeforeReplicasAreLetGo(t *testing.T) {
+	machine := holder(t)
+	machine.Step(at(100), Observed{synchronous(true)})
+	machine.Step(at(150), reports(10, 11))
+	must.SliceEmpty(t, machine.Step(at(1150), Ordered{Unanswered}))
+	back := healthy()
+	back.SynchronousReplicas = 1
+	must.Eq(t, []Effect{Order{Target: "a", Token: tokensPerEpoch + 2}}, machine.Step(at(2400), Observed{back}))
+	must.SliceEmpty(t, machine.Step(at(2500), Observed{back}))
+	must.SliceEmpty(t, machine.Step(at(3400), Ordered{Unanswered}))
+	must.Eq(t, []Effect{Order{Target: "a", Token: tokensPerEpoch + 3}}, machine.Step(at(3800), Observed{back}))
+	must.Eq(t, []Effect{Resume{}}, machine.Step(at(3810), Ordered{Accepted}))
+	must.SliceEmpty(t, machine.Step(at(3900), Observed{back}))
+}
+
+func TestTakeoverDoesNotLetReplicasGoWhileItSurveysThem(t *testing.T) {
+	machine := New("n2", "life", 0)
+	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
+	machine.Step(at(100), Observed{synchronous(true)})
+	machine.Step(at(2700), Observed{synchronous(true)})
+	machine.Step(at(2710), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
+	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, machine.Step(at(2720), LeaseWritten{Result: Written, Revision: 9}))
+}
--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -17,16 +17,24 @@
 	Regained()
 }
 
-// Delays between calls that failed. Jitter spreads the calls of many nodes.
+// Times of calls. Jitter spreads the calls of many nodes.
 const (
 	firstRetryDelay = 100 * time.Millisecond
-	lastRetryDelay  = 1500 * time.Millisecond
+	lastRetryDelay  = 600 * time.Millisecond
+	// answerLimit is how long the store may take for an answer, beyond the wait
+	// that a watch asks for.
+	answerLimit = time.Second
+	// probeWait is the wait of a watch while the store does not answer.
+	probeWait = 100 * time.Millisecond
 )
 
 // Follow keeps a sink up to date with one kind until ctx ends: it lists the
-// kind, then watches it, and lists again when the history is gone. wait bounds
-// one watch; a watch that stays silent well past it is given up, so a dead
-// connection delays a change by no more than about wait.
+// kind, then watches it, and lists again when the history is gone.
+//
+// wait bounds one watch. A store that was silent may have swallowed a call for
+// good: a watch is given up answerLimit after its wait, and until the store has
+// answered again, calls are short. So a change is known within wait and
+// answerLimit after the store works again, and sooner if it was silent for long.
 func Follow(ctx context.Context, store Store, kind string, wait time.Duration, sink Sink) {
 	follower := &follower{store: store, kind: kind, wait: wait, sink: sink, answering: true}
 	for ctx.Err() == nil {
@@ -55,7 +63,9 @@
 }
 
 func (f *follower) list(ctx context.Context) {
-	objects, revision, err := f.store.List(ctx, f.kind)
+	limited, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	objects, revision, err := f.store.List(limited, f.kind)
 	if err != nil {
 		f.failed(ctx, err)
 		return
@@ -66,7 +76,13 @@
 }
 
 func (f *follower) watch(ctx context.Context) {
-	events, revision, err := f.store.Watch(ctx, f.kind, f.revision, f.wait)
+	wait := f.wait
+	if !f.answering {
+		wait = probeWait
+	}
+	limited, cancel := context.WithTimeout(ctx, wait+answerLimit)
+	defer cancel()
+	events, revision, err := f.store.Watch(limited, f.kind, f.revision, wait)
 	if err != nil {
 		if OutcomeOf(err) == HistoryGone {
 			f.listed = false
--- /dev/null
+++ b/internal/objectstore/follow_test.go
@@ -0,0 +1,186 @@
+package objectstore
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// scriptedStore answers lists and watches; while silent, it swallows calls.
+type scriptedStore struct {
+	Store
+	mutex     sync.Mutex
+	silent    bool
+	forgotten uint64
+	revision  uint64
+	content   string
+	changed   chan struct{}
+	calls     int
+}
+
+func newScriptedStore() *scriptedStore { return &scriptedStore{changed: make(chan struct{}), revision: 1} }
+
+func (s *scriptedStore) set(content string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.content = content
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *scriptedStore) setSilent(silent bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silent = silent
+}
+
+func (s *scriptedStore) enter(ctx context.Context) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.calls++
+	if s.silent {
+		s.mutex.Unlock()
+		<-ctx.Done()
+		s.mutex.Lock()
+		return false
+	}
+	return true
+}
+
+func (s *scriptedStore) List(ctx context.Context, _ string) ([]Object, uint64, error) {
+	if !s.enter(ctx) {
+		return nil, 0, &Error{Outcome: Unknown}
+	}
+	return []Object{{Name: "main", Revision: s.revision, Content: []byte(s.content)}}, s.revision, nil
+}
+
+func (s *scriptedStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Object, uint64, error) {
+	if !s.enter(ctx) {
+		return nil, 0, &Error{Outcome: Unknown}
+	}
+	end := time.After(wait)
+	for {
+		s.mutex.Lock()
+		revision, content, changed, forgotten := s.revision, s.content, s.changed, s.forgotten
+		s.mutex.Unlock()
+		if after < forgotten {
+			return nil, 0, &Error{Outcome: HistoryGone}
+		}
+		if revision > after {
+			return []Object{{Name: "main", Revision: revision, Content: []byte(content)}}, revision, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, 0, &Error{Outcome: Unknown}
+		case <-end:
+			return nil, revision, nil
+		case <-changed:
+		}
+	}
+}
+
+// recordingSink keeps the newest content and when it came.
+type recordingSink struct {
+	mutex   sync.Mutex
+	content string
+	at      time.Time
+	lost    int
+}
+
+func (s *recordingSink) Reset(objects []Object) { s.Apply(objects) }
+
+func (s *recordingSink) Apply(events []Object) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, event := range events {
+		s.content, s.at = string(event.Content), time.Now()
+	}
+}
+
+func (s *recordingSink) Lost(error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.lost++
+}
+
+func (s *recordingSink) Regained() {}
+
+func (s *recordingSink) seen() (string, time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.content, s.at
+}
+
+func follow(t *testing.T, wait time.Duration, test func(*scriptedStore, *recordingSink)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store, sink := newScriptedStore(), &recordingSink{}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			Follow(ctx, store, "kind", wait, sink)
+		}()
+		test(store, sink)
+		cancel()
+		<-done
+	})
+}
+
+func TestChangesArriveAtOnce(t *testing.T) {
+	follow(t, 2*time.Second, func(store *scriptedStore, sink *recordingSink) {
+		time.Sleep(time.Second)
+		store.set("first")
+		synctest.Wait()
+		content, at := sink.seen()
+		must.Eq(t, "first", content)
+		must.Eq(t, 0, time.Since(at))
+	})
+}
+
+// TestChangeAfterSilence: a store that was silent for seconds has swallowed the
+// calls made meanwhile; the one made last hung for its whole wait.
+func TestChangeAfterSilence(t *testing.T) {
+	for _, silence := range []time.Duration{50 * time.Millisecond, time.Second, 3 * time.Second, 5 * time.Second, 7 * time.Second} {
+		follow(t, 2*time.Second, func(store *scriptedStore, sink *recordingSink) {
+			time.Sleep(time.Second)
+			store.setSilent(true)
+			time.Sleep(silence)
+			store.setSilent(false)
+			changed := time.Now()
+			store.set("after")
+			time.Sleep(4 * time.Second)
+			content, at := sink.seen()
+			must.Eq(t, "after", content)
+			limit := 3 * time.Second
+			if silence >= 3*time.Second {
+				limit = 1800 * time.Millisecond
+			}
+			must.Less(t, limit, at.Sub(changed), must.Sprintf("silence of %v", silence))
+		})
+	}
+}
+
+func TestListingAfterTheHistoryIsGone(t *testing.T) {
+	follow(t, 2*time.Second, func(store *scriptedStore, sink *recordingSink) {
+		time.Sleep(100 * time.Millisecond)
+		store.mutex.Lock()
+		store.revision, store.content, store.forgotten = 9, "rewritten", 9
+		store.mutex.Unlock()
+		time.Sleep(3 * time.Second)
+		content, _ := sink.seen()
+		must.Eq(t, "rewritten", content)
+	})
+}
+
+func TestCallsOfAQuietStoreAreFew(t *testing.T) {
+	follow(t, 2*time.Second, func(store *scriptedStore, _ *recordingSink) {
+		time.Sleep(20 * time.Second)
+		must.LessEq(t, 12, store.calls)
+	})
+}
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -12,11 +12,15 @@
 	"dewknot/internal/objectstore"
 )
 
+// watchShare is the wait of a watch as a part of the bound within which its
+// changes have to be in force; the rest is for a watch that the store swallowed.
+const watchShare = 0.55
+
 // follow starts the watches on configuration and directory.
 func (n *Node) follow(ctx context.Context) {
-	wait := n.options.ConfigurationBound
-	go objectstore.Follow(ctx, n.ports.Store, n.options.Kinds.Configuration, wait, &configurationSink{n})
-	go objectstore.Follow(ctx, n.ports.Store, n.options.Kinds.Servers, wait, &directorySink{n})
+	part := func(bound time.Duration) time.Duration { return time.Duration(watchShare * float64(bound)) }
+	go objectstore.Follow(ctx, n.ports.Store, n.options.Kinds.Configuration, part(n.options.ConfigurationBound), &configurationSink{n})
+	go objectstore.Follow(ctx, n.ports.Store, n.options.Kinds.Servers, part(n.options.DrainBound), &directorySink{n})
 	go n.readLeases(ctx)
 }
 
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -135,7 +135,7 @@
 }
 
 func (s *service) observe(leader string, down bool) failover.Observation {
-	observation := failover.Observation{Leader: leader, LeaderDown: down}
+	observation := failover.Observation{Leader: leader, LeaderDown: down, SynchronousReplicas: s.synchronousReplicas()}
 	for _, entry := range s.node.catalog.Current().ByService[s.name] {
 		if entry.ID == leader {
 			observation.LeaderDraining = entry.Draining
@@ -149,6 +149,13 @@
 	return observation
 }
 
+func (s *service) synchronousReplicas() int {
+	if configuration := s.node.catalog.Current().Configuration; configuration != nil {
+		return configuration.Services[s.name].SynchronousReplicas
+	}
+	return 0
+}
+
 // seek asks the servers, other than the one believed in, who is the primary.
 func (s *service) seek() {
 	if !s.seeking.TryLock() {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -134,6 +134,10 @@
 	go n.accept(listener)
 	<-ctx.Done()
 	n.stop(listener)
+	n.servers.Range(func(_, value any) bool {
+		value.(*server).pool.Shut()
+		return true
+	})
 	return nil
 }
 
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -199,7 +199,9 @@
 	case failover.WriteLease:
 		s.writeLease(effect)
 	case failover.Survey:
-		s.submit(failover.Surveyed{Reports: s.survey(effect.Except)})
+		s.submit(failover.Surveyed{Reports: s.survey(effect)})
+	case failover.Resume:
+		s.resumeReplication()
 	case failover.Order:
 		s.order(effect)
 	case failover.LeaderFound:
--- /dev/null
+++ b/internal/proxy/simulation_test.go
@@ -0,0 +1,301 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/position"
+	"dewknot/internal/proxy"
+	"dewknot/internal/standin/managed"
+)
+
+const testService = "bookings"
+
+var (
+	databases = []string{"current", "bounded", "session"}
+
+	testRoutes = map[string]catalog.Route{
+		"current": {
+			Name: "current", Database: "current", Service: testService, Freshness: catalog.Current,
+			StatementTimeout: 800 * time.Millisecond, TargetLatency: 600 * time.Millisecond, Priority: 1,
+		},
+		"bounded": {
+			Name: "bounded", Database: "bounded", Service: testService, Freshness: catalog.BoundedStaleness,
+			MaxStaleness: 700 * time.Millisecond, StatementTimeout: 2 * time.Second, TargetLatency: time.Second, Priority: 2,
+		},
+		"session": {
+			Name: "session", Database: "session", Service: testService, Freshness: catalog.ReadYourWrites,
+			MaxStaleness: 1200 * time.Millisecond, StatementTimeout: 800 * time.Millisecond, TargetLatency: time.Second, Priority: 2,
+		},
+	}
+)
+
+// simulatedFleet is a fleet of real nodes in one process, on virtual time.
+type simulatedFleet struct {
+	store    *managed.Store
+	group    *managed.Group
+	promoter *managed.Promoter
+	check    *checker
+	zones    []string
+	log      *zap.Logger
+
+	mutex     sync.Mutex
+	listeners []*memoryListener
+	cancels   []context.CancelFunc
+	// cuts holds the servers that a node cannot reach.
+	cuts    []map[string]bool
+	running sync.WaitGroup
+	life    int
+}
+
+func newFleet(nodes int, synchronousReplicas int) *simulatedFleet {
+	fleet := &simulatedFleet{store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"}, log: zap.NewNop()}
+	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
+		fleet.log = zap.Must(zap.NewDevelopment(zap.WithCaller(false)))
+	}
+	fleet.check.onLost = func(at position.Position, commit *commitRecord) {
+		fleet.log.Info("rolled back", zap.Stringer("position", at), zap.Bool("acknowledged", !commit.acknowledged.IsZero()))
+	}
+	fleet.group = managed.NewGroup(managed.Settings{
+		Name: testService, Zones: fleet.zones, Slots: 3, Queue: 12, Connections: 24,
+		Work: 4 * time.Millisecond, Handshake: 5 * time.Millisecond, ReceiveDelay: 3 * time.Millisecond,
+		ApplyDelay: 8 * time.Millisecond, PromotionDelay: 600 * time.Millisecond, NetworkDelay: 2 * time.Millisecond,
+		SynchronousReplicas: synchronousReplicas,
+	}, fleet.check, fleet.store.PublishEntry)
+	groups := map[string]*managed.Group{testService: fleet.group}
+	fleet.promoter = &managed.Promoter{Groups: groups}
+	fleet.store.Put(managed.ConfigurationKind, "main", catalog.Configuration{
+		Version: 1, Routes: testRoutes, TransactionIdle: time.Second,
+		Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24, SynchronousReplicas: synchronousReplicas}},
+	})
+	for i := range nodes {
+		fleet.listeners = append(fleet.listeners, nil)
+		fleet.cancels = append(fleet.cancels, nil)
+		fleet.cuts = append(fleet.cuts, map[string]bool{})
+		fleet.startNode(i)
+	}
+	return fleet
+}
+
+func (f *simulatedFleet) startNode(i int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.life++
+	name := fmt.Sprintf("node-%d", i)
+	listener := newMemoryListener()
+	ctx, cancel := context.WithCancel(context.Background())
+	f.listeners[i], f.cancels[i] = listener, cancel
+	node := proxy.New(proxy.Options{
+		Name: name, Zone: f.zones[i%len(f.zones)], Life: strconv.Itoa(f.life),
+		Regions:            map[string]string{"a": "r1", "b": "r2", "c": "r3"},
+		ConfigurationBound: 4 * time.Second, DrainBound: 7 * time.Second, StopGrace: 6 * time.Second,
+		Kinds: proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind},
+	}, proxy.Ports{
+		Store: f.store.Client(name), Promoter: f.promoter, Decoder: managed.Decoder{},
+		Dialer: &managed.Dialer{Groups: f.promoter.Groups, Reach: func(id string) bool { return f.reaches(i, id) }},
+		Client: func(connection net.Conn) proxy.Client { return clientPort{connection.(*memoryClient)} },
+	}, f.log.Named(name))
+	f.running.Go(func() { _ = node.Run(ctx, listener) })
+}
+
+func (f *simulatedFleet) reaches(node int, server string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.cuts[node][server]
+}
+
+func (f *simulatedFleet) setCut(node int, server string, cut bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cuts[node][server] = cut
+}
+
+func (f *simulatedFleet) listener(random *rand.Rand) *memoryListener {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.listeners[random.IntN(len(f.listeners))]
+}
+
+func (f *simulatedFleet) stopNode(i int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cancels[i]()
+}
+
+func (f *simulatedFleet) stop() {
+	for i := range f.listeners {
+		f.stopNode(i)
+	}
+	f.running.Wait()
+}
+
+// trouble strikes the fleet once; it returns when the trouble has passed.
+func (f *simulatedFleet) trouble(random *rand.Rand) {
+	span := time.Duration(500+random.IntN(4000)) * time.Millisecond
+	kind := random.IntN(12)
+	f.log.Info("trouble", zap.Int("kind", kind), zap.Duration("span", span), zap.String("primary", f.group.Primary().ID()))
+	pick := func() *managed.Server { return f.group.Server(random.IntN(len(f.zones))) }
+	switch kind {
+	case 0:
+		crashed := f.group.Primary()
+		crashed.Crash()
+		time.Sleep(span)
+		crashed.Restart()
+	case 1:
+		dark := f.group.Primary()
+		dark.SetReachable(false)
+		time.Sleep(span)
+		dark.SetReachable(true)
+	case 2:
+		deaf := pick()
+		deaf.SetDeaf(true)
+		time.Sleep(span)
+		deaf.SetDeaf(false)
+	case 3:
+		late := pick()
+		late.SetApplyDelay(time.Duration(random.IntN(1500)) * time.Millisecond)
+		time.Sleep(span)
+		late.SetApplyDelay(8 * time.Millisecond)
+	case 4:
+		f.group.Primary().LoseAnswers(1 + random.IntN(4))
+		pick().LoseAnswers(1 + random.IntN(4))
+	case 5:
+		f.store.SetDown(true)
+		time.Sleep(span)
+		f.store.SetDown(false)
+	case 6:
+		f.store.SetDelay(time.Duration(random.IntN(400)) * time.Millisecond)
+		time.Sleep(span)
+		f.store.SetDelay(4 * time.Millisecond)
+	case 7:
+		node, server := random.IntN(len(f.listeners)), f.group.Primary().ID()
+		f.setCut(node, server, true)
+		time.Sleep(span)
+		f.setCut(node, server, false)
+	case 8:
+		severed := f.group.Primary()
+		severed.SetSevered(true)
+		time.Sleep(span)
+		severed.SetSevered(false)
+	case 9:
+		f.promoter.SetLate(span)
+		time.Sleep(span)
+		f.promoter.SetLate(0)
+	case 10:
+		node := random.IntN(len(f.listeners))
+		f.stopNode(node)
+		time.Sleep(7 * time.Second)
+		f.startNode(node)
+	case 11:
+		f.store.Forget()
+		f.store.LoseAnswers(2)
+		node := fmt.Sprintf("node-%d", random.IntN(len(f.listeners)))
+		f.store.SetCut(node, true)
+		time.Sleep(span)
+		f.store.SetCut(node, false)
+	}
+}
+
+// outcome is what a simulated day came to.
+type outcome struct {
+	violations               []string
+	served, refused, unknown int
+	reads, writes            int
+	acknowledgedLost         int
+}
+
+// simulate plays a day with random troubles, two at a time.
+func simulate(seed uint64, synchronousReplicas int, length time.Duration) outcome {
+	fleet := newFleet(3, synchronousReplicas)
+	time.Sleep(2 * time.Second)
+	until := time.Now().Add(length)
+	var callers []*caller
+	var working sync.WaitGroup
+	for i := range 9 {
+		driver := &caller{
+			name: fmt.Sprintf("c%d", i), fleet: fleet, check: fleet.check, random: rand.New(rand.NewPCG(seed, uint64(i))),
+		}
+		callers = append(callers, driver)
+		working.Go(func() { driver.run(until) })
+	}
+	for stream := range 2 {
+		random := rand.New(rand.NewPCG(seed, uint64(1000+stream)))
+		working.Go(func() {
+			for time.Now().Before(until.Add(-6 * time.Second)) {
+				time.Sleep(time.Duration(random.IntN(2500)) * time.Millisecond)
+				fleet.trouble(random)
+			}
+		})
+	}
+	working.Wait()
+	fleet.stop()
+	// Calls that are still under way end by their own limits.
+	time.Sleep(10 * time.Second)
+	result := outcome{violations: fleet.check.violations, reads: fleet.check.reads, writes: fleet.check.writes}
+	result.acknowledgedLost = fleet.check.acknowledgedLost()
+	for _, driver := range callers {
+		result.served += driver.served
+		result.refused += driver.refused
+		result.unknown += driver.unknown
+	}
+	return result
+}
+
+// simulatedDays is how many days a run of the tests plays; the environment
+// variable DEWKNOT_SIMULATED_DAYS plays more.
+func simulatedDays(t *testing.T) int {
+	t.Helper()
+	const usual = 12
+	text, set := os.LookupEnv("DEWKNOT_SIMULATED_DAYS")
+	if !set {
+		return usual
+	}
+	days, err := strconv.Atoi(text)
+	must.NoError(t, err)
+	return days
+}
+
+func firstSeed(t *testing.T) uint64 {
+	t.Helper()
+	text, set := os.LookupEnv("DEWKNOT_SIMULATED_SEED")
+	if !set {
+		return 1
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	must.NoError(t, err)
+	return seed
+}
+
+func TestPromisesHoldUnderRandomTroubles(t *testing.T) {
+	for day := range simulatedDays(t) {
+		seed := firstSeed(t) + uint64(day)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				played := simulate(seed, int(seed%2), 40*time.Second)
+				for i, violation := range played.violations {
+					if i < 5 {
+						t.Error(violation)
+					}
+				}
+				t.Logf("%d violations, served %d, refused %d, unknown %d, reads %d, writes %d, acknowledged and lost %d", len(played.violations),
+					played.served, played.refused, played.unknown, played.reads, played.writes, played.acknowledgedLost)
+				must.Greater(t, 500, played.served)
+				if seed%2 == 1 {
+					must.Eq(t, 0, played.acknowledgedLost, must.Sprint("acknowledged commits of a service with synchronous replicas"))
+				}
+			})
+		})
+	}
+}
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -15,12 +15,12 @@
 const surveyLimit = 250 * time.Millisecond
 
 // survey asks the servers of the service for their status.
-func (s *service) survey(except string) []failover.Report {
+func (s *service) survey(effect failover.Survey) []failover.Report {
 	var reports []failover.Report
 	var mutex sync.Mutex
 	var asked sync.WaitGroup
 	for _, entry := range s.node.catalog.Current().ByService[s.name] {
-		if entry.ID == except || entry.Gone {
+		if entry.ID == effect.Except || entry.Gone {
 			continue
 		}
 		target := s.node.server(entry.ID)
@@ -28,7 +28,11 @@
 			continue
 		}
 		asked.Go(func() {
-			status := target.report(time.Now().Add(surveyLimit))
+			deadline := time.Now().Add(surveyLimit)
+			status := target.report(upstream.Operation{Kind: upstream.ReportStatus}, deadline)
+			if status != nil && effect.Hold && !status.Primary {
+				status = target.report(upstream.Operation{Kind: upstream.HoldReplication, Term: status.Term + 1}, deadline)
+			}
 			if status == nil {
 				return
 			}
@@ -42,14 +46,34 @@
 	return reports
 }
 
+// resumeReplication lets the replicas receive again.
+func (s *service) resumeReplication() {
+	for _, entry := range s.node.catalog.Current().ByService[s.name] {
+		target := s.node.server(entry.ID)
+		if target == nil || entry.Gone {
+			continue
+		}
+		lease, err := target.pool.Reserve(time.Now().Add(surveyLimit))
+		if err != nil {
+			continue
+		}
+		batch := lease.Run([]upstream.Operation{{Kind: upstream.ResumeReplication}}, time.Now().Add(surveyLimit))
+		if batch.Err != nil {
+			lease.Discard()
+			continue
+		}
+		lease.Return()
+	}
+}
+
 // report asks a server for its status until it answers or the deadline passes.
-func (t *server) report(deadline time.Time) *upstream.Status {
+func (t *server) report(question upstream.Operation, deadline time.Time) *upstream.Status {
 	for time.Now().Before(deadline) {
 		lease, err := t.pool.Reserve(deadline)
 		if err != nil {
 			return nil
 		}
-		batch := lease.Run([]upstream.Operation{{Kind: upstream.ReportStatus}}, deadline)
+		batch := lease.Run([]upstream.Operation{question}, deadline)
 		if batch.Err != nil {
 			lease.Discard()
 			return nil
--- /dev/null
+++ b/internal/standin/managed/server.go
@@ -0,0 +1,180 @@
+package managed
+
+import (
+	"time"
+
+	"dewknot/internal/position"
+	"dewknot/internal/upstream"
+)
+
+// Server is one server of a group. Its fields are guarded by the group's lock.
+type Server struct {
+	group *Group
+	id    string
+	zone  string
+
+	up bool
+	// reachable is false while the server is dark to the nodes.
+	reachable bool
+	draining  bool
+	// deaf servers receive nothing, held ones by order; severed primaries send nothing.
+	deaf    bool
+	held    bool
+	severed bool
+	// loseAnswers makes the next answers get lost after the operation ran.
+	loseAnswers int
+	applyDelay  time.Duration
+	busyUntil   time.Time
+
+	log      []entry
+	applied  int
+	running  int
+	queued   int
+	sessions map[*Session]struct{}
+}
+
+// ID returns the server's id.
+func (s *Server) ID() string { return s.id }
+
+func (s *Server) lock() func() {
+	s.group.mutex.Lock()
+	return s.group.mutex.Unlock
+}
+
+// Crash ends the server's process; its log stays.
+func (s *Server) Crash() {
+	defer s.lock()()
+	s.up = false
+	s.dropSessions()
+}
+
+// Restart starts a crashed server with its log.
+func (s *Server) Restart() {
+	defer s.lock()()
+	s.up, s.reachable = true, true
+	s.group.announce(s)
+	s.group.replicateTo(s)
+}
+
+// SetReachable cuts the server off from the nodes, or heals the cut.
+func (s *Server) SetReachable(reachable bool) {
+	defer s.lock()()
+	s.reachable = reachable
+}
+
+// SetDeaf keeps a replica from receiving, or lets it receive again.
+func (s *Server) SetDeaf(deaf bool) {
+	defer s.lock()()
+	s.deaf = deaf
+	if !deaf {
+		s.group.replicateTo(s)
+	}
+}
+
+// SetSevered keeps a primary's log from its replicas, or sends it again.
+func (s *Server) SetSevered(severed bool) {
+	defer s.lock()()
+	s.severed = severed
+	for _, other := range s.group.servers {
+		if other != s.group.primary {
+			s.group.replicateTo(other)
+		}
+	}
+}
+
+// SetApplyDelay changes how late a replica applies what it receives.
+func (s *Server) SetApplyDelay(delay time.Duration) {
+	defer s.lock()()
+	s.applyDelay = delay
+}
+
+// LoseAnswers makes the server lose its next answers to statements.
+func (s *Server) LoseAnswers(count int) {
+	defer s.lock()()
+	s.loseAnswers = count
+}
+
+// Drain announces the server's end; Leave ends it.
+func (s *Server) Drain() {
+	defer s.lock()()
+	s.draining = true
+	s.group.announce(s)
+}
+
+// Leave ends a drained server for good.
+func (s *Server) Leave() {
+	defer s.lock()()
+	s.up = false
+	s.dropSessions()
+	s.group.announce(s)
+}
+
+func (s *Server) dropSessions() {
+	for session := range s.sessions {
+		session.breakOff()
+	}
+	clear(s.sessions)
+}
+
+// receives reports whether replication reaches the server; the lock is held.
+func (s *Server) receives() bool { return s.up && !s.deaf && !s.held }
+
+// holds reports whether the server's log has an entry; the lock is held.
+func (s *Server) holds(at position.Position) bool {
+	return at.Offset == 0 || (at.Offset <= uint64(len(s.log)) && s.log[at.Offset-1].at == at)
+}
+
+// hasApplied reports whether the server has applied a position; the lock is held.
+func (s *Server) hasApplied(at position.Position) bool {
+	return at.Offset <= uint64(s.applied) && s.holds(at)
+}
+
+// truncate removes what the new primary's log lacks; the lock is held.
+func (s *Server) truncate(primary *Server) {
+	kept := 0
+	for kept < len(s.log) && kept < len(primary.log) && s.log[kept].at == primary.log[kept].at {
+		kept++
+	}
+	if kept < len(s.log) {
+		s.busyUntil = time.Now().Add(rollBackTime)
+	}
+	s.log = s.log[:kept:kept]
+	s.applied = min(s.applied, kept)
+}
+
+// rollBackTime is how long a server is busy after it has rolled back.
+const rollBackTime = 50 * time.Millisecond
+
+// position returns what the server has applied; the lock is held.
+func (s *Server) position() position.Position {
+	if s.applied == 0 {
+		return position.Position{Term: 1}
+	}
+	return s.log[s.applied-1].at
+}
+
+func (s *Server) received() position.Position {
+	if len(s.log) == 0 {
+		return position.Position{Term: 1}
+	}
+	return s.log[len(s.log)-1].at
+}
+
+func (s *Server) status() *upstream.Status {
+	return &upstream.Status{
+		Primary: s == s.group.primary, Term: s.group.term, Received: s.received(),
+		Busy: s.running, Connections: len(s.sessions),
+	}
+}
+
+// value returns a thing's newest value in the applied log; the lock is held.
+func (s *Server) value(thing string) string {
+	for i := s.applied - 1; i >= 0; i-- {
+		for _, each := range s.log[i].writes {
+			if each.thing == thing {
+				return each.data
+			}
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/standin/managed/store.go
@@ -0,0 +1,349 @@
+package managed
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/failover"
+	"dewknot/internal/objectstore"
+)
+
+// Kinds of objects that the stand-in uses.
+const (
+	ConfigurationKind = "configurations"
+	ServerKind        = "servers"
+	LeaseKind         = "leases"
+)
+
+// storeDelay is the time of an answer.
+const storeDelay = 4 * time.Millisecond
+
+// Store is a durable store of objects.
+type Store struct {
+	mutex    sync.Mutex
+	revision uint64
+	objects  map[string]map[string]objectstore.Object
+	history  []change
+	// forgotten is the newest revision whose change is no longer known.
+	forgotten uint64
+	changed   chan struct{}
+
+	down        bool
+	delay       time.Duration
+	loseAnswers int
+	cut         map[string]bool
+}
+
+type change struct {
+	kind   string
+	object objectstore.Object
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		objects: map[string]map[string]objectstore.Object{}, changed: make(chan struct{}),
+		delay: storeDelay, cut: map[string]bool{},
+	}
+}
+
+// SetDown makes the store refuse everything, or answer again.
+func (s *Store) SetDown(down bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = down
+	s.wake()
+}
+
+// SetDelay changes the time of an answer.
+func (s *Store) SetDelay(delay time.Duration) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.delay = delay
+}
+
+// LoseAnswers makes the next changes be done without an answer.
+func (s *Store) LoseAnswers(count int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.loseAnswers = count
+}
+
+// SetCut cuts one node off from the store, or heals the cut.
+func (s *Store) SetCut(node string, cut bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.cut[node] = cut
+	s.wake()
+}
+
+// Forget drops the history of changes.
+func (s *Store) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.history, s.forgotten = nil, s.revision
+	s.wake()
+}
+
+// Put stores an object whatever its revision, as the platform's own parts do.
+func (s *Store) Put(kind, name string, value any) {
+	content, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.put(kind, name, content)
+}
+
+// Remove removes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	object, found := s.objects[kind][name]
+	if !found {
+		return
+	}
+	s.revision++
+	object.Revision, object.Deleted = s.revision, true
+	delete(s.objects[kind], name)
+	s.history = append(s.history, change{kind, object})
+	s.wake()
+}
+
+// PublishEntry keeps a server's entry of the directory.
+func (s *Store) PublishEntry(entry Entry) {
+	if entry.Gone {
+		s.Remove(ServerKind, entry.ID)
+		return
+	}
+	s.Put(ServerKind, entry.ID, entry)
+}
+
+func (s *Store) put(kind, name string, content []byte) objectstore.Object {
+	s.revision++
+	object := objectstore.Object{Name: name, Revision: s.revision, Content: content}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]objectstore.Object{}
+	}
+	s.objects[kind][name] = object
+	s.history = append(s.history, change{kind, object})
+	s.wake()
+	return object
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Client is one node's way to the store; it implements objectstore.Store.
+type Client struct {
+	store *Store
+	node  string
+}
+
+// Client returns a node's way to the store.
+func (s *Store) Client(node string) *Client { return &Client{s, node} }
+
+var errDown = &objectstore.Error{Outcome: objectstore.NotDone, Detail: "the store is down"}
+
+// enter waits for the store's answer time; on success the lock is held.
+func (c *Client) enter(ctx context.Context) error {
+	c.store.mutex.Lock()
+	delay := c.store.delay
+	c.store.mutex.Unlock()
+	select {
+	case <-ctx.Done():
+		return &objectstore.Error{Outcome: objectstore.Unknown, Detail: "no answer in time"}
+	case <-time.After(delay):
+	}
+	c.store.mutex.Lock()
+	if c.store.cut[c.node] {
+		c.store.mutex.Unlock()
+		<-ctx.Done()
+		return &objectstore.Error{Outcome: objectstore.Unknown, Detail: "the node is cut off"}
+	}
+	if c.store.down {
+		c.store.mutex.Unlock()
+		return errDown
+	}
+	return nil
+}
+
+// List implements objectstore.Store.
+func (c *Client) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	if err := c.enter(limited); err != nil {
+		return nil, 0, err
+	}
+	defer c.store.mutex.Unlock()
+	var objects []objectstore.Object
+	for _, object := range c.store.objects[kind] {
+		objects = append(objects, object)
+	}
+	slices.SortFunc(objects, func(first, second objectstore.Object) int { return strings.Compare(first.Name, second.Name) })
+	return objects, c.store.revision, nil
+}
+
+// callLimit bounds a call that brings no deadline of its own.
+const callLimit = 1500 * time.Millisecond
+
+// Watch implements objectstore.Store.
+func (c *Client) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objectstore.Object, uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, wait+callLimit)
+	defer cancel()
+	end := time.Now().Add(wait)
+	for {
+		if err := c.enter(limited); err != nil {
+			return nil, 0, err
+		}
+		if after < c.store.forgotten {
+			c.store.mutex.Unlock()
+			return nil, 0, &objectstore.Error{Outcome: objectstore.HistoryGone}
+		}
+		var events []objectstore.Object
+		for _, each := range c.store.history {
+			if each.kind == kind && each.object.Revision > after {
+				events = append(events, each.object)
+			}
+		}
+		revision, changed := c.store.revision, c.store.changed
+		c.store.mutex.Unlock()
+		if len(events) > 0 || !time.Now().Before(end) {
+			return events, revision, nil
+		}
+		select {
+		case <-limited.Done():
+			return nil, 0, &objectstore.Error{Outcome: objectstore.Unknown, Detail: "no answer in time"}
+		case <-time.After(time.Until(end)):
+		case <-changed:
+		}
+	}
+}
+
+// Get implements objectstore.Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (objectstore.Object, error) {
+	if err := c.enter(ctx); err != nil {
+		return objectstore.Object{}, err
+	}
+	defer c.store.mutex.Unlock()
+	object, found := c.store.objects[kind][name]
+	if !found {
+		return object, &objectstore.Error{Outcome: objectstore.NotFound}
+	}
+	return object, nil
+}
+
+// Create implements objectstore.Store.
+func (c *Client) Create(ctx context.Context, kind, name string, content []byte) (objectstore.Object, error) {
+	return c.change(ctx, kind, name, content, func(_ objectstore.Object, found bool) bool { return !found })
+}
+
+// Replace implements objectstore.Store.
+func (c *Client) Replace(ctx context.Context, kind, name string, revision uint64, content []byte) (objectstore.Object, error) {
+	return c.change(ctx, kind, name, content, func(object objectstore.Object, found bool) bool {
+		return found && object.Revision == revision
+	})
+}
+
+func (c *Client) change(ctx context.Context, kind, name string, content []byte, allowed func(objectstore.Object, bool) bool) (objectstore.Object, error) {
+	if err := c.enter(ctx); err != nil {
+		return objectstore.Object{}, err
+	}
+	object, found := c.store.objects[kind][name]
+	if !allowed(object, found) {
+		c.store.mutex.Unlock()
+		return object, &objectstore.Error{Outcome: objectstore.Conflict}
+	}
+	object = c.store.put(kind, name, content)
+	lost := c.store.loseAnswers > 0
+	if lost {
+		c.store.loseAnswers--
+	}
+	c.store.mutex.Unlock()
+	if lost {
+		<-ctx.Done()
+		return object, &objectstore.Error{Outcome: objectstore.Unknown, Detail: "the answer was lost"}
+	}
+	return object, nil
+}
+
+// Decoder reads the stand-in's objects.
+type Decoder struct{}
+
+// Configuration implements proxy.Decoder.
+func (Decoder) Configuration(content []byte) (*catalog.Configuration, error) {
+	var configuration catalog.Configuration
+	err := json.Unmarshal(content, &configuration)
+	return &configuration, err
+}
+
+// Server implements proxy.Decoder.
+func (Decoder) Server(object objectstore.Object) (catalog.Server, error) {
+	var entry Entry
+	err := json.Unmarshal(object.Content, &entry)
+	server := catalog.Server{
+		ID: entry.ID, Service: entry.Service, Address: entry.Address, Zone: entry.Zone, Slots: entry.Slots,
+		Draining: entry.Draining, Revision: object.Revision,
+	}
+	if entry.Primary {
+		server.Role = catalog.Primary
+	}
+	return server, err
+}
+
+// Promoter takes orders to promote.
+type Promoter struct {
+	Groups map[string]*Group
+	mutex  sync.Mutex
+	late   time.Duration
+	orders []PromotionOrder
+}
+
+// PromotionOrder is an order as the platform saw it.
+type PromotionOrder struct {
+	Service string
+	Server  string
+	Holder  string
+	Token   uint64
+}
+
+// SetLate makes orders be carried out late and without an answer; 0 ends it.
+func (p *Promoter) SetLate(late time.Duration) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.late = late
+}
+
+// Orders returns all orders given.
+func (p *Promoter) Orders() []PromotionOrder {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return slices.Clone(p.orders)
+}
+
+// Promote implements proxy.Promoter.
+func (p *Promoter) Promote(ctx context.Context, service, server, holder string, token uint64) failover.PromotionOutcome {
+	time.Sleep(storeDelay)
+	p.mutex.Lock()
+	p.orders = append(p.orders, PromotionOrder{service, server, holder, token})
+	late := p.late
+	p.mutex.Unlock()
+	group := p.Groups[service]
+	if late > 0 {
+		time.AfterFunc(late, func() { group.Order(server, token) })
+		<-ctx.Done()
+		return failover.Unanswered
+	}
+	if !group.Order(server, token) {
+		return failover.Rejected
+	}
+	return failover.Accepted
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -37,6 +37,11 @@
 	Rollback
 	// ReportStatus asks for the server's role, term and position.
 	ReportStatus
+	// HoldReplication keeps a replica from receiving, and asks for its status;
+	// a promotion, ResumeReplication or a restart ends it.
+	HoldReplication
+	// ResumeReplication lets a replica receive again.
+	ResumeReplication
 )
 
 // Operation is one message to a server.
@@ -57,8 +62,13 @@
 	Value string
 	// Definition is what PrepareStatement prepares.
 	Definition command.PreparedStatement
+	// Term, above all terms known, comes with HoldReplication.
+	Term uint64
 }
 
+// ReportsStatus tells the operations that a server answers with its status.
+func (k OperationKind) ReportsStatus() bool { return k == ReportStatus || k == HoldReplication }
+
 // Outcome is what an answer says about an operation.
 type Outcome uint8
 
@@ -137,7 +147,7 @@
 	State     TransactionState
 	// Position is the position that the server has applied.
 	Position position.Position
-	// Status is set for ReportStatus.
+	// Status is set for ReportStatus and HoldReplication.
 	Status *Status
 }
 
