--- a/internal/objectstore/follow_test.go
+++ b/internal/objectstore/follow_test.go
@@ -22,7 +22,9 @@
 	calls     int
 }
 
-func newScriptedStore() *scriptedStore { return &scriptedStore{changed: make(chan struct{}), revision: 1} }
+func newScriptedStore() *scriptedStore {
+	return &scriptedStore{changed: make(chan struct{}), revision: 1}
+}
 
 func (s *scriptedStore) set(content string) {
 	s.mutex.Lock()
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -50,6 +50,7 @@
 	check    *checker
 	zones    []string
 	log      *zap.Logger
+	broken   brokenMechanism
 
 	mutex     sync.Mutex
 	listeners []*memoryListener
@@ -60,8 +61,8 @@
 	life    int
 }
 
-func newFleet(nodes int, synchronousReplicas int) *simulatedFleet {
-	fleet := &simulatedFleet{store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"}, log: zap.NewNop()}
+func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
+	fleet := &simulatedFleet{store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"}, log: zap.NewNop(), broken: broken}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
 		fleet.log = zap.Must(zap.NewDevelopment(zap.WithCaller(false)))
 	}
@@ -104,7 +105,10 @@
 		Kinds: proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind},
 	}, proxy.Ports{
 		Store: f.store.Client(name), Promoter: f.promoter, Decoder: managed.Decoder{},
-		Dialer: &managed.Dialer{Groups: f.promoter.Groups, Reach: func(id string) bool { return f.reaches(i, id) }},
+		Dialer: &breakingDialer{
+			Dialer: &managed.Dialer{Groups: f.promoter.Groups, Reach: func(id string) bool { return f.reaches(i, id) }},
+			broken: f.broken,
+		},
 		Client: func(connection net.Conn) proxy.Client { return clientPort{connection.(*memoryClient)} },
 	}, f.log.Named(name))
 	f.running.Go(func() { _ = node.Run(ctx, listener) })
@@ -128,10 +132,16 @@
 	return f.listeners[random.IntN(len(f.listeners))]
 }
 
-func (f *simulatedFleet) stopNode(i int) {
+// stopNode stops a node as planned; it reports false if the node is stopped already.
+func (f *simulatedFleet) stopNode(i int) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	if f.cancels[i] == nil {
+		return false
+	}
 	f.cancels[i]()
+	f.cancels[i] = nil
+	return true
 }
 
 func (f *simulatedFleet) stop() {
@@ -195,7 +205,9 @@
 		f.promoter.SetLate(0)
 	case 10:
 		node := random.IntN(len(f.listeners))
-		f.stopNode(node)
+		if !f.stopNode(node) {
+			return
+		}
 		time.Sleep(7 * time.Second)
 		f.startNode(node)
 	case 11:
@@ -217,8 +229,8 @@
 }
 
 // simulate plays a day with random troubles, two at a time.
-func simulate(seed uint64, synchronousReplicas int, length time.Duration) outcome {
-	fleet := newFleet(3, synchronousReplicas)
+func simulate(seed uint64, synchronousReplicas int, length time.Duration, broken brokenMechanism) outcome {
+	fleet := newFleet(3, synchronousReplicas, broken)
 	time.Sleep(2 * time.Second)
 	until := time.Now().Add(length)
 	var callers []*caller
@@ -283,7 +295,7 @@
 		seed := firstSeed(t) + uint64(day)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				played := simulate(seed, int(seed%2), 40*time.Second)
+				played := simulate(seed, int(seed%2), 40*time.Second, nothingBroken)
 				for i, violation := range played.violations {
 					if i < 5 {
 						t.Error(violation)
