Limits a node that let one node carry all, reached slowly

Ruled out: processor (2.9% of a core). Change: ceilings of 85% of a server's connections and 32 statements; pools begin with an eighth and grow every 150 ms while wanted, every second after the server's own limit was met. Waits for a connection under overload end early.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -54,9 +54,10 @@
 	decreased time.Time
 }
 
-// NewGate returns a gate that never lets more than highest run at a time.
-func NewGate(highest int) *Gate {
-	return &Gate{limit: float64(highest), highest: float64(highest)}
+// NewGate returns a gate that begins with a limit and never lets more than
+// highest run at a time.
+func NewGate(limit, highest int) *Gate {
+	return &Gate{limit: float64(limit), highest: float64(highest)}
 }
 
 // Request is work that asks to pass.
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -10,7 +10,7 @@
 )
 
 func TestGateFindsWhatTheServerBears(t *testing.T) {
-	gate := NewGate(8)
+	gate := NewGate(8, 8)
 	now := time.Unix(1_000_000, 0)
 	const bears = 3
 	running := 0
@@ -35,7 +35,7 @@
 
 func TestWaitingWorkIsOrderedByClassPriorityAndAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		gate := NewGate(1)
+		gate := NewGate(1, 1)
 		start := time.Now()
 		must.True(t, gate.Enter(Request{Arrived: start}, start))
 		order := make(chan string, 8)
@@ -61,7 +61,7 @@
 
 func TestWaitEndsAtItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		gate := NewGate(1)
+		gate := NewGate(1, 1)
 		start := time.Now()
 		must.True(t, gate.Enter(Request{Arrived: start}, start))
 		must.False(t, gate.Enter(Request{Arrived: start}, start.Add(100*time.Millisecond)))
@@ -76,7 +76,7 @@
 func TestGateNeverExceedsItsLimitNorLosesAPlace(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		highest := rapid.IntRange(1, 8).Draw(t, "highest")
-		gate := NewGate(highest)
+		gate := NewGate(rapid.IntRange(1, highest).Draw(t, "limit"), highest)
 		now := time.Unix(1_000_000, 0)
 		running := 0
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -143,8 +144,9 @@
 	}
 }
 
-// onLeader lends a connection to the primary; nil if there is none in time.
-func (r *run) onLeader() (*server, *upstream.Lease) {
+// onLeader lends a connection to the primary. If there is none in time, it
+// returns the reason: no primary can be reached, or its connections are in use.
+func (r *run) onLeader() (*server, *upstream.Lease, failure.Kind) {
 	for time.Now().Before(r.deadline) {
 		now := time.Now()
 		target := r.service.leader(now)
@@ -152,13 +154,16 @@
 			r.awaitLeader()
 			continue
 		}
-		lease, err := target.pool.Get(r.deadline)
+		lease, err := target.pool.Get(r.connectionDeadline())
 		if err == nil {
-			return target, lease
+			return target, lease, failure.None
+		}
+		if errors.Is(err, upstream.ErrNoConnection) && r.overloaded() {
+			return nil, nil, failure.Overloaded
 		}
 		r.awaitLeader()
 	}
-	return nil, nil
+	return nil, nil, failure.NoPrimary
 }
 
 // overloaded reports whether new work has waited for a slot as long as it may.
@@ -168,9 +173,9 @@
 // answer which promises that it did not run.
 func (r *run) write() Reply {
 	for r.goesOn() {
-		target, lease := r.onLeader()
+		target, lease, reason := r.onLeader()
 		if lease == nil {
-			return r.refuse(failure.NoPrimary)
+			return r.refuse(reason)
 		}
 		if !r.enter(target, admission.OnlyHere) {
 			lease.Return()
@@ -229,9 +234,9 @@
 // primary when the read ran.
 func (r *run) readCurrent() Reply {
 	for r.goesOn() {
-		target, lease := r.onLeader()
+		target, lease, reason := r.onLeader()
 		if lease == nil {
-			return r.refuse(failure.NoPrimary)
+			return r.refuse(reason)
 		}
 		reply, final := r.provenRead(target, lease)
 		if final {
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -92,7 +92,7 @@
 		n.servers.Store(entry.ID, &server{
 			id: entry.ID, service: entry.Service, stats: stats,
 			pool: upstream.NewPool(n.ports.Dialer, entry.Address, entry.Service, entry.ID, n.connectionCeiling(entry.Service), stats),
-			gate: admission.NewGate(statementCeiling),
+			gate: admission.NewGate(firstStatements, statementCeiling),
 		})
 	} else if entry.Leaving() {
 		found.(*server).pool.Trim(time.Now())
@@ -108,10 +108,13 @@
 // Limits of one node's use of one server, before the server's own refusals
 // lower them.
 const (
-	// statementCeiling bounds the statements running at a time.
-	statementCeiling = 8
-	// connectionShare is the part of a server's connections that a node may take.
-	connectionShare = 4
+	// firstStatements and statementCeiling bound the statements running at a
+	// time, at first and ever. One node may have to carry all work.
+	firstStatements  = 8
+	statementCeiling = 32
+	// connectionShare is the part of a server's connections that a node may
+	// take; the rest is for questions about the server.
+	connectionShare = 0.85
 	// defaultConnections is the ceiling while the service is not configured.
 	defaultConnections = 4
 )
@@ -126,7 +129,7 @@
 	if !found || known.MaxConnections <= 0 {
 		return defaultConnections
 	}
-	return max(1, known.MaxConnections/connectionShare)
+	return max(1, int(connectionShare*float64(known.MaxConnections)))
 }
 
 func (n *Node) setCeilings() {
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -77,9 +77,9 @@
 
 func (t *transaction) openOnLeader(r *run) (Reply, bool) {
 	for r.goesOn() {
-		target, lease := r.onLeader()
+		target, lease, reason := r.onLeader()
 		if lease == nil {
-			return r.refuseTransaction(failure.NoPrimary), false
+			return r.refuseTransaction(reason), false
 		}
 		operations := append(lease.Adapt(r.session.values, nil), upstream.Operation{Kind: upstream.Begin})
 		batch := lease.Run(operations, r.readDeadline(target))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -39,9 +39,11 @@
 	// refuses one for its own limit, and rises again up to ceiling.
 	limit     int
 	ceiling   int
-	limitedAt time.Time
-	waiters   []chan *Lease
-	closed    bool
+	changedAt time.Time
+	// limited is set while the last change followed a refusal.
+	limited bool
+	waiters []chan *Lease
+	closed  bool
 }
 
 // Times of the limit's law.
@@ -49,26 +51,32 @@
 	// refusalPause is how long no new connection is tried after the server's
 	// limit was met.
 	refusalPause = 200 * time.Millisecond
-	// raiseInterval is the pause between raises of a limit that was lowered.
-	raiseInterval = time.Second
+	// raiseInterval is the pause between raises of the limit while connections
+	// are wanted, cautiousInterval the same after the server's limit was met.
+	raiseInterval    = 150 * time.Millisecond
+	cautiousInterval = time.Second
 )
 
+// firstShare is the part of the ceiling that is open to a new pool. After a
+// restart of all nodes, more would meet the server's limit.
+const firstShare = 8
+
+func firstLimit(ceiling int) int { return min(ceiling, max(2, ceiling/firstShare)) }
+
 // dialTimeout bounds the opening of a connection.
 const dialTimeout = 1500 * time.Millisecond
 
 // NewPool returns a pool of at most ceiling connections.
 func NewPool(dialer Dialer, address, service, id string, ceiling int, stats *Stats) *Pool {
-	return &Pool{dialer: dialer, address: address, service: service, id: id, limit: ceiling, ceiling: ceiling, stats: stats}
+	return &Pool{dialer: dialer, address: address, service: service, id: id, limit: firstLimit(ceiling), ceiling: ceiling, stats: stats}
 }
 
 // SetCeiling changes the greatest number of connections.
 func (p *Pool) SetCeiling(ceiling int) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.limit == p.ceiling || p.limit > ceiling {
-		p.limit = ceiling
-	}
 	p.ceiling = ceiling
+	p.limit = min(p.limit, ceiling)
 }
 
 // Open returns the number of open connections.
@@ -137,18 +145,21 @@
 	return nil, waiter, false
 }
 
-// raise lets a lowered limit rise again; the lock is held.
+// raise lets the limit rise while connections are wanted; the lock is held.
 func (p *Pool) raise(now time.Time) {
-	if p.limit >= p.ceiling {
+	if p.limit >= p.ceiling || p.open < p.limit {
 		return
 	}
 	pause := raiseInterval
-	if p.limit == 0 {
+	switch {
+	case p.limit == 0:
 		pause = refusalPause
+	case p.limited:
+		pause = cautiousInterval
 	}
-	if now.Sub(p.limitedAt) >= pause {
+	if now.Sub(p.changedAt) >= pause {
 		p.limit++
-		p.limitedAt = now
+		p.changedAt, p.limited = now, false
 	}
 }
 
@@ -215,7 +226,7 @@
 	p.open--
 	if refused && refusal == ConnectionLimit {
 		p.limit = p.open
-		p.limitedAt = time.Now()
+		p.changedAt, p.limited = time.Now(), true
 	}
 	p.mutex.Unlock()
 	p.wakeOne()
