Event log and metrics: one vocabulary, bounded, never blocking

Change: internal/eventlog (JSON lines, budgets by class, drops counted, a writer that holds nobody up), lines for every change of belief, every failed command and some served ones; counters and histograms on the metrics address. Ruled out: zap's own sampling (drops by message, not by importance).

--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,239 @@
+// Package eventlog writes the node's structured log: JSON lines on standard
+// output, one a decision, in one vocabulary of events.
+//
+// Writing never blocks a request and its volume is bounded. Lines wait in a ring
+// for one writer; when the ring is full or the budget of lines a second is used
+// up, lines are dropped and counted by event. Budgets are kept by class, so that
+// served requests never displace failures, and failures never displace changes
+// of what the node believes.
+package eventlog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is a word of the vocabulary (docs/OPERATIONS.md lists all).
+type Event string
+
+// Class decides which lines are kept when there are too many.
+type Class uint8
+
+// The classes, the most important first.
+const (
+	// Belief: a change of what the node believes, a start, a stop, a dependency
+	// that is lost or regained.
+	Belief Class = iota
+	// Failure: a request that failed or was refused.
+	Failure
+	// Success: a request that was served; only some are logged.
+	Success
+	classes
+)
+
+// The vocabulary. A line's "event" is one of these.
+const (
+	NodeStarted           Event = "node_started"
+	NodeStopping          Event = "node_stopping"
+	NodeStopped           Event = "node_stopped"
+	SettingsRead          Event = "settings_read"
+	SettingsRefused       Event = "settings_refused"
+	StoreLost             Event = "store_lost"
+	StoreRegained         Event = "store_regained"
+	ConfigurationApplied  Event = "configuration_applied"
+	ConfigurationRefused  Event = "configuration_refused"
+	DirectoryListed       Event = "directory_listed"
+	ServerChanged         Event = "server_changed"
+	ServerGone            Event = "server_gone"
+	ServerEntryRefused    Event = "server_entry_refused"
+	ServerUnreachable     Event = "server_unreachable"
+	ServerReachable       Event = "server_reachable"
+	PrimaryAnnounced      Event = "primary_announced"
+	PrimaryProved         Event = "primary_proved"
+	PrimaryDenied         Event = "primary_denied"
+	FailoverPhase         Event = "failover_phase"
+	FailoverLease         Event = "failover_lease"
+	FailoverSurvey        Event = "failover_survey"
+	FailoverOrder         Event = "failover_order"
+	RequestServed         Event = "request_served"
+	RequestFailed         Event = "request_failed"
+	AttemptFailed         Event = "attempt_failed"
+	TransactionRolledBack Event = "transaction_rolled_back"
+	LinesDropped          Event = "lines_dropped"
+)
+
+// Vocabulary lists all events with their class.
+var Vocabulary = map[Event]Class{
+	NodeStarted: Belief, NodeStopping: Belief, NodeStopped: Belief, SettingsRead: Belief, SettingsRefused: Belief,
+	StoreLost: Belief, StoreRegained: Belief, ConfigurationApplied: Belief, ConfigurationRefused: Belief,
+	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, ServerEntryRefused: Belief,
+	ServerUnreachable: Belief, ServerReachable: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
+	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverOrder: Belief,
+	RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
+	LinesDropped: Belief,
+}
+
+// shares are the parts of the lines a second that a class may use. They add up
+// to one, so that no class can use up another's.
+var shares = [classes]float64{Belief: 0.4, Failure: 0.45, Success: 0.15}
+
+// ringSize is the number of lines that may wait for the writer.
+const ringSize = 1024
+
+// Log is a bounded log, safe for concurrent use.
+type Log struct {
+	encoder zapcore.Encoder
+	lines   chan []byte
+	stop    chan struct{}
+	done    chan struct{}
+	name    string
+
+	budgets [classes]budget
+	mutex   sync.Mutex
+	dropped map[Event]int
+	total   atomic.Int64
+	clock   func() time.Time
+}
+
+// budget counts the lines of the present second.
+type budget struct {
+	mutex  sync.Mutex
+	second int64
+	used   int
+	limit  int
+}
+
+func (b *budget) take(now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if second := now.Unix(); second != b.second {
+		b.second, b.used = second, 0
+	}
+	if b.used >= b.limit {
+		return false
+	}
+	b.used++
+	return true
+}
+
+// New returns a log of a node that writes to out at most linesPerSecond.
+func New(out io.Writer, node string, linesPerSecond int) *Log {
+	configuration := zapcore.EncoderConfig{
+		TimeKey: "time", MessageKey: "event", EncodeTime: zapcore.RFC3339NanoTimeEncoder,
+		EncodeDuration: zapcore.MillisDurationEncoder, LineEnding: "\n",
+	}
+	log := &Log{
+		encoder: zapcore.NewJSONEncoder(configuration), lines: make(chan []byte, ringSize),
+		stop: make(chan struct{}), done: make(chan struct{}),
+		name: node, dropped: map[Event]int{}, clock: time.Now,
+	}
+	for class := range log.budgets {
+		log.budgets[class].limit = max(1, int(shares[class]*float64(linesPerSecond)))
+	}
+	go log.write(out)
+	return log
+}
+
+// Write logs an event. It never blocks.
+func (l *Log) Write(event Event, fields ...zap.Field) {
+	now := l.clock()
+	if !l.budgets[Vocabulary[event]].take(now) {
+		l.drop(event)
+		return
+	}
+	l.enqueue(event, now, fields)
+}
+
+func (l *Log) enqueue(event Event, now time.Time, fields []zap.Field) {
+	all := make([]zap.Field, 0, len(fields)+1)
+	all = append(all, zap.String("node", l.name))
+	all = append(all, fields...)
+	buffer, err := l.encoder.EncodeEntry(zapcore.Entry{Time: now, Message: string(event)}, all)
+	if err != nil {
+		l.drop(event)
+		return
+	}
+	line := append([]byte(nil), buffer.Bytes()...)
+	buffer.Free()
+	select {
+	case l.lines <- line:
+	default:
+		l.drop(event)
+	}
+}
+
+func (l *Log) drop(event Event) {
+	l.total.Add(1)
+	l.mutex.Lock()
+	l.dropped[event]++
+	l.mutex.Unlock()
+}
+
+// Dropped returns how many lines were dropped since the start.
+func (l *Log) Dropped() int64 { return l.total.Load() }
+
+// Flush reports what was dropped since the last call, in one line. The node
+// calls it at regular times.
+func (l *Log) Flush() {
+	l.mutex.Lock()
+	dropped := l.dropped
+	l.dropped = map[Event]int{}
+	l.mutex.Unlock()
+	if len(dropped) == 0 {
+		return
+	}
+	fields := make([]zap.Field, 0, len(dropped))
+	for event, count := range dropped {
+		fields = append(fields, zap.Int(string(event), count))
+	}
+	l.enqueue(LinesDropped, l.clock(), fields)
+}
+
+// closeLimit bounds the wait for lines that are still to be written.
+const closeLimit = 200 * time.Millisecond
+
+// Close writes what waits, for a short while, and ends the writer. It is called once.
+func (l *Log) Close() {
+	close(l.stop)
+	select {
+	case <-l.done:
+	case <-time.After(closeLimit):
+	}
+}
+
+// write writes waiting lines together, so that a burst costs few system calls.
+func (l *Log) write(out io.Writer) {
+	defer close(l.done)
+	for {
+		select {
+		case line := <-l.lines:
+			_, _ = out.Write(l.gather(line))
+		case <-l.stop:
+			if rest := l.gather(nil); len(rest) > 0 {
+				_, _ = out.Write(rest)
+			}
+			return
+		}
+	}
+}
+
+// gather appends the lines that wait, up to about batchBytes.
+func (l *Log) gather(batch []byte) []byte {
+	for len(batch) < batchBytes {
+		select {
+		case next := <-l.lines:
+			batch = append(batch, next...)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// batchBytes bounds one write, but for its last line.
+const batchBytes = 256 << 10
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -113,6 +113,11 @@
 	Unanswered
 )
 
+var outcomeNames = [...]string{"accepted", "rejected", "unanswered"}
+
+// String returns the outcome's name in logs.
+func (o PromotionOutcome) String() string { return outcomeNames[o] }
+
 // Machine is the reducer of one service on one node.
 type Machine struct {
 	node string
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/catalog"
+	"dewknot/internal/eventlog"
 	"dewknot/internal/failover"
 	"dewknot/internal/objectstore"
 )
@@ -37,11 +38,11 @@
 		}
 		configuration, err := s.ports.Decoder.Configuration(object.Content)
 		if err != nil {
-			s.log.Error("configuration: refused a version that cannot be read", zap.String("object", object.Name), zap.Error(err))
+			s.log.Write(eventlog.ConfigurationRefused, zap.String("object", object.Name), zap.Uint64("revision", object.Revision), zap.Error(err))
 			continue
 		}
 		if s.catalog.ApplyConfiguration(configuration) {
-			s.log.Info("configuration: took a version into force", zap.Uint64("version", configuration.Version),
+			s.log.Write(eventlog.ConfigurationApplied, zap.Uint64("version", configuration.Version),
 				zap.Uint64("revision", object.Revision), zap.Int("routes", len(configuration.Routes)))
 		}
 	}
@@ -50,13 +51,13 @@
 // Lost implements objectstore.Sink.
 func (s *configurationSink) Lost(err error) {
 	s.storeDown.Store(true)
-	s.log.Warn("store: stopped answering", zap.Error(err))
+	s.log.Write(eventlog.StoreLost, zap.String("watch", "configuration"), zap.Error(err))
 }
 
 // Regained implements objectstore.Sink.
 func (s *configurationSink) Regained() {
 	s.storeDown.Store(false)
-	s.log.Info("store: answers again")
+	s.log.Write(eventlog.StoreRegained, zap.String("watch", "configuration"))
 }
 
 type directorySink struct{ *Node }
@@ -70,7 +71,7 @@
 		}
 	}
 	s.catalog.ReplaceDirectory(servers, time.Now())
-	s.log.Info("directory: listed", zap.Int("servers", len(servers)))
+	s.log.Write(eventlog.DirectoryListed, zap.Int("servers", len(servers)))
 }
 
 // Apply implements objectstore.Sink.
@@ -78,7 +79,7 @@
 	now := time.Now()
 	for _, event := range events {
 		if event.Deleted {
-			s.log.Info("directory: a server is gone", zap.String("server", event.Name))
+			s.log.Write(eventlog.ServerGone, zap.String("server", event.Name), zap.Uint64("revision", event.Revision))
 			s.catalog.RemoveServer(event.Name, now)
 			continue
 		}
@@ -86,7 +87,7 @@
 		if !ok {
 			continue
 		}
-		s.log.Info("directory: a server changed", zap.String("server", server.ID), zap.String("service", server.Service),
+		s.log.Write(eventlog.ServerChanged, zap.String("server", server.ID), zap.String("service", server.Service),
 			zap.Stringer("role", server.Role), zap.Bool("draining", server.Draining), zap.Uint64("revision", server.Revision))
 		s.catalog.MergeServer(server, now)
 	}
@@ -95,17 +96,21 @@
 func (s *directorySink) decode(object objectstore.Object) (catalog.Server, bool) {
 	server, err := s.ports.Decoder.Server(object)
 	if err != nil {
-		s.log.Error("directory: passed over an entry that cannot be read", zap.String("server", object.Name), zap.Error(err))
+		s.log.Write(eventlog.ServerEntryRefused, zap.String("server", object.Name), zap.Error(err))
 		return server, false
 	}
 	return server, true
 }
 
 // Lost implements objectstore.Sink.
-func (s *directorySink) Lost(err error) { s.log.Warn("directory: watch lost", zap.Error(err)) }
+func (s *directorySink) Lost(err error) {
+	s.log.Write(eventlog.StoreLost, zap.String("watch", "directory"), zap.Error(err))
+}
 
 // Regained implements objectstore.Sink.
-func (s *directorySink) Regained() { s.log.Info("directory: watch regained") }
+func (s *directorySink) Regained() {
+	s.log.Write(eventlog.StoreRegained, zap.String("watch", "directory"))
+}
 
 // storeCallLimit bounds a call to the store.
 const storeCallLimit = 1500 * time.Millisecond
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"dewknot/internal/failover"
 )
 
@@ -61,6 +59,7 @@
 		})
 		if now.Sub(trimmed) > trimInterval {
 			trimmed = now
+			n.log.Flush()
 			n.trim(now)
 		}
 	}
@@ -171,7 +170,6 @@
 				continue
 			}
 			if primary, _ := s.prove(target, time.Now().Add(seekLimit)); primary {
-				s.node.log.Info("leadership: found the primary by asking", zap.String("service", s.name), zap.String("server", target.id))
 				return
 			}
 		}
--- /dev/null
+++ b/internal/proxy/metrics.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/command"
+	"dewknot/internal/upstream"
+)
+
+// metrics are the node's counters and histograms.
+type metrics struct {
+	registry  *prometheus.Registry
+	commands  *prometheus.CounterVec
+	durations *prometheus.HistogramVec
+	reads     *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	failovers *prometheus.CounterVec
+}
+
+const metricsNamespace = "dewknot"
+
+// durationBuckets are seconds; latency objectives lie between them.
+var durationBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 2, 4}
+
+var freshnessNames = map[catalog.Freshness]string{
+	catalog.Current: "current", catalog.BoundedStaleness: "bounded_staleness", catalog.ReadYourWrites: "read_your_writes",
+}
+
+func newMetrics(node *Node) *metrics {
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}, labels)
+	}
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		commands: counter("commands_total", "Commands answered.", "command", "freshness", "outcome"),
+		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsNamespace, Name: "command_duration_seconds", Buckets: durationBuckets,
+			Help: "Time from a command's arrival to its answer, for commands that reached a server.",
+		}, []string{"freshness"}),
+		reads:     counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
+		refusals:  counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
+		failovers: counter("failover_phases_total", "Phases entered by the failover machines.", "service", "phase"),
+	}
+	gauge := func(name, help string, value func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, value)
+	}
+	m.registry.MustRegister(m.commands, m.durations, m.reads, m.refusals, m.failovers,
+		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
+		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
+		gauge("server_connections", "Connections open to all servers.", node.openConnections),
+		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(node.log.Dropped()) }),
+		gauge("store_lost", "1 while the store does not answer.", node.storeLost),
+	)
+	return m
+}
+
+// Metrics returns the node's metrics for its metrics address.
+func (n *Node) Metrics() prometheus.Gatherer { return n.metrics.registry }
+
+func (n *Node) openConnections() float64 {
+	open := 0
+	n.servers.Range(func(_, value any) bool {
+		open += value.(*server).pool.Open()
+		return true
+	})
+	return float64(open)
+}
+
+func (n *Node) storeLost() float64 {
+	if n.storeDown.Load() {
+		return 1
+	}
+	return 0
+}
+
+// answered counts a command and, for a read that was served, where it ran.
+func (m *metrics) answered(s *session, received *command.Command, reply *Reply, took time.Duration) {
+	level := freshnessNames[s.bound.Freshness]
+	outcome := "served"
+	if reply.Failure != nil {
+		outcome = reply.Failure.Kind.String()
+	}
+	m.commands.WithLabelValues(received.Kind.String(), level, outcome).Inc()
+	if s.account.attempts == 0 {
+		return
+	}
+	m.durations.WithLabelValues(level).Observe(took.Seconds())
+	if reply.Failure == nil && (received.Kind == command.Read || (received.Kind == command.Execute && !s.prepared[received.Name].Writes)) {
+		role := catalog.Replica
+		if s.account.primary {
+			role = catalog.Primary
+		}
+		m.reads.WithLabelValues(level, role.String()).Inc()
+	}
+}
+
+// refused counts an answer which says that a server did not run an operation.
+func (m *metrics) refused(result *upstream.Result) {
+	if result != nil && result.Outcome.NotRun() {
+		m.refusals.WithLabelValues(result.Outcome.String()).Inc()
+	}
+}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -14,10 +14,9 @@
 	"sync/atomic"
 	"time"
 
-	"go.uber.org/zap"
-
 	"dewknot/internal/catalog"
 	"dewknot/internal/command"
+	"dewknot/internal/eventlog"
 	"dewknot/internal/failover"
 	"dewknot/internal/failure"
 	"dewknot/internal/objectstore"
@@ -101,8 +100,9 @@
 type Node struct {
 	options Options
 	ports   Ports
-	log     *zap.Logger
+	log     *eventlog.Log
 	catalog *catalog.Catalog
+	metrics *metrics
 
 	servers  sync.Map // server ID to *server
 	services sync.Map // service name to *service
@@ -116,11 +116,12 @@
 }
 
 // New returns a node that is not running yet.
-func New(options Options, ports Ports, log *zap.Logger) *Node {
+func New(options Options, ports Ports, log *eventlog.Log) *Node {
 	node := &Node{
 		options: options, ports: ports, log: log,
 		catalog: catalog.New(options.DrainBound),
 	}
+	node.metrics = newMetrics(node)
 	node.catalog.OnChange(node.catalogChanged)
 	return node
 }
--- /dev/null
+++ b/internal/proxy/report.go
@@ -0,0 +1,62 @@
+package proxy
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/command"
+	"dewknot/internal/eventlog"
+	"dewknot/internal/freshness"
+)
+
+// account tells how a command was served, for its line in the log.
+type account struct {
+	// server is the last server that was tried.
+	server string
+	// primary is set if that server was believed to be the primary.
+	primary  bool
+	attempts int
+	// floor is what a read had to see.
+	floor freshness.Floor
+}
+
+// tried notes an attempt on a server.
+func (a *account) tried(target *server, primary bool) {
+	a.server, a.primary = target.id, primary
+	a.attempts++
+}
+
+// report counts a command that was answered and logs it.
+func (s *session) report(received *command.Command, reply *Reply, arrived time.Time) {
+	now := time.Now()
+	s.node.metrics.answered(s, received, reply, now.Sub(arrived))
+	event := eventlog.RequestServed
+	if reply.Failure != nil {
+		event = eventlog.RequestFailed
+	} else if s.account.attempts == 0 {
+		// Answered by the node itself; nothing was decided.
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request", received.RequestID), zap.Stringer("command", received.Kind),
+		zap.String("database", s.database), zap.String("route", s.bound.Name), zap.String("service", s.bound.Service),
+		zap.Uint64("configuration", s.node.configurationVersion()), zap.Duration("took", now.Sub(arrived)),
+		zap.Int("attempts", s.account.attempts), zap.String("server", s.account.server), zap.Bool("on_primary", s.account.primary),
+	}
+	if !s.account.floor.Since.IsZero() {
+		fields = append(fields, zap.Stringer("floor", s.account.floor.Position), zap.Duration("floor_age", now.Sub(s.account.floor.Since)))
+	}
+	if reply.Failure != nil {
+		fields = append(fields, zap.Stringer("outcome", reply.Failure.Kind), zap.String("detail", reply.Failure.FullDetail()),
+			zap.Bool("promised_not_kept", reply.Failure.Kind.NotRun()))
+	}
+	s.node.log.Write(event, fields...)
+}
+
+func (n *Node) configurationVersion() uint64 {
+	if configuration := n.catalog.Current().Configuration; configuration != nil {
+		return configuration.Version
+	}
+	return 0
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -9,6 +9,7 @@
 	"dewknot/internal/admission"
 	"dewknot/internal/catalog"
 	"dewknot/internal/command"
+	"dewknot/internal/eventlog"
 	"dewknot/internal/failure"
 	"dewknot/internal/freshness"
 	"dewknot/internal/routing"
@@ -67,7 +68,7 @@
 	}
 }
 
-func (r *run) log() *zap.Logger { return r.session.node.log }
+func (r *run) log() *eventlog.Log { return r.session.node.log }
 
 // goesOn reports whether another attempt may be made.
 func (r *run) goesOn() bool { return time.Now().Before(r.deadline) }
@@ -84,7 +85,9 @@
 }
 
 // leave ends work that was let in.
-func leave(target *server, batch *upstream.Batch, result *upstream.Result) {
+func (r *run) leave(target *server, batch *upstream.Batch, result *upstream.Result) {
+	r.session.account.tried(target, target.id == r.service.belief.Leader())
+	r.session.node.metrics.refused(result)
 	ended := admission.Other
 	switch {
 	case batch.Err != nil:
@@ -183,10 +186,10 @@
 		}
 		operations := append(lease.Adapt(r.session.values, r.statement), r.operation())
 		batch := lease.Run(operations, r.deadline)
-		leave(target, &batch, batch.Last())
+		r.leave(target, &batch, batch.Last())
 		if batch.Err != nil {
 			lease.Discard()
-			r.log().Info("request: the answer of a write was lost", zap.String("request", r.statement.RequestID),
+			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "write"),
 				zap.String("server", target.id), zap.Error(batch.Err))
 			return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
 		}
@@ -221,7 +224,7 @@
 		r.pause(busyPause)
 	case upstream.NotPrimary:
 		if r.service.belief.Refute(target.id, now) {
-			r.log().Info("leadership: the primary denied its role", zap.String("service", r.service.name),
+			r.log().Write(eventlog.PrimaryDenied, zap.String("service", r.service.name),
 				zap.String("server", target.id), zap.String("request", r.statement.RequestID))
 		}
 		r.awaitLeader()
@@ -266,7 +269,7 @@
 		return r.refuse(failure.Overloaded), true
 	}
 	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, r.readDeadline(target))
-	leave(target, &batch, batch.First())
+	r.leave(target, &batch, batch.First())
 	if batch.Err != nil {
 		lease.Discard()
 		return Reply{}, false
@@ -324,6 +327,7 @@
 			r.service.refreshProof(r.deadline)
 			continue
 		}
+		r.session.account.floor = floor
 		target := r.choose(floor)
 		if target == nil {
 			r.pause(behindPause)
@@ -341,7 +345,7 @@
 		operation := r.operation()
 		operation.Floor = floor.Position
 		batch := lease.Run(append(lease.Adapt(r.session.values, r.statement), operation), r.readDeadline(target))
-		leave(target, &batch, batch.Last())
+		r.leave(target, &batch, batch.Last())
 		if batch.Err != nil {
 			lease.Discard()
 			r.markTried(target)
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -11,6 +11,7 @@
 
 	"dewknot/internal/admission"
 	"dewknot/internal/catalog"
+	"dewknot/internal/eventlog"
 	"dewknot/internal/failover"
 	"dewknot/internal/freshness"
 	"dewknot/internal/leadership"
@@ -99,7 +100,7 @@
 	}
 	if entry.Role == catalog.Primary && !entry.Gone {
 		if n.service(entry.Service).belief.Announce(entry.ID, entry.Revision) {
-			n.log.Info("leadership: the directory announced a primary", zap.String("service", entry.Service),
+			n.log.Write(eventlog.PrimaryAnnounced, zap.String("service", entry.Service),
 				zap.String("server", entry.ID), zap.Uint64("revision", entry.Revision))
 		}
 	}
@@ -185,8 +186,9 @@
 	effects := s.machine.Step(time.Now(), event)
 	phase := s.machine.Phase()
 	if phase != s.lastSeen {
-		s.node.log.Info("failover: phase changed", zap.String("service", s.name), zap.Stringer("phase", phase),
+		s.node.log.Write(eventlog.FailoverPhase, zap.String("service", s.name), zap.Stringer("phase", phase),
 			zap.String("leader", s.belief.Leader()), zap.Bool("holding", s.machine.Holding()))
+		s.node.metrics.failovers.WithLabelValues(s.name, phase.String()).Inc()
 		s.lastSeen = phase
 	}
 	s.mutex.Unlock()
@@ -209,7 +211,7 @@
 		s.order(effect)
 	case failover.LeaderFound:
 		if s.belief.Confirm(effect.ID, s.belief.Term(), time.Now()) {
-			s.node.log.Info("leadership: a survey found a primary", zap.String("service", s.name), zap.String("server", effect.ID))
+			s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "survey"), zap.String("service", s.name), zap.String("server", effect.ID))
 		}
 	}
 }
@@ -250,7 +252,7 @@
 			result = failover.Superseded
 		}
 	}
-	s.node.log.Info("failover: wrote the lease", zap.String("service", s.name),
+	s.node.log.Write(eventlog.FailoverLease, zap.String("service", s.name),
 		zap.Uint64("epoch", effect.Lease.Epoch), zap.Bool("written", result == failover.Written), zap.Error(err))
 	s.submit(failover.LeaseWritten{Result: result, Revision: object.Revision})
 }
@@ -262,7 +264,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
 	defer cancel()
 	outcome := s.node.ports.Promoter.Promote(ctx, s.name, effect.Target, s.node.options.Name, effect.Token)
-	s.node.log.Info("failover: ordered a promotion", zap.String("service", s.name), zap.String("leader", s.belief.Leader()),
-		zap.String("target", effect.Target), zap.Uint64("token", effect.Token), zap.Uint8("outcome", uint8(outcome)))
+	s.node.log.Write(eventlog.FailoverOrder, zap.String("service", s.name), zap.String("leader", s.belief.Leader()),
+		zap.String("target", effect.Target), zap.Uint64("token", effect.Token), zap.Stringer("outcome", outcome))
 	s.submit(failover.Ordered{Outcome: outcome})
 }
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -4,8 +4,6 @@
 	"errors"
 	"time"
 
-	"go.uber.org/zap"
-
 	"dewknot/internal/catalog"
 	"dewknot/internal/command"
 	"dewknot/internal/failure"
@@ -31,6 +29,8 @@
 	// own is the session's newest commit.
 	own         freshness.OwnCommit
 	transaction *transaction
+	// account tells how the present command was served.
+	account account
 	// ended is a transaction whose rollback the caller does not wait for.
 	ended *transaction
 }
@@ -96,11 +96,10 @@
 		}
 		return false
 	}
-	reply := s.handle(&received, time.Now())
-	if reply.Failure != nil {
-		s.node.log.Info("request: failed", zap.String("request", received.RequestID), zap.Stringer("command", received.Kind),
-			zap.String("route", s.bound.Name), zap.Stringer("kind", reply.Failure.Kind), zap.String("detail", reply.Failure.FullDetail()))
-	}
+	arrived := time.Now()
+	s.account = account{}
+	reply := s.handle(&received, arrived)
+	s.report(&received, &reply, arrived)
 	if err := s.client.Reply(reply); err != nil {
 		return false
 	}
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -16,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/catalog"
+	"dewknot/internal/eventlog"
 	"dewknot/internal/position"
 	"dewknot/internal/proxy"
 	"dewknot/internal/standin/managed"
@@ -49,7 +51,7 @@
 	promoter *managed.Promoter
 	check    *checker
 	zones    []string
-	log      *zap.Logger
+	log      *eventlog.Log
 	broken   brokenMechanism
 
 	mutex     sync.Mutex
@@ -62,12 +64,12 @@
 }
 
 func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
-	fleet := &simulatedFleet{store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"}, log: zap.NewNop(), broken: broken}
+	fleet := &simulatedFleet{store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"}, log: eventlog.New(io.Discard, "simulation", 1), broken: broken}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
-		fleet.log = zap.Must(zap.NewDevelopment(zap.WithCaller(false)))
+		fleet.log = eventlog.New(os.Stderr, "simulation", 1_000_000)
 	}
 	fleet.check.onLost = func(at position.Position, commit *commitRecord) {
-		fleet.log.Info("rolled back", zap.Stringer("position", at), zap.Bool("acknowledged", !commit.acknowledged.IsZero()))
+		fleet.log.Write("rolled_back", zap.Stringer("position", at), zap.Bool("acknowledged", !commit.acknowledged.IsZero()))
 	}
 	fleet.group = managed.NewGroup(managed.Settings{
 		Name: testService, Zones: fleet.zones, Slots: 3, Queue: 12, Connections: 24,
@@ -110,7 +112,7 @@
 			broken: f.broken,
 		},
 		Client: func(connection net.Conn) proxy.Client { return clientPort{connection.(*memoryClient)} },
-	}, f.log.Named(name))
+	}, f.log)
 	f.running.Go(func() { _ = node.Run(ctx, listener) })
 }
 
@@ -155,7 +157,7 @@
 func (f *simulatedFleet) trouble(random *rand.Rand) {
 	span := time.Duration(500+random.IntN(4000)) * time.Millisecond
 	kind := random.IntN(12)
-	f.log.Info("trouble", zap.Int("kind", kind), zap.Duration("span", span), zap.String("primary", f.group.Primary().ID()))
+	f.log.Write("trouble", zap.Int("kind", kind), zap.Duration("span", span), zap.String("primary", f.group.Primary().ID()))
 	pick := func() *managed.Server { return f.group.Server(random.IntN(len(f.zones))) }
 	switch kind {
 	case 0:
@@ -255,6 +257,7 @@
 	fleet.stop()
 	// Calls that are still under way end by their own limits.
 	time.Sleep(10 * time.Second)
+	fleet.log.Close()
 	result := outcome{violations: fleet.check.violations, reads: fleet.check.reads, writes: fleet.check.writes}
 	result.acknowledgedLost = fleet.check.acknowledgedLost()
 	for _, driver := range callers {
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"dewknot/internal/eventlog"
 )
 
 // Parts of the grace of a planned stop.
@@ -25,7 +27,7 @@
 func (n *Node) stop(listener net.Listener) {
 	began := time.Now()
 	n.stopping.Store(true)
-	n.log.Info("node: stopping as planned", zap.Int64("sessions", n.sessionCount.Load()))
+	n.log.Write(eventlog.NodeStopping, zap.Int64("sessions", n.sessionCount.Load()))
 	part := func(share float64) time.Time {
 		return began.Add(time.Duration(share * float64(n.options.StopGrace)))
 	}
@@ -39,7 +41,7 @@
 		n.interruptSessions()
 		time.Sleep(stopLook)
 	}
-	n.log.Info("node: stopped", zap.Int64("sessions", n.sessionCount.Load()), zap.Duration("took", time.Since(began)))
+	n.log.Write(eventlog.NodeStopped, zap.Int64("sessions", n.sessionCount.Load()), zap.Duration("took", time.Since(began)))
 }
 
 func (n *Node) interruptSessions() {
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"dewknot/internal/eventlog"
 	"dewknot/internal/failover"
 	"dewknot/internal/freshness"
 	"dewknot/internal/upstream"
@@ -42,7 +43,7 @@
 		})
 	}
 	asked.Wait()
-	s.node.log.Info("failover: surveyed the servers", zap.String("service", s.name), zap.Any("reports", reports))
+	s.node.log.Write(eventlog.FailoverSurvey, zap.String("service", s.name), zap.Any("reports", reports))
 	return reports
 }
 
@@ -113,7 +114,7 @@
 		return true
 	case upstream.NotPrimary:
 		if s.belief.Refute(target.id, now) {
-			s.node.log.Info("leadership: the primary denied its role", zap.String("service", s.name), zap.String("server", target.id))
+			s.node.log.Write(eventlog.PrimaryDenied, zap.String("service", s.name), zap.String("server", target.id))
 		}
 	default:
 	}
@@ -123,7 +124,7 @@
 // proved takes an answer that only the primary gives to a question sent at a time.
 func (s *service) proved(target *server, sentAt time.Time, result *upstream.Result) {
 	if s.belief.Confirm(target.id, result.Position.Term, time.Now()) {
-		s.node.log.Info("leadership: a server proved to be the primary", zap.String("service", s.name),
+		s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "answer"), zap.String("service", s.name),
 			zap.String("server", target.id), zap.Stringer("position", result.Position))
 	}
 	if !result.Position.IsZero() {
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -8,6 +8,7 @@
 	"dewknot/internal/admission"
 	"dewknot/internal/catalog"
 	"dewknot/internal/command"
+	"dewknot/internal/eventlog"
 	"dewknot/internal/failure"
 	"dewknot/internal/freshness"
 	"dewknot/internal/upstream"
@@ -39,7 +40,7 @@
 func (t *transaction) fail(s *session) {
 	t.end()
 	t.failed = true
-	s.node.log.Info("transaction: rolled back", zap.String("route", s.bound.Name))
+	s.node.log.Write(eventlog.TransactionRolledBack, zap.String("route", s.bound.Name), zap.String("reason", "idle"))
 }
 
 // end gives up the connection; what is open on it is rolled back.
@@ -159,9 +160,9 @@
 		}
 		operations := append(t.lease.Adapt(r.session.values, r.statement), r.operation())
 		batch := t.lease.Run(operations, r.deadline)
-		leave(t.server, &batch, batch.Last())
+		r.leave(t.server, &batch, batch.Last())
 		if batch.Err != nil {
-			r.log().Info("transaction: the answer of a statement was lost", zap.String("request", r.statement.RequestID),
+			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "statement"),
 				zap.String("server", t.server.id), zap.Error(batch.Err))
 			return t.lost(r)
 		}
@@ -177,7 +178,7 @@
 			result.Outcome == upstream.StatementMissing && result.State == upstream.InTransaction:
 			r.pause(busyPause)
 		case result.Outcome.NotRun():
-			r.log().Info("transaction: the server refused a statement", zap.String("request", r.statement.RequestID),
+			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "statement"),
 				zap.String("server", t.server.id), zap.Stringer("outcome", result.Outcome), zap.Uint8("state", uint8(result.State)))
 			if result.Outcome == upstream.NotPrimary {
 				r.service.belief.Refute(t.server.id, time.Now())
@@ -258,9 +259,9 @@
 			return t.refused(r)
 		}
 		batch := t.lease.Run([]upstream.Operation{{Kind: upstream.Commit, RequestID: received.RequestID, Text: received.Text}}, r.deadline)
-		leave(t.server, &batch, batch.Last())
+		r.leave(t.server, &batch, batch.Last())
 		if batch.Err != nil {
-			r.log().Info("transaction: the answer of a commit was lost", zap.String("request", received.RequestID),
+			r.log().Write(eventlog.AttemptFailed, zap.String("request", received.RequestID), zap.String("command", "commit"),
 				zap.String("server", t.server.id), zap.Error(batch.Err))
 			wrote := t.wrote
 			reply := t.lost(r)
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -34,8 +34,7 @@
 	// StopGrace is the time from SIGTERM until the process is killed.
 	StopGrace Duration `toml:"stop_grace"`
 	// MemoryLimitMB is the memory that the process may use, in MiB.
-	MemoryLimitMB int    `toml:"memory_limit_mb" validate:"min=16,max=1048576"`
-	LogLevel      string `toml:"log_level" validate:"oneof=debug info warn error"`
+	MemoryLimitMB int `toml:"memory_limit_mb" validate:"min=16,max=1048576"`
 	// LogLinesPerSecond bounds the volume of logs.
 	LogLinesPerSecond int `toml:"log_lines_per_second" validate:"min=1,max=1000000"`
 	// Regions gives the region of each zone.
@@ -46,7 +45,7 @@
 func ProxyDefaults() Proxy {
 	return Proxy{
 		ConfigurationBound: Duration{4 * time.Second}, DrainBound: Duration{7 * time.Second},
-		StopGrace: Duration{6 * time.Second}, MemoryLimitMB: 256, LogLevel: "info", LogLinesPerSecond: 200,
+		StopGrace: Duration{6 * time.Second}, MemoryLimitMB: 256, LogLinesPerSecond: 200,
 	}
 }
 
