dewknot explain: the story of a request, server or failover from many nodes' logs

Change: internal/explain merges JSON lines (also with a collector's prefix), keeps each node's order against clocks that go back, and shows what the node believed shortly before. Tests: story of a request, typed error for names that no line tells of.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -59,6 +59,7 @@
 	Plan       planCommand       `cmd:"" help:"Work out what each role needs at a size, from measured slopes."`
 	Measure    measureCommand    `cmd:"" help:"Measure the slopes that plan needs."`
 	Compare    compareCommand    `cmd:"" help:"Compare the ways through nodes with a direct connection."`
+	Explain    explainCommand    `cmd:"" help:"Tell the story of a request, server or failover from event logs."`
 	Version    versionCommand    `cmd:"" help:"Show version and build."`
 }
 
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,55 @@
+package explain
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const logs = `  24.1 n1 {"time":"2026-12-02T10:00:00.1Z","event":"primary_proved","node":"n1","service":"bookings","server":"s1","position":"1/7"}
+{"time":"2026-12-02T10:00:01Z","event":"primary_denied","node":"n1","service":"bookings","server":"s1"}
+{"time":"2026-12-02T10:00:00.9Z","event":"configuration_applied","node":"n1","version":7}
+{"time":"2026-12-02T10:00:01.5Z","event":"attempt_failed","node":"n1","request":"r1","server":"s1","error":"EOF"}
+{"time":"2026-12-02T10:00:01.6Z","event":"request_failed","node":"n1","request":"r1","service":"bookings","server":"s1","outcome":"outcome_unknown"}
+{"time":"2026-12-02T10:00:01.2Z","event":"primary_announced","node":"n2","service":"bookings","server":"s2"}
+{"time":"2026-12-02T10:00:01.3Z","event":"primary_announced","node":"n1","service":"other","server":"s9"}
+no event
+{"level":"info"}
+`
+
+func read(t *testing.T) *Logs {
+	t.Helper()
+	read := &Logs{}
+	must.NoError(t, read.Read(strings.NewReader(logs)))
+	must.Eq(t, 2, read.Skipped)
+	return read
+}
+
+func TestRequestIsToldWithWhatItsNodeBelieved(t *testing.T) {
+	var out strings.Builder
+	must.NoError(t, read(t).Request(&out, "r1"))
+	must.Eq(t, `10:00:00.100 n1                   primary_proved position=1/7 server=s1 service=bookings
+10:00:01.000 n1                   primary_denied server=s1 service=bookings
+10:00:01.000 n1                   configuration_applied version=7
+10:00:01.500 n1                   attempt_failed error=EOF request=r1 server=s1
+10:00:01.600 n1                   request_failed outcome=outcome_unknown request=r1 server=s1 service=bookings
+`, out.String())
+}
+
+func TestServerAndFailover(t *testing.T) {
+	var out strings.Builder
+	must.NoError(t, read(t).Server(&out, "s2"))
+	must.Eq(t, "10:00:01.200 n2                   primary_announced server=s2 service=bookings\n", out.String())
+	out.Reset()
+	must.NoError(t, read(t).Failover(&out, "bookings"))
+	must.Eq(t, 3, strings.Count(out.String(), "\n"))
+}
+
+func TestUnknownNamesAreTyped(t *testing.T) {
+	var missing *NotFoundError
+	must.True(t, errors.As(read(t).Request(&strings.Builder{}, "r9"), &missing))
+	must.True(t, errors.As(read(t).Server(&strings.Builder{}, "s7"), &missing))
+	must.True(t, errors.As(read(t).Failover(&strings.Builder{}, "none"), &missing))
+}
