--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -66,6 +66,8 @@
 	UnknownStatement
 	// ReadOnlyTransaction: the transaction was opened for reads only.
 	ReadOnlyTransaction
+	// InvalidCommand: the command is not known, or not allowed in this state.
+	InvalidCommand
 	// TooManyValues: the session keeps as much as a node allows.
 	TooManyValues
 )
@@ -101,6 +103,7 @@
 	ServerTimedOut:      {"server_timed_out", "57014", "the server ended the statement, which ran too long", "see the detail; read back before sending a write again", false},
 	UnknownStatement:    {"unknown_statement", "26000", "no statement is prepared under that name", "prepare it in this session first", false},
 	ReadOnlyTransaction: {"read_only_transaction", "25006", "the transaction was opened for reads only", "open a transaction that may write", false},
+	InvalidCommand:      {"invalid_command", "42601", "the command is not known, or not allowed in this state", "check the command; a transaction begins and ends once", false},
 	TooManyValues:       {"too_many_values", "54000", "the session keeps as many values or statements as a node allows", "deallocate what is no longer used, or open another session", false},
 	TooLarge:            {"too_large", "54000", "message exceeds the size limit", "send less in one message, or raise max_message_bytes in the settings", true},
 }
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -179,7 +179,7 @@
 	case command.Read, command.Write, command.Execute:
 		return s.statement(received, arrived)
 	default:
-		return s.fail(failure.New(failure.Protocol, "the command is not known"))
+		return s.fail(failure.New(failure.InvalidCommand, "the command is not known"))
 	}
 }
 
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -30,7 +30,7 @@
 
 func (s *session) begin(received *command.Command) Reply {
 	if s.transaction != nil {
-		return s.fail(failure.New(failure.Protocol, "a transaction is open already"))
+		return s.fail(failure.New(failure.InvalidCommand, "a transaction is open already"))
 	}
 	s.transaction = &transaction{readOnly: received.Kind == command.BeginReadOnly}
 	return s.done()
@@ -210,7 +210,7 @@
 
 func (s *session) rollback() Reply {
 	if s.transaction == nil {
-		return s.fail(failure.New(failure.Protocol, "no transaction is open"))
+		return s.fail(failure.New(failure.InvalidCommand, "no transaction is open"))
 	}
 	s.ended = s.transaction
 	s.transaction = nil
@@ -230,7 +230,7 @@
 func (s *session) commit(received *command.Command, arrived time.Time) Reply {
 	t := s.transaction
 	if t == nil {
-		return s.fail(failure.New(failure.Protocol, "no transaction is open"))
+		return s.fail(failure.New(failure.InvalidCommand, "no transaction is open"))
 	}
 	if t.failed {
 		s.transaction = nil
