Nodes that the store does not serve learn from others

Change: internal/relay (one question, one answer, msgpack over TCP), objectstore.Cache answers other nodes' listings and watches, members enter themselves in the store; Follow asks others between calls that the store does not answer, and takes only what is newer.

--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -20,18 +20,23 @@
 // follow starts the watches on configuration and directory.
 func (n *Node) follow(ctx context.Context) {
 	part := func(bound time.Duration) time.Duration { return time.Duration(watchShare * float64(bound)) }
-	go objectstore.Follow(ctx, n.ports.Store, n.options.Kinds.Configuration, part(n.options.ConfigurationBound), &configurationSink{n})
-	go objectstore.Follow(ctx, n.ports.Store, n.options.Kinds.Servers, part(n.options.DrainBound), &directorySink{n})
+	others := &otherNodes{n}
+	kinds := n.options.Kinds
+	go objectstore.Follow(ctx, n.ports.Store, others, kinds.Configuration, part(n.options.ConfigurationBound), n.caches[kinds.Configuration])
+	go objectstore.Follow(ctx, n.ports.Store, others, kinds.Servers, part(n.options.DrainBound), n.caches[kinds.Servers])
+	go n.keepMembership(ctx)
 	go n.readLeases(ctx)
 }
 
 type configurationSink struct{ *Node }
 
 // Reset implements objectstore.Sink.
-func (s *configurationSink) Reset(objects []objectstore.Object) { s.Apply(objects) }
+func (s *configurationSink) Reset(objects []objectstore.Object, revision uint64) {
+	s.Apply(objects, revision)
+}
 
 // Apply implements objectstore.Sink.
-func (s *configurationSink) Apply(objects []objectstore.Object) {
+func (s *configurationSink) Apply(objects []objectstore.Object, _ uint64) {
 	for _, object := range objects {
 		if object.Deleted {
 			continue
@@ -63,7 +68,7 @@
 type directorySink struct{ *Node }
 
 // Reset implements objectstore.Sink.
-func (s *directorySink) Reset(objects []objectstore.Object) {
+func (s *directorySink) Reset(objects []objectstore.Object, _ uint64) {
 	servers := make([]catalog.Server, 0, len(objects))
 	for _, object := range objects {
 		if server, ok := s.decode(object); ok {
@@ -75,7 +80,7 @@
 }
 
 // Apply implements objectstore.Sink.
-func (s *directorySink) Apply(events []objectstore.Object) {
+func (s *directorySink) Apply(events []objectstore.Object, _ uint64) {
 	now := time.Now()
 	for _, event := range events {
 		if event.Deleted {
--- /dev/null
+++ b/internal/proxy/members.go
@@ -0,0 +1,196 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"dewknot/internal/objectstore"
+	"dewknot/internal/relay"
+)
+
+// Member is a node's entry in the store, by which others find it.
+type Member struct {
+	Name    string `json:"-"`
+	Address string `json:"address"`
+}
+
+// Peers asks other nodes.
+type Peers interface {
+	Ask(ctx context.Context, address string, question relay.Question) (relay.Answer, error)
+}
+
+// Times of the membership.
+const (
+	// firstMemberLook is the pause before the first listing, so that nodes which
+	// start together see each other.
+	firstMemberLook = 2 * time.Second
+	memberLook      = 40 * time.Second
+	memberRetry     = 3 * time.Second
+)
+
+// keepMembership enters this node among the members and looks at them at long
+// intervals. A list that is old costs a few questions that nobody answers.
+func (n *Node) keepMembership(ctx context.Context) {
+	pause := firstMemberLook
+	for {
+		timer := time.NewTimer(pause/2 + rand.N(pause))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		pause = memberLook
+		if !n.lookAtMembers(ctx) {
+			pause = memberRetry
+		}
+	}
+}
+
+func (n *Node) lookAtMembers(ctx context.Context) bool {
+	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+	defer cancel()
+	objects, _, err := n.ports.Store.List(limited, n.options.Kinds.Members)
+	if err != nil {
+		return false
+	}
+	members := make([]Member, 0, len(objects))
+	entered := n.options.PeerAddress == ""
+	for _, object := range objects {
+		member := Member{Name: object.Name}
+		if json.Unmarshal(object.Content, &member) != nil {
+			continue
+		}
+		if object.Name == n.options.Name {
+			entered = entered || member.Address == n.options.PeerAddress || n.enter(limited, &object)
+			continue
+		}
+		members = append(members, member)
+	}
+	n.members.Store(&members)
+	return entered || n.enter(limited, nil)
+}
+
+// enter writes this node's entry, in place of an old one if there is one.
+func (n *Node) enter(ctx context.Context, old *objectstore.Object) bool {
+	content, err := json.Marshal(Member{Address: n.options.PeerAddress})
+	if err != nil {
+		return false
+	}
+	if old == nil {
+		_, err = n.ports.Store.Create(ctx, n.options.Kinds.Members, n.options.Name, content)
+	} else {
+		_, err = n.ports.Store.Replace(ctx, n.options.Kinds.Members, n.options.Name, old.Revision, content)
+	}
+	return err == nil
+}
+
+// someMembers returns up to count other nodes, chosen at random.
+func (n *Node) someMembers(count int) []Member {
+	known := n.members.Load()
+	if known == nil || n.ports.Peers == nil {
+		return nil
+	}
+	chosen := slices.Clone(*known)
+	rand.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	return chosen[:min(count, len(chosen))]
+}
+
+// askMembers asks other nodes at the same time and returns the answers that
+// came before ctx ended.
+func (n *Node) askMembers(ctx context.Context, members []Member, question relay.Question) []relay.Answer {
+	var mutex sync.Mutex
+	var answers []relay.Answer
+	var asked sync.WaitGroup
+	for _, member := range members {
+		asked.Go(func() {
+			answer, err := n.ports.Peers.Ask(ctx, member.Address, question)
+			if err != nil {
+				return
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			answers = append(answers, answer)
+		})
+	}
+	asked.Wait()
+	return answers
+}
+
+// otherNodes is the source of what other nodes know.
+type otherNodes struct{ node *Node }
+
+// sourcesAsked is how many nodes are asked for what they know.
+const sourcesAsked = 3
+
+// List implements objectstore.Source.
+func (o *otherNodes) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
+	return o.ask(ctx, relay.Question{Kind: kind})
+}
+
+// Watch implements objectstore.Source.
+func (o *otherNodes) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objectstore.Object, uint64, error) {
+	return o.ask(ctx, relay.Question{Kind: kind, Changes: true, After: after, Wait: wait})
+}
+
+// ask returns the newest of some nodes' answers.
+func (o *otherNodes) ask(ctx context.Context, question relay.Question) ([]objectstore.Object, uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
+	defer cancel()
+	best := relay.Answer{Failed: true, Outcome: objectstore.NotDone}
+	for _, answer := range o.node.askMembers(limited, o.node.someMembers(sourcesAsked), question) {
+		if best.Failed || (!answer.Failed && answer.Revision > best.Revision) {
+			best = answer
+		}
+	}
+	if best.Failed {
+		return nil, 0, &objectstore.Error{Outcome: best.Outcome, Detail: "no other node knows more"}
+	}
+	return best.Objects, best.Revision, nil
+}
+
+// memberAnswerLimit bounds the wait for other nodes' answers.
+const memberAnswerLimit = 400 * time.Millisecond
+
+// Answer implements relay.Handler.
+func (n *Node) Answer(ctx context.Context, question relay.Question) relay.Answer {
+	if question.Server != "" {
+		return relay.Answer{Reached: n.reachesLately(question.Server)}
+	}
+	cache := n.caches[question.Kind]
+	if cache == nil {
+		return relay.Answer{Failed: true, Outcome: objectstore.NotFound}
+	}
+	var answer relay.Answer
+	var err error
+	if question.Changes {
+		answer.Objects, answer.Revision, err = cache.Watch(ctx, question.After, question.Wait)
+	} else {
+		answer.Objects, answer.Revision, err = cache.List()
+	}
+	if err != nil {
+		return relay.Answer{Failed: true, Outcome: objectstore.OutcomeOf(err)}
+	}
+	return answer
+}
+
+// reachedWithin is how old an answer of a server may be to count as reached.
+const reachedWithin = 400 * time.Millisecond
+
+// reachesLately reports whether a server has answered this node lately; one
+// that has not been asked lately is asked.
+func (n *Node) reachesLately(id string) bool {
+	target := n.server(id)
+	if target == nil {
+		return false
+	}
+	if target.stats.SinceAnswer(time.Now()) < reachedWithin {
+		return true
+	}
+	_, answered := n.service(target.service).prove(target, time.Now().Add(pingLimit))
+	return answered
+}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -68,13 +68,16 @@
 	Configuration string
 	Servers       string
 	Leases        string
+	Members       string
 }
 
 // Options are the node's settings.
 type Options struct {
-	Name    string
-	Zone    string
-	Regions map[string]string // region by zone
+	Name string
+	Zone string
+	// PeerAddress is where other nodes reach this one.
+	PeerAddress string
+	Regions     map[string]string // region by zone
 	// Life is unique to the process.
 	Life string
 	// ConfigurationBound is within how long a change has to be in force.
@@ -92,6 +95,8 @@
 	Dialer   upstream.Dialer
 	Promoter Promoter
 	Decoder  Decoder
+	// Peers asks other nodes.
+	Peers Peers
 	// Client wraps an accepted connection.
 	Client func(net.Conn) Client
 }
@@ -113,6 +118,9 @@
 	closing      atomic.Bool
 	aborting     atomic.Bool
 	storeDown    atomic.Bool
+	// caches hold the objects of the kinds that other nodes may ask for.
+	caches  map[string]*objectstore.Cache
+	members atomic.Pointer[[]Member]
 }
 
 // New returns a node that is not running yet.
@@ -122,6 +130,10 @@
 		catalog: catalog.New(options.DrainBound),
 	}
 	node.metrics = newMetrics(node)
+	node.caches = map[string]*objectstore.Cache{
+		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{node}),
+		options.Kinds.Servers:       objectstore.NewCache(&directorySink{node}),
+	}
 	node.catalog.OnChange(node.catalogChanged)
 	return node
 }
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,135 @@
+// Package relay is the protocol between nodes: a node that the store does not
+// serve asks others for what they know, and the holder of a failover lease asks
+// others whether they reach a server.
+//
+// A connection carries one question and one answer, each a msgpack value behind
+// its length. Questions are rare, so connections are not kept.
+package relay
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"dewknot/internal/objectstore"
+)
+
+// Question is what one node asks another.
+type Question struct {
+	// Kind, if set, asks for the objects of a kind: all of them, or with
+	// Changes the changes after a revision, waiting up to Wait for one.
+	Kind    string        `msgpack:"k,omitempty"`
+	Changes bool          `msgpack:"c,omitempty"`
+	After   uint64        `msgpack:"a,omitempty"`
+	Wait    time.Duration `msgpack:"w,omitempty"`
+	// Server, if set, asks whether the node has lately reached a server.
+	Server string `msgpack:"s,omitempty"`
+}
+
+// Answer is the answer to a question.
+type Answer struct {
+	// Failed carries the outcome of a question for objects that failed.
+	Failed   bool                 `msgpack:"f,omitempty"`
+	Outcome  objectstore.Outcome  `msgpack:"o,omitempty"`
+	Objects  []objectstore.Object `msgpack:"x,omitempty"`
+	Revision uint64               `msgpack:"r,omitempty"`
+	// Reached answers a question about a server.
+	Reached bool `msgpack:"y,omitempty"`
+}
+
+// Handler answers questions.
+type Handler interface {
+	Answer(ctx context.Context, question Question) Answer
+}
+
+// Limits of the protocol.
+const (
+	maxMessageBytes = 32 << 20
+	lengthBytes     = 4
+	// serveLimit bounds one exchange, beyond the wait that a question asks for.
+	serveLimit = 3 * time.Second
+	// maxWait bounds the wait that a question may ask for.
+	maxWait = 30 * time.Second
+)
+
+// Serve answers questions until the listener is closed.
+func Serve(listener net.Listener, handler Handler) {
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(acceptPause)
+			continue
+		}
+		go serveOne(connection, handler)
+	}
+}
+
+// acceptPause is the pause after a connection could not be accepted.
+const acceptPause = 20 * time.Millisecond
+
+func serveOne(connection net.Conn, handler Handler) {
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(time.Now().Add(serveLimit))
+	var question Question
+	if receive(connection, &question) != nil {
+		return
+	}
+	question.Wait = min(max(question.Wait, 0), maxWait)
+	_ = connection.SetDeadline(time.Now().Add(question.Wait + serveLimit))
+	ctx, cancel := context.WithTimeout(context.Background(), question.Wait+serveLimit)
+	defer cancel()
+	_ = send(connection, handler.Answer(ctx, question))
+}
+
+// Ask asks the node at an address.
+func Ask(ctx context.Context, address string, question Question) (Answer, error) {
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return Answer{}, errors.Wrap(err, "reach another node; ask a different one")
+	}
+	defer func() { _ = connection.Close() }()
+	if deadline, set := ctx.Deadline(); set {
+		_ = connection.SetDeadline(deadline)
+	}
+	if err := send(connection, question); err != nil {
+		return Answer{}, err
+	}
+	var answer Answer
+	err = receive(connection, &answer)
+	return answer, err
+}
+
+func send(connection net.Conn, message any) error {
+	content, err := msgpack.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode a message between nodes")
+	}
+	framed := binary.BigEndian.AppendUint32(make([]byte, 0, len(content)+lengthBytes), uint32(len(content)))
+	_, err = connection.Write(append(framed, content...))
+	return errors.Wrap(err, "send a message to another node")
+}
+
+func receive(connection net.Conn, message any) error {
+	var length [lengthBytes]byte
+	if _, err := io.ReadFull(connection, length[:]); err != nil {
+		return errors.Wrap(err, "receive a message from another node")
+	}
+	size := binary.BigEndian.Uint32(length[:])
+	if size > maxMessageBytes {
+		return errors.Errorf("a message between nodes has %d bytes; %d are allowed", size, maxMessageBytes)
+	}
+	content, err := io.ReadAll(io.LimitReader(connection, int64(size)))
+	if err != nil || len(content) < int(size) {
+		return errors.Errorf("a message between nodes ended after %d of %d bytes", len(content), size)
+	}
+	return errors.Wrap(msgpack.Unmarshal(content, message), "decode a message between nodes")
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,68 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/objectstore"
+)
+
+// echo answers with what it was asked.
+type echo struct{}
+
+func (echo) Answer(_ context.Context, question Question) Answer {
+	return Answer{
+		Objects:  []objectstore.Object{{Name: question.Kind, Revision: question.After, Content: []byte("content")}},
+		Revision: uint64(question.Wait), Reached: question.Server != "",
+	}
+}
+
+func serve(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go Serve(listener, echo{})
+	return listener.Addr().String()
+}
+
+func TestQuestionsAreAnswered(t *testing.T) {
+	address := serve(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	answer, err := Ask(ctx, address, Question{Kind: "servers", Changes: true, After: 7, Wait: time.Second, Server: "s1"})
+	must.NoError(t, err)
+	must.Eq(t, Answer{
+		Objects: []objectstore.Object{{Name: "servers", Revision: 7, Content: []byte("content")}}, Revision: uint64(time.Second), Reached: true,
+	}, answer)
+	// A wait beyond what is allowed is cut down.
+	answer, err = Ask(ctx, address, Question{Wait: time.Hour})
+	must.NoError(t, err)
+	must.Eq(t, uint64(maxWait), answer.Revision)
+}
+
+func TestMeaninglessMessagesHarmNobody(t *testing.T) {
+	address := serve(t)
+	for _, hostile := range [][]byte{{}, {0, 0}, {255, 255, 255, 255, 1}, {0, 0, 0, 9, 1}, {0, 0, 0, 2, 0xc1, 0xc1}} {
+		connection, err := net.Dial("tcp4", address)
+		must.NoError(t, err)
+		_, _ = connection.Write(hostile)
+		must.NoError(t, connection.Close())
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err := Ask(ctx, address, Question{Server: "s"})
+	must.NoError(t, err)
+}
+
+func TestNodeThatIsGoneIsAnError(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+	_, err = Ask(t.Context(), listener.Addr().String(), Question{Server: "s"})
+	must.Error(t, err)
+}
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -24,6 +24,8 @@
 	Callers   string `toml:"callers" validate:"required,hostname_port"`
 	Readiness string `toml:"readiness" validate:"required,hostname_port"`
 	Metrics   string `toml:"metrics" validate:"omitempty,hostname_port"`
+	// Peers is the address for other nodes; without it they cannot ask this one.
+	Peers string `toml:"peers" validate:"omitempty,hostname_port"`
 	// Store is the durable store, Promotions takes orders to promote a server.
 	Store      string `toml:"store" validate:"required,hostname_port"`
 	Promotions string `toml:"promotions" validate:"omitempty,hostname_port"`
