Failover is corroborated by other nodes; a lost holder is replaced sooner

Cause: the holder of the lease went by its own evidence alone; cut off from the primary by itself it would replace one that others reach, and lose what that has not replicated. With the holder lost, others waited 2.5 to 4.5 s. Change: before a takeover, five other nodes and the holder are asked; a majority that reaches the primary keeps it; a holder that does not answer is replaced after 0.4 s. Ruled out: fewer than two answers count against own evidence (a node that nobody answers must still be able to act).

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -59,6 +59,7 @@
 	FailoverPhase         Event = "failover_phase"
 	FailoverLease         Event = "failover_lease"
 	FailoverSurvey        Event = "failover_survey"
+	FailoverWitnesses     Event = "failover_witnesses"
 	FailoverOrder         Event = "failover_order"
 	RequestServed         Event = "request_served"
 	RequestFailed         Event = "request_failed"
@@ -73,7 +74,7 @@
 	StoreLost: Belief, StoreRegained: Belief, ConfigurationApplied: Belief, ConfigurationRefused: Belief,
 	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, ServerEntryRefused: Belief,
 	ServerUnreachable: Belief, ServerReachable: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
-	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverOrder: Belief,
+	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
 	RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
 	LinesDropped: Belief,
 }
--- a/internal/failover/events.go
+++ b/internal/failover/events.go
@@ -6,6 +6,15 @@
 // Observed is the node's regular look at the service.
 type Observed struct{ Observation Observation }
 
+// Corroborated answers Corroborate.
+type Corroborated struct {
+	// Answers counts the nodes that answered, Reached those that reach the primary.
+	Answers int
+	Reached int
+	// HolderAnswered is set if the holder of the lease was among them.
+	HolderAnswered bool
+}
+
 // LeaseKnown is the lease object as read from the store.
 type LeaseKnown struct {
 	// Failed is set if the store gave no answer.
@@ -41,6 +50,7 @@
 type Ordered struct{ Outcome PromotionOutcome }
 
 func (Observed) isEvent()     {}
+func (Corroborated) isEvent() {}
 func (LeaseKnown) isEvent()   {}
 func (LeaseWritten) isEvent() {}
 func (Surveyed) isEvent()     {}
@@ -50,6 +60,13 @@
 // except LeaderFound and Resume.
 type Effect interface{ isEffect() }
 
+// Corroborate asks other nodes, the holder of the lease among them, whether they
+// reach the primary.
+type Corroborate struct {
+	Server string
+	Holder string
+}
+
 // ReadLease asks for the lease object; LeaseKnown answers it.
 type ReadLease struct{}
 
@@ -80,6 +97,7 @@
 // LeaderFound tells that a server reports to be the primary.
 type LeaderFound struct{ ID string }
 
+func (Corroborate) isEffect() {}
 func (ReadLease) isEffect()   {}
 func (WriteLease) isEffect()  {}
 func (Survey) isEffect()      {}
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -21,9 +21,14 @@
 
 // The times of the protocol.
 const (
-	// takeoverDelay is how long a node that does not hold the lease leaves the
-	// matter to the holder.
+	// holderDelay is how long a node that does not hold the lease waits before it
+	// looks whether the holder lives; takeoverDelay is how long it leaves the
+	// matter to a holder that does.
+	holderDelay   = 400 * time.Millisecond
 	takeoverDelay = 2500 * time.Millisecond
+	// contradictedPause is the pause after other nodes have reached a primary
+	// that this node does not reach.
+	contradictedPause = 500 * time.Millisecond
 	// leaderlessDelay is how long a service may be without a known primary
 	// before one is promoted.
 	leaderlessDelay = 1500 * time.Millisecond
@@ -46,6 +51,8 @@
 // The phases.
 const (
 	Watching Phase = iota
+	// Corroborating: other nodes are asked whether they reach the primary.
+	Corroborating
 	ReadingLease
 	WritingLease
 	Surveying
@@ -56,7 +63,7 @@
 )
 
 var phaseNames = [...]string{
-	"watching", "reading_lease", "writing_lease", "surveying", "promoting", "settling", "withdrawing",
+	"watching", "corroborating", "reading_lease", "writing_lease", "surveying", "promoting", "settling", "withdrawing",
 }
 
 // String returns the phase's name in logs.
@@ -124,11 +131,15 @@
 	life string
 	rank time.Duration
 
-	phase    Phase
-	holding  bool
-	epoch    uint64
-	counter  uint64
-	revision uint64
+	phase   Phase
+	holding bool
+	// holder is the lease's last holder known.
+	holder string
+	// holderLives is set once the holder has answered since the need began.
+	holderLives bool
+	epoch       uint64
+	counter     uint64
+	revision    uint64
 
 	needSince   time.Time
 	notBefore   time.Time
@@ -158,6 +169,8 @@
 	case Observed:
 		m.observation = event.Observation
 		return m.observed(now)
+	case Corroborated:
+		return m.corroborated(now, event)
 	case LeaseKnown:
 		return m.leaseKnown(now, event)
 	case LeaseWritten:
@@ -208,21 +221,65 @@
 	}
 	needed, delay := m.need()
 	if !needed {
-		m.needSince = time.Time{}
+		m.needSince, m.holderLives = time.Time{}, false
 		return m.withdraw()
 	}
 	if m.needSince.IsZero() {
 		m.needSince = now
 	}
 	if !m.holding {
-		delay += takeoverDelay + m.rank
+		delay += m.deference()
 	}
 	if now.Sub(m.needSince) < delay || now.Before(m.notBefore) {
 		return nil
 	}
+	if m.observation.Leader != "" && (m.observation.LeaderDown || !m.holding) {
+		m.phase = Corroborating
+		return []Effect{Corroborate{Server: m.observation.Leader, Holder: m.holder}}
+	}
 	return m.act()
 }
 
+// rankShare is the part of its rank by which a node waits before it looks
+// whether the holder lives.
+const rankShare = 4
+
+// deference is how long a node that does not hold the lease leaves a need to
+// the holder.
+func (m *Machine) deference() time.Duration {
+	if m.holderLives || m.observation.Leader == "" {
+		return takeoverDelay + m.rank
+	}
+	return holderDelay + m.rank/rankShare
+}
+
+// enoughAnswers is how many answers may contradict this node's own evidence.
+const enoughAnswers = 2
+
+// corroborated weighs what other nodes see. If most of them reach the primary,
+// it is this node that is cut off, and replacing the primary would lose what it
+// has not replicated yet.
+func (m *Machine) corroborated(now time.Time, event Corroborated) []Effect {
+	if m.phase != Corroborating {
+		return nil
+	}
+	m.phase = Watching
+	needed, _ := m.need()
+	if !needed {
+		return nil
+	}
+	if m.observation.LeaderDown && event.Answers >= enoughAnswers && 2*event.Reached > event.Answers {
+		m.rest(now, contradictedPause)
+		m.needSince, m.holderLives = time.Time{}, false
+		return nil
+	}
+	if m.holding || !event.HolderAnswered || m.holderLives {
+		return m.act()
+	}
+	m.holderLives = true
+	return nil
+}
+
 // settled ends a change of the primary that has succeeded.
 func (m *Machine) settled(now time.Time) []Effect {
 	m.rest(now, 0)
@@ -283,13 +340,14 @@
 		return nil
 	}
 	m.holding = false
+	m.holder = event.Lease.Holder
 	mine := event.Lease.Holder == m.node
 	changed := event.Revision != m.revision
 	m.revision = event.Revision
 	if acting && changed && !event.Missing && !mine {
 		// Another node has taken the lease lately and is about to act.
 		m.rest(now, 0)
-		m.needSince = now
+		m.needSince, m.holderLives = now, true
 		return nil
 	}
 	if !acting && !event.Missing && !mine {
@@ -319,8 +377,9 @@
 		}
 		return effects
 	case Superseded:
+		// Another node was faster and is about to act.
 		m.rest(now, 0)
-		m.needSince = now
+		m.needSince, m.holderLives = now, true
 	case Uncertain:
 		m.rest(now, pauseAfterFailure)
 	}
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -30,6 +30,14 @@
 	}}
 }
 
+// seenDown observes a primary that this node does not reach, and lets other
+// nodes confirm it.
+func seenDown(t *testing.T, machine *Machine, when time.Time, seen Observation) []Effect {
+	t.Helper()
+	must.Eq(t, []Effect{Corroborate{Server: seen.Leader, Holder: machine.holder}}, machine.Step(when, Observed{seen}))
+	return machine.Step(when, Corroborated{Answers: 3})
+}
+
 // holder returns a machine that holds the lease at epoch 1.
 func holder(t *testing.T) *Machine {
 	t.Helper()
@@ -50,7 +58,7 @@
 
 func TestHolderPromotesTheServerThatReceivedMost(t *testing.T) {
 	machine := holder(t)
-	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(100), Observed{down()}))
+	must.Eq(t, []Effect{Survey{Except: "a"}}, seenDown(t, machine, at(100), down()))
 	must.Eq(t, []Effect{Order{Target: "c", Token: tokensPerEpoch + 1}}, machine.Step(at(150), reports(10, 11)))
 	must.SliceEmpty(t, machine.Step(at(160), Ordered{Accepted}))
 	must.SliceEmpty(t, machine.Step(at(200), Observed{down()}))
@@ -62,17 +70,17 @@
 
 func TestUnansweredOrderIsFollowedByAHigherToken(t *testing.T) {
 	machine := holder(t)
-	machine.Step(at(100), Observed{down()})
+	seenDown(t, machine, at(100), down())
 	machine.Step(at(150), reports(10, 11))
 	must.SliceEmpty(t, machine.Step(at(1150), Ordered{Unanswered}))
 	must.SliceEmpty(t, machine.Step(at(1200), Observed{down()}))
-	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(2400), Observed{down()}))
+	must.Eq(t, []Effect{Survey{Except: "a"}}, seenDown(t, machine, at(2400), down()))
 	must.Eq(t, []Effect{Order{Target: "b", Token: tokensPerEpoch + 2}}, machine.Step(at(2450), reports(12, 11)))
 }
 
 func TestRejectedTargetIsAvoidedAndTheLeaseReadAgain(t *testing.T) {
 	machine := holder(t)
-	machine.Step(at(100), Observed{down()})
+	seenDown(t, machine, at(100), down())
 	machine.Step(at(150), reports(10, 11))
 	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(160), Ordered{Rejected}))
 	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(170), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 1, Life: "life"}}))
@@ -81,7 +89,7 @@
 
 func TestHolderThatWasReplacedDoesNotAct(t *testing.T) {
 	machine := holder(t)
-	machine.Step(at(100), Observed{down()})
+	seenDown(t, machine, at(100), down())
 	machine.Step(at(150), reports(10, 11))
 	machine.Step(at(160), Ordered{Rejected})
 	must.SliceEmpty(t, machine.Step(at(170), LeaseKnown{Revision: 9, Lease: Lease{Holder: "n2", Epoch: 2}}))
@@ -89,24 +97,67 @@
 	must.SliceEmpty(t, machine.Step(at(200), Observed{down()}))
 }
 
+// other returns a machine of a node that does not hold the lease.
+func other(rank time.Duration) *Machine {
+	machine := New("n2", "life", rank)
+	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
+	return machine
+}
+
 func TestOtherNodeTakesOverFromAHolderThatDoesNotAct(t *testing.T) {
-	machine := New("n2", "life", 250*time.Millisecond)
-	must.SliceEmpty(t, machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}}))
+	machine := other(400 * time.Millisecond)
 	must.SliceEmpty(t, machine.Step(at(100), Observed{down()}))
-	must.SliceEmpty(t, machine.Step(at(2800), Observed{down()}))
-	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(2900), Observed{down()}))
+	must.SliceEmpty(t, machine.Step(at(500), Observed{down()}))
+	must.Eq(t, []Effect{Corroborate{Server: "a", Holder: "n1"}}, machine.Step(at(600), Observed{down()}))
+	// The holder lives: the matter is left to it.
+	must.SliceEmpty(t, machine.Step(at(650), Corroborated{Answers: 3, HolderAnswered: true}))
+	must.SliceEmpty(t, machine.Step(at(2900), Observed{down()}))
+	must.Eq(t, []Effect{Corroborate{Server: "a", Holder: "n1"}}, machine.Step(at(3000), Observed{down()}))
+	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(3050), Corroborated{Answers: 3, HolderAnswered: true}))
 	must.Eq(t, []Effect{WriteLease{Revision: 7, Lease: Lease{Holder: "n2", Epoch: 4, Life: "life"}}},
-		machine.Step(at(2910), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}}))
-	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(2920), LeaseWritten{Result: Written, Revision: 9}))
-	must.Eq(t, []Effect{Order{Target: "b", Token: 4*tokensPerEpoch + 1}}, machine.Step(at(2950), reports(5, 4)))
+		machine.Step(at(3060), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}}))
+	must.Eq(t, []Effect{Corroborate{Server: "a", Holder: "n1"}}, machine.Step(at(3070), LeaseWritten{Result: Written, Revision: 9}))
+	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(3080), Corroborated{Answers: 3}))
+	must.Eq(t, []Effect{Order{Target: "b", Token: 4*tokensPerEpoch + 1}}, machine.Step(at(3100), reports(5, 4)))
+}
+
+func TestOtherNodeTakesOverAtOnceFromAHolderThatIsGone(t *testing.T) {
+	machine := other(0)
+	machine.Step(at(100), Observed{down()})
+	must.Eq(t, []Effect{Corroborate{Server: "a", Holder: "n1"}}, machine.Step(at(500), Observed{down()}))
+	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(520), Corroborated{Answers: 2}))
+}
+
+func TestPrimaryThatOtherNodesReachStays(t *testing.T) {
+	machine := holder(t)
+	must.Eq(t, []Effect{Corroborate{Server: "a", Holder: ""}}, machine.Step(at(100), Observed{down()}))
+	must.SliceEmpty(t, machine.Step(at(150), Corroborated{Answers: 5, Reached: 3}))
+	must.SliceEmpty(t, machine.Step(at(300), Observed{down()}))
+	// Half of them do not reach it either: it is replaced.
+	must.Eq(t, []Effect{Corroborate{Server: "a", Holder: ""}}, machine.Step(at(800), Observed{down()}))
+	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(850), Corroborated{Answers: 4, Reached: 2}))
+}
+
+func TestNodeThatNobodyAnswersGoesByItsOwnEvidence(t *testing.T) {
+	machine := holder(t)
+	machine.Step(at(100), Observed{down()})
+	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(500), Corroborated{}))
+}
+
+func TestPrimaryThatComesBackMeanwhileStays(t *testing.T) {
+	machine := holder(t)
+	machine.Step(at(100), Observed{down()})
+	machine.Step(at(120), Observed{healthy()})
+	must.SliceEmpty(t, machine.Step(at(150), Corroborated{Answers: 3}))
+	must.Eq(t, Watching, machine.Phase())
 }
 
 func TestLeaseTakenLatelyByAnotherNodeIsRespected(t *testing.T) {
-	machine := New("n2", "life", 0)
-	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
+	machine := other(0)
 	machine.Step(at(100), Observed{down()})
-	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(2700), Observed{down()}))
-	must.SliceEmpty(t, machine.Step(at(2710), LeaseKnown{Revision: 8, Lease: Lease{Holder: "n3", Epoch: 4}}))
+	machine.Step(at(500), Observed{down()})
+	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(520), Corroborated{Answers: 2}))
+	must.SliceEmpty(t, machine.Step(at(530), LeaseKnown{Revision: 8, Lease: Lease{Holder: "n3", Epoch: 4}}))
 	must.SliceEmpty(t, machine.Step(at(2800), Observed{down()}))
 }
 
@@ -131,7 +182,7 @@
 
 func TestPrimaryFoundByASurveyIsNotReplaced(t *testing.T) {
 	machine := holder(t)
-	machine.Step(at(100), Observed{down()})
+	seenDown(t, machine, at(100), down())
 	found := Surveyed{Reports: []Report{{ID: "b", Primary: true, Term: 2}}}
 	must.Eq(t, []Effect{LeaderFound{ID: "b"}}, machine.Step(at(150), found))
 }
@@ -144,10 +195,10 @@
 
 func TestSynchronousServiceNeedsEnoughReports(t *testing.T) {
 	machine := holder(t)
-	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, machine.Step(at(100), Observed{synchronous(true)}))
+	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, seenDown(t, machine, at(100), synchronous(true)))
 	only := Surveyed{Reports: []Report{{ID: "b", Received: position.Position{Term: 1, Offset: 10}}}}
 	must.Eq(t, []Effect{Resume{}}, machine.Step(at(150), only), must.Sprint("c may hold more"))
-	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, machine.Step(at(500), Observed{synchronous(true)}))
+	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, seenDown(t, machine, at(500), synchronous(true)))
 	must.Eq(t, []Effect{Order{Target: "c", Token: tokensPerEpoch + 1}}, machine.Step(at(550), reports(10, 11)))
 }
 
@@ -166,7 +217,7 @@
 
 func TestReplicasAreLetGoAfterTheChange(t *testing.T) {
 	machine := holder(t)
-	machine.Step(at(100), Observed{synchronous(true)})
+	seenDown(t, machine, at(100), synchronous(true))
 	machine.Step(at(150), reports(10, 11))
 	machine.Step(at(160), Ordered{Accepted})
 	settled := synchronous(true)
@@ -178,7 +229,7 @@
 // back, but an order to replace it may still be carried out.
 func TestUnansweredOrderIsFencedOffBeforeReplicasAreLetGo(t *testing.T) {
 	machine := holder(t)
-	machine.Step(at(100), Observed{synchronous(true)})
+	seenDown(t, machine, at(100), synchronous(true))
 	machine.Step(at(150), reports(10, 11))
 	must.SliceEmpty(t, machine.Step(at(1150), Ordered{Unanswered}))
 	back := healthy()
@@ -192,10 +243,11 @@
 }
 
 func TestTakeoverDoesNotLetReplicasGoWhileItSurveysThem(t *testing.T) {
-	machine := New("n2", "life", 0)
-	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
+	machine := other(0)
 	machine.Step(at(100), Observed{synchronous(true)})
-	machine.Step(at(2700), Observed{synchronous(true)})
-	machine.Step(at(2710), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
-	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, machine.Step(at(2720), LeaseWritten{Result: Written, Revision: 9}))
+	machine.Step(at(500), Observed{synchronous(true)})
+	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(510), Corroborated{Answers: 2}))
+	machine.Step(at(520), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
+	must.Eq(t, []Effect{Corroborate{Server: "a", Holder: "n1"}}, machine.Step(at(530), LeaseWritten{Result: Written, Revision: 9}))
+	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, machine.Step(at(540), Corroborated{Answers: 2}))
 }
--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -151,6 +151,9 @@
 	effect := w.pending[i][0]
 	take := func(s *world) { s.pending[i] = s.pending[i][1:] }
 	switch effect := effect.(type) {
+	case Corroborate:
+		branch(func(s *world) { take(s); s.step(i, Corroborated{Answers: 2}) })
+		branch(func(s *world) { take(s); s.step(i, Corroborated{Answers: 2, HolderAnswered: true}) })
 	case ReadLease:
 		branch(func(s *world) { take(s); s.step(i, s.known()) })
 		if w.losses < maxLosses {
@@ -226,7 +229,7 @@
 func (w *world) key() string {
 	text := fmt.Sprint(w.revision, w.missing, w.lease, w.lives, w.orders, w.crashes, w.losses)
 	for i, machine := range w.machines {
-		text += fmt.Sprint("|", machine.phase, machine.holding, machine.epoch, machine.counter, machine.revision, machine.target,
+		text += fmt.Sprint("|", machine.phase, machine.holding, machine.holder, machine.holderLives, machine.epoch, machine.counter, machine.revision, machine.target,
 			machine.settleUntil.Sub(at(w.now)), machine.notBefore.Sub(at(w.now)), w.pending[i])
 	}
 	return text
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -8,6 +8,10 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
+	"dewknot/internal/eventlog"
+	"dewknot/internal/failover"
 	"dewknot/internal/objectstore"
 	"dewknot/internal/relay"
 )
@@ -194,3 +198,43 @@
 	_, answered := n.service(target.service).prove(target, time.Now().Add(pingLimit))
 	return answered
 }
+
+// witnessesAsked is how many nodes are asked whether they reach a primary.
+const witnessesAsked = 5
+
+// corroborate asks other nodes, and the holder of the lease, whether they reach
+// the primary.
+func (s *service) corroborate(effect failover.Corroborate) failover.Corroborated {
+	node := s.node
+	ctx, cancel := context.WithTimeout(context.Background(), pingLimit+memberAnswerLimit)
+	defer cancel()
+	question := relay.Question{Server: effect.Server}
+	var holder []relay.Answer
+	var asked sync.WaitGroup
+	asked.Go(func() { holder = node.askMembers(ctx, node.member(effect.Holder), question) })
+	answers := node.askMembers(ctx, node.someMembers(witnessesAsked), question)
+	asked.Wait()
+	outcome := failover.Corroborated{Answers: len(answers), HolderAnswered: len(holder) > 0}
+	for _, answer := range answers {
+		if answer.Reached {
+			outcome.Reached++
+		}
+	}
+	node.log.Write(eventlog.FailoverWitnesses, zap.String("service", s.name), zap.String("server", effect.Server),
+		zap.Int("answers", outcome.Answers), zap.Int("reached", outcome.Reached), zap.Bool("holder_answered", outcome.HolderAnswered))
+	return outcome
+}
+
+// member returns the member with a name, if it is known and another node.
+func (n *Node) member(name string) []Member {
+	known := n.members.Load()
+	if known == nil || n.ports.Peers == nil {
+		return nil
+	}
+	for _, member := range *known {
+		if member.Name == name {
+			return []Member{member}
+		}
+	}
+	return nil
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -199,6 +199,8 @@
 
 func (s *service) perform(effect failover.Effect) {
 	switch effect := effect.(type) {
+	case failover.Corroborate:
+		s.submit(s.corroborate(effect))
 	case failover.ReadLease:
 		s.readLease()
 	case failover.WriteLease:
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -20,6 +20,7 @@
 	"dewknot/internal/eventlog"
 	"dewknot/internal/position"
 	"dewknot/internal/proxy"
+	"dewknot/internal/relay"
 	"dewknot/internal/standin/managed"
 )
 
@@ -61,10 +62,15 @@
 	cuts    []map[string]bool
 	running sync.WaitGroup
 	life    int
+	// nodes holds the running nodes by name.
+	nodes map[string]*proxy.Node
 }
 
 func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
-	fleet := &simulatedFleet{store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"}, log: eventlog.New(io.Discard, "simulation", 1), broken: broken}
+	fleet := &simulatedFleet{
+		store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"}, log: eventlog.New(io.Discard, "simulation", 1),
+		broken: broken, nodes: map[string]*proxy.Node{},
+	}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
 		fleet.log = eventlog.New(os.Stderr, "simulation", 1_000_000)
 	}
@@ -101,10 +107,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.listeners[i], f.cancels[i] = listener, cancel
 	node := proxy.New(proxy.Options{
-		Name: name, Zone: f.zones[i%len(f.zones)], Life: strconv.Itoa(f.life),
+		Name: name, Zone: f.zones[i%len(f.zones)], PeerAddress: name, Life: strconv.Itoa(f.life),
 		Regions:            map[string]string{"a": "r1", "b": "r2", "c": "r3"},
 		ConfigurationBound: 4 * time.Second, DrainBound: 7 * time.Second, StopGrace: 6 * time.Second,
-		Kinds: proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind},
+		Kinds: proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind},
 	}, proxy.Ports{
 		Store: f.store.Client(name), Promoter: f.promoter, Decoder: managed.Decoder{},
 		Dialer: &breakingDialer{
@@ -112,7 +118,9 @@
 			broken: f.broken,
 		},
 		Client: func(connection net.Conn) proxy.Client { return clientPort{connection.(*memoryClient)} },
+		Peers:  memoryPeers{f},
 	}, f.log)
+	f.nodes[name] = node
 	f.running.Go(func() { _ = node.Run(ctx, listener) })
 }
 
@@ -143,9 +151,24 @@
 	}
 	f.cancels[i]()
 	f.cancels[i] = nil
+	delete(f.nodes, fmt.Sprintf("node-%d", i))
 	return true
 }
 
+// memoryPeers lets the fleet's nodes ask each other.
+type memoryPeers struct{ fleet *simulatedFleet }
+
+func (p memoryPeers) Ask(ctx context.Context, address string, question relay.Question) (relay.Answer, error) {
+	time.Sleep(2 * time.Millisecond)
+	p.fleet.mutex.Lock()
+	node := p.fleet.nodes[address]
+	p.fleet.mutex.Unlock()
+	if node == nil {
+		return relay.Answer{}, net.ErrClosed
+	}
+	return node.Answer(ctx, question), nil
+}
+
 func (f *simulatedFleet) stop() {
 	for i := range f.listeners {
 		f.stopNode(i)
--- a/internal/standin/managed/store.go
+++ b/internal/standin/managed/store.go
@@ -18,6 +18,7 @@
 	ConfigurationKind = "configurations"
 	ServerKind        = "servers"
 	LeaseKind         = "leases"
+	MemberKind        = "members"
 )
 
 // storeDelay is the time of an answer.
