--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -15,7 +15,7 @@
 
 // StatusQuery is the question to which a server reports its role, term and log
 // positions. The columns are role, term, received and applied; positions are
-// written term/offset (docs/OPERATING.md, "What a database group must report").
+// written term/offset (docs/OPERATIONS.md, "What a database group must report").
 const StatusQuery = "SELECT role, term, received, applied FROM group_status"
 
 // Transaction states in ReadyForQuery (PostgreSQL protocol).
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -188,7 +188,7 @@
 		decoder := json.NewDecoder(io.LimitReader(request.Body, maxBodyBytes))
 		decoder.DisallowUnknownFields()
 		if err := decoder.Decode(&value); err != nil {
-			respond(writer, nil, &administration.Error{Kind: administration.Invalid, Message: err.Error(), Remedy: "send the JSON that docs/OPERATING.md describes"})
+			respond(writer, nil, &administration.Error{Kind: administration.Invalid, Message: err.Error(), Remedy: "send the JSON that docs/OPERATIONS.md describes"})
 			return
 		}
 		outcome, err := change(request, value)
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -11,6 +11,7 @@
 	"dewknot/internal/eventlog"
 	"dewknot/internal/failover"
 	"dewknot/internal/objectstore"
+	"dewknot/internal/placement"
 )
 
 // watchShare is the wait of a watch as a part of the bound within which its
@@ -120,32 +121,53 @@
 // storeCallLimit bounds a call to the store.
 const storeCallLimit = 1500 * time.Millisecond
 
-// readLeases learns once, at the start, who holds the failover leases.
+// readLeases learns, at the start, of leases that an earlier life of this node
+// holds. Leases that are missing are made once the members are known.
 func (n *Node) readLeases(ctx context.Context) {
 	for ctx.Err() == nil {
-		limited, cancel := context.WithTimeout(ctx, storeCallLimit)
-		objects, _, err := n.ports.Store.List(limited, n.options.Kinds.Leases)
-		cancel()
-		if err == nil && n.catalog.Current().Configuration != nil {
-			n.leasesKnown(objects)
+		if objects, ok := n.listLeases(ctx); ok && n.catalog.Current().Configuration != nil {
+			for _, object := range objects {
+				n.service(object.Name).submit(decodeLease(object))
+			}
 			return
 		}
-		time.Sleep(time.Second)
+		time.Sleep(leaseRetry)
 	}
 }
 
-func (n *Node) leasesKnown(objects []objectstore.Object) {
-	known := map[string]failover.LeaseKnown{}
+// leaseRetry is the pause before leases are listed again.
+const leaseRetry = time.Second
+
+func (n *Node) listLeases(ctx context.Context) ([]objectstore.Object, bool) {
+	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+	defer cancel()
+	objects, _, err := n.ports.Store.List(limited, n.options.Kinds.Leases)
+	return objects, err == nil
+}
+
+// makeLeases makes the missing leases of the services for which this node ranks
+// first among the members, so that holders are spread over the nodes and a fleet
+// that starts makes each lease about once. Views that differ cost a conflict.
+func (n *Node) makeLeases(ctx context.Context) bool {
+	configuration := n.catalog.Current().Configuration
+	objects, ok := n.listLeases(ctx)
+	if configuration == nil || !ok {
+		return false
+	}
+	made := map[string]bool{}
 	for _, object := range objects {
-		known[object.Name] = decodeLease(object)
+		made[object.Name] = true
+	}
+	candidates := []placement.Candidate{{ID: n.options.Name}}
+	for _, member := range *n.members.Load() {
+		candidates = append(candidates, placement.Candidate{ID: member.Name})
 	}
-	for name := range n.catalog.Current().Configuration.Services {
-		event, found := known[name]
-		if !found {
-			event = failover.LeaseKnown{Missing: true}
+	for name := range configuration.Services {
+		if !made[name] && placement.Rank(name, "", candidates, 1)[0] == n.options.Name {
+			n.service(name).submit(failover.LeaseKnown{Missing: true})
 		}
-		n.service(name).submit(event)
 	}
+	return true
 }
 
 func decodeLease(object objectstore.Object) failover.LeaseKnown {
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"dewknot/internal/eventlog"
 	"dewknot/internal/failover"
 )
 
@@ -33,10 +36,12 @@
 // leaderHealth is the evidence against the primary. It is used by the looking
 // goroutine only, except for results that come through the channel.
 type leaderHealth struct {
-	leader  string
-	missed  int
-	asking  bool
-	results chan bool
+	leader string
+	missed int
+	asking bool
+	// reported is set once the log tells that the primary does not answer.
+	reported bool
+	results  chan bool
 }
 
 // watchServices looks at all services at regular times.
@@ -54,7 +59,9 @@
 		stoodStill := now.Sub(last) > pauseLimit
 		last = now
 		n.services.Range(func(_, value any) bool {
-			value.(*service).look(now, stoodStill)
+			if service := value.(*service); service.attended(now) {
+				service.look(now, stoodStill)
+			}
 			return true
 		})
 		if now.Sub(trimmed) > trimInterval {
@@ -81,6 +88,7 @@
 	s.takePing()
 	target := s.node.server(leader)
 	down := target != nil && s.health.missed >= pingsToDown
+	s.reportHealth(down)
 	if target != nil && !s.health.asking && s.wantsPing(target, now) {
 		s.ping(target)
 	}
@@ -90,6 +98,19 @@
 	s.submit(failover.Observed{Observation: s.observe(leader, down)})
 }
 
+// reportHealth logs when the primary stops or starts to answer this node.
+func (s *service) reportHealth(down bool) {
+	if down == s.health.reported {
+		return
+	}
+	s.health.reported = down
+	event := eventlog.ServerReachable
+	if down {
+		event = eventlog.ServerUnreachable
+	}
+	s.node.log.Write(event, zap.String("service", s.name), zap.String("server", s.health.leader), zap.Int("missed", s.health.missed))
+}
+
 func (s *service) takePing() {
 	select {
 	case answered := <-s.health.results:
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -39,7 +39,7 @@
 // keepMembership enters this node among the members and looks at them at long
 // intervals. A list that is old costs a few questions that nobody answers.
 func (n *Node) keepMembership(ctx context.Context) {
-	pause := firstMemberLook
+	pause, leasesMade := firstMemberLook, false
 	for {
 		timer := time.NewTimer(pause/2 + rand.N(pause))
 		select {
@@ -49,7 +49,12 @@
 		case <-timer.C:
 		}
 		pause = memberLook
-		if !n.lookAtMembers(ctx) {
+		entered := n.lookAtMembers(ctx)
+		if entered && !leasesMade {
+			// Nodes that start together have entered by now, or soon after.
+			leasesMade = n.makeLeases(ctx)
+		}
+		if !entered || !leasesMade {
 			pause = memberRetry
 		}
 	}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -108,6 +108,7 @@
 	log     *eventlog.Log
 	catalog *catalog.Catalog
 	metrics *metrics
+	started time.Time
 
 	servers  sync.Map // server ID to *server
 	services sync.Map // service name to *service
@@ -127,7 +128,7 @@
 func New(options Options, ports Ports, log *eventlog.Log) *Node {
 	node := &Node{
 		options: options, ports: ports, log: log,
-		catalog: catalog.New(options.DrainBound),
+		catalog: catalog.New(options.DrainBound), started: time.Now(),
 	}
 	node.metrics = newMetrics(node)
 	node.caches = map[string]*objectstore.Cache{
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -61,8 +61,10 @@
 }
 
 func (s *session) newRun(statement *command.Statement, arrived time.Time) *run {
+	service := s.node.service(s.bound.Service)
+	service.used(arrived)
 	return &run{
-		session: s, service: s.node.service(s.bound.Service), statement: statement,
+		session: s, service: service, statement: statement,
 		arrived: arrived, deadline: arrived.Add(s.bound.StatementTimeout - answerMargin),
 		overload: arrived.Add(time.Duration(overloadShare * float64(s.bound.TargetLatency))),
 	}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"hash/fnv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,6 +39,9 @@
 	// refresh lets one goroutine at a time ask the primary for a proof.
 	refresh refresher
 
+	// lastUsed is when a statement last asked for the service, in nanoseconds
+	// since the node's start.
+	lastUsed atomic.Int64
 	health   leaderHealth
 	seeking  sync.Mutex
 	mutex    sync.Mutex
@@ -57,6 +61,23 @@
 	return found.(*service)
 }
 
+// attentionSpan is how long after its last use a service is looked at by a node
+// that does not hold its lease.
+const attentionSpan = 10 * time.Second
+
+// used notes that a statement asks for the service.
+func (s *service) used(now time.Time) { s.lastUsed.Store(int64(now.Sub(s.node.started))) }
+
+// attended reports whether this node looks at the service: it holds the lease,
+// acts, or serves callers of the service. Of many services, a node looks at few.
+func (s *service) attended(now time.Time) bool {
+	s.mutex.Lock()
+	acting := s.machine.Holding() || s.machine.Phase() != failover.Watching
+	s.mutex.Unlock()
+	lastUsed := s.lastUsed.Load()
+	return acting || (lastUsed > 0 && now.Sub(s.node.started)-time.Duration(lastUsed) < attentionSpan)
+}
+
 // Takeovers of different nodes are spread over this span, in steps.
 const (
 	takeoverSteps = 8
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -22,6 +22,40 @@
 		--store http://127.0.0.1:6000 --fleet-keys "$key" --authentication trust
 }
 
+# Ports that the fleet listens on; one in use would mix this fleet with another.
+ports="6000 6100 6101 6102 6103 7011 7012 7014 7021 7022 7024 7031 7032 7034"
+
+refuse_used_ports() {
+	for port in $ports; do
+		if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+			echo "fleet: port $port is in use; stop the earlier fleet with 'scripts/fleet.sh stop', or what else listens there" >&2
+			exit 1
+		fi
+	done
+}
+
+# Logs of an earlier run are kept beside the new ones.
+keep_old_logs() {
+	if ls "$run"/*.log >/dev/null 2>&1; then
+		old="$run/logs-$(date +%Y%m%dT%H%M%S)"
+		mkdir -p "$old"
+		mv "$run"/*.log "$old/"
+		if [ -e "$run/history.json" ]; then mv "$run/history.json" "$old/"; fi
+	fi
+}
+
+# Ends a process and waits until it is gone; after 10 s it is killed.
+end_process() { # pid
+	kill "$1" 2>/dev/null || return 0
+	kill -CONT "$1" 2>/dev/null || true
+	for _ in $(seq 100); do
+		kill -0 "$1" 2>/dev/null || return 0
+		sleep 0.1
+	done
+	kill -9 "$1" 2>/dev/null || true
+	while kill -0 "$1" 2>/dev/null; do sleep 0.05; done
+}
+
 wait_ready() { # operator address
 	for _ in $(seq 100); do
 		if "$binary" status --node "$1" 2>/dev/null | grep -q 'ready true'; then return 0; fi
@@ -33,7 +67,9 @@
 
 case "${1:-}" in
 start)
+	refuse_used_ports
 	mkdir -p "$run"
+	keep_old_logs
 	launch platform standin platform
 	launch database standin database --name bookings
 	sleep 0.3
@@ -52,7 +88,7 @@
 stop)
 	for file in "$run"/*.pid; do
 		[ -e "$file" ] || continue
-		kill "$(cat "$file")" 2>/dev/null || true
+		end_process "$(cat "$file")"
 		rm -f "$file"
 	done
 	;;
