Connections: no storm on a server's limit, pools grow for those who wait

Change: no dial beyond the limit right after a refusal, questions pause, a timer raises the limit for waiting work, a pool that warms up may be waited for until half of the objective.

--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -40,10 +40,13 @@
 	slowFactor = 6
 	// comeBack is the time to come back given with a refusal.
 	comeBack = 200 * time.Millisecond
-	// overloadShare is the part of the latency objective after which new work
-	// that only waits for a slot is refused: early enough for the caller to
-	// come back within the objective.
+	// overloadShare is the part of the latency objective for which new work may
+	// wait for a slot before it is refused: short enough for the caller to come
+	// back within the objective.
 	overloadShare = 0.2
+	// warmingShare is the same, from its arrival, for new work that waits for a
+	// connection to a server to which connections are only being opened.
+	warmingShare = 0.5
 )
 
 // run is one statement on its way.
@@ -53,7 +56,8 @@
 	statement *command.Statement
 	arrived   time.Time
 	deadline  time.Time
-	// overload is when new work that only waits for a slot is refused.
+	// overload is when new work that waits for a slot is refused; it is zero
+	// until the work first waits for one.
 	overload time.Time
 	tried    map[string]bool
 	// fruitless counts attempts on servers that had already failed to run it.
@@ -66,7 +70,6 @@
 	return &run{
 		session: s, service: service, statement: statement,
 		arrived: arrived, deadline: arrived.Add(s.bound.StatementTimeout - answerMargin),
-		overload: arrived.Add(time.Duration(overloadShare * float64(s.bound.TargetLatency))),
 	}
 }
 
@@ -79,6 +82,9 @@
 // wait until the statement's deadline, new work until it counts as refused for
 // overload.
 func (r *run) enter(target *server, class admission.Class) bool {
+	if r.overload.IsZero() {
+		r.overload = time.Now().Add(time.Duration(overloadShare * float64(r.session.bound.TargetLatency)))
+	}
 	deadline := r.overload
 	if class == admission.Continuation || r.deadline.Before(deadline) {
 		deadline = r.deadline
@@ -163,7 +169,7 @@
 		if err == nil {
 			return target, lease, failure.None
 		}
-		if errors.Is(err, upstream.ErrNoConnection) && r.overloaded() {
+		if errors.Is(err, upstream.ErrNoConnection) && r.lacksConnections(target) {
 			return nil, nil, failure.Overloaded
 		}
 		r.awaitLeader()
@@ -171,6 +177,17 @@
 	return nil, nil, failure.NoPrimary
 }
 
+// lacksConnections reports whether new work has waited for a connection as long
+// as it may.
+func (r *run) lacksConnections(target *server) bool {
+	now := time.Now()
+	share := overloadShare
+	if target.pool.Warming(now) {
+		share = warmingShare
+	}
+	return now.Sub(r.arrived) >= time.Duration(share*float64(r.session.bound.TargetLatency))
+}
+
 // overloaded reports whether new work has waited for a slot as long as it may.
 func (r *run) overloaded() bool { return !time.Now().Before(r.overload) }
 
@@ -335,15 +352,18 @@
 			r.pause(behindPause)
 			continue
 		}
-		if !r.enter(target, admission.Anywhere) {
-			return r.refuse(failure.Overloaded)
-		}
 		lease, err := target.pool.Get(r.connectionDeadline())
 		if err != nil {
-			target.gate.Leave(admission.Other, time.Now())
+			if errors.Is(err, upstream.ErrNoConnection) && r.lacksConnections(target) {
+				break
+			}
 			r.markTried(target)
 			continue
 		}
+		if !r.enter(target, admission.Anywhere) {
+			lease.Return()
+			break
+		}
 		operation := r.operation()
 		operation.Floor = floor.Position
 		batch := lease.Run(append(lease.Adapt(r.session.values, r.statement), operation), r.readDeadline(target))
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -174,7 +174,7 @@
 	if deadline.Before(limit) {
 		limit = deadline
 	}
-	if _, answered := s.prove(target, limit); !answered {
+	if primary, _ := s.prove(target, limit); !primary {
 		time.Sleep(leaderPause)
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,6 +40,10 @@
 	limit     int
 	ceiling   int
 	changedAt time.Time
+	// raising is set while a later raise is due.
+	raising bool
+	// firstUsed is when the first connection was asked for.
+	firstUsed time.Time
 	// limited is set while the last change followed a refusal.
 	limited bool
 	waiters []chan *Lease
@@ -53,7 +57,7 @@
 	refusalPause = 200 * time.Millisecond
 	// raiseInterval is the pause between raises of the limit while connections
 	// are wanted, cautiousInterval the same after the server's limit was met.
-	raiseInterval    = 150 * time.Millisecond
+	raiseInterval    = 60 * time.Millisecond
 	cautiousInterval = time.Second
 )
 
@@ -86,6 +90,17 @@
 	return p.open
 }
 
+// warmingSpan is how long a pool takes to open the connections it needs.
+const warmingSpan = time.Second
+
+// Warming reports whether the pool has only lately been used for the first
+// time, so that waiting for a connection is no sign of overload.
+func (p *Pool) Warming(now time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.firstUsed.IsZero() || now.Sub(p.firstUsed) < warmingSpan
+}
+
 // Get lends a connection, waiting for one until deadline.
 func (p *Pool) Get(deadline time.Time) (*Lease, error) { return p.get(deadline, 0) }
 
@@ -130,18 +145,27 @@
 	if p.closed {
 		return nil, nil, false
 	}
+	if p.firstUsed.IsZero() {
+		p.firstUsed = time.Now()
+	}
 	if last := len(p.idle) - 1; last >= 0 {
 		lease := p.idle[last]
 		p.idle = p.idle[:last]
 		return lease, nil, false
 	}
-	p.raise(time.Now())
+	now := time.Now()
+	p.raise(now)
+	if p.limited && now.Sub(p.changedAt) < refusalPause {
+		// The server has just refused a connection; another would be refused too.
+		beyond = 0
+	}
 	if p.open < p.limit+beyond {
 		p.open++
 		return nil, nil, true
 	}
 	waiter := make(chan *Lease, 1)
 	p.waiters = append(p.waiters, waiter)
+	p.raiseLater()
 	return nil, waiter, false
 }
 
@@ -150,17 +174,40 @@
 	if p.limit >= p.ceiling || p.open < p.limit {
 		return
 	}
-	pause := raiseInterval
+	if now.Sub(p.changedAt) >= p.raisePause() {
+		p.limit++
+		p.changedAt, p.limited = now, false
+	}
+}
+
+// raisePause is the pause before the limit may rise again; the lock is held.
+func (p *Pool) raisePause() time.Duration {
 	switch {
 	case p.limit == 0:
-		pause = refusalPause
+		return refusalPause
 	case p.limited:
-		pause = cautiousInterval
+		return cautiousInterval
+	default:
+		return raiseInterval
 	}
-	if now.Sub(p.changedAt) >= pause {
-		p.limit++
-		p.changedAt, p.limited = now, false
+}
+
+// raiseLater lets the limit rise for those who wait; the lock is held.
+func (p *Pool) raiseLater() {
+	if p.raising || p.closed || p.limit >= p.ceiling || len(p.waiters) == 0 {
+		return
 	}
+	p.raising = true
+	time.AfterFunc(p.raisePause(), func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.raising = false
+		p.raise(time.Now())
+		if p.open < p.limit {
+			p.handOver(&Lease{pool: p})
+		}
+		p.raiseLater()
+	})
 }
 
 // await waits for a connection or a free place; nil means neither came in time.
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,151 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/position"
+)
+
+// limitedDialer opens connections up to a limit that the server sets.
+type limitedDialer struct {
+	mutex   sync.Mutex
+	limit   int
+	open    int
+	refused int
+	dials   int
+}
+
+func (d *limitedDialer) Dial(context.Context, string, string, string) (Connection, position.Position, error) {
+	time.Sleep(10 * time.Millisecond)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.dials++
+	if d.open >= d.limit {
+		d.refused++
+		return nil, position.Position{}, &RefusedError{Outcome: ConnectionLimit}
+	}
+	d.open++
+	return &idleConnection{dialer: d}, position.Position{}, nil
+}
+
+func (d *limitedDialer) counts() (dials, refused int) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.dials, d.refused
+}
+
+type idleConnection struct {
+	dialer *limitedDialer
+	once   sync.Once
+	dead   bool
+}
+
+func (c *idleConnection) Send([]Operation) error { return nil }
+
+func (c *idleConnection) Receive(OperationKind, time.Time) (Result, error) { return Result{}, nil }
+
+func (c *idleConnection) Alive() bool { return !c.dead }
+
+func (c *idleConnection) Close() {
+	c.once.Do(func() {
+		c.dialer.mutex.Lock()
+		c.dialer.open--
+		c.dialer.mutex.Unlock()
+	})
+}
+
+func newTestPool(dialer *limitedDialer, ceiling int) *Pool {
+	return NewPool(dialer, "address", "service", "server", ceiling, NewStats())
+}
+
+// TestServersLimitIsNotStormed: work and questions that find the server full
+// must not knock again and again.
+func TestServersLimitIsNotStormed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dialer := &limitedDialer{limit: 0}
+		pool := newTestPool(dialer, 30)
+		var asking sync.WaitGroup
+		end := time.Now().Add(5 * time.Second)
+		for i := range 20 {
+			asking.Go(func() {
+				for time.Now().Before(end) {
+					if i == 0 {
+						_, _ = pool.Reserve(time.Now().Add(100 * time.Millisecond))
+					} else {
+						_, _ = pool.Get(time.Now().Add(100 * time.Millisecond))
+					}
+				}
+			})
+		}
+		asking.Wait()
+		_, refused := dialer.counts()
+		must.LessEq(t, 60, refused)
+	})
+}
+
+func TestPoolGrowsWhileWantedAndLendsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dialer := &limitedDialer{limit: 100}
+		pool := newTestPool(dialer, 16)
+		var working sync.WaitGroup
+		for range 16 {
+			working.Go(func() {
+				lease, err := pool.Get(time.Now().Add(5 * time.Second))
+				must.NoError(t, err)
+				time.Sleep(3 * time.Second)
+				lease.Return()
+			})
+		}
+		working.Wait()
+		must.LessEq(t, 16, pool.Open())
+		before, _ := dialer.counts()
+		lease, err := pool.Get(time.Now().Add(time.Second))
+		must.NoError(t, err)
+		lease.Return()
+		after, _ := dialer.counts()
+		must.Eq(t, before, after, must.Sprint("an idle connection is lent, not a new one opened"))
+		pool.Trim(time.Now().Add(time.Hour))
+		must.Eq(t, 0, pool.Open())
+	})
+}
+
+func TestDeadIdleConnectionIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dialer := &limitedDialer{limit: 4}
+		pool := newTestPool(dialer, 16)
+		lease, err := pool.Get(time.Now().Add(time.Second))
+		must.NoError(t, err)
+		lease.Connection.(*idleConnection).dead = true
+		lease.Return()
+		lease, err = pool.Get(time.Now().Add(time.Second))
+		must.NoError(t, err)
+		must.True(t, lease.Alive())
+		must.Eq(t, 1, pool.Open())
+		lease.Discard()
+	})
+}
+
+func TestWaiterGetsAReturnedConnectionAndWaitsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := newTestPool(&limitedDialer{limit: 1}, 1)
+		lease, err := pool.Get(time.Now().Add(time.Second))
+		must.NoError(t, err)
+		_, err = pool.Get(time.Now().Add(100 * time.Millisecond))
+		must.ErrorIs(t, err, ErrNoConnection)
+		time.AfterFunc(300*time.Millisecond, lease.Return)
+		began := time.Now()
+		again, err := pool.Get(time.Now().Add(time.Second))
+		must.NoError(t, err)
+		must.Eq(t, 300*time.Millisecond, time.Since(began))
+		again.Discard()
+		pool.Shut()
+		_, err = pool.Get(time.Now().Add(time.Second))
+		must.ErrorIs(t, err, ErrNoConnection)
+	})
+}
