Nodes that start together know each other; a silent primary is noticed sooner

Witnesses asked with a question of 250 ms took 0.3 s, two questions 0.6 s. Change: a second look after 3 s; leases are learned after they are made; silence counts from the first request that is unanswered (a lost answer alone no longer counts), one unanswered question and the other nodes decide. Ruled out: a fresh answer of up to 0.4 s as proof that a server lives: it may have ended since.

--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -126,15 +126,20 @@
 func (n *Node) readLeases(ctx context.Context) {
 	for ctx.Err() == nil {
 		if objects, ok := n.listLeases(ctx); ok && n.catalog.Current().Configuration != nil {
-			for _, object := range objects {
-				n.service(object.Name).submit(decodeLease(object))
-			}
+			n.leasesKnown(objects)
 			return
 		}
 		time.Sleep(leaseRetry)
 	}
 }
 
+// leasesKnown tells the failover machines who holds the leases.
+func (n *Node) leasesKnown(objects []objectstore.Object) {
+	for _, object := range objects {
+		n.service(object.Name).submit(decodeLease(object))
+	}
+}
+
 // leaseRetry is the pause before leases are listed again.
 const leaseRetry = time.Second
 
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -16,15 +16,16 @@
 	lookInterval = 100 * time.Millisecond
 	// pauseLimit: a longer gap between looks means that the process stood still.
 	pauseLimit = 250 * time.Millisecond
-	// silenceLimit is how long a primary with work may be silent before it is asked.
+	// silenceLimit is how long a server with work may be silent before it is asked.
 	silenceLimit = 250 * time.Millisecond
 	// idleLimit is how long a primary without work may be silent before the
 	// holder of the lease asks it.
 	idleLimit = time.Second
 	// pingLimit bounds the answer to a question that needs no slot.
 	pingLimit = 250 * time.Millisecond
-	// pingsToDown is how many questions in a row have to go unanswered.
-	pingsToDown = 2
+	// pingsToDown is how many questions in a row have to go unanswered. Other
+	// nodes are asked as well before the primary is replaced.
+	pingsToDown = 1
 	// trimInterval is the pause between closing idle connections, trimAge how
 	// long they must have been idle.
 	trimInterval = time.Second
@@ -133,7 +134,7 @@
 	if failures, _ := target.stats.Failures(); failures > 0 {
 		return true
 	}
-	if target.stats.OldestWait(now) > silenceLimit && silent > silenceLimit {
+	if target.stats.Unanswered(now) > silenceLimit {
 		return true
 	}
 	return silent > idleLimit && s.holding()
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -29,34 +29,43 @@
 
 // Times of the membership.
 const (
-	// firstMemberLook is the pause before the first listing, so that nodes which
-	// start together see each other.
-	firstMemberLook = 2 * time.Second
-	memberLook      = 40 * time.Second
-	memberRetry     = 3 * time.Second
+	// firstMemberLook is about when a node enters itself, secondMemberLook the
+	// pause after which nodes that started together see each other.
+	firstMemberLook  = time.Second
+	secondMemberLook = 3 * time.Second
+	memberLook       = 40 * time.Second
+	memberRetry      = 2 * time.Second
 )
 
 // keepMembership enters this node among the members and looks at them at long
 // intervals. A list that is old costs a few questions that nobody answers.
 func (n *Node) keepMembership(ctx context.Context) {
-	pause, leasesMade := firstMemberLook, false
-	for {
-		timer := time.NewTimer(pause/2 + rand.N(pause))
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
-		pause = memberLook
-		entered := n.lookAtMembers(ctx)
-		if entered && !leasesMade {
-			// Nodes that start together have entered by now, or soon after.
-			leasesMade = n.makeLeases(ctx)
-		}
-		if !entered || !leasesMade {
-			pause = memberRetry
-		}
+	n.waitAbout(ctx, firstMemberLook)
+	for ctx.Err() == nil && !n.lookAtMembers(ctx) {
+		n.waitAbout(ctx, memberRetry)
+	}
+	n.waitAbout(ctx, secondMemberLook)
+	for ctx.Err() == nil && !(n.lookAtMembers(ctx) && n.makeLeases(ctx)) {
+		n.waitAbout(ctx, memberRetry)
+	}
+	n.waitAbout(ctx, secondMemberLook)
+	if objects, ok := n.listLeases(ctx); ok {
+		n.leasesKnown(objects)
+	}
+	for ctx.Err() == nil {
+		n.waitAbout(ctx, memberLook)
+		n.lookAtMembers(ctx)
+	}
+}
+
+// waitAbout waits for half to one and a half times a span, so that the calls of
+// many nodes are spread.
+func (n *Node) waitAbout(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span/2 + rand.N(span))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
@@ -98,6 +107,14 @@
 	return err == nil
 }
 
+// KnownMembers returns how many other nodes this node knows.
+func (n *Node) KnownMembers() int {
+	if known := n.members.Load(); known != nil {
+		return len(*known)
+	}
+	return 0
+}
+
 // someMembers returns up to count other nodes, chosen at random.
 func (n *Node) someMembers(count int) []Member {
 	known := n.members.Load()
@@ -168,7 +185,7 @@
 // Answer implements relay.Handler.
 func (n *Node) Answer(ctx context.Context, question relay.Question) relay.Answer {
 	if question.Server != "" {
-		return relay.Answer{Reached: n.reachesLately(question.Server)}
+		return relay.Answer{Reached: n.reaches(question.Server)}
 	}
 	cache := n.caches[question.Kind]
 	if cache == nil {
@@ -187,17 +204,23 @@
 	return answer
 }
 
-// reachedWithin is how old an answer of a server may be to count as reached.
-const reachedWithin = 400 * time.Millisecond
+// reachedWithin is how old an answer of a server may be to count as reached: not
+// so old that the server may have ended since.
+const reachedWithin = 60 * time.Millisecond
 
-// reachesLately reports whether a server has answered this node lately; one
-// that has not been asked lately is asked.
-func (n *Node) reachesLately(id string) bool {
+// reaches reports whether this node reaches a server: by a fresh answer, by work
+// that has waited too long for one, or else by asking it.
+func (n *Node) reaches(id string) bool {
 	target := n.server(id)
 	if target == nil {
 		return false
 	}
-	if target.stats.SinceAnswer(time.Now()) < reachedWithin {
+	now := time.Now()
+	silent := target.stats.SinceAnswer(now)
+	if target.stats.Unanswered(now) > silenceLimit {
+		return false
+	}
+	if failures, _ := target.stats.Failures(); failures == 0 && silent < reachedWithin {
 		return true
 	}
 	_, answered := n.service(target.service).prove(target, time.Now().Add(pingLimit))
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -52,6 +52,7 @@
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
 		gauge("server_connections", "Connections open to all servers.", node.openConnections),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(node.log.Dropped()) }),
+		gauge("known_members", "Other nodes known.", func() float64 { return float64(node.KnownMembers()) }),
 		gauge("store_lost", "1 while the store does not answer.", node.storeLost),
 	)
 	return m
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -337,3 +337,20 @@
 		})
 	}
 }
+
+// TestFleetThatStartsKnowsItself: nodes that start together know each other, and
+// the lease of a service is made about once.
+func TestFleetThatStartsKnowsItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(5, 0, nothingBroken)
+		time.Sleep(8 * time.Second)
+		for name, node := range fleet.nodes {
+			must.Eq(t, 4, node.KnownMembers(), must.Sprint(name))
+		}
+		must.LessEq(t, 2, fleet.store.Creations(managed.LeaseKind))
+		must.Eq(t, 1, fleet.store.Count(managed.LeaseKind))
+		fleet.stop()
+		time.Sleep(10 * time.Second)
+		fleet.log.Close()
+	})
+}
--- a/internal/standin/managed/store.go
+++ b/internal/standin/managed/store.go
@@ -38,6 +38,7 @@
 	delay       time.Duration
 	loseAnswers int
 	cut         map[string]bool
+	creations   map[string]int
 }
 
 type change struct {
@@ -49,7 +50,7 @@
 func NewStore() *Store {
 	return &Store{
 		objects: map[string]map[string]objectstore.Object{}, changed: make(chan struct{}),
-		delay: storeDelay, cut: map[string]bool{},
+		delay: storeDelay, cut: map[string]bool{}, creations: map[string]int{},
 	}
 }
 
@@ -138,6 +139,20 @@
 	return object
 }
 
+// Creations returns how often nodes tried to create an object of a kind.
+func (s *Store) Creations(kind string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.creations[kind]
+}
+
+// Count returns the number of objects of a kind.
+func (s *Store) Count(kind string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.objects[kind])
+}
+
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -244,6 +259,9 @@
 
 // Create implements objectstore.Store.
 func (c *Client) Create(ctx context.Context, kind, name string, content []byte) (objectstore.Object, error) {
+	c.store.mutex.Lock()
+	c.store.creations[kind]++
+	c.store.mutex.Unlock()
 	return c.change(ctx, kind, name, content, func(_ objectstore.Object, found bool) bool { return !found })
 }
 
--- a/internal/upstream/batch.go
+++ b/internal/upstream/batch.go
@@ -41,8 +41,8 @@
 func (l *Lease) Run(operations []Operation, deadline time.Time) Batch {
 	stats := l.pool.stats
 	batch := Batch{SentAt: time.Now(), Results: make([]Result, 0, len(operations))}
-	waiting := stats.Started(batch.SentAt)
-	defer stats.Finished(waiting)
+	stats.Started(batch.SentAt)
+	defer stats.Finished()
 	if batch.Err = l.Send(operations); batch.Err != nil {
 		stats.Unreachable(time.Now())
 		return batch
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -28,52 +28,49 @@
 	lastAnswer atomic.Int64 // nanoseconds since epoch
 	epoch      time.Time
 
-	mutex         sync.Mutex
-	latency       float64 // seconds
-	lowest        float64
-	latencyAt     time.Time
-	lag           time.Duration
-	lagAt         time.Time
-	applied       position.Position
-	failedAt      time.Time
-	failures      int
-	busyUntil     time.Time
-	waitingSince  map[uint64]time.Time
-	nextWaitingID uint64
+	mutex sync.Mutex
+	// unansweredSince is when the first request was sent that the server has not
+	// said anything since; zero if it has.
+	unansweredSince time.Time
+	latency         float64 // seconds
+	lowest          float64
+	latencyAt       time.Time
+	lag             time.Duration
+	lagAt           time.Time
+	applied         position.Position
+	failedAt        time.Time
+	failures        int
+	busyUntil       time.Time
 }
 
 // NewStats returns empty statistics.
 func NewStats() *Stats {
-	return &Stats{epoch: time.Now(), waitingSince: map[uint64]time.Time{}}
+	return &Stats{epoch: time.Now()}
 }
 
-// Started notes that a request was sent; the result is given to Finished.
-func (s *Stats) Started(now time.Time) uint64 {
+// Started notes that a request was sent; Finished ends it.
+func (s *Stats) Started(now time.Time) {
 	s.inFlight.Add(1)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.nextWaitingID++
-	s.waitingSince[s.nextWaitingID] = now
-	return s.nextWaitingID
+	if s.unansweredSince.IsZero() {
+		s.unansweredSince = now
+	}
 }
 
 // Finished notes that a request was answered, or given up.
-func (s *Stats) Finished(id uint64) {
-	s.inFlight.Add(-1)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.waitingSince, id)
-}
+func (s *Stats) Finished() { s.inFlight.Add(-1) }
 
-// OldestWait returns how long the oldest unanswered request has waited.
-func (s *Stats) OldestWait(now time.Time) time.Duration {
+// Unanswered returns for how long requests have been sent to the server without
+// any answer; 0 if its last answer is newer than all of them. A single answer
+// that is lost does not count once the server has given another.
+func (s *Stats) Unanswered(now time.Time) time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	longest := time.Duration(0)
-	for _, since := range s.waitingSince {
-		longest = max(longest, now.Sub(since))
+	if s.unansweredSince.IsZero() {
+		return 0
 	}
-	return longest
+	return now.Sub(s.unansweredSince)
 }
 
 // InFlight returns the number of unanswered requests.
@@ -84,6 +81,7 @@
 	s.lastAnswer.Store(int64(now.Sub(s.epoch)))
 	s.mutex.Lock()
 	s.failures = 0
+	s.unansweredSince = time.Time{}
 	s.mutex.Unlock()
 }
 
