Surveys wait for busy servers; having no connection is no evidence against a server

After a loss of power, questions that found no free connection counted as unanswered and the primary flapped between unreachable and reachable. Change: surveys wait 600 ms, and what a server was lately known to have applied stands for its report; a question has four outcomes, of which inconclusive counts for nothing. Tests on virtual time; the survey's fails first.

--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -42,7 +42,7 @@
 	asking bool
 	// reported is set once the log tells that the primary does not answer.
 	reported bool
-	results  chan bool
+	results  chan standing
 }
 
 // watchServices looks at all services at regular times.
@@ -84,7 +84,7 @@
 func (s *service) look(now time.Time, stoodStill bool) {
 	leader := s.belief.Leader()
 	if leader != s.health.leader || stoodStill || s.health.results == nil {
-		s.health = leaderHealth{leader: leader, results: make(chan bool, 1)}
+		s.health = leaderHealth{leader: leader, results: make(chan standing, 1)}
 	}
 	s.takePing()
 	target := s.node.server(leader)
@@ -114,12 +114,14 @@
 
 func (s *service) takePing() {
 	select {
-	case answered := <-s.health.results:
+	case shown := <-s.health.results:
 		s.health.asking = false
-		if answered {
-			s.health.missed = 0
-		} else {
+		switch shown {
+		case inconclusive:
+		case silent:
 			s.health.missed++
+		default:
+			s.health.missed = 0
 		}
 	default:
 	}
@@ -130,14 +132,14 @@
 	if s.health.missed > 0 {
 		return true
 	}
-	silent := target.stats.SinceAnswer(now)
+	idle := target.stats.SinceAnswer(now)
 	if failures, _ := target.stats.Failures(); failures > 0 {
 		return true
 	}
 	if target.stats.Unanswered(now) > silenceLimit {
 		return true
 	}
-	return silent > idleLimit && s.holding()
+	return idle > idleLimit && s.holding()
 }
 
 func (s *service) holding() bool {
@@ -150,8 +152,7 @@
 	s.health.asking = true
 	results := s.health.results
 	go func() {
-		_, answered := s.prove(target, time.Now().Add(pingLimit))
-		results <- answered
+		results <- s.prove(target, time.Now().Add(pingLimit))
 	}()
 }
 
@@ -191,7 +192,7 @@
 			if entry.ID == believed || entry.Gone || target == nil || s.belief.Refuted(entry.ID, now) || target.stats.Avoided(now) {
 				continue
 			}
-			if primary, _ := s.prove(target, time.Now().Add(seekLimit)); primary {
+			if s.prove(target, time.Now().Add(seekLimit)) == leading {
 				return
 			}
 		}
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -216,15 +216,13 @@
 		return false
 	}
 	now := time.Now()
-	silent := target.stats.SinceAnswer(now)
 	if target.stats.Unanswered(now) > silenceLimit {
 		return false
 	}
-	if failures, _ := target.stats.Failures(); failures == 0 && silent < reachedWithin {
+	if failures, _ := target.stats.Failures(); failures == 0 && target.stats.SinceAnswer(now) < reachedWithin {
 		return true
 	}
-	_, answered := n.service(target.service).prove(target, time.Now().Add(pingLimit))
-	return answered
+	return n.service(target.service).prove(target, now.Add(pingLimit)) != silent
 }
 
 // witnessesAsked is how many nodes are asked whether they reach a primary.
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -354,3 +354,51 @@
 		fleet.log.Close()
 	})
 }
+
+// TestServerWithAFullQueueIsNotLeftOutOfTheChoice: a replica that has received
+// nothing for a while answers the survey at once, the other one is busy. The
+// busy one has received all and must be promoted.
+func TestServerWithAFullQueueIsNotLeftOutOfTheChoice(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(3, 0, nothingBroken)
+		time.Sleep(8 * time.Second)
+		fleet.group.Server(2).SetDeaf(true)
+		driver := &caller{name: "c", fleet: fleet, check: fleet.check, random: rand.New(rand.NewPCG(1, 1))}
+		driver.run(time.Now().Add(3 * time.Second))
+		busy := fleet.group.Server(1)
+		busy.SetBusy(time.Now().Add(2500 * time.Millisecond))
+		time.Sleep(200 * time.Millisecond)
+		lost := fleet.group.Primary()
+		lost.Crash()
+		driver.run(time.Now().Add(4 * time.Second))
+		must.Eq(t, busy.ID(), fleet.group.Primary().ID())
+		must.Eq(t, 0, fleet.check.acknowledgedLost())
+		fleet.stop()
+		time.Sleep(10 * time.Second)
+		fleet.log.Close()
+	})
+}
+
+// TestFullServerIsNotTakenForADeadOne: all connections of the primary are in
+// use by others, so no node can ask it anything.
+func TestFullServerIsNotTakenForADeadOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newFleet(3, 0, nothingBroken)
+		fleet.group.SetConnections(0)
+		var working sync.WaitGroup
+		until := time.Now().Add(10 * time.Second)
+		for i := range 6 {
+			driver := &caller{name: fmt.Sprintf("c%d", i), fleet: fleet, check: fleet.check, random: rand.New(rand.NewPCG(1, uint64(i)))}
+			working.Go(func() { driver.run(until) })
+		}
+		working.Wait()
+		must.SliceEmpty(t, fleet.promoter.Orders())
+		fleet.group.SetConnections(24)
+		driver := &caller{name: "last", fleet: fleet, check: fleet.check, random: rand.New(rand.NewPCG(1, 99))}
+		driver.run(time.Now().Add(5 * time.Second))
+		must.Positive(t, driver.served)
+		fleet.stop()
+		time.Sleep(10 * time.Second)
+		fleet.log.Close()
+	})
+}
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -12,10 +13,14 @@
 	"dewknot/internal/upstream"
 )
 
-// surveyLimit bounds the wait for the servers' reports.
-const surveyLimit = 250 * time.Millisecond
+// surveyLimit bounds the wait for the servers' reports. A status takes a slot,
+// so a server with a full queue answers late; one that is left out may be the
+// one that has received most.
+const surveyLimit = 600 * time.Millisecond
 
-// survey asks the servers of the service for their status.
+// survey asks the servers of the service for their status. For one that does
+// not answer in time, but has answered others lately, the position it is known
+// to have applied stands for what it has received.
 func (s *service) survey(effect failover.Survey) []failover.Report {
 	var reports []failover.Report
 	var mutex sync.Mutex
@@ -34,6 +39,9 @@
 			if status != nil && effect.Hold && !status.Primary {
 				status = target.report(upstream.Operation{Kind: upstream.HoldReplication, Term: status.Term + 1}, deadline)
 			}
+			if status == nil && !effect.Hold {
+				status = target.lastKnown(time.Now())
+			}
 			if status == nil {
 				return
 			}
@@ -47,6 +55,19 @@
 	return reports
 }
 
+// knownWithin is how old a server's last answer may be for its known position to
+// stand for a report.
+const knownWithin = time.Second
+
+// lastKnown returns what a server's answers have shown, nil if they are old.
+func (t *server) lastKnown(now time.Time) *upstream.Status {
+	applied := t.stats.Applied()
+	if applied.IsZero() || t.stats.SinceAnswer(now) > knownWithin {
+		return nil
+	}
+	return &upstream.Status{Term: applied.Term, Received: applied}
+}
+
 // resumeReplication lets the replicas receive again.
 func (s *service) resumeReplication() {
 	for _, entry := range s.node.catalog.Current().ByService[s.name] {
@@ -88,21 +109,43 @@
 	return nil
 }
 
-// prove asks a server to open and end a transaction that only a primary
-// accepts. It reports whether the server is the primary, and whether it answered.
-func (s *service) prove(target *server, deadline time.Time) (primary, answered bool) {
+// standing is what a server's answer to a question for the primary's role shows.
+type standing uint8
+
+const (
+	// inconclusive: there was no free connection to ask on, which says nothing
+	// of the server.
+	inconclusive standing = iota
+	// silent: the server gave no answer.
+	silent
+	// otherwise: the server answered, and did not prove to be the primary.
+	otherwise
+	// leading: the server proved to be the primary.
+	leading
+)
+
+// prove asks a server to open and end a transaction that only a primary accepts.
+func (s *service) prove(target *server, deadline time.Time) standing {
 	lease, err := target.pool.Reserve(deadline)
 	if err != nil {
-		_, refused := upstream.RefusalOf(err)
-		return false, refused
+		if _, refused := upstream.RefusalOf(err); refused {
+			return otherwise
+		}
+		if errors.Is(err, upstream.ErrNoConnection) {
+			return inconclusive
+		}
+		return silent
 	}
 	batch := lease.Run([]upstream.Operation{{Kind: upstream.Begin}, {Kind: upstream.Rollback}}, deadline)
 	if batch.Err != nil {
 		lease.Discard()
-		return false, false
+		return silent
 	}
 	lease.Return()
-	return s.judgeBegin(target, &batch, &batch.Results[0]), true
+	if s.judgeBegin(target, &batch, batch.First()) {
+		return leading
+	}
+	return otherwise
 }
 
 // judgeBegin takes what a server's answer to Begin tells of the primary.
@@ -174,7 +217,7 @@
 	if deadline.Before(limit) {
 		limit = deadline
 	}
-	if primary, _ := s.prove(target, limit); !primary {
+	if s.prove(target, limit) != leading {
 		time.Sleep(leaderPause)
 	}
 }
--- a/internal/standin/managed/managed.go
+++ b/internal/standin/managed/managed.go
@@ -137,6 +137,13 @@
 	return g.servers[index]
 }
 
+// SetConnections changes the limit of connections to each server.
+func (g *Group) SetConnections(limit int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.settings.Connections = limit
+}
+
 // Primary returns the present primary.
 func (g *Group) Primary() *Server {
 	g.mutex.Lock()
--- a/internal/standin/managed/server.go
+++ b/internal/standin/managed/server.go
@@ -94,6 +94,12 @@
 	s.loseAnswers = count
 }
 
+// SetBusy makes the server refuse all that takes a slot until a time.
+func (s *Server) SetBusy(until time.Time) {
+	defer s.lock()()
+	s.busyUntil = until
+}
+
 // Drain announces the server's end; Leave ends it.
 func (s *Server) Drain() {
 	defer s.lock()()
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -177,6 +177,13 @@
 	}
 }
 
+// Applied returns the newest position that the server is known to have applied.
+func (s *Stats) Applied() position.Position {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.applied
+}
+
 // Lagged notes that the server lacked a position which the primary had since a time.
 func (s *Stats) Lagged(now, since time.Time) {
 	s.mutex.Lock()
