--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -89,7 +89,8 @@
 		return
 	}
 	m.durations.WithLabelValues(level).Observe(took.Seconds())
-	if reply.Failure == nil && (received.Kind == command.Read || (received.Kind == command.Execute && !s.prepared[received.Name].Writes)) {
+	reads := received.Kind == command.Read || (received.Kind == command.Execute && !s.writes(received))
+	if reply.Failure == nil && reads {
 		role := catalog.Replica
 		if s.account.primary {
 			role = catalog.Primary
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -41,6 +41,7 @@
 	fields := []zap.Field{
 		zap.String("request", received.RequestID), zap.Stringer("command", received.Kind),
 		zap.String("database", s.database), zap.String("route", s.bound.Name), zap.String("service", s.bound.Service),
+		zap.String("freshness", freshnessNames[s.bound.Freshness]), zap.Bool("writes", s.writes(received)),
 		zap.Uint64("configuration", s.node.configurationVersion()), zap.Duration("took", now.Sub(arrived)),
 		zap.Int("attempts", s.account.attempts), zap.String("server", s.account.server), zap.Bool("on_primary", s.account.primary),
 	}
@@ -54,6 +55,11 @@
 	s.node.log.Write(event, fields...)
 }
 
+// writes reports whether a command is a write, or the execution of one.
+func (s *session) writes(received *command.Command) bool {
+	return received.Kind == command.Write || (received.Kind == command.Execute && s.prepared[received.Name].Writes)
+}
+
 func (n *Node) configurationVersion() uint64 {
 	if configuration := n.catalog.Current().Configuration; configuration != nil {
 		return configuration.Version
