--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -26,7 +26,7 @@
 	otherZoneCost   = 5 * time.Millisecond
 	otherRegionCost = 50 * time.Millisecond
 	// primaryCost keeps the primary's slots for what only it can run.
-	primaryCost   = 40 * time.Millisecond
+	primaryCost   = 200 * time.Millisecond
 	congestedCost = 150 * time.Millisecond
 	triedCost     = 300 * time.Millisecond
 	behindCost    = 500 * time.Millisecond
