--- a/cmd/dewknot-proxy/main.go
+++ b/cmd/dewknot-proxy/main.go
@@ -8,7 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"dewknot/platform/daemon"
+	"dewknot/internal/daemon"
 )
 
 // commands are the program's commands.
--- a/platform/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,4 +1,5 @@
-// Package daemon puts a node together with the platform's adapters.
+// Package daemon puts a node together with the platform's adapters and serves
+// until it is told to stop. It knows the adapters, not the platform's names.
 package daemon
 
 import (
--- /dev/null
+++ b/internal/failover/choice.go
@@ -0,0 +1,110 @@
+package failover
+
+import (
+	"time"
+
+	"dewknot/internal/position"
+)
+
+// Report is one server's answer to a survey.
+type Report struct {
+	ID       string
+	Primary  bool
+	Term     uint64
+	Received position.Position
+}
+
+// surveyed chooses the target: the server that has received most.
+func (m *Machine) surveyed(now time.Time, event Surveyed) []Effect {
+	if m.phase != Surveying {
+		return nil
+	}
+	for _, report := range event.Reports {
+		if report.Primary && report.ID != m.observation.Leader {
+			m.rest(now, pauseAfterFailure)
+			return append(m.resume(), LeaderFound{ID: report.ID})
+		}
+	}
+	needed, _ := m.need()
+	best := m.furthest(now, event.Reports)
+	if !needed || best == nil || !m.holdsAllCommits(best, event.Reports) {
+		m.rest(now, pauseAfterFailure)
+		if m.unanswered {
+			return nil
+		}
+		return m.resume()
+	}
+	m.target = best.ID
+	m.phase = Promoting
+	m.counter++
+	return []Effect{Order{Target: best.ID, Token: m.epoch*tokensPerEpoch + m.counter}}
+}
+
+// resume ends what a survey that held the replicas began.
+func (m *Machine) resume() []Effect {
+	if m.observation.SynchronousReplicas == 0 {
+		return nil
+	}
+	return []Effect{Resume{}}
+}
+
+// furthest returns the report of the eligible server that has received most,
+// nil if there is none.
+func (m *Machine) furthest(now time.Time, reports []Report) *Report {
+	var best *Report
+	for i := range reports {
+		report := &reports[i]
+		if !m.eligible(report.ID, now) {
+			continue
+		}
+		if best == nil || best.Received.Less(report.Received) {
+			best = report
+		}
+	}
+	return best
+}
+
+// holdsAllCommits reports whether the best server surely holds every
+// acknowledged commit of a service with synchronous replicas. Either it holds
+// all that the primary itself holds, or so many replicas have reported, none
+// with more, that each commit's synchronous replicas are among them.
+func (m *Machine) holdsAllCommits(best *Report, reports []Report) bool {
+	if m.observation.SynchronousReplicas == 0 {
+		return true
+	}
+	replicas := 0
+	for _, server := range m.observation.Servers {
+		if server.ID != m.observation.Leader {
+			replicas++
+		}
+	}
+	reported := 0
+	for _, report := range reports {
+		if report.ID == m.observation.Leader {
+			if best.Received.Covers(report.Received) {
+				return true
+			}
+			continue
+		}
+		if best.Received.Less(report.Received) {
+			return false
+		}
+		reported++
+	}
+	return reported >= replicas-m.observation.SynchronousReplicas+1
+}
+
+func (m *Machine) eligible(id string, now time.Time) bool {
+	if id == m.observation.Leader {
+		return false
+	}
+	if at, found := m.rejected[id]; found && now.Sub(at) < rejectedLife {
+		return false
+	}
+	for _, server := range m.observation.Servers {
+		if server.ID == id {
+			return !server.Leaving
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/failover/lease.go
@@ -0,0 +1,82 @@
+package failover
+
+import "time"
+
+// Lease is the content of a service's lease object.
+type Lease struct {
+	Holder string `json:"holder"`
+	Epoch  uint64 `json:"epoch"`
+	// Life tells the holder's processes of the same name apart.
+	Life string `json:"life"`
+}
+
+// leaseKnown takes the lease as it stands in the store: at the start, or since
+// this node wants to act.
+func (m *Machine) leaseKnown(now time.Time, event LeaseKnown) []Effect {
+	acting := m.phase == ReadingLease
+	if event.Failed {
+		if acting {
+			m.rest(now, pauseAfterFailure)
+		}
+		return nil
+	}
+	if event.Lease.Holder == m.node && event.Lease.Life == m.life {
+		m.revision = event.Revision
+		m.hold(event.Lease.Epoch)
+		if acting {
+			return m.act()
+		}
+		return nil
+	}
+	m.holding = false
+	m.holder = event.Lease.Holder
+	mine := event.Lease.Holder == m.node
+	changed := event.Revision != m.revision
+	m.revision = event.Revision
+	if acting && changed && !event.Missing && !mine {
+		// Another node has taken the lease lately and is about to act.
+		m.rest(now, 0)
+		m.needSince, m.holderLives = now, true
+		return nil
+	}
+	if !acting && !event.Missing && !mine {
+		return nil
+	}
+	if !acting && m.phase != Watching {
+		return nil
+	}
+	m.phase = WritingLease
+	m.epoch = event.Lease.Epoch + 1
+	return []Effect{WriteLease{
+		Revision: event.Revision, Create: event.Missing,
+		Lease: Lease{Holder: m.node, Epoch: m.epoch, Life: m.life},
+	}}
+}
+
+func (m *Machine) leaseWritten(now time.Time, event LeaseWritten) []Effect {
+	switch event.Result {
+	case Written:
+		m.revision = event.Revision
+		m.hold(m.epoch)
+		m.phase = Watching
+		effects := m.observed(now)
+		if m.phase == Watching {
+			// An earlier holder may have ended between a survey and its order.
+			return append(effects, m.resume()...)
+		}
+		return effects
+	case Superseded:
+		// Another node was faster and is about to act.
+		m.rest(now, 0)
+		m.needSince, m.holderLives = now, true
+	case Uncertain:
+		m.rest(now, pauseAfterFailure)
+	}
+	return nil
+}
+
+// hold notes that the lease is held. The counter is never reset, since a lease
+// that is held again under the same epoch must not give out a token twice.
+func (m *Machine) hold(epoch uint64) {
+	m.holding, m.epoch = true, epoch
+}
--- /dev/null
+++ b/internal/failover/order.go
@@ -0,0 +1,70 @@
+package failover
+
+import "time"
+
+// PromotionOutcome is the platform's answer to an order.
+type PromotionOutcome uint8
+
+// The outcomes of an order.
+const (
+	// Accepted: the server takes the lead shortly.
+	Accepted PromotionOutcome = iota
+	// Rejected: a newer token was seen, or the server does not run.
+	Rejected
+	// Unanswered: the order may be carried out, now or later.
+	Unanswered
+)
+
+var outcomeNames = [...]string{"accepted", "rejected", "unanswered"}
+
+// String returns the outcome's name in logs.
+func (o PromotionOutcome) String() string { return outcomeNames[o] }
+
+// withdraw fences off an order that was not answered and is no longer needed,
+// by ordering the present primary under a higher token. Only services with
+// synchronous replicas need it: their replicas are held until then, since an
+// order carried out late would lose what they acknowledge afterwards. If the
+// late order is carried out first, the present primary has become the only
+// replica that is not held, so it holds all that was acknowledged since.
+func (m *Machine) withdraw() []Effect {
+	if !m.unanswered || !m.holding || m.observation.SynchronousReplicas == 0 {
+		return nil
+	}
+	m.phase = Withdrawing
+	m.target = m.observation.Leader
+	m.counter++
+	return []Effect{Order{Target: m.target, Token: m.epoch*tokensPerEpoch + m.counter}}
+}
+
+func (m *Machine) ordered(now time.Time, event Ordered) []Effect {
+	if m.phase == Withdrawing {
+		return m.withdrawn(now, event)
+	}
+	if m.phase != Promoting {
+		return nil
+	}
+	switch event.Outcome {
+	case Accepted:
+		m.phase, m.settleUntil = Settling, now.Add(settleLimit)
+	case Unanswered:
+		m.unanswered = true
+		m.phase, m.settleUntil = Settling, now.Add(unansweredLimit)
+	case Rejected:
+		// Either the target does not run, or another node holds a newer token.
+		m.rejected[m.target] = now
+		m.holding = false
+		m.phase = ReadingLease
+		return []Effect{ReadLease{}}
+	}
+	return nil
+}
+
+func (m *Machine) withdrawn(now time.Time, event Ordered) []Effect {
+	m.rest(now, pauseAfterFailure)
+	if event.Outcome == Unanswered {
+		return nil
+	}
+	// A rejection shows a newer token, which fences the order off as well.
+	m.unanswered = false
+	return m.resume()
+}
--- /dev/null
+++ b/internal/proxy/read.go
@@ -0,0 +1,240 @@
+package proxy
+
+import (
+	"errors"
+	"time"
+
+	"dewknot/internal/admission"
+	"dewknot/internal/catalog"
+	"dewknot/internal/failure"
+	"dewknot/internal/freshness"
+	"dewknot/internal/routing"
+	"dewknot/internal/upstream"
+)
+
+// readCurrent runs a read that must see every acknowledged commit: in a
+// transaction that only the primary accepts, which proves that it was the
+// primary when the read ran.
+func (r *run) readCurrent() Reply {
+	for r.goesOn() {
+		target, lease, reason := r.onLeader()
+		if lease == nil {
+			return r.refuse(reason)
+		}
+		reply, final := r.provenRead(target, lease)
+		if final {
+			return reply
+		}
+	}
+	return r.refuse(failure.Overloaded)
+}
+
+// provenRead makes one attempt on a connection to the primary.
+func (r *run) provenRead(target *server, lease *upstream.Lease) (Reply, bool) {
+	deadline := r.readDeadline(target)
+	operations := append(lease.Adapt(r.session.values, r.statement), upstream.Operation{Kind: upstream.Begin})
+	batch := lease.Run(operations, deadline)
+	if batch.Err != nil {
+		lease.Discard()
+		return Reply{}, false
+	}
+	begin := batch.Last()
+	if !r.service.judgeBegin(target, &batch, begin) {
+		r.settle(lease, begin)
+		r.notRun(target, begin)
+		return Reply{}, false
+	}
+	if !r.enter(target, admission.OnlyHere) {
+		r.rollback(lease)
+		return r.refuse(failure.Overloaded), true
+	}
+	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, r.readDeadline(target))
+	r.leave(target, &batch, batch.First())
+	if batch.Err != nil {
+		lease.Discard()
+		return Reply{}, false
+	}
+	r.settle(lease, batch.Last())
+	result := batch.First()
+	if result.Outcome.NotRun() {
+		if result.Outcome == upstream.Busy && r.overloaded() {
+			return r.refuse(failure.Overloaded), true
+		}
+		r.notRun(target, result)
+		return Reply{}, false
+	}
+	if result.Outcome == upstream.Succeeded {
+		r.service.proved(target, batch.SentAt, result)
+	}
+	return r.answer(result), true
+}
+
+// rollback ends a transaction that has run nothing and returns its connection.
+func (r *run) rollback(lease *upstream.Lease) {
+	batch := lease.Run([]upstream.Operation{{Kind: upstream.Rollback}}, time.Now().Add(rollbackLimit))
+	if batch.Err != nil {
+		lease.Discard()
+		return
+	}
+	r.settle(lease, batch.Last())
+}
+
+// settle returns a connection that is idle, and discards one that is not.
+func (r *run) settle(lease *upstream.Lease, last *upstream.Result) {
+	if last.State == upstream.Idle {
+		lease.Return()
+		return
+	}
+	lease.Discard()
+}
+
+// readDeadline is when a read that has not been answered is asked elsewhere.
+func (r *run) readDeadline(target *server) time.Time {
+	now := time.Now()
+	patience := max(silentRead, slowFactor*target.stats.Latency(now))
+	if limit := now.Add(patience); limit.Before(r.deadline) {
+		return limit
+	}
+	return r.deadline
+}
+
+// read runs a read that may miss commits of the route's span, on whichever
+// server is expected to answer first and has what the read must see.
+func (r *run) read() Reply {
+	for r.goesOn() {
+		target, lease, floor := r.onAnyServer()
+		if lease == nil || !r.enter(target, admission.Anywhere) {
+			if lease != nil {
+				lease.Return()
+			}
+			break
+		}
+		operation := r.operation()
+		operation.Floor = floor.Position
+		batch := lease.Run(append(lease.Adapt(r.session.values, r.statement), operation), r.readDeadline(target))
+		r.leave(target, &batch, batch.Last())
+		if batch.Err != nil {
+			lease.Discard()
+			r.markTried(target)
+			continue
+		}
+		result := batch.Last()
+		r.settle(lease, result)
+		if !result.Outcome.NotRun() {
+			target.stats.CaughtUp(time.Now(), floor.Since)
+			return r.answer(result)
+		}
+		if result.Outcome == upstream.Busy && r.overloaded() {
+			break
+		}
+		r.readNotRun(target, result, floor)
+	}
+	return r.refuse(failure.Overloaded)
+}
+
+// onAnyServer lends a connection to the best server for what must be seen; nil
+// if there is none in time.
+func (r *run) onAnyServer() (*server, *upstream.Lease, freshness.Floor) {
+	for r.goesOn() {
+		floor, found := r.floor()
+		if !found {
+			r.service.refreshProof(r.deadline)
+			continue
+		}
+		r.session.account.floor = floor
+		target := r.choose(floor)
+		if target == nil {
+			r.pause(behindPause)
+			continue
+		}
+		lease, err := target.pool.Get(r.connectionDeadline())
+		if err == nil {
+			return target, lease, floor
+		}
+		if errors.Is(err, upstream.ErrNoConnection) && r.lacksConnections(target) {
+			break
+		}
+		r.markTried(target)
+	}
+	return nil, nil, freshness.Floor{}
+}
+
+func (r *run) readNotRun(target *server, result *upstream.Result, floor freshness.Floor) {
+	now := time.Now()
+	switch result.Outcome {
+	case upstream.Busy:
+		target.stats.Busied(now.Add(busyLife))
+	case upstream.Behind:
+		target.stats.Lagged(now, floor.Since)
+	default:
+	}
+	if r.tried[target.id] {
+		r.fruitless++
+		r.pause(min(behindPause<<r.fruitless, longestPause))
+	}
+	r.markTried(target)
+}
+
+func (r *run) markTried(target *server) {
+	if r.tried == nil {
+		r.tried = map[string]bool{}
+	}
+	r.tried[target.id] = true
+}
+
+// proofRefreshShare is the part of the staleness bound after which a new proof
+// is asked for in the background, so that no read has to wait for one.
+const proofRefreshShare = 0.5
+
+// stalenessMargin is kept of the staleness bound for clocks that tick unevenly.
+const stalenessMargin = 50 * time.Millisecond
+
+// floor returns what the read must see.
+func (r *run) floor() (freshness.Floor, bool) {
+	span := r.session.bound.MaxStaleness - stalenessMargin
+	now := time.Now()
+	if age := now.Sub(r.service.proofs.Newest().At); age > time.Duration(proofRefreshShare*float64(span)) {
+		go r.service.refreshProof(now.Add(proofLimit))
+	}
+	var own freshness.OwnCommit
+	if r.session.bound.Freshness == catalog.ReadYourWrites {
+		own = r.session.own
+	}
+	return r.service.proofs.Floor(now, span, own)
+}
+
+// choose returns the server to run the read; nil if there is none.
+func (r *run) choose(floor freshness.Floor) *server {
+	now := time.Now()
+	node := r.session.node
+	leader := r.service.belief.Leader()
+	var servers []*server
+	var candidates []routing.Candidate
+	for _, entry := range node.catalog.Current().ByService[r.service.name] {
+		target := node.server(entry.ID)
+		if target == nil || !r.service.usable(entry.ID, now) {
+			continue
+		}
+		servers = append(servers, target)
+		candidates = append(candidates, routing.Candidate{
+			SameZone:   entry.Zone == node.options.Zone,
+			SameRegion: node.options.Regions[entry.Zone] == node.options.Regions[node.options.Zone],
+			Primary:    entry.ID == leader,
+			Latency:    target.stats.Latency(now), InFlight: target.load(),
+			Covers:  target.stats.Covers(floor.Position, floor.Since, now),
+			Avoided: target.stats.Avoided(now), Congested: target.stats.Congested(now),
+			Leaving: entry.Leaving(), Tried: r.tried[entry.ID],
+		})
+	}
+	chosen := routing.Choose(candidates)
+	if chosen < 0 {
+		return nil
+	}
+	return servers[chosen]
+}
+
+// load returns the work of this node that a server has or that waits for it.
+func (t *server) load() int {
+	running, waiting := t.gate.Load()
+	return running + waiting
+}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -101,20 +101,9 @@
 
 func (t *transaction) openOnReplica(r *run) (Reply, bool) {
 	for r.goesOn() {
-		floor, found := r.floor()
-		if !found {
-			r.service.refreshProof(r.deadline)
-			continue
-		}
-		target := r.choose(floor)
-		if target == nil {
-			r.pause(behindPause)
-			continue
-		}
-		lease, err := target.pool.Get(r.connectionDeadline())
-		if err != nil {
-			r.markTried(target)
-			continue
+		target, lease, floor := r.onAnyServer()
+		if lease == nil {
+			break
 		}
 		operations := append(lease.Adapt(r.session.values, nil), upstream.Operation{Kind: upstream.BeginReadOnly, Floor: floor.Position})
 		batch := lease.Run(operations, r.readDeadline(target))
--- /dev/null
+++ b/internal/proxy/write.go
@@ -0,0 +1,69 @@
+package proxy
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/admission"
+	"dewknot/internal/eventlog"
+	"dewknot/internal/failure"
+	"dewknot/internal/freshness"
+	"dewknot/internal/upstream"
+)
+
+// write runs a single write on the primary. It is sent again only after an
+// answer which promises that it did not run.
+func (r *run) write() Reply {
+	for r.goesOn() {
+		target, lease, reason := r.onLeader()
+		if lease == nil {
+			return r.refuse(reason)
+		}
+		if !r.enter(target, admission.OnlyHere) {
+			lease.Return()
+			return r.refuse(failure.Overloaded)
+		}
+		operations := append(lease.Adapt(r.session.values, r.statement), r.operation())
+		batch := lease.Run(operations, r.deadline)
+		r.leave(target, &batch, batch.Last())
+		if batch.Err != nil {
+			lease.Discard()
+			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "write"),
+				zap.String("server", target.id), zap.Error(batch.Err))
+			return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
+		}
+		lease.Return()
+		result := batch.Last()
+		if !result.Outcome.NotRun() {
+			if result.Outcome == upstream.Succeeded {
+				r.service.proved(target, batch.SentAt, result)
+				r.session.own = freshness.OwnCommit{At: time.Now(), Position: result.Position}
+			}
+			return r.answer(result)
+		}
+		if result.Outcome == upstream.Busy && r.overloaded() {
+			break
+		}
+		r.notRun(target, result)
+	}
+	return r.refuse(failure.Overloaded)
+}
+
+// notRun takes an answer which promises that the statement did not run, and
+// waits where the next attempt would meet the same.
+func (r *run) notRun(target *server, result *upstream.Result) {
+	now := time.Now()
+	switch result.Outcome {
+	case upstream.Busy:
+		target.stats.Busied(now.Add(busyLife))
+		r.pause(busyPause)
+	case upstream.NotPrimary:
+		if r.service.belief.Refute(target.id, now) {
+			r.log().Write(eventlog.PrimaryDenied, zap.String("service", r.service.name),
+				zap.String("server", target.id), zap.String("request", r.statement.RequestID))
+		}
+		r.awaitLeader()
+	default:
+	}
+}
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -1,16 +1,8 @@
 package settings
 
 import (
-	"bytes"
 	"fmt"
-	"os"
-	"reflect"
-	"strings"
 	"time"
-
-	"github.com/go-playground/validator/v10"
-	"github.com/pelletier/go-toml/v2"
-	"github.com/pkg/errors"
 )
 
 // Proxy holds the settings of a node that reaches its servers directly
@@ -54,14 +46,8 @@
 // LoadProxy reads and checks a settings file over the defaults.
 func LoadProxy(path string) (Proxy, error) {
 	loaded := ProxyDefaults()
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return loaded, errors.Wrap(err, "read settings; name the file with --settings")
-	}
-	decoder := toml.NewDecoder(bytes.NewReader(content))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&loaded); err != nil {
-		return loaded, describe(path, err)
+	if err := readStrict(path, &loaded); err != nil {
+		return loaded, err
 	}
 	return loaded, loaded.Check()
 }
@@ -74,15 +60,7 @@
 
 // Check refuses values that cannot be used, naming each with its remedy.
 func (p *Proxy) Check() error {
-	var lines []string
-	checker := validator.New()
-	checker.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("toml") })
-	var faults validator.ValidationErrors
-	if err := checker.Struct(p); errors.As(err, &faults) {
-		for _, fault := range faults {
-			lines = append(lines, fmt.Sprintf("%s = %v: %s", fault.Field(), shown(fault), remedy(fault)))
-		}
-	}
+	lines := checkTags(p)
 	bounds := []struct {
 		key   string
 		value Duration
@@ -96,8 +74,5 @@
 			lines = append(lines, fmt.Sprintf("%s = %s: use %s to %s", bound.key, bound.value, minimumBound, maximumBound))
 		}
 	}
-	if len(lines) > 0 {
-		return errors.New("settings are refused:\n  " + strings.Join(lines, "\n  "))
-	}
-	return nil
+	return refused(lines)
 }
--- /dev/null
+++ b/internal/settings/proxy_test.go
@@ -0,0 +1,42 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const usable = `name = "n1"
+zone = "a"
+callers = "127.0.0.1:7000"
+readiness = "127.0.0.1:7001"
+store = "127.0.0.1:7002"
+`
+
+func loadProxy(t *testing.T, content string) (Proxy, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings.toml")
+	must.NoError(t, os.WriteFile(path, []byte(content), 0o600))
+	return LoadProxy(path)
+}
+
+func TestProxySettings(t *testing.T) {
+	loaded, err := loadProxy(t, usable)
+	must.NoError(t, err)
+	must.Eq(t, ProxyDefaults().DrainBound, loaded.DrainBound)
+	for content, expected := range map[string]string{
+		usable + "drain_bound = \"0s\"\n":      "drain_bound = 0s: use 100ms to 1h0m0s",
+		usable + "memory_limit_mb = 1\n":       "memory_limit_mb = \"1\": use at least 16",
+		usable + "memory = 1\n":                "settings.toml:6:1: unknown key \"memory\"; remove it or correct its name",
+		usable + "peers = \"here\"\n":          "peers = \"here\": write it as ip:port, such as 127.0.0.1:7000",
+		usable + "log_lines_per_second = \"\"": "correct the value of \"log_lines_per_second\"",
+		"name = \"n1\"\n":                      "zone = \"\": a value is needed",
+	} {
+		_, err := loadProxy(t, content)
+		must.ErrorContains(t, err, expected)
+	}
+	_, err = LoadProxy(filepath.Join(t.TempDir(), "none.toml"))
+	must.ErrorContains(t, err, "name the file with --settings")
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -74,16 +74,21 @@
 	if path == "" {
 		return loaded, nil
 	}
+	return loaded, readStrict(path, &loaded)
+}
+
+// readStrict decodes a settings file over what target holds; unknown keys are refused.
+func readStrict(path string, target any) error {
 	content, err := os.ReadFile(path)
 	if err != nil {
-		return loaded, errors.Wrap(err, "read settings; name the file with --settings")
+		return errors.Wrap(err, "read settings; name the file with --settings")
 	}
 	decoder := toml.NewDecoder(bytes.NewReader(content))
 	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&loaded); err != nil {
-		return loaded, describe(path, err)
+	if err := decoder.Decode(target); err != nil {
+		return describe(path, err)
 	}
-	return loaded, nil
+	return nil
 }
 
 // describe turns a decoder's error into one line a fault, with file and line.
@@ -115,25 +120,36 @@
 
 // Check refuses values that cannot be used, naming each with its remedy.
 func (n *Node) Check() error {
+	lines := checkTags(n)
+	if n.DrainLimit.Duration < minimumDrain || n.DrainLimit.Duration > maximumDrain {
+		lines = append(lines, fmt.Sprintf("drain_limit = %s: use %s to %s", n.DrainLimit, minimumDrain, maximumDrain))
+	}
+	if n.PollInterval.Duration < minimumPoll || n.PollInterval.Duration > maximumPoll {
+		lines = append(lines, fmt.Sprintf("poll_interval = %s: use %s to %s", n.PollInterval, minimumPoll, maximumPoll))
+	}
+	return refused(lines)
+}
+
+// checkTags returns a line for each value that its validation tags refuse.
+func checkTags(checked any) []string {
 	var lines []string
 	checker := validator.New()
 	checker.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("toml") })
 	var faults validator.ValidationErrors
-	if err := checker.Struct(n); errors.As(err, &faults) {
+	if err := checker.Struct(checked); errors.As(err, &faults) {
 		for _, fault := range faults {
 			lines = append(lines, fmt.Sprintf("%s = %v: %s", fault.Field(), shown(fault), remedy(fault)))
 		}
 	}
-	if n.DrainLimit.Duration < minimumDrain || n.DrainLimit.Duration > maximumDrain {
-		lines = append(lines, fmt.Sprintf("drain_limit = %s: use %s to %s", n.DrainLimit, minimumDrain, maximumDrain))
-	}
-	if n.PollInterval.Duration < minimumPoll || n.PollInterval.Duration > maximumPoll {
-		lines = append(lines, fmt.Sprintf("poll_interval = %s: use %s to %s", n.PollInterval, minimumPoll, maximumPoll))
-	}
-	if len(lines) > 0 {
-		return errors.New("settings are refused:\n  " + strings.Join(lines, "\n  "))
+	return lines
+}
+
+// refused returns an error that holds the lines, nil if there are none.
+func refused(lines []string) error {
+	if len(lines) == 0 {
+		return nil
 	}
-	return nil
+	return errors.New("settings are refused:\n  " + strings.Join(lines, "\n  "))
 }
 
 // shown hides keys from error messages.
