--- /dev/null
+++ b/internal/cli/rounds.go
@@ -0,0 +1,29 @@
+package cli
+
+import "dewknot/internal/rounds"
+
+// roundsCommand shows measured rounds of the journal.
+type roundsCommand struct {
+	Site    string   `required:"" help:"Deployment whose rounds are shown."`
+	Plot    string   `help:"Draw the first and the last round into this PNG file."`
+	Entries []string `arg:"" type:"existingfile" help:"Journal entries (JSON)."`
+}
+
+// Run prints the rounds and draws the plot.
+func (c *roundsCommand) Run(env *environment) error {
+	entries, err := rounds.Read(c.Entries, c.Site)
+	if err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		env.printf("%s score %.3f", entry.At[0], entry.Score)
+		for _, day := range entry.Days {
+			env.printf("  %s %.3f", day.Name, day.Worth)
+		}
+		env.printf("\n")
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	return rounds.Plot(c.Plot, entries)
+}
--- /dev/null
+++ b/internal/rounds/rounds.go
@@ -0,0 +1,116 @@
+// Package rounds reads the journal of measured rounds and draws how a
+// deployment's days were worth from one round to the next.
+package rounds
+
+import (
+	"encoding/json"
+	"image/color"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Entry is a scored round of one deployment.
+type Entry struct {
+	Command string    `json:"cmd"`
+	Site    string    `json:"site"`
+	At      [2]string `json:"at"`
+	Score   float64   `json:"score"`
+	Days    []Day     `json:"days"`
+}
+
+// Day is one day of a round.
+type Day struct {
+	Name  string  `json:"name"`
+	Worth float64 `json:"G"`
+	// Baseline is the worth that scores 0.
+	Baseline float64 `json:"naive"`
+}
+
+// scoreCommand is the command whose entries hold whole rounds.
+const scoreCommand = "score"
+
+// drawnPrefix begins the names of days that were drawn for one round only.
+const drawnPrefix = "fresh-"
+
+// Read returns the rounds of a deployment in the order in which they began.
+func Read(paths []string, site string) ([]Entry, error) {
+	var entries []Entry
+	for _, path := range paths {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "read a journal entry; check its path")
+		}
+		var entry Entry
+		if err := json.Unmarshal(content, &entry); err != nil {
+			return nil, errors.Wrapf(err, "journal entry %s is no JSON; restore it as it was written", path)
+		}
+		if entry.Command == scoreCommand && entry.Site == site && len(entry.Days) > 0 {
+			entries = append(entries, entry)
+		}
+	}
+	if len(entries) == 0 {
+		return nil, errors.Errorf("the journal holds no scored round of %q; score it, or name another site", site)
+	}
+	slices.SortFunc(entries, func(first, second Entry) int { return strings.Compare(first.At[0], second.At[0]) })
+	return entries, nil
+}
+
+// standard returns the days that every round plays.
+func standard(entry *Entry) []Day {
+	var days []Day
+	for _, day := range entry.Days {
+		if !strings.HasPrefix(day.Name, drawnPrefix) {
+			days = append(days, day)
+		}
+	}
+	return days
+}
+
+// series are the values of one set of bars.
+type series struct {
+	label  string
+	values plotter.Values
+	color  color.RGBA
+}
+
+// Plot draws the baseline, the first and the last round side by side.
+func Plot(path string, entries []Entry) error {
+	first, last := standard(&entries[0]), standard(&entries[len(entries)-1])
+	drawn := []series{
+		{"baseline (scores 0)", nil, color.RGBA{R: 0xb0, G: 0xb0, B: 0xb0, A: 0xff}},
+		{"first round", nil, color.RGBA{R: 0xd0, G: 0x8a, B: 0x1e, A: 0xff}},
+		{"last round", nil, color.RGBA{R: 0x1b, G: 0x6c, B: 0xa8, A: 0xff}},
+	}
+	var names []string
+	for i := range min(len(first), len(last)) {
+		names = append(names, last[i].Name)
+		for at, value := range []float64{last[i].Baseline, first[i].Worth, last[i].Worth} {
+			drawn[at].values = append(drawn[at].values, value)
+		}
+	}
+	canvas := plot.New()
+	canvas.Title.Text = "Worth of the standard days: " + entries[0].Site
+	canvas.Y.Label.Text = "worth"
+	canvas.Y.Min, canvas.Y.Max = 0, 1.15
+	canvas.Legend.Top = true
+	canvas.NominalX(names...)
+	const barWidth = 18
+	for at, set := range drawn {
+		bars, err := plotter.NewBarChart(set.values, vg.Points(barWidth))
+		if err != nil {
+			return errors.Wrap(err, "draw bars")
+		}
+		bars.Color, bars.LineStyle.Width = set.color, 0
+		bars.Offset = vg.Points(float64(at-1) * barWidth)
+		canvas.Add(bars)
+		canvas.Legend.Add(set.label, bars)
+	}
+	const width, height = 8 * vg.Inch, 4 * vg.Inch
+	return errors.Wrap(canvas.Save(width, height, path), "save the plot")
+}
