Nodes cut off from the primary go through one that reaches it; connections open apart from callers

Change: relay.Tunnel carries bytes through a node that reaches the server directly; the failover machine takes that way first, and replaces the primary only if it does not help and most nodes do not reach it. Pools open connections in the background with their own time limit; a renewed pool leaves the old ones behind; silence is not overload. Ruled out: a node that itself goes through another one as a way (hangs).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"dewknot/internal/proxy"
 	"dewknot/internal/relay"
 	"dewknot/internal/settings"
+	"dewknot/internal/upstream"
 	"dewknot/platform"
 )
 
@@ -56,7 +57,14 @@
 		return err
 	}
 	log.Write(eventlog.NodeStarted, zap.String("zone", loaded.Zone))
-	node := proxy.New(options(&loaded), ports(&loaded), log)
+	dialer := &platform.Dialer{Who: loaded.Name}
+	node := proxy.New(options(&loaded), ports(&loaded, dialer), log)
+	dialer.Connect = func(ctx context.Context, address, id string) (net.Conn, error) {
+		if via, detour := node.DetourTo(id); detour {
+			return relay.Tunnel(ctx, via, id)
+		}
+		return platform.ConnectDirectly(ctx, address)
+	}
 	go serveReadiness(readiness, node)
 	if loaded.Peers != "" {
 		peers, err := listen(loaded.Peers)
@@ -87,11 +95,11 @@
 	}
 }
 
-func ports(loaded *settings.Proxy) proxy.Ports {
+func ports(loaded *settings.Proxy, dialer upstream.Dialer) proxy.Ports {
 	return proxy.Ports{
-		Store: platform.NewStore(loaded.Store), Dialer: &platform.Dialer{Who: loaded.Name},
+		Store: platform.NewStore(loaded.Store), Dialer: dialer,
 		Promoter: platform.NewPromoter(loaded.Promotions), Decoder: platform.Decoder{}, Client: platform.NewCaller,
-		Peers: tcpPeers{},
+		Peers: tcpPeers{}, Connect: platform.ConnectDirectly,
 	}
 }
 
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -53,6 +53,7 @@
 	ServerEntryRefused    Event = "server_entry_refused"
 	ServerUnreachable     Event = "server_unreachable"
 	ServerReachable       Event = "server_reachable"
+	DetourTaken           Event = "detour_taken"
 	PrimaryAnnounced      Event = "primary_announced"
 	PrimaryProved         Event = "primary_proved"
 	PrimaryDenied         Event = "primary_denied"
@@ -73,7 +74,7 @@
 	NodeStarted: Belief, NodeStopping: Belief, NodeStopped: Belief, SettingsRead: Belief, SettingsRefused: Belief,
 	StoreLost: Belief, StoreRegained: Belief, ConfigurationApplied: Belief, ConfigurationRefused: Belief,
 	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, ServerEntryRefused: Belief,
-	ServerUnreachable: Belief, ServerReachable: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
+	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
 	RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
 	LinesDropped: Belief,
--- a/internal/failover/events.go
+++ b/internal/failover/events.go
@@ -57,7 +57,7 @@
 func (Ordered) isEvent()      {}
 
 // Effect is something for the runtime to do. Each is answered by one event,
-// except LeaderFound and Resume.
+// except LeaderFound, Resume and Detour.
 type Effect interface{ isEffect() }
 
 // Corroborate asks other nodes, the holder of the lease among them, whether they
@@ -67,6 +67,10 @@
 	Holder string
 }
 
+// Detour tells that other nodes reach a server which this node does not: work for
+// it can go through one of them.
+type Detour struct{ Server string }
+
 // ReadLease asks for the lease object; LeaseKnown answers it.
 type ReadLease struct{}
 
@@ -98,6 +102,7 @@
 type LeaderFound struct{ ID string }
 
 func (Corroborate) isEffect() {}
+func (Detour) isEffect()      {}
 func (ReadLease) isEffect()   {}
 func (WriteLease) isEffect()  {}
 func (Survey) isEffect()      {}
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -26,7 +26,7 @@
 	takeoverDelay = 2500 * time.Millisecond
 	// contradictedPause is the pause after other nodes have reached a primary
 	// that this node does not reach.
-	contradictedPause = 500 * time.Millisecond
+	contradictedPause = time.Second
 	// leaderlessDelay is how long a service may be without a known primary
 	// before one is promoted.
 	leaderlessDelay = 1500 * time.Millisecond
@@ -101,9 +101,11 @@
 	holder string
 	// holderLives is set once the holder has answered since the need began.
 	holderLives bool
-	epoch       uint64
-	counter     uint64
-	revision    uint64
+	// detourAt is when work last began to go through another node.
+	detourAt time.Time
+	epoch    uint64
+	counter  uint64
+	revision uint64
 
 	needSince   time.Time
 	notBefore   time.Time
--- a/internal/failover/witness.go
+++ b/internal/failover/witness.go
@@ -15,12 +15,14 @@
 	return holderDelay + m.rank/rankShare
 }
 
-// enoughAnswers is how many answers may contradict this node's own evidence.
-const enoughAnswers = 2
+// detourTrial is how long a way through another node is given before only a
+// majority that reaches the primary keeps it.
+const detourTrial = 3 * time.Second
 
-// corroborated weighs what other nodes see. If most of them reach the primary,
-// it is this node that is cut off, and replacing the primary would lose what it
-// has not replicated yet.
+// corroborated weighs what other nodes see. A primary that another node reaches
+// lives, and replacing it would lose what it has not replicated: its work goes
+// through that node. If that has been tried and the primary is still silent, it
+// stays only while most nodes reach it.
 func (m *Machine) corroborated(now time.Time, event Corroborated) []Effect {
 	if m.phase != Corroborating {
 		return nil
@@ -30,10 +32,12 @@
 	if !needed {
 		return nil
 	}
-	if m.observation.LeaderDown && event.Answers >= enoughAnswers && 2*event.Reached > event.Answers {
+	tried := now.Sub(m.detourAt) < detourTrial
+	mostReach := 2*event.Reached > event.Answers
+	if m.observation.LeaderDown && event.Reached > 0 && (!tried || mostReach) {
 		m.rest(now, contradictedPause)
-		m.needSince, m.holderLives = time.Time{}, false
-		return nil
+		m.needSince, m.holderLives, m.detourAt = time.Time{}, false, now
+		return []Effect{Detour{Server: m.observation.Leader}}
 	}
 	if m.holding || !event.HolderAnswered || m.holderLives {
 		return m.act()
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -126,11 +126,17 @@
 	return chosen[:min(count, len(chosen))]
 }
 
+// memberAnswer is an answer and the address of the node that gave it.
+type memberAnswer struct {
+	relay.Answer
+	from string
+}
+
 // askMembers asks other nodes at the same time and returns the answers that
 // came before ctx ended.
-func (n *Node) askMembers(ctx context.Context, members []Member, question relay.Question) []relay.Answer {
+func (n *Node) askMembers(ctx context.Context, members []Member, question relay.Question) []memberAnswer {
 	var mutex sync.Mutex
-	var answers []relay.Answer
+	var answers []memberAnswer
 	var asked sync.WaitGroup
 	for _, member := range members {
 		asked.Go(func() {
@@ -140,7 +146,7 @@
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			answers = append(answers, answer)
+			answers = append(answers, memberAnswer{Answer: answer, from: member.Address})
 		})
 	}
 	asked.Wait()
@@ -170,7 +176,7 @@
 	best := relay.Answer{Failed: true, Outcome: objectstore.NotDone}
 	for _, answer := range o.node.askMembers(limited, o.node.someMembers(sourcesAsked), question) {
 		if best.Failed || (!answer.Failed && answer.Revision > best.Revision) {
-			best = answer
+			best = answer.Answer
 		}
 	}
 	if best.Failed {
@@ -208,15 +214,16 @@
 // so old that the server may have ended since.
 const reachedWithin = 60 * time.Millisecond
 
-// reaches reports whether this node reaches a server: by a fresh answer, by work
-// that has waited too long for one, or else by asking it.
+// reaches reports whether this node reaches a server directly: by a fresh answer,
+// by work that has waited too long for one, or else by asking it. A node that goes
+// through another one reaches nothing for a third.
 func (n *Node) reaches(id string) bool {
 	target := n.server(id)
 	if target == nil {
 		return false
 	}
 	now := time.Now()
-	if target.stats.Unanswered(now) > silenceLimit {
+	if _, detour := n.DetourTo(id); detour || target.stats.Unanswered(now) > silenceLimit {
 		return false
 	}
 	if failures, _ := target.stats.Failures(); failures == 0 && target.stats.SinceAnswer(now) < reachedWithin {
@@ -235,7 +242,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pingLimit+memberAnswerLimit)
 	defer cancel()
 	question := relay.Question{Server: effect.Server}
-	var holder []relay.Answer
+	var holder []memberAnswer
 	var asked sync.WaitGroup
 	asked.Go(func() { holder = node.askMembers(ctx, node.member(effect.Holder), question) })
 	answers := node.askMembers(ctx, node.someMembers(witnessesAsked), question)
@@ -244,6 +251,7 @@
 	for _, answer := range answers {
 		if answer.Reached {
 			outcome.Reached++
+			s.witness.Store(&answer.from)
 		}
 	}
 	node.log.Write(eventlog.FailoverWitnesses, zap.String("service", s.name), zap.String("server", effect.Server),
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -97,6 +97,8 @@
 	Decoder  Decoder
 	// Peers asks other nodes.
 	Peers Peers
+	// Connect opens a connection to an address, for tunnels of other nodes.
+	Connect func(ctx context.Context, address string) (net.Conn, error)
 	// Client wraps an accepted connection.
 	Client func(net.Conn) Client
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -176,6 +176,10 @@
 // as it may.
 func (r *run) lacksConnections(target *server) bool {
 	now := time.Now()
+	if target.stats.Unanswered(now) >= connectionWait {
+		// The server says nothing at all: it is not overloaded, it is out of reach.
+		return false
+	}
 	share := overloadShare
 	if target.pool.Warming(now) {
 		share = warmingShare
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -27,6 +27,8 @@
 	stats   *upstream.Stats
 	pool    *upstream.Pool
 	gate    *admission.Gate
+	// detour is how the server is reached while it cannot be reached directly.
+	detour atomic.Pointer[detour]
 }
 
 // service is the runtime state of a service.
@@ -42,6 +44,8 @@
 	// lastUsed is when a statement last asked for the service, in nanoseconds
 	// since the node's start.
 	lastUsed atomic.Int64
+	// witness is the address of a node that lately reached the primary.
+	witness  atomic.Pointer[string]
 	health   leaderHealth
 	seeking  sync.Mutex
 	mutex    sync.Mutex
@@ -222,6 +226,8 @@
 	switch effect := effect.(type) {
 	case failover.Corroborate:
 		s.submit(s.corroborate(effect))
+	case failover.Detour:
+		s.takeDetour(effect.Server)
 	case failover.ReadLease:
 		s.readLease()
 	case failover.WriteLease:
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -131,7 +131,7 @@
 		if _, refused := upstream.RefusalOf(err); refused {
 			return otherwise
 		}
-		if errors.Is(err, upstream.ErrNoConnection) {
+		if errors.Is(err, upstream.ErrNoConnection) && target.stats.Unanswered(time.Now()) < pingLimit {
 			return inconclusive
 		}
 		return silent
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -29,6 +29,9 @@
 	Wait    time.Duration `msgpack:"w,omitempty"`
 	// Server, if set, asks whether the node has lately reached a server.
 	Server string `msgpack:"s,omitempty"`
+	// Tunnel, with Server, asks for a connection to the server through the node:
+	// after an answer with Reached, the connection carries its bytes.
+	Tunnel bool `msgpack:"t,omitempty"`
 }
 
 // Answer is the answer to a question.
@@ -45,6 +48,8 @@
 // Handler answers questions.
 type Handler interface {
 	Answer(ctx context.Context, question Question) Answer
+	// Connect opens a connection to a server, for a tunnel.
+	Connect(ctx context.Context, server string) (net.Conn, error)
 }
 
 // Limits of the protocol.
@@ -86,9 +91,66 @@
 	_ = connection.SetDeadline(time.Now().Add(question.Wait + serveLimit))
 	ctx, cancel := context.WithTimeout(context.Background(), question.Wait+serveLimit)
 	defer cancel()
+	if question.Tunnel {
+		serveTunnel(ctx, connection, handler, question.Server)
+		return
+	}
 	_ = send(connection, handler.Answer(ctx, question))
 }
 
+// serveTunnel carries bytes between the asking node and a server until either
+// side ends.
+func serveTunnel(ctx context.Context, connection net.Conn, handler Handler, server string) {
+	opened, err := handler.Connect(ctx, server)
+	if send(connection, Answer{Reached: err == nil}) != nil || err != nil {
+		if err == nil {
+			_ = opened.Close()
+		}
+		return
+	}
+	defer func() { _ = opened.Close() }()
+	_ = connection.SetDeadline(time.Time{})
+	done := make(chan struct{}, 1)
+	carry := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from)
+		// Closing both ends the other direction too: half a tunnel is of no use.
+		_ = to.Close()
+		_ = from.Close()
+		done <- struct{}{}
+	}
+	go carry(opened, connection)
+	carry(connection, opened)
+	<-done
+}
+
+// ErrNotReached is returned when the other node cannot reach the server either.
+var ErrNotReached = errors.New("the other node does not reach the server; ask a different one")
+
+// Tunnel opens a connection to a server through the node at an address.
+func Tunnel(ctx context.Context, address, server string) (net.Conn, error) {
+	var dialer net.Dialer
+	connection, err := dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "reach another node; ask a different one")
+	}
+	if deadline, set := ctx.Deadline(); set {
+		_ = connection.SetDeadline(deadline)
+	}
+	var answer Answer
+	if err = send(connection, Question{Server: server, Tunnel: true}); err == nil {
+		err = receive(connection, &answer)
+	}
+	if err == nil && !answer.Reached {
+		err = ErrNotReached
+	}
+	if err != nil {
+		_ = connection.Close()
+		return nil, err
+	}
+	_ = connection.SetDeadline(time.Time{})
+	return connection, nil
+}
+
 // Ask asks the node at an address.
 func Ask(ctx context.Context, address string, question Question) (Answer, error) {
 	var dialer net.Dialer
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -21,6 +21,12 @@
 	}
 }
 
+// Connect opens a connection to a listener whose address is the server's name.
+func (echo) Connect(ctx context.Context, server string) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp4", server)
+}
+
 func serve(t *testing.T) string {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -66,3 +72,44 @@
 	_, err = Ask(t.Context(), listener.Addr().String(), Question{Server: "s"})
 	must.Error(t, err)
 }
+
+// TestTunnelCarriesBytesBothWaysAndEnds drives a tunnel to a listener that sends
+// back what it gets, and to one that does not exist.
+func TestTunnelCarriesBytesBothWaysAndEnds(t *testing.T) {
+	address := serve(t)
+	server, err := net.Listen("tcp4", "127.0.0.1:0")
+	must.NoError(t, err)
+	closed := make(chan struct{})
+	go func() {
+		connection, err := server.Accept()
+		if err != nil {
+			return
+		}
+		buffer := make([]byte, 64)
+		for {
+			size, err := connection.Read(buffer)
+			if err != nil {
+				close(closed)
+				return
+			}
+			_, _ = connection.Write(buffer[:size])
+		}
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	tunnel, err := Tunnel(ctx, address, server.Addr().String())
+	must.NoError(t, err)
+	for range 3 {
+		_, err = tunnel.Write([]byte("hello"))
+		must.NoError(t, err)
+		answer := make([]byte, 5)
+		_, err = tunnel.Read(answer)
+		must.NoError(t, err)
+		must.Eq(t, "hello", string(answer))
+	}
+	must.NoError(t, tunnel.Close())
+	<-closed
+	must.NoError(t, server.Close())
+	_, err = Tunnel(ctx, address, server.Addr().String())
+	must.ErrorIs(t, err, ErrNotReached)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"os"
 	"sync"
 	"time"
 
@@ -21,7 +19,8 @@
 
 	pool     *Pool
 	returned time.Time
-	used     bool
+	// generation is the pool's when the connection was opened.
+	generation int
 }
 
 // Pool lends connections to one server. It is safe for concurrent use.
@@ -46,7 +45,12 @@
 	firstUsed time.Time
 	// limited is set while the last change followed a refusal.
 	limited bool
-	waiters []chan *Lease
+	waiters []chan given
+	// generation changes when the way to the server changes; connections of an
+	// earlier one no longer count.
+	generation int
+	// opening counts the connections that are being opened, within open.
+	opening int
 	closed  bool
 }
 
@@ -113,22 +117,22 @@
 
 func (p *Pool) get(deadline time.Time, beyond int) (*Lease, error) {
 	for {
-		lease, waiter, mayDial := p.take(beyond)
-		switch {
-		case lease != nil:
-		case mayDial:
-			return p.dial(deadline)
-		case waiter == nil:
-			return nil, ErrNoConnection
-		default:
-			lease = p.await(waiter, deadline)
-			if lease == nil {
+		lease, waiter := p.take(beyond)
+		if lease == nil {
+			if waiter == nil {
 				return nil, ErrNoConnection
 			}
-			if lease.Connection == nil {
+			given, came := p.await(waiter, deadline)
+			switch {
+			case !came:
+				return nil, ErrNoConnection
+			case given.err != nil:
+				return nil, given.err
+			case given.lease == nil:
 				// A place became free, not a connection.
 				continue
 			}
+			lease = given.lease
 		}
 		if lease.Alive() {
 			return lease, nil
@@ -137,36 +141,44 @@
 	}
 }
 
-// take returns an idle connection, or leave to dial (a place is then reserved),
-// or a waiter.
-func (p *Pool) take(beyond int) (*Lease, chan *Lease, bool) {
+// given is what a waiter gets: a connection, an error of opening one, or neither
+// if a place has become free.
+type given struct {
+	lease *Lease
+	err   error
+}
+
+// take returns an idle connection, or a waiter; it has one opened if a place is
+// free and nobody else's opening will do. It returns neither if the pool is shut.
+func (p *Pool) take(beyond int) (*Lease, chan given) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
-		return nil, nil, false
+		return nil, nil
 	}
+	now := time.Now()
 	if p.firstUsed.IsZero() {
-		p.firstUsed = time.Now()
+		p.firstUsed = now
 	}
 	if last := len(p.idle) - 1; last >= 0 {
 		lease := p.idle[last]
 		p.idle = p.idle[:last]
-		return lease, nil, false
+		return lease, nil
 	}
-	now := time.Now()
+	waiter := make(chan given, 1)
+	p.waiters = append(p.waiters, waiter)
 	p.raise(now)
 	if p.limited && now.Sub(p.changedAt) < refusalPause {
 		// The server has just refused a connection; another would be refused too.
 		beyond = 0
 	}
-	if p.open < p.limit+beyond {
+	if p.open < p.limit+beyond && p.opening < len(p.waiters) {
 		p.open++
-		return nil, nil, true
+		p.opening++
+		go p.dial(p.generation)
 	}
-	waiter := make(chan *Lease, 1)
-	p.waiters = append(p.waiters, waiter)
 	p.raiseLater()
-	return nil, waiter, false
+	return nil, waiter
 }
 
 // raise lets the limit rise while connections are wanted; the lock is held.
@@ -204,19 +216,19 @@
 		p.raising = false
 		p.raise(time.Now())
 		if p.open < p.limit {
-			p.handOver(&Lease{pool: p})
+			p.handOver(given{})
 		}
 		p.raiseLater()
 	})
 }
 
-// await waits for a connection or a free place; nil means neither came in time.
-func (p *Pool) await(waiter chan *Lease, deadline time.Time) *Lease {
+// await waits for what a waiter gets; it reports false if nothing came in time.
+func (p *Pool) await(waiter chan given, deadline time.Time) (given, bool) {
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
-	case lease := <-waiter:
-		return lease
+	case came := <-waiter:
+		return came, true
 	case <-timer.C:
 	}
 	p.mutex.Lock()
@@ -224,76 +236,88 @@
 		if other == waiter {
 			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
 			p.mutex.Unlock()
-			return nil
+			return given{}, false
 		}
 	}
 	p.mutex.Unlock()
 	// The hand-over was under way already.
-	lease := <-waiter
-	if lease.Connection != nil {
-		lease.Return()
-	} else {
+	if late := <-waiter; late.lease != nil {
+		late.lease.Return()
+	} else if late.err == nil {
 		p.wakeOne()
 	}
-	return nil
+	return given{}, false
 }
 
-func (p *Pool) dial(deadline time.Time) (*Lease, error) {
-	limit := time.Now().Add(dialTimeout)
-	if deadline.Before(limit) {
-		limit = deadline
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), limit)
+// dial opens a connection for whoever waits longest. It has its own time limit:
+// a caller that cannot wait so long must not end the opening, or a server that
+// is far or slow would never get a connection.
+func (p *Pool) dial(generation int) {
+	began := time.Now()
+	p.stats.Started(began)
+	defer p.stats.Finished()
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	asked := time.Now()
 	connection, at, err := p.dialer.Dial(ctx, p.address, p.service, p.id)
 	if err != nil {
-		p.dialFailed(err, time.Since(asked))
-		return nil, err
+		p.dialFailed(err, generation)
+		return
 	}
-	p.stats.Answered(time.Now())
+	now := time.Now()
+	p.stats.Answered(now)
 	p.stats.Observe(at)
-	p.stats.dialed(time.Since(asked))
-	return &Lease{
-		Connection: connection, pool: p,
+	p.stats.dialed(now.Sub(began))
+	lease := &Lease{
+		Connection: connection, pool: p, generation: generation,
 		Values: map[string]string{}, Prepared: map[string]command.PreparedStatement{},
-	}, nil
+	}
+	p.mutex.Lock()
+	if generation == p.generation {
+		p.opening--
+	}
+	p.mutex.Unlock()
+	lease.Return()
 }
 
-// silentDial is how long an attempt must have gone unanswered to count against
-// the server; a shorter one was cut off by the caller's deadline.
-const silentDial = 250 * time.Millisecond
-
-func (p *Pool) dialFailed(err error, took time.Duration) {
+func (p *Pool) dialFailed(err error, generation int) {
 	refusal, refused := RefusalOf(err)
-	if !refused && (!errors.Is(err, os.ErrDeadlineExceeded) || took >= silentDial) {
+	if refused {
+		// The server has said something, if only that it wants no connection.
+		p.stats.Answered(time.Now())
+	} else {
 		p.stats.Unreachable(time.Now())
 	}
 	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if generation != p.generation {
+		return
+	}
 	p.open--
+	p.opening--
 	if refused && refusal == ConnectionLimit {
 		p.limit = p.open
 		p.changedAt, p.limited = time.Now(), true
 	}
-	p.mutex.Unlock()
-	p.wakeOne()
+	p.handOver(given{err: err})
+	p.raiseLater()
 }
 
 // wakeOne lets a waiter try again, since a place has become free.
 func (p *Pool) wakeOne() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	p.handOver(&Lease{pool: p})
+	p.handOver(given{})
 }
 
-// handOver gives a lease to the longest waiter; the lock is held.
-func (p *Pool) handOver(lease *Lease) bool {
+// handOver gives the longest waiter something and reports whether there was one;
+// the lock is held.
+func (p *Pool) handOver(what given) bool {
 	if len(p.waiters) == 0 {
 		return false
 	}
 	waiter := p.waiters[0]
 	p.waiters = p.waiters[1:]
-	waiter <- lease
+	waiter <- what
 	return true
 }
 
@@ -301,6 +325,11 @@
 func (l *Lease) Return() {
 	pool := l.pool
 	pool.mutex.Lock()
+	if l.generation != pool.generation {
+		pool.mutex.Unlock()
+		l.Close()
+		return
+	}
 	if pool.closed || pool.open > pool.limit {
 		pool.open--
 		pool.mutex.Unlock()
@@ -308,8 +337,7 @@
 		return
 	}
 	l.returned = time.Now()
-	l.used = true
-	if !pool.handOver(l) {
+	if !pool.handOver(given{lease: l}) {
 		pool.idle = append(pool.idle, l)
 	}
 	pool.mutex.Unlock()
@@ -320,11 +348,30 @@
 	l.Close()
 	pool := l.pool
 	pool.mutex.Lock()
-	pool.open--
+	if l.generation == pool.generation {
+		pool.open--
+	}
 	pool.mutex.Unlock()
 	pool.wakeOne()
 }
 
+// Renew leaves all connections behind, since the server is now reached in another
+// way: idle ones are closed, those in use when their user is done, and none of
+// them counts against the limit.
+func (p *Pool) Renew() {
+	p.mutex.Lock()
+	p.generation++
+	idle := p.idle
+	p.idle, p.open, p.opening = nil, 0, 0
+	p.limited = false
+	p.raiseLater()
+	p.handOver(given{})
+	p.mutex.Unlock()
+	for _, lease := range idle {
+		lease.Close()
+	}
+}
+
 // Trim closes connections that have been idle since before a time.
 func (p *Pool) Trim(before time.Time) {
 	p.mutex.Lock()
@@ -352,7 +399,7 @@
 	p.waiters = nil
 	p.mutex.Unlock()
 	for _, waiter := range waiters {
-		waiter <- &Lease{pool: p}
+		waiter <- given{}
 	}
 	for _, lease := range idle {
 		lease.Close()
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -105,6 +105,15 @@
 	return s.failures, s.failedAt
 }
 
+// Forgive drops the evidence against the server, since it is now reached in
+// another way.
+func (s *Stats) Forgive() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failures = 0
+	s.unansweredSince = time.Time{}
+}
+
 // Avoided reports whether the server has lately been unreachable.
 func (s *Stats) Avoided(now time.Time) bool {
 	s.mutex.Lock()
