--- a/internal/objectstore/follow_test.go
+++ b/internal/objectstore/follow_test.go
@@ -184,6 +184,8 @@
 func TestCallsOfAQuietStoreAreFew(t *testing.T) {
 	follow(t, 2*time.Second, func(store *scriptedStore, _ *recordingSink) {
 		time.Sleep(20 * time.Second)
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
 		must.LessEq(t, 12, store.calls)
 	})
 }
