A session is read once more before a planned close

Cause: a planned stop interrupts the read of an idle session; a command that had come while the last one was served lay unread, and the close reset it. Change: one more look of 3 ms, except near the end of the grace.

--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -86,10 +86,21 @@
 // next serves one command and reports whether the session goes on.
 func (s *session) next() bool {
 	received, err := s.client.ReadCommand(s.idleDeadline())
+	if errors.Is(err, ErrIdle) && s.closes() {
+		if s.node.aborting.Load() {
+			return false
+		}
+		// A command may have come while the last one was served.
+		received, err = s.client.ReadCommand(time.Now().Add(lastLook))
+		if errors.Is(err, ErrIdle) {
+			return false
+		}
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, ErrIdle):
-		return s.idled()
+		s.idled()
+		return true
 	default:
 		if failed, ok := failure.As(err); ok {
 			_ = s.client.Reply(Reply{Failure: failed, State: s.state()})
@@ -119,20 +130,20 @@
 	return time.Now().Add(limit)
 }
 
-// idled ends a transaction that has rested too long, or the session if the node stops.
-func (s *session) idled() bool {
-	if s.node.closing.Load() && s.mayClose() {
-		return false
-	}
+// lastLook is how long a session that is about to be closed is read once more.
+const lastLook = 3 * time.Millisecond
+
+// closes reports whether the session is to be closed, and nothing of it would be
+// lost.
+func (s *session) closes() bool {
+	return s.node.closing.Load() && (s.transaction == nil || s.node.aborting.Load())
+}
+
+// idled ends a transaction that has rested too long.
+func (s *session) idled() {
 	if s.transaction != nil && s.transaction.lease != nil && !s.node.closing.Load() {
 		s.transaction.fail(s)
 	}
-	return true
-}
-
-// mayClose reports whether nothing of the session would be lost by a close.
-func (s *session) mayClose() bool {
-	return s.transaction == nil || s.node.aborting.Load()
 }
 
 func (s *session) state() upstream.TransactionState {
