Synchronous services: letting replicas go never meets a survey that holds them

Two nodes that change the primary at the same time let go of each other's replicas as well. Change: surveys and letting go exclude each other, replicas are let go together; the holder renews its lease before a survey of such a service. Ruled out: the choice of the target (the survey's reports were right). Services without synchronous replicas are as they were.

--- a/internal/failover/lease.go
+++ b/internal/failover/lease.go
@@ -58,6 +58,9 @@
 	case Written:
 		m.revision = event.Revision
 		m.hold(m.epoch)
+		if m.renewed {
+			return m.act()
+		}
 		m.phase = Watching
 		effects := m.observed(now)
 		if m.phase == Watching {
@@ -66,10 +69,12 @@
 		}
 		return effects
 	case Superseded:
+		m.holding, m.renewed = false, false
 		// Another node was faster and is about to act.
 		m.rest(now, 0)
 		m.needSince, m.holderLives = now, true
 	case Uncertain:
+		m.holding, m.renewed = false, false
 		m.rest(now, pauseAfterFailure)
 	}
 	return nil
@@ -80,3 +85,13 @@
 func (m *Machine) hold(epoch uint64) {
 	m.holding, m.epoch = true, epoch
 }
+
+// renew writes the lease anew before a survey of a service with synchronous
+// replicas. Another node that is about to take over then finds it changed and
+// leaves the matter to this one; if another has taken over already, this node
+// learns of it. Two nodes that change the primary at the same time would let go
+// of replicas that the other one holds.
+func (m *Machine) renew() []Effect {
+	m.phase, m.renewed = WritingLease, true
+	return []Effect{WriteLease{Revision: m.revision, Lease: Lease{Holder: m.node, Epoch: m.epoch, Life: m.life}}}
+}
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -101,6 +101,8 @@
 	holder string
 	// holderLives is set once the holder has answered since the need began.
 	holderLives bool
+	// renewed is set between the renewal of the lease and the survey it is for.
+	renewed bool
 	// detourAt is when work last began to go through another node.
 	detourAt time.Time
 	epoch    uint64
@@ -215,8 +217,12 @@
 }
 
 func (m *Machine) act() []Effect {
+	if m.holding && m.observation.SynchronousReplicas > 0 && !m.renewed {
+		return m.renew()
+	}
 	if m.holding {
 		m.phase = Surveying
+		m.renewed = false
 		return []Effect{Survey{Except: m.downLeader(), Hold: m.observation.SynchronousReplicas > 0}}
 	}
 	m.phase = ReadingLease
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -35,7 +35,21 @@
 func seenDown(t *testing.T, machine *Machine, when time.Time, seen Observation) []Effect {
 	t.Helper()
 	must.Eq(t, []Effect{Corroborate{Server: seen.Leader, Holder: machine.holder}}, machine.Step(when, Observed{seen}))
-	return machine.Step(when, Corroborated{Answers: 3})
+	return renewed(t, machine, when, machine.Step(when, Corroborated{Answers: 3}))
+}
+
+// renewed lets the lease be renewed, if that is what a machine asks for.
+func renewed(t *testing.T, machine *Machine, when time.Time, effects []Effect) []Effect {
+	t.Helper()
+	if len(effects) != 1 {
+		return effects
+	}
+	write, ok := effects[0].(WriteLease)
+	if !ok || !machine.renewed {
+		return effects
+	}
+	must.Eq(t, WriteLease{Revision: machine.revision, Lease: Lease{Holder: machine.node, Epoch: machine.epoch, Life: machine.life}}, write)
+	return machine.Step(when, LeaseWritten{Result: Written, Revision: write.Revision + 1})
 }
 
 // holder returns a machine that holds the lease at epoch 1.
@@ -205,13 +219,13 @@
 
 func TestSynchronousHandOverToAServerThatHoldsWhatThePrimaryHolds(t *testing.T) {
 	machine := holder(t)
-	must.Eq(t, []Effect{Survey{Hold: true}}, machine.Step(at(100), Observed{synchronous(false)}))
+	must.Eq(t, []Effect{Survey{Hold: true}}, renewed(t, machine, at(100), machine.Step(at(100), Observed{synchronous(false)})))
 	behind := Surveyed{Reports: []Report{
 		{ID: "a", Primary: true, Received: position.Position{Term: 1, Offset: 12}},
 		{ID: "b", Received: position.Position{Term: 1, Offset: 11}},
 	}}
 	must.Eq(t, []Effect{Resume{}}, machine.Step(at(150), behind))
-	machine.Step(at(500), Observed{synchronous(false)})
+	renewed(t, machine, at(500), machine.Step(at(500), Observed{synchronous(false)}))
 	behind.Reports[1].Received.Offset = 12
 	must.Eq(t, []Effect{Order{Target: "b", Token: tokensPerEpoch + 1}}, machine.Step(at(550), behind))
 }
@@ -250,7 +264,7 @@
 	must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(510), Corroborated{Answers: 2}))
 	machine.Step(at(520), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
 	must.Eq(t, []Effect{Corroborate{Server: "a", Holder: "n1"}}, machine.Step(at(530), LeaseWritten{Result: Written, Revision: 9}))
-	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, machine.Step(at(540), Corroborated{Answers: 2}))
+	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, renewed(t, machine, at(540), machine.Step(at(540), Corroborated{Answers: 2})))
 }
 
 // TestWayThroughTheOnlyNodeThatReachesThePrimary: most nodes are cut off, and the
@@ -262,3 +276,14 @@
 	must.Eq(t, []Effect{Detour{Server: "a"}}, machine.Step(at(550), Corroborated{Answers: 5, Reached: 1, HolderAnswered: true}))
 	must.SliceEmpty(t, machine.Step(at(800), Observed{healthy()}))
 }
+
+// TestHolderThatWasReplacedUnawaresDoesNotHoldReplicas: another node has taken
+// the lease of a service with synchronous replicas.
+func TestHolderThatWasReplacedUnawaresDoesNotHoldReplicas(t *testing.T) {
+	machine := holder(t)
+	machine.Step(at(100), Observed{synchronous(true)})
+	must.Eq(t, []Effect{WriteLease{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 1, Life: "life"}}}, machine.Step(at(110), Corroborated{Answers: 2}))
+	must.SliceEmpty(t, machine.Step(at(120), LeaseWritten{Result: Superseded}))
+	must.False(t, machine.Holding())
+	must.SliceEmpty(t, machine.Step(at(200), Observed{synchronous(true)}))
+}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -45,12 +45,14 @@
 	// since the node's start.
 	lastUsed atomic.Int64
 	// witness is the address of a node that lately reached the primary.
-	witness  atomic.Pointer[string]
-	health   leaderHealth
-	seeking  sync.Mutex
-	mutex    sync.Mutex
-	machine  *failover.Machine
-	lastSeen failover.Phase
+	witness atomic.Pointer[string]
+	health  leaderHealth
+	// replication keeps surveys, which may hold replicas, apart from letting go.
+	replication sync.Mutex
+	seeking     sync.Mutex
+	mutex       sync.Mutex
+	machine     *failover.Machine
+	lastSeen    failover.Phase
 }
 
 func (n *Node) service(name string) *service {
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -56,6 +57,8 @@
 	zones    []string
 	log      *eventlog.Log
 	broken   brokenMechanism
+	// written holds the event log, if it is kept.
+	written *lockedBuffer
 
 	mutex     sync.Mutex
 	listeners []*memoryListener
@@ -70,13 +73,27 @@
 	nodes map[string]*proxy.Node
 }
 
+// lockedBuffer keeps a log in memory: a write to a file would not be part of a
+// bubble's virtual time.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(content []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.Buffer.Write(content)
+}
+
 func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
 	fleet := &simulatedFleet{
 		store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"}, log: eventlog.New(io.Discard, "simulation", 1),
 		broken: broken, nodes: map[string]*proxy.Node{},
 	}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
-		fleet.log = eventlog.New(os.Stderr, "simulation", 1_000_000)
+		fleet.written = &lockedBuffer{}
+		fleet.log = eventlog.New(fleet.written, "simulation", 1_000_000)
 	}
 	fleet.check.onLost = func(at position.Position, commit *commitRecord) {
 		fleet.log.Write("rolled_back", zap.Stringer("position", at), zap.Bool("acknowledged", !commit.acknowledged.IsZero()))
@@ -313,6 +330,9 @@
 	// Calls that are still under way end by their own limits.
 	time.Sleep(10 * time.Second)
 	fleet.log.Close()
+	if fleet.written != nil {
+		_, _ = fleet.written.WriteTo(os.Stderr)
+	}
 	result := outcome{violations: fleet.check.violations, reads: fleet.check.reads, writes: fleet.check.writes}
 	result.acknowledgedLost = fleet.check.acknowledgedLost()
 	for _, driver := range callers {
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -22,6 +22,8 @@
 // not answer in time, but has answered others lately, the position it is known
 // to have applied stands for what it has received.
 func (s *service) survey(effect failover.Survey) []failover.Report {
+	s.replication.Lock()
+	defer s.replication.Unlock()
 	var reports []failover.Report
 	var mutex sync.Mutex
 	var asked sync.WaitGroup
@@ -68,24 +70,37 @@
 	return &upstream.Status{Term: applied.Term, Received: applied}
 }
 
-// resumeReplication lets the replicas receive again.
+// resumeReplication lets the replicas receive again. It never overlaps a survey:
+// a late word to one replica would let go of what the survey holds.
 func (s *service) resumeReplication() {
+	s.replication.Lock()
+	defer s.replication.Unlock()
+	deadline := time.Now().Add(resumeLimit)
+	var asked sync.WaitGroup
 	for _, entry := range s.node.catalog.Current().ByService[s.name] {
 		target := s.node.server(entry.ID)
 		if target == nil || entry.Gone {
 			continue
 		}
-		lease, err := target.pool.Reserve(time.Now().Add(surveyLimit))
-		if err != nil {
-			continue
-		}
-		batch := lease.Run([]upstream.Operation{{Kind: upstream.ResumeReplication}}, time.Now().Add(surveyLimit))
-		if batch.Err != nil {
-			lease.Discard()
-			continue
-		}
-		lease.Return()
+		asked.Go(func() { target.resume(deadline) })
 	}
+	asked.Wait()
+}
+
+// resumeLimit bounds the wait for the replicas' answers.
+const resumeLimit = 250 * time.Millisecond
+
+func (t *server) resume(deadline time.Time) {
+	lease, err := t.pool.Reserve(deadline)
+	if err != nil {
+		return
+	}
+	batch := lease.Run([]upstream.Operation{{Kind: upstream.ResumeReplication}}, deadline)
+	if batch.Err != nil {
+		lease.Discard()
+		return
+	}
+	lease.Return()
 }
 
 // report asks a server for its status until it answers or the deadline passes.
--- a/internal/rounds/rounds.go
+++ b/internal/rounds/rounds.go
@@ -100,6 +100,8 @@
 	canvas.Y.Min, canvas.Y.Max = 0, 1.15
 	canvas.Legend.Top = true
 	canvas.NominalX(names...)
+	const margin = 0.6
+	canvas.X.Min, canvas.X.Max = -margin, float64(len(names))-1+margin
 	const barWidth = 18
 	for at, set := range drawn {
 		bars, err := plotter.NewBarChart(set.values, vg.Points(barWidth))
