--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -47,8 +47,9 @@
 	// witness is the address of a node that lately reached the primary.
 	witness atomic.Pointer[string]
 	health  leaderHealth
-	// replication keeps surveys, which may hold replicas, apart from letting go.
-	replication sync.Mutex
+	// replication holds one token: it keeps surveys, which may hold replicas,
+	// apart from letting go. Both wait for servers while they have it.
+	replication chan struct{}
 	seeking     sync.Mutex
 	mutex       sync.Mutex
 	machine     *failover.Machine
@@ -60,7 +61,7 @@
 		return found.(*service)
 	}
 	created := &service{
-		node: n, name: name, belief: leadership.NewBelief(),
+		node: n, name: name, belief: leadership.NewBelief(), replication: make(chan struct{}, 1),
 		machine: failover.New(n.options.Name, n.options.Life, n.takeoverRank(name)),
 	}
 	found, _ := n.services.LoadOrStore(name, created)
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -22,8 +22,8 @@
 // not answer in time, but has answered others lately, the position it is known
 // to have applied stands for what it has received.
 func (s *service) survey(effect failover.Survey) []failover.Report {
-	s.replication.Lock()
-	defer s.replication.Unlock()
+	s.replication <- struct{}{}
+	defer func() { <-s.replication }()
 	var reports []failover.Report
 	var mutex sync.Mutex
 	var asked sync.WaitGroup
@@ -73,8 +73,8 @@
 // resumeReplication lets the replicas receive again. It never overlaps a survey:
 // a late word to one replica would let go of what the survey holds.
 func (s *service) resumeReplication() {
-	s.replication.Lock()
-	defer s.replication.Unlock()
+	s.replication <- struct{}{}
+	defer func() { <-s.replication }()
 	deadline := time.Now().Add(resumeLimit)
 	var asked sync.WaitGroup
 	for _, entry := range s.node.catalog.Current().ByService[s.name] {
