One rollback for both its users; counters that nobody read are gone

Change: rollback and settle are plain functions that both call; the fields go. Behaviour stays; the tests keep their assertions and pass.

--- a/internal/leadership/belief.go
+++ b/internal/leadership/belief.go
@@ -16,10 +16,9 @@
 
 // Belief is what a node believes of one service. It is safe for concurrent use.
 type Belief struct {
-	mutex     sync.Mutex
-	leader    string
-	term      uint64
-	confirmed time.Time
+	mutex  sync.Mutex
+	leader string
+	term   uint64
 	// announced is the directory's revision of the newest announcement.
 	announced uint64
 	refuted   map[string]time.Time
@@ -66,14 +65,13 @@
 }
 
 // Confirm takes a server's own proof that it is the primary.
-func (b *Belief) Confirm(id string, term uint64, now time.Time) bool {
+func (b *Belief) Confirm(id string, term uint64) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if term < b.term {
 		return false
 	}
 	b.term = term
-	b.confirmed = now
 	delete(b.refuted, id)
 	return b.set(id)
 }
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -40,12 +40,12 @@
 	}
 	begin := batch.Last()
 	if !r.service.judgeBegin(target, &batch, begin) {
-		r.settle(lease, begin)
+		settle(lease, begin)
 		r.notRun(target, begin)
 		return Reply{}, false
 	}
 	if !r.enter(target, admission.OnlyHere) {
-		r.rollback(lease)
+		rollback(lease)
 		return r.refuse(failure.Overloaded), true
 	}
 	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, r.readDeadline(target))
@@ -54,7 +54,7 @@
 		lease.Discard()
 		return Reply{}, false
 	}
-	r.settle(lease, batch.Last())
+	settle(lease, batch.Last())
 	result := batch.First()
 	if result.Outcome.NotRun() {
 		if result.Outcome == upstream.Busy && r.overloaded() {
@@ -69,18 +69,18 @@
 	return r.answer(result), true
 }
 
-// rollback ends a transaction that has run nothing and returns its connection.
-func (r *run) rollback(lease *upstream.Lease) {
+// rollback ends a transaction and returns its connection.
+func rollback(lease *upstream.Lease) {
 	batch := lease.Run([]upstream.Operation{{Kind: upstream.Rollback}}, time.Now().Add(rollbackLimit))
 	if batch.Err != nil {
 		lease.Discard()
 		return
 	}
-	r.settle(lease, batch.Last())
+	settle(lease, batch.Last())
 }
 
 // settle returns a connection that is idle, and discards one that is not.
-func (r *run) settle(lease *upstream.Lease, last *upstream.Result) {
+func settle(lease *upstream.Lease, last *upstream.Result) {
 	if last.State == upstream.Idle {
 		lease.Return()
 		return
@@ -119,7 +119,7 @@
 			continue
 		}
 		result := batch.Last()
-		r.settle(lease, result)
+		settle(lease, result)
 		if !result.Outcome.NotRun() {
 			target.stats.CaughtUp(time.Now(), floor.Since)
 			return r.answer(result)
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -242,7 +242,7 @@
 	case failover.Order:
 		s.order(effect)
 	case failover.LeaderFound:
-		if s.belief.Confirm(effect.ID, s.belief.Term(), time.Now()) {
+		if s.belief.Confirm(effect.ID, s.belief.Term()) {
 			s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "survey"), zap.String("service", s.name), zap.String("server", effect.ID))
 		}
 	}
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -181,7 +181,7 @@
 
 // proved takes an answer that only the primary gives to a question sent at a time.
 func (s *service) proved(target *server, sentAt time.Time, result *upstream.Result) {
-	if s.belief.Confirm(target.id, result.Position.Term, time.Now()) {
+	if s.belief.Confirm(target.id, result.Position.Term) {
 		s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "answer"), zap.String("service", s.name),
 			zap.String("server", target.id), zap.Stringer("position", result.Position))
 	}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -50,12 +50,7 @@
 	}
 	lease := t.lease
 	t.lease = nil
-	batch := lease.Run([]upstream.Operation{{Kind: upstream.Rollback}}, time.Now().Add(rollbackLimit))
-	if batch.Err != nil || batch.Last().State != upstream.Idle {
-		lease.Discard()
-		return
-	}
-	lease.Return()
+	rollback(lease)
 }
 
 // rollbackLimit bounds the wait for the answer to a rollback.
@@ -93,7 +88,7 @@
 			t.server, t.lease, t.proven = target, lease, true
 			return Reply{}, true
 		}
-		r.settle(lease, begin)
+		settle(lease, begin)
 		r.notRun(target, begin)
 	}
 	return r.refuseTransaction(failure.Overloaded), false
@@ -118,7 +113,7 @@
 			t.server, t.lease = target, lease
 			return Reply{}, true
 		}
-		r.settle(lease, begin)
+		settle(lease, begin)
 		r.readNotRun(target, begin, floor)
 	}
 	return r.refuseTransaction(failure.Overloaded), false
@@ -281,6 +276,6 @@
 	if t.wrote {
 		r.session.own = freshness.OwnCommit{At: time.Now(), Position: result.Position}
 	}
-	r.settle(t.lease, result)
+	settle(t.lease, result)
 	t.lease = nil
 }
--- a/internal/upstream/batch.go
+++ b/internal/upstream/batch.go
@@ -42,7 +42,6 @@
 	stats := l.pool.stats
 	batch := Batch{SentAt: time.Now(), Results: make([]Result, 0, len(operations))}
 	stats.Started(batch.SentAt)
-	defer stats.Finished()
 	if batch.Err = l.Send(operations); batch.Err != nil {
 		stats.Unreachable(time.Now())
 		return batch
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -255,7 +255,6 @@
 func (p *Pool) dial(generation int) {
 	began := time.Now()
 	p.stats.Started(began)
-	defer p.stats.Finished()
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	connection, at, err := p.dialer.Dial(ctx, p.address, p.service, p.id)
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -24,7 +24,6 @@
 
 // Stats is what answers have told about one server. It is safe for concurrent use.
 type Stats struct {
-	inFlight   atomic.Int32
 	lastAnswer atomic.Int64 // nanoseconds since epoch
 	epoch      time.Time
 
@@ -48,9 +47,8 @@
 	return &Stats{epoch: time.Now()}
 }
 
-// Started notes that a request was sent; Finished ends it.
+// Started notes that a request was sent.
 func (s *Stats) Started(now time.Time) {
-	s.inFlight.Add(1)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.unansweredSince.IsZero() {
@@ -58,9 +56,6 @@
 	}
 }
 
-// Finished notes that a request was answered, or given up.
-func (s *Stats) Finished() { s.inFlight.Add(-1) }
-
 // Unanswered returns for how long requests have been sent to the server without
 // any answer; 0 if its last answer is newer than all of them. A single answer
 // that is lost does not count once the server has given another.
@@ -73,9 +68,6 @@
 	return now.Sub(s.unansweredSince)
 }
 
-// InFlight returns the number of unanswered requests.
-func (s *Stats) InFlight() int { return int(s.inFlight.Load()) }
-
 // Answered notes that the server has said something.
 func (s *Stats) Answered(now time.Time) {
 	s.lastAnswer.Store(int64(now.Sub(s.epoch)))
