Stand-in: a busy server's refusal reads its position under the lock

Session.run answered Busy without the group's lock. A fault of the stand-in, not of the proxy.

Change: refuseBusy takes the lock.

--- a/internal/standin/managed/session.go
+++ b/internal/standin/managed/session.go
@@ -198,7 +198,7 @@
 func (s *Session) run(operation *upstream.Operation) (upstream.Result, bool) {
 	if usesSlot(operation.Kind) {
 		if !s.takeSlot() {
-			return s.result(upstream.Busy), false
+			return s.refuseBusy(), false
 		}
 		time.Sleep(s.server.group.settings.Work)
 		defer s.releaseSlot()
@@ -244,6 +244,12 @@
 	s.server.running--
 }
 
+func (s *Session) refuseBusy() upstream.Result {
+	defer s.server.lock()()
+	return s.result(upstream.Busy)
+}
+
+// result is an operation's answer; the lock is held.
 func (s *Session) result(outcome upstream.Outcome) upstream.Result {
 	return upstream.Result{Outcome: outcome, State: s.state, Position: s.server.position()}
 }
