--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -23,6 +23,8 @@
 	OnlyHere
 	// Anywhere is work that other servers could take too.
 	Anywhere
+	// Classes is the number of classes.
+	Classes = iota
 )
 
 // headStarts are by how much a class may overtake work that arrived earlier.
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 
 	"dewknot/internal/relay"
 )
@@ -13,3 +14,8 @@
 func (tcpPeers) Ask(ctx context.Context, address string, question relay.Question) (relay.Answer, error) {
 	return relay.Ask(ctx, address, question)
 }
+
+// Link implements proxy.Peers.
+func (tcpPeers) Link(ctx context.Context, address string) (net.Conn, error) {
+	return relay.Link(ctx, address)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"dewknot/internal/core"
+	"dewknot/internal/framing"
 	"dewknot/internal/group"
 	"dewknot/internal/request"
 )
@@ -29,56 +30,6 @@
 
 const readBuffer = 64 << 10
 
-// writer puts frames of many goroutines onto a connection. Whoever finds nobody
-// writing writes its own frame and all that arrive meanwhile, so that frames share
-// system calls under load and none waits without.
-type writer struct {
-	conn    net.Conn
-	mu      sync.Mutex
-	waiting []byte
-	spare   []byte
-	writing bool
-	failure error
-}
-
-// write queues bytes and, if nobody else does, writes until nothing waits. An
-// error of an earlier write is returned to every later caller.
-func (w *writer) write(frame []byte) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.failure != nil {
-		return w.failure
-	}
-	w.waiting = append(w.waiting, frame...)
-	if w.writing {
-		return nil
-	}
-	w.writing = true
-	for len(w.waiting) > 0 && w.failure == nil {
-		batch := w.waiting
-		w.waiting = w.spare[:0]
-		w.mu.Unlock()
-		_, err := w.conn.Write(batch)
-		w.mu.Lock()
-		w.spare = batch[:0]
-		if err != nil {
-			// Those whose frames were queued learn of it when the link ends.
-			w.failure = err
-			_ = w.conn.Close()
-		}
-	}
-	w.writing = false
-	return w.failure
-}
-
-func send[T body](w *writer, kind frameKind, stream uint64, value *T) error {
-	encoded, err := encodeFrame(kind, stream, value)
-	if err != nil {
-		return err
-	}
-	return errors.Wrap(w.write(encoded), "write frame")
-}
-
 // stream is an open request on a link.
 type stream struct {
 	frames chan frame
@@ -86,7 +37,8 @@
 
 // connection is the asking end of one link.
 type connection struct {
-	writer
+	*framing.Writer
+	conn     net.Conn
 	mu       sync.Mutex
 	streams  map[uint64]*stream
 	next     uint64
@@ -215,7 +167,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	connected := &connection{writer: writer{conn: conn}, streams: map[uint64]*stream{}, lost: make(chan struct{}), lastSeen: time.Now()}
+	connected := &connection{Writer: framing.NewWriter(conn), conn: conn, streams: map[uint64]*stream{}, lost: make(chan struct{}), lastSeen: time.Now()}
 	go connected.readLoop(reader)
 	go connected.watch()
 	return connected, nil
@@ -223,7 +175,7 @@
 
 func (c *Client) handshake(conn net.Conn, reader *bufio.Reader) error {
 	_ = conn.SetDeadline(time.Now().Add(dialTimeout))
-	received, err := readFrame(reader, handshakeBytes)
+	received, err := framing.Read(reader, handshakeBytes)
 	if err != nil {
 		return err
 	}
@@ -232,11 +184,11 @@
 		return err
 	}
 	nonce := newNonce()
-	out := &writer{conn: conn}
+	out := framing.NewWriter(conn)
 	if err := send(out, frameHello, 0, &hello{ID: c.id, Nonce: nonce, Proof: c.keys.Prove(asked.Nonce, []byte(c.id))}); err != nil {
 		return err
 	}
-	if received, err = readFrame(reader, handshakeBytes); err != nil {
+	if received, err = framing.Read(reader, handshakeBytes); err != nil {
 		return err
 	}
 	answer, err := decodeBody[welcome](received)
@@ -263,14 +215,14 @@
 
 func (c *connection) readLoop(reader *bufio.Reader) {
 	for {
-		received, err := readFrame(reader, maxFrameBytes)
+		received, err := framing.Read(reader, maxFrameBytes)
 		if err != nil {
 			c.fail(err)
 			return
 		}
 		c.mu.Lock()
 		c.lastSeen = time.Now()
-		target := c.streams[received.stream]
+		target := c.streams[received.Stream]
 		c.mu.Unlock()
 		if target != nil {
 			target.deliver(received, c)
@@ -311,7 +263,7 @@
 			return
 		}
 		// A ping that cannot be written shows in the silence.
-		go func() { _ = send(&c.writer, framePing, 0, &empty{}) }()
+		go func() { _ = send(c.Writer, framePing, 0, &empty{}) }()
 	}
 }
 
@@ -342,14 +294,14 @@
 	}
 	number, opened := connected.open()
 	defer connected.closeStream(number)
-	if err := send(&connected.writer, frameRequest, number, submitted); err != nil {
+	if err := send(connected.Writer, frameRequest, number, submitted); err != nil {
 		connected.fail(err)
 		return request.Result{}, c.lostError(true, err)
 	}
 	for {
 		select {
 		case received := <-opened.frames:
-			if received.kind == frameResult {
+			if frameKind(received.Kind) == frameResult {
 				result, err := decodeBody[request.Result](received)
 				if err != nil {
 					return request.Result{}, c.lostError(true, err)
@@ -375,7 +327,7 @@
 	if err := passOn(part.Data); err != nil {
 		return err
 	}
-	return send(&connected.writer, frameCredit, number, &empty{})
+	return send(connected.Writer, frameCredit, number, &empty{})
 }
 
 // EndSession implements request.Server.
@@ -384,7 +336,7 @@
 	connected := c.current
 	c.mu.Unlock()
 	if connected != nil && connected.alive() {
-		_ = send(&connected.writer, frameEndSession, 0, &endSession{Group: groupName, Session: session})
+		_ = send(connected.Writer, frameEndSession, 0, &endSession{Group: groupName, Session: session})
 	}
 }
 
@@ -394,7 +346,7 @@
 	connected := c.current
 	c.mu.Unlock()
 	if connected != nil && connected.alive() {
-		_ = send(&connected.writer, frameCancel, 0, &cancelRequest{Group: groupName, ID: id})
+		_ = send(connected.Writer, frameCancel, 0, &cancelRequest{Group: groupName, ID: id})
 	}
 }
 
@@ -406,7 +358,7 @@
 	}
 	number, opened := connected.open()
 	defer connected.closeStream(number)
-	if err := send(&connected.writer, frameSync, number, &syncRequest{Since: since, Members: membersDigest}); err != nil {
+	if err := send(connected.Writer, frameSync, number, &syncRequest{Since: since, Members: membersDigest}); err != nil {
 		return core.SyncState{}, err
 	}
 	select {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -8,17 +8,14 @@
 package peer
 
 import (
-	"bufio"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
 	"encoding/binary"
-	"io"
-
-	"github.com/pkg/errors"
 
 	"dewknot/internal/codec"
 	"dewknot/internal/core"
+	"dewknot/internal/framing"
 	"dewknot/internal/group"
 	"dewknot/internal/request"
 )
@@ -45,9 +42,6 @@
 // maxFrameBytes bounds a frame; a longer one ends the link.
 const maxFrameBytes = 64 << 20
 
-// frameHeader is the length (4 bytes), kind (1) and stream number (8).
-const frameHeader = 13
-
 // Bodies of the frames that are not defined elsewhere.
 type (
 	challenge struct {
@@ -85,43 +79,16 @@
 	challenge | hello | welcome | request.Request | request.Result | endSession | cancelRequest | syncRequest | core.SyncState | chunk | empty
 }
 
-// encodeFrame appends a whole frame.
-func encodeFrame[T body](kind frameKind, stream uint64, value *T) ([]byte, error) {
-	const usualBytes = 512
-	frame, err := codec.Append(make([]byte, frameHeader, usualBytes), value)
-	if err != nil {
-		return nil, err
-	}
-	binary.BigEndian.PutUint32(frame, uint32(len(frame)-4))
-	frame[4] = byte(kind)
-	binary.BigEndian.PutUint64(frame[5:], stream)
-	return frame, nil
-}
-
 // frame is a received frame whose body is not decoded yet.
-type frame struct {
-	kind   frameKind
-	stream uint64
-	body   []byte
-}
+type frame = framing.Frame
 
-func readFrame(reader *bufio.Reader, limit int) (frame, error) {
-	var header [frameHeader]byte
-	if _, err := io.ReadFull(reader, header[:]); err != nil {
-		return frame{}, errors.Wrap(err, "read frame header")
-	}
-	size := int(binary.BigEndian.Uint32(header[:])) + 4 - frameHeader
-	if size < 0 || size > limit {
-		return frame{}, errors.Errorf("frame of %d bytes exceeds the limit of %d", size, limit)
-	}
-	received := frame{kind: frameKind(header[4]), stream: binary.BigEndian.Uint64(header[5:]), body: make([]byte, size)}
-	_, err := io.ReadFull(reader, received.body)
-	return received, errors.Wrap(err, "read frame body")
+func send[T body](w *framing.Writer, kind frameKind, stream uint64, value *T) error {
+	return w.Send(uint8(kind), stream, value)
 }
 
 func decodeBody[T body](received frame) (*T, error) {
 	value := new(T)
-	return value, codec.Decode(received.body, value)
+	return value, codec.Decode(received.Body, value)
 }
 
 // Keys are the fleet's keys: the first is used for proofs, all are accepted, so
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -183,8 +183,8 @@
 func FuzzFrameBodies(f *testing.F) {
 	f.Add([]byte{0x93, 0xa1, 'g', 0x90, 0x90})
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		_, _ = decodeBody[request.Request](frame{body: data})
-		_, _ = decodeBody[request.Result](frame{body: data})
-		_, _ = decodeBody[core.SyncState](frame{body: data})
+		_, _ = decodeBody[request.Request](frame{Body: data})
+		_, _ = decodeBody[request.Result](frame{Body: data})
+		_, _ = decodeBody[core.SyncState](frame{Body: data})
 	})
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/core"
+	"dewknot/internal/framing"
 	"dewknot/internal/request"
 )
 
@@ -105,7 +106,8 @@
 
 // link is the serving end of one link.
 type link struct {
-	writer
+	*framing.Writer
+	conn     net.Conn
 	listener *Listener
 	ctx      context.Context
 	mu       sync.Mutex
@@ -128,7 +130,7 @@
 	l.name(conn, peerID)
 	ctx, cancel := context.WithCancel(context.Background())
 	served := &link{
-		writer: writer{conn: conn}, listener: l, ctx: ctx,
+		Writer: framing.NewWriter(conn), conn: conn, listener: l, ctx: ctx,
 		sessions: map[endSession]struct{}{}, credits: map[uint64]chan struct{}{},
 	}
 	err = served.readLoop(reader)
@@ -161,12 +163,12 @@
 
 func (l *Listener) handshake(conn net.Conn, reader *bufio.Reader) (string, error) {
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
-	out := &writer{conn: conn}
+	out := framing.NewWriter(conn)
 	nonce := newNonce()
 	if err := send(out, frameChallenge, 0, &challenge{Nonce: nonce}); err != nil {
 		return "", err
 	}
-	received, err := readFrame(reader, handshakeBytes)
+	received, err := framing.Read(reader, handshakeBytes)
 	if err != nil {
 		return "", err
 	}
@@ -174,7 +176,7 @@
 	if err != nil {
 		return "", err
 	}
-	if received.kind != frameHello || !l.keys.Accept(greeting.Proof, nonce, []byte(greeting.ID)) {
+	if frameKind(received.Kind) != frameHello || !l.keys.Accept(greeting.Proof, nonce, []byte(greeting.ID)) {
 		return "", errors.New("the peer does not prove the fleet key; give both nodes the same fleet_keys")
 	}
 	err = send(out, frameWelcome, 0, &welcome{ID: l.id, Proof: l.keys.Prove(greeting.Nonce, []byte(l.id))})
@@ -191,7 +193,7 @@
 
 func (l *link) readLoop(reader *bufio.Reader) error {
 	for {
-		received, err := readFrame(reader, maxFrameBytes)
+		received, err := framing.Read(reader, maxFrameBytes)
 		if err != nil {
 			return err
 		}
@@ -202,15 +204,15 @@
 }
 
 func (l *link) take(received frame) error {
-	switch received.kind {
+	switch frameKind(received.Kind) {
 	case frameRequest:
 		submitted, err := decodeBody[request.Request](received)
 		if err != nil {
 			return err
 		}
-		l.begin(received.stream, submitted)
+		l.begin(received.Stream, submitted)
 	case frameCredit:
-		l.addCredit(received.stream)
+		l.addCredit(received.Stream)
 	case frameEndSession:
 		ended, err := decodeBody[endSession](received)
 		if err != nil {
@@ -229,11 +231,11 @@
 			return err
 		}
 		answer := l.listener.sync.AnswerSync(asked.Since, asked.Members)
-		return send(&l.writer, frameSyncAnswer, received.stream, &answer)
+		return send(l.Writer, frameSyncAnswer, received.Stream, &answer)
 	case framePing:
-		return send(&l.writer, framePong, received.stream, &empty{})
+		return send(l.Writer, framePong, received.Stream, &empty{})
 	default:
-		return errors.Errorf("unexpected frame of kind %d", received.kind)
+		return errors.Errorf("unexpected frame of kind %d", frameKind(received.Kind))
 	}
 	return nil
 }
@@ -261,7 +263,7 @@
 	result, err := l.listener.serve.Submit(l.ctx, submitted, func(data []byte) error {
 		select {
 		case <-credit:
-			return send(&l.writer, frameChunk, stream, &chunk{Data: data})
+			return send(l.Writer, frameChunk, stream, &chunk{Data: data})
 		case <-l.ctx.Done():
 			return l.ctx.Err()
 		}
@@ -273,7 +275,7 @@
 		_ = l.conn.Close() // the outcome is unknown here too: the lost link says so
 		return
 	}
-	_ = send(&l.writer, frameResult, stream, &result)
+	_ = send(l.Writer, frameResult, stream, &result)
 }
 
 func (l *link) addCredit(stream uint64) {
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -132,7 +132,7 @@
 	if s.health.missed > 0 {
 		return true
 	}
-	idle := target.stats.SinceAnswer(now)
+	idle := target.stats.SinceSign(now)
 	if failures, _ := target.stats.Failures(); failures > 0 {
 		return true
 	}
@@ -152,7 +152,7 @@
 	s.health.asking = true
 	results := s.health.results
 	go func() {
-		results <- s.prove(target, time.Now().Add(pingLimit))
+		results <- s.prove(target, reserve, time.Now().Add(pingLimit))
 	}()
 }
 
@@ -192,7 +192,7 @@
 			if entry.ID == believed || entry.Gone || target == nil || s.belief.Refuted(entry.ID, now) || target.stats.Avoided(now) {
 				continue
 			}
-			if s.prove(target, time.Now().Add(seekLimit)) == leading {
+			if s.prove(target, s.node.lend, time.Now().Add(seekLimit)) == leading {
 				return
 			}
 		}
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"sync"
 	"time"
@@ -20,11 +21,14 @@
 type Member struct {
 	Name    string `json:"-"`
 	Address string `json:"address"`
+	Zone    string `json:"zone,omitempty"`
 }
 
 // Peers asks other nodes.
 type Peers interface {
 	Ask(ctx context.Context, address string, question relay.Question) (relay.Answer, error)
+	// Link opens a connection on which the other node serves operations.
+	Link(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Times of the membership.
@@ -40,6 +44,8 @@
 // keepMembership enters this node among the members and looks at them at long
 // intervals. A list that is old costs a few questions that nobody answers.
 func (n *Node) keepMembership(ctx context.Context) {
+	// A node that starts again finds the others at once, before it has callers.
+	_, _ = n.listMembers(ctx)
 	n.waitAbout(ctx, firstMemberLook)
 	for ctx.Err() == nil && !n.lookAtMembers(ctx) {
 		n.waitAbout(ctx, memberRetry)
@@ -70,32 +76,49 @@
 }
 
 func (n *Node) lookAtMembers(ctx context.Context) bool {
+	own, err := n.listMembers(ctx)
+	if err != nil {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+	defer cancel()
+	if n.options.PeerAddress == "" {
+		return true
+	}
+	var entry Member
+	if own != nil && json.Unmarshal(own.Content, &entry) == nil && entry.Address == n.options.PeerAddress && entry.Zone == n.options.Zone {
+		return true
+	}
+	return n.enter(limited, own)
+}
+
+// listMembers takes the other members from the store and returns this node's own
+// entry, nil if there is none.
+func (n *Node) listMembers(ctx context.Context) (*objectstore.Object, error) {
 	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
 	defer cancel()
 	objects, _, err := n.ports.Store.List(limited, n.options.Kinds.Members)
 	if err != nil {
-		return false
+		return nil, err
 	}
+	var own *objectstore.Object
 	members := make([]Member, 0, len(objects))
-	entered := n.options.PeerAddress == ""
-	for _, object := range objects {
-		member := Member{Name: object.Name}
-		if json.Unmarshal(object.Content, &member) != nil {
-			continue
-		}
-		if object.Name == n.options.Name {
-			entered = entered || member.Address == n.options.PeerAddress || n.enter(limited, &object)
-			continue
+	for i := range objects {
+		member := Member{Name: objects[i].Name}
+		switch {
+		case member.Name == n.options.Name:
+			own = &objects[i]
+		case json.Unmarshal(objects[i].Content, &member) == nil:
+			members = append(members, member)
 		}
-		members = append(members, member)
 	}
 	n.members.Store(&members)
-	return entered || n.enter(limited, nil)
+	return own, nil
 }
 
 // enter writes this node's entry, in place of an old one if there is one.
 func (n *Node) enter(ctx context.Context, old *objectstore.Object) bool {
-	content, err := json.Marshal(Member{Address: n.options.PeerAddress})
+	content, err := json.Marshal(Member{Address: n.options.PeerAddress, Zone: n.options.Zone})
 	if err != nil {
 		return false
 	}
@@ -229,7 +252,7 @@
 	if failures, _ := target.stats.Failures(); failures == 0 && target.stats.SinceAnswer(now) < reachedWithin {
 		return true
 	}
-	return n.service(target.service).prove(target, now.Add(pingLimit)) != silent
+	return n.service(target.service).prove(target, reserve, now.Add(pingLimit)) != silent
 }
 
 // witnessesAsked is how many nodes are asked whether they reach a primary.
@@ -244,7 +267,7 @@
 	question := relay.Question{Server: effect.Server}
 	var holder []memberAnswer
 	var asked sync.WaitGroup
-	asked.Go(func() { holder = node.askMembers(ctx, node.member(effect.Holder), question) })
+	asked.Go(func() { holder = node.askMembers(ctx, node.memberNamed(effect.Holder), question) })
 	answers := node.askMembers(ctx, node.someMembers(witnessesAsked), question)
 	asked.Wait()
 	outcome := failover.Corroborated{Answers: len(answers), HolderAnswered: len(holder) > 0}
@@ -259,8 +282,8 @@
 	return outcome
 }
 
-// member returns the member with a name, if it is known and another node.
-func (n *Node) member(name string) []Member {
+// memberNamed returns the member with a name, if it is known and another node.
+func (n *Node) memberNamed(name string) []Member {
 	known := n.members.Load()
 	if known == nil || n.ports.Peers == nil {
 		return nil
--- a/internal/proxy/mutation_test.go
+++ b/internal/proxy/mutation_test.go
@@ -49,7 +49,7 @@
 	broken brokenMechanism
 }
 
-func (c *breakingConnection) Send(operations []upstream.Operation) error {
+func (c *breakingConnection) Send(operations []upstream.Operation, deadline time.Time) error {
 	changed := append([]upstream.Operation(nil), operations...)
 	for i := range changed {
 		switch {
@@ -63,7 +63,7 @@
 			changed[i].Kind = upstream.SetValue
 		}
 	}
-	return c.Connection.Send(changed)
+	return c.Connection.Send(changed, deadline)
 }
 
 func (c *breakingConnection) Receive(kind upstream.OperationKind, deadline time.Time) (upstream.Result, error) {
@@ -83,7 +83,7 @@
 		noticed := 0
 		for seed := uint64(1); seed <= seeds && noticed == 0; seed++ {
 			bubbletest.Test(t, func(*testing.T) {
-				noticed = len(simulate(seed, 0, 25*time.Second, broken).violations)
+				noticed = len(simulate(seed, fewNodes, 0, 25*time.Second, broken).violations)
 			})
 		}
 		must.Positive(t, noticed, must.Sprintf("mechanism %d is broken, and no seed up to %d shows it", broken, seeds))
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -20,6 +20,7 @@
 	"dewknot/internal/failover"
 	"dewknot/internal/failure"
 	"dewknot/internal/objectstore"
+	"dewknot/internal/remote"
 	"dewknot/internal/upstream"
 )
 
@@ -124,6 +125,9 @@
 	// caches hold the objects of the kinds that other nodes may ask for.
 	caches  map[string]*objectstore.Cache
 	members atomic.Pointer[[]Member]
+	// links lead to nodes that own connections, owner serves this node's own.
+	links *remote.Links
+	owner *remote.Owner
 }
 
 // New returns a node that is not running yet.
@@ -137,6 +141,8 @@
 		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{node}),
 		options.Kinds.Servers:       objectstore.NewCache(&directorySink{node}),
 	}
+	node.links = remote.NewLinks(remote.LinksConfig{Dial: node.dialOwner, OnProof: node.ownerProved})
+	node.owner = remote.NewOwner(node)
 	node.catalog.OnChange(node.catalogChanged)
 	return node
 }
@@ -150,6 +156,8 @@
 	go n.accept(listener)
 	<-ctx.Done()
 	n.stop(listener)
+	n.links.Close()
+	n.owner.Close()
 	n.servers.Range(func(_, value any) bool {
 		value.(*server).pool.Shut()
 		return true
--- /dev/null
+++ b/internal/proxy/owners.go
@@ -0,0 +1,211 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/admission"
+	"dewknot/internal/eventlog"
+	"dewknot/internal/freshness"
+	"dewknot/internal/placement"
+	"dewknot/internal/position"
+	"dewknot/internal/remote"
+	"dewknot/internal/upstream"
+)
+
+const (
+	// directShare is the fewest connections to a server for which a node keeps
+	// its own: one for a statement, one for a transaction, one to spare. With a
+	// smaller share, one node owns the connections and the others go through it.
+	directShare = 3
+	// ownersRanked is how many nodes may stand in for a server's first owner.
+	ownersRanked = 4
+	// shunSpan is how long another owner is tried after one said that it does
+	// not reach the server.
+	shunSpan = time.Second
+	// proofAge is the age from which an owner refreshes what it knows of the
+	// primary, since others depend on it.
+	proofAge = 300 * time.Millisecond
+)
+
+// ranking is the order of a server's owners, made for a list of members.
+type ranking struct {
+	members *[]Member
+	// before are the nodes that come before this one, best first.
+	before []string
+}
+
+// shunned is an owner that does not reach a server.
+type shunned struct {
+	address string
+	until   time.Time
+}
+
+// lend lends a connection to a server for callers' work: one of this node's own,
+// or one of the server's owner.
+func (n *Node) lend(target *server, deadline time.Time) (*upstream.Lease, error) {
+	owners := n.ownersBefore(target)
+	if len(owners) == 0 {
+		return target.pool.Get(deadline)
+	}
+	link, address := n.links.Pick(target.notShunned(owners, time.Now()), deadline)
+	if link == nil {
+		return target.pool.Get(deadline)
+	}
+	return upstream.NewRemoteLease(link.Session(target.id), target.stats, func() { target.shun(address, len(owners)) }), nil
+}
+
+// ownersBefore returns the nodes that this one goes through to a server, best
+// first; none if it has connections of its own.
+func (n *Node) ownersBefore(target *server) []string {
+	members := n.members.Load()
+	if members == nil || n.ports.Peers == nil || n.sharesConnections(target.service, len(*members)+1) {
+		return nil
+	}
+	ranked := target.owners.Load()
+	if ranked == nil || ranked.members != members {
+		ranked = &ranking{members: members, before: n.rankOwners(target.id, *members)}
+		target.owners.Store(ranked)
+	}
+	return ranked.before
+}
+
+// sharesConnections reports whether a service's connections suffice for all nodes.
+func (n *Node) sharesConnections(service string, nodes int) bool {
+	return n.connectionCeiling(service) >= directShare*nodes
+}
+
+// rankOwners ranks nodes in the server's zone first, then those in its region:
+// whoever owns the connections, the way to the server is hardly longer.
+func (n *Node) rankOwners(id string, members []Member) []string {
+	zone := ""
+	if entry := n.catalog.Current().Servers[id]; entry != nil {
+		zone = entry.Zone
+	}
+	addresses := map[string]string{n.options.Name: ""}
+	tiers := make([][]placement.Candidate, 3)
+	sort := func(name, memberZone string) {
+		tier := 2
+		switch {
+		case memberZone == zone:
+			tier = 0
+		case n.options.Regions[memberZone] == n.options.Regions[zone]:
+			tier = 1
+		}
+		tiers[tier] = append(tiers[tier], placement.Candidate{ID: name})
+	}
+	sort(n.options.Name, n.options.Zone)
+	for _, member := range members {
+		addresses[member.Name] = member.Address
+		sort(member.Name, member.Zone)
+	}
+	var before []string
+	for _, tier := range tiers {
+		for _, name := range placement.Rank(id, "", tier, ownersRanked) {
+			if name == n.options.Name || len(before) >= ownersRanked {
+				return before
+			}
+			before = append(before, addresses[name])
+		}
+	}
+	return before
+}
+
+// notShunned leaves out an owner that does not reach the server, if there is
+// another.
+func (t *server) notShunned(owners []string, now time.Time) []string {
+	avoided := t.shunned.Load()
+	if avoided == nil || now.After(avoided.until) || len(owners) < 2 || owners[0] != avoided.address {
+		return owners
+	}
+	return owners[1:]
+}
+
+// shun turns to the next owner for a while. Only the first is ever left out: if
+// the next one does not reach the server either, the server is down.
+func (t *server) shun(address string, owners int) {
+	now := time.Now()
+	avoided := t.shunned.Load()
+	if owners < 2 || (avoided != nil && now.Before(avoided.until)) {
+		t.stats.Avoid(now.Add(unreachedPause))
+		return
+	}
+	t.shunned.Store(&shunned{address: address, until: now.Add(shunSpan)})
+}
+
+// unreachedPause is how long a server is avoided that its owners do not reach.
+const unreachedPause = 100 * time.Millisecond
+
+// ownerProved takes what an owner tells of a primary.
+func (n *Node) ownerProved(id string, at time.Time, covers position.Position) {
+	if target := n.server(id); target != nil {
+		n.service(target.service).proofs.Add(freshness.Proof{At: at, Position: covers})
+	}
+}
+
+// ServeLink implements relay.Handler: it serves operations on this node's connections.
+func (n *Node) ServeLink(conn net.Conn) {
+	n.log.Write(eventlog.LinkOpened, zap.Stringer("from", conn.RemoteAddr()))
+	n.owner.Serve(conn)
+	n.log.Write(eventlog.LinkEnded, zap.Stringer("from", conn.RemoteAddr()))
+}
+
+// dialOwner opens the connection of a link to an owner.
+func (n *Node) dialOwner(ctx context.Context, address string) (net.Conn, error) {
+	return n.ports.Peers.Link(ctx, address)
+}
+
+// Owned implements remote.Host.
+func (n *Node) Owned(id string) remote.Server {
+	target := n.server(id)
+	if target == nil {
+		return nil
+	}
+	owned := &ownedServer{server: target, service: n.service(target.service)}
+	owned.service.used(time.Now())
+	return owned
+}
+
+// ownedServer is a server as other nodes reach it through this one.
+type ownedServer struct {
+	*server
+	service *service
+}
+
+// Lend implements remote.Server. The connection is always this node's own, so that
+// operations never pass through two owners.
+func (o *ownedServer) Lend(deadline time.Time) (*upstream.Lease, error) {
+	if !o.service.usable(o.id, time.Now()) {
+		return nil, &upstream.RefusedError{Outcome: upstream.Unreached, Detail: "the server leaves"}
+	}
+	return o.pool.Get(deadline)
+}
+
+// Silent implements remote.Server.
+func (o *ownedServer) Silent() bool {
+	now := time.Now()
+	return o.stats.Unanswered(now) >= connectionWait || o.stats.Avoided(now)
+}
+
+// Enter implements remote.Server.
+func (o *ownedServer) Enter(place admission.Request, deadline time.Time) bool {
+	return o.gate.Enter(place, deadline)
+}
+
+// Leave implements remote.Server.
+func (o *ownedServer) Leave(batch *upstream.Batch, result *upstream.Result) {
+	o.gate.Leave(endOf(batch, result), time.Now())
+}
+
+// Proof implements remote.Server.
+func (o *ownedServer) Proof() (time.Time, position.Position) {
+	newest := o.service.proofs.Newest()
+	now := time.Now()
+	if now.Sub(newest.At) > proofAge {
+		go o.service.refreshProof(now.Add(proofLimit))
+	}
+	return newest.At, newest.Position
+}
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -40,21 +40,24 @@
 	}
 	begin := batch.Last()
 	if !r.service.judgeBegin(target, &batch, begin) {
-		settle(lease, begin)
+		lease.Settle(begin)
+		if r.starved(target, begin) {
+			return r.refuse(failure.Overloaded), true
+		}
 		r.notRun(target, begin)
 		return Reply{}, false
 	}
-	if !r.enter(target, admission.OnlyHere) {
-		rollback(lease)
+	if !r.enter(target, lease, admission.OnlyHere) {
+		lease.RollBack()
 		return r.refuse(failure.Overloaded), true
 	}
-	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, r.readDeadline(target))
-	r.leave(target, &batch, batch.First())
+	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, r.slotDeadline(target, lease))
+	r.leave(target, lease, &batch, batch.First())
 	if batch.Err != nil {
 		lease.Discard()
 		return Reply{}, false
 	}
-	settle(lease, batch.Last())
+	lease.Settle(batch.Last())
 	result := batch.First()
 	if result.Outcome.NotRun() {
 		if result.Outcome == upstream.Busy && r.overloaded() {
@@ -69,23 +72,17 @@
 	return r.answer(result), true
 }
 
-// rollback ends a transaction and returns its connection.
-func rollback(lease *upstream.Lease) {
-	batch := lease.Run([]upstream.Operation{{Kind: upstream.Rollback}}, time.Now().Add(rollbackLimit))
-	if batch.Err != nil {
-		lease.Discard()
-		return
+// slotDeadline is when a read that takes a slot, and has not been answered, is asked
+// elsewhere. At an owner the wait for the slot comes on top.
+func (r *run) slotDeadline(target *server, lease *upstream.Lease) time.Time {
+	deadline := r.readDeadline(target)
+	if !lease.Remote() {
+		return deadline
 	}
-	settle(lease, batch.Last())
-}
-
-// settle returns a connection that is idle, and discards one that is not.
-func settle(lease *upstream.Lease, last *upstream.Result) {
-	if last.State == upstream.Idle {
-		lease.Return()
-		return
+	if later := deadline.Add(time.Until(r.overload)); later.After(deadline) && later.Before(r.deadline) {
+		return later
 	}
-	lease.Discard()
+	return deadline
 }
 
 // readDeadline is when a read that has not been answered is asked elsewhere.
@@ -103,7 +100,7 @@
 func (r *run) read() Reply {
 	for r.goesOn() {
 		target, lease, floor := r.onAnyServer()
-		if lease == nil || !r.enter(target, admission.Anywhere) {
+		if lease == nil || !r.enter(target, lease, admission.Anywhere) {
 			if lease != nil {
 				lease.Return()
 			}
@@ -111,20 +108,20 @@
 		}
 		operation := r.operation()
 		operation.Floor = floor.Position
-		batch := lease.Run(append(lease.Adapt(r.session.values, r.statement), operation), r.readDeadline(target))
-		r.leave(target, &batch, batch.Last())
+		batch := lease.Run(append(lease.Adapt(r.session.values, r.statement), operation), r.slotDeadline(target, lease))
+		r.leave(target, lease, &batch, batch.Last())
 		if batch.Err != nil {
 			lease.Discard()
 			r.markTried(target)
 			continue
 		}
 		result := batch.Last()
-		settle(lease, result)
+		lease.Settle(result)
 		if !result.Outcome.NotRun() {
 			target.stats.CaughtUp(time.Now(), floor.Since)
 			return r.answer(result)
 		}
-		if result.Outcome == upstream.Busy && r.overloaded() {
+		if result.Outcome == upstream.Busy && r.overloaded() || r.starved(target, result) {
 			break
 		}
 		r.readNotRun(target, result, floor)
@@ -147,7 +144,7 @@
 			r.pause(behindPause)
 			continue
 		}
-		lease, err := target.pool.Get(r.connectionDeadline())
+		lease, err := r.session.node.lend(target, r.connectionDeadline())
 		if err == nil {
 			return target, lease, floor
 		}
@@ -236,5 +233,5 @@
 // load returns the work of this node that a server has or that waits for it.
 func (t *server) load() int {
 	running, waiting := t.gate.Load()
-	return running + waiting
+	return running + waiting + int(t.remote.Load())
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -8,6 +8,7 @@
 	"dewknot/internal/command"
 	"dewknot/internal/eventlog"
 	"dewknot/internal/failure"
+	"dewknot/internal/remote"
 	"dewknot/internal/upstream"
 )
 
@@ -76,7 +77,7 @@
 // enter waits for leave to run on a server. Work of an open transaction may
 // wait until the statement's deadline, new work until it counts as refused for
 // overload.
-func (r *run) enter(target *server, class admission.Class) bool {
+func (r *run) enter(target *server, lease *upstream.Lease, class admission.Class) bool {
 	if r.overload.IsZero() {
 		r.overload = time.Now().Add(time.Duration(overloadShare * float64(r.session.bound.TargetLatency)))
 	}
@@ -84,23 +85,52 @@
 	if class == admission.Continuation || r.deadline.Before(deadline) {
 		deadline = r.deadline
 	}
-	return target.gate.Enter(admission.Request{Class: class, Priority: r.session.bound.Priority, Arrived: r.arrived}, deadline)
+	place := admission.Request{Class: class, Priority: r.session.bound.Priority, Arrived: r.arrived}
+	if !lease.Remote() {
+		return target.gate.Enter(place, deadline)
+	}
+	if session, queues := lease.Connection.(queuer); queues {
+		now := time.Now()
+		session.Queue(remote.Ticket{Class: class, Priority: place.Priority, Age: now.Sub(r.arrived), Wait: deadline.Sub(now)})
+	}
+	target.remote.Add(1)
+	return true
+}
+
+// queuer is a connection whose operations wait at another node.
+type queuer interface {
+	Queue(ticket remote.Ticket)
 }
 
 // leave ends work that was let in.
-func (r *run) leave(target *server, batch *upstream.Batch, result *upstream.Result) {
+func (r *run) leave(target *server, lease *upstream.Lease, batch *upstream.Batch, result *upstream.Result) {
 	r.session.account.tried(target, target.id == r.service.belief.Leader())
 	r.session.node.metrics.refused(result)
-	ended := admission.Other
+	if lease.Remote() {
+		target.remote.Add(-1)
+		return
+	}
+	target.gate.Leave(endOf(batch, result), time.Now())
+}
+
+// endOf tells a gate how admitted work ended.
+func endOf(batch *upstream.Batch, result *upstream.Result) admission.Result {
 	switch {
-	case batch.Err != nil:
+	case batch.Err != nil || result == nil:
+		return admission.Other
 	case result.Outcome == upstream.Busy:
-		ended = admission.Refused
+		return admission.Refused
 	case result.Outcome == upstream.Succeeded:
-		ended = admission.Ran
+		return admission.Ran
 	default:
+		return admission.Other
 	}
-	target.gate.Leave(ended, time.Now())
+}
+
+// starved reports whether new work has waited for a connection of the server's
+// owner as long as it may.
+func (r *run) starved(target *server, result *upstream.Result) bool {
+	return result.Outcome == upstream.NoConnection && r.lacksConnections(target)
 }
 
 // pause waits, but not past the deadline.
@@ -160,7 +190,7 @@
 			r.awaitLeader()
 			continue
 		}
-		lease, err := target.pool.Get(r.connectionDeadline())
+		lease, err := r.session.node.lend(target, r.connectionDeadline())
 		if err == nil {
 			return target, lease, failure.None
 		}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -29,6 +29,12 @@
 	gate    *admission.Gate
 	// detour is how the server is reached while it cannot be reached directly.
 	detour atomic.Pointer[detour]
+	// owners are the nodes whose connections callers' work uses, shunned one of
+	// them that does not reach the server.
+	owners  atomic.Pointer[ranking]
+	shunned atomic.Pointer[shunned]
+	// remote counts this node's work on the server that goes through an owner.
+	remote atomic.Int64
 }
 
 // service is the runtime state of a service.
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -218,6 +218,20 @@
 	return node.Answer(ctx, question), nil
 }
 
+// Link opens a link to another node over a pipe.
+func (p memoryPeers) Link(_ context.Context, address string) (net.Conn, error) {
+	time.Sleep(2 * time.Millisecond)
+	p.fleet.mutex.Lock()
+	node := p.fleet.nodes[address]
+	p.fleet.mutex.Unlock()
+	if node == nil {
+		return nil, net.ErrClosed
+	}
+	here, there := net.Pipe()
+	go node.ServeLink(there)
+	return here, nil
+}
+
 func (f *simulatedFleet) stop() {
 	for i := range f.listeners {
 		f.stopNode(i)
@@ -303,8 +317,8 @@
 }
 
 // simulate plays a day with random troubles, two at a time.
-func simulate(seed uint64, synchronousReplicas int, length time.Duration, broken brokenMechanism) outcome {
-	fleet := newFleet(3, synchronousReplicas, broken)
+func simulate(seed uint64, nodes, synchronousReplicas int, length time.Duration, broken brokenMechanism) outcome {
+	fleet := newFleet(nodes, synchronousReplicas, broken)
 	time.Sleep(2 * time.Second)
 	until := time.Now().Add(length)
 	var callers []*caller
@@ -368,12 +382,23 @@
 	return seed
 }
 
-func TestPromisesHoldUnderRandomTroubles(t *testing.T) {
+const (
+	// fewNodes have connections of their own to every server, manyNodes go
+	// through owners.
+	fewNodes  = 3
+	manyNodes = 9
+)
+
+func TestPromisesHoldUnderRandomTroubles(t *testing.T) { playDays(t, fewNodes) }
+
+func TestPromisesHoldThroughOwners(t *testing.T) { playDays(t, manyNodes) }
+
+func playDays(t *testing.T, nodes int) {
 	for day := range simulatedDays(t) {
 		seed := firstSeed(t) + uint64(day)
 		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
 			bubbletest.Test(t, func(t *testing.T) {
-				played := simulate(seed, int(seed%2), 40*time.Second, nothingBroken)
+				played := simulate(seed, nodes, int(seed%2), 40*time.Second, nothingBroken)
 				for i, violation := range played.violations {
 					if i < 5 {
 						t.Error(violation)
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -27,6 +27,7 @@
 func (n *Node) stop(listener net.Listener) {
 	began := time.Now()
 	n.stopping.Store(true)
+	n.owner.Leave()
 	n.log.Write(eventlog.NodeStopping, zap.Int64("sessions", n.sessionCount.Load()))
 	part := func(share float64) time.Time {
 		return began.Add(time.Duration(share * float64(n.options.StopGrace)))
@@ -34,7 +35,7 @@
 	time.Sleep(time.Until(part(routedAwayShare)))
 	n.closing.Store(true)
 	_ = listener.Close()
-	for n.sessionCount.Load() > 0 && time.Now().Before(part(exitShare)) {
+	for (n.sessionCount.Load() > 0 || n.owner.Active() > 0) && time.Now().Before(part(exitShare)) {
 		if time.Now().After(part(abortShare)) {
 			n.aborting.Store(true)
 		}
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -139,9 +139,17 @@
 	leading
 )
 
+// lender is a way to a connection.
+type lender func(target *server, deadline time.Time) (*upstream.Lease, error)
+
+// reserve lends a connection of this node's own for a question about the server.
+func reserve(target *server, deadline time.Time) (*upstream.Lease, error) {
+	return target.pool.Reserve(deadline)
+}
+
 // prove asks a server to open and end a transaction that only a primary accepts.
-func (s *service) prove(target *server, deadline time.Time) standing {
-	lease, err := target.pool.Reserve(deadline)
+func (s *service) prove(target *server, lend lender, deadline time.Time) standing {
+	lease, err := lend(target, deadline)
 	if err != nil {
 		if _, refused := upstream.RefusalOf(err); refused {
 			return otherwise
@@ -156,7 +164,7 @@
 		lease.Discard()
 		return silent
 	}
-	lease.Return()
+	lease.Settle(batch.Last())
 	if s.judgeBegin(target, &batch, batch.First()) {
 		return leading
 	}
@@ -232,7 +240,7 @@
 	if deadline.Before(limit) {
 		limit = deadline
 	}
-	if s.prove(target, limit) != leading {
+	if s.prove(target, s.node.lend, limit) != leading {
 		time.Sleep(leaderPause)
 	}
 }
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -50,12 +50,9 @@
 	}
 	lease := t.lease
 	t.lease = nil
-	rollback(lease)
+	lease.RollBack()
 }
 
-// rollbackLimit bounds the wait for the answer to a rollback.
-const rollbackLimit = 500 * time.Millisecond
-
 func (t *transaction) discard() {
 	if t.lease != nil {
 		t.lease.Discard()
@@ -88,7 +85,10 @@
 			t.server, t.lease, t.proven = target, lease, true
 			return Reply{}, true
 		}
-		settle(lease, begin)
+		lease.Settle(begin)
+		if r.starved(target, begin) {
+			break
+		}
 		r.notRun(target, begin)
 	}
 	return r.refuseTransaction(failure.Overloaded), false
@@ -113,7 +113,10 @@
 			t.server, t.lease = target, lease
 			return Reply{}, true
 		}
-		settle(lease, begin)
+		lease.Settle(begin)
+		if r.starved(target, begin) {
+			break
+		}
 		r.readNotRun(target, begin, floor)
 	}
 	return r.refuseTransaction(failure.Overloaded), false
@@ -139,12 +142,12 @@
 		return t.lost(r)
 	}
 	for r.goesOn() {
-		if !r.enter(t.server, admission.Continuation) {
+		if !r.enter(t.server, t.lease, admission.Continuation) {
 			return t.refused(r)
 		}
 		operations := append(t.lease.Adapt(r.session.values, r.statement), r.operation())
 		batch := t.lease.Run(operations, r.deadline)
-		r.leave(t.server, &batch, batch.Last())
+		r.leave(t.server, t.lease, &batch, batch.Last())
 		if batch.Err != nil {
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "statement"),
 				zap.String("server", t.server.id), zap.Error(batch.Err))
@@ -239,11 +242,11 @@
 		return t.lost(r)
 	}
 	for r.goesOn() {
-		if !r.enter(t.server, admission.Continuation) {
+		if !r.enter(t.server, t.lease, admission.Continuation) {
 			return t.refused(r)
 		}
 		batch := t.lease.Run([]upstream.Operation{{Kind: upstream.Commit, RequestID: received.RequestID, Text: received.Text}}, r.deadline)
-		r.leave(t.server, &batch, batch.Last())
+		r.leave(t.server, t.lease, &batch, batch.Last())
 		if batch.Err != nil {
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", received.RequestID), zap.String("command", "commit"),
 				zap.String("server", t.server.id), zap.Error(batch.Err))
@@ -276,6 +279,6 @@
 	if t.wrote {
 		r.session.own = freshness.OwnCommit{At: time.Now(), Position: result.Position}
 	}
-	settle(t.lease, result)
+	t.lease.Settle(result)
 	t.lease = nil
 }
--- a/internal/proxy/write.go
+++ b/internal/proxy/write.go
@@ -20,21 +20,21 @@
 		if lease == nil {
 			return r.refuse(reason)
 		}
-		if !r.enter(target, admission.OnlyHere) {
+		if !r.enter(target, lease, admission.OnlyHere) {
 			lease.Return()
 			return r.refuse(failure.Overloaded)
 		}
 		operations := append(lease.Adapt(r.session.values, r.statement), r.operation())
 		batch := lease.Run(operations, r.deadline)
-		r.leave(target, &batch, batch.Last())
+		r.leave(target, lease, &batch, batch.Last())
 		if batch.Err != nil {
 			lease.Discard()
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "write"),
 				zap.String("server", target.id), zap.Error(batch.Err))
 			return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
 		}
-		lease.Return()
 		result := batch.Last()
+		lease.Settle(result)
 		if !result.Outcome.NotRun() {
 			if result.Outcome == upstream.Succeeded {
 				r.service.proved(target, batch.SentAt, result)
@@ -42,7 +42,7 @@
 			}
 			return r.answer(result)
 		}
-		if result.Outcome == upstream.Busy && r.overloaded() {
+		if result.Outcome == upstream.Busy && r.overloaded() || r.starved(target, result) {
 			break
 		}
 		r.notRun(target, result)
@@ -64,6 +64,8 @@
 				zap.String("server", target.id), zap.String("request", r.statement.RequestID))
 		}
 		r.awaitLeader()
+	case upstream.Unreached:
+		r.awaitLeader()
 	default:
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,9 @@
 	// Tunnel, with Server, asks for a connection to the server through the node:
 	// after an answer with Reached, the connection carries its bytes.
 	Tunnel bool `msgpack:"t,omitempty"`
+	// Link asks the node to serve operations on its connections: after an answer
+	// with Reached, the connection is a link of package remote.
+	Link bool `msgpack:"l,omitempty"`
 }
 
 // Answer is the answer to a question.
@@ -50,6 +53,8 @@
 	Answer(ctx context.Context, question Question) Answer
 	// Connect opens a connection to a server, for a tunnel.
 	Connect(ctx context.Context, server string) (net.Conn, error)
+	// ServeLink serves a link until it ends.
+	ServeLink(connection net.Conn)
 }
 
 // Limits of the protocol.
@@ -95,6 +100,13 @@
 		serveTunnel(ctx, connection, handler, question.Server)
 		return
 	}
+	if question.Link {
+		if send(connection, Answer{Reached: true}) == nil {
+			_ = connection.SetDeadline(time.Time{})
+			handler.ServeLink(connection)
+		}
+		return
+	}
 	_ = send(connection, handler.Answer(ctx, question))
 }
 
@@ -128,6 +140,16 @@
 
 // Tunnel opens a connection to a server through the node at an address.
 func Tunnel(ctx context.Context, address, server string) (net.Conn, error) {
+	return open(ctx, address, Question{Server: server, Tunnel: true})
+}
+
+// Link opens the connection of a link to the node at an address.
+func Link(ctx context.Context, address string) (net.Conn, error) {
+	return open(ctx, address, Question{Link: true})
+}
+
+// open asks a question after whose answer the connection goes on.
+func open(ctx context.Context, address string, question Question) (net.Conn, error) {
 	var dialer net.Dialer
 	connection, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
@@ -137,7 +159,7 @@
 		_ = connection.SetDeadline(deadline)
 	}
 	var answer Answer
-	if err = send(connection, Question{Server: server, Tunnel: true}); err == nil {
+	if err = send(connection, question); err == nil {
 		err = receive(connection, &answer)
 	}
 	if err == nil && !answer.Reached {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -21,6 +21,18 @@
 	}
 }
 
+// ServeLink sends back what it gets.
+func (echo) ServeLink(connection net.Conn) {
+	buffer := make([]byte, 64)
+	for {
+		size, err := connection.Read(buffer)
+		if err != nil {
+			return
+		}
+		_, _ = connection.Write(buffer[:size])
+	}
+}
+
 // Connect opens a connection to a listener whose address is the server's name.
 func (echo) Connect(ctx context.Context, server string) (net.Conn, error) {
 	var dialer net.Dialer
@@ -73,6 +85,21 @@
 	must.Error(t, err)
 }
 
+// TestLinkIsHandedOver opens the connection of a link.
+func TestLinkIsHandedOver(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	link, err := Link(ctx, serve(t))
+	must.NoError(t, err)
+	_, err = link.Write([]byte("frame"))
+	must.NoError(t, err)
+	answer := make([]byte, 5)
+	_, err = link.Read(answer)
+	must.NoError(t, err)
+	must.Eq(t, "frame", string(answer))
+	must.NoError(t, link.Close())
+}
+
 // TestTunnelCarriesBytesBothWaysAndEnds drives a tunnel to a listener that sends
 // back what it gets, and to one that does not exist.
 func TestTunnelCarriesBytesBothWaysAndEnds(t *testing.T) {
--- /dev/null
+++ b/internal/remote/links.go
@@ -0,0 +1,149 @@
+package remote
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Times of the links to owners.
+const (
+	dialLimit = 500 * time.Millisecond
+	// dialPatience is how long a link that is being opened is waited for before
+	// the next owner is tried.
+	dialPatience = 300 * time.Millisecond
+	// firstBackoff is the pause after an owner could not be reached; it doubles
+	// up to longestBackoff.
+	firstBackoff   = 250 * time.Millisecond
+	longestBackoff = 8 * time.Second
+)
+
+// LinksConfig configures the links of a node.
+type LinksConfig struct {
+	// Dial opens a connection to the node at an address that serves a link.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// OnProof takes what owners tell of the primaries.
+	OnProof ProofFunc
+}
+
+// Links are a node's links to owners, by address. It is safe for concurrent use.
+type Links struct {
+	cfg LinksConfig
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	// changed is closed and replaced when an attempt to open a link ends.
+	changed chan struct{}
+}
+
+// peer is what is known of the way to one owner.
+type peer struct {
+	link *Link
+	// dialing is when the attempt under way began; zero if there is none.
+	dialing time.Time
+	retryAt time.Time
+	backoff time.Duration
+}
+
+// NewLinks returns no links yet; they are opened when they are wanted.
+func NewLinks(cfg LinksConfig) *Links {
+	return &Links{cfg: cfg, peers: map[string]*peer{}, changed: make(chan struct{})}
+}
+
+// Pick returns a link to the first owner that can be reached, and its address; nil
+// if there is none before the deadline.
+func (ls *Links) Pick(addresses []string, deadline time.Time) (*Link, string) {
+	for {
+		link, address, pending, changed := ls.look(addresses, time.Now())
+		if link != nil || !pending {
+			return link, address
+		}
+		wait := min(time.Until(deadline), dialPatience)
+		if wait <= 0 {
+			return nil, ""
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+// look returns the first open link. If an owner before it is being reached for the
+// first time, it reports that waiting is worth while.
+func (ls *Links) look(addresses []string, now time.Time) (link *Link, address string, pending bool, changed chan struct{}) {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	for _, address := range addresses {
+		p := ls.peers[address]
+		if p == nil {
+			p = &peer{}
+			ls.peers[address] = p
+		}
+		if p.link != nil && p.link.Alive() {
+			return p.link, address, false, nil
+		}
+		if ls.dial(address, p, now) {
+			pending = true
+			if ls.otherAlive(addresses) == nil {
+				break
+			}
+		}
+	}
+	return nil, "", pending, ls.changed
+}
+
+// otherAlive returns any open link among the addresses.
+func (ls *Links) otherAlive(addresses []string) *Link {
+	for _, address := range addresses {
+		if p := ls.peers[address]; p != nil && p.link != nil && p.link.Alive() {
+			return p.link
+		}
+	}
+	return nil
+}
+
+// dial opens a link if it is time to, and reports whether one is being opened that
+// is worth waiting for; the lock is held.
+func (ls *Links) dial(address string, p *peer, now time.Time) bool {
+	if !p.dialing.IsZero() {
+		return now.Sub(p.dialing) < dialPatience
+	}
+	if now.Before(p.retryAt) || (p.link != nil && p.link.open()) {
+		return false
+	}
+	p.dialing = now
+	go ls.open(address, p)
+	return true
+}
+
+func (ls *Links) open(address string, p *peer) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialLimit)
+	defer cancel()
+	conn, err := ls.cfg.Dial(ctx, address)
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	p.dialing = time.Time{}
+	if err == nil {
+		p.link, p.backoff = NewLink(conn, ls.cfg.OnProof), 0
+	} else {
+		p.backoff = min(max(2*p.backoff, firstBackoff), longestBackoff)
+	}
+	p.retryAt = time.Now().Add(max(p.backoff, firstBackoff))
+	close(ls.changed)
+	ls.changed = make(chan struct{})
+}
+
+// Close ends all links.
+func (ls *Links) Close() {
+	ls.mu.Lock()
+	defer ls.mu.Unlock()
+	for _, p := range ls.peers {
+		if p.link != nil {
+			p.link.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/remote/remote_test.go
@@ -0,0 +1,356 @@
+package remote
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/admission"
+	"dewknot/internal/command"
+	"dewknot/internal/position"
+	"dewknot/internal/upstream"
+)
+
+// fakeServer is a server that answers each operation at once, with the operation's
+// own name as its row.
+type fakeServer struct {
+	mu sync.Mutex
+	// full refuses all that needs a slot, gone all connections.
+	full, gone bool
+	// lose makes the next statement's answer get lost.
+	lose bool
+	// hold, if set, delays statements until it is closed.
+	hold    chan struct{}
+	entered int
+	log     []upstream.OperationKind
+	pool    *upstream.Pool
+	proved  time.Time
+}
+
+func newFakeServer() *fakeServer {
+	s := &fakeServer{}
+	s.pool = upstream.NewPool(s, "address", "service", "s1", 8, upstream.NewStats())
+	return s
+}
+
+// Dial implements upstream.Dialer.
+func (s *fakeServer) Dial(context.Context, string, string, string) (upstream.Connection, position.Position, error) {
+	return &fakeConnection{server: s}, position.Position{}, nil
+}
+
+func (s *fakeServer) Owned(id string) Server {
+	if id != "s1" {
+		return nil
+	}
+	return s
+}
+
+func (s *fakeServer) Lend(deadline time.Time) (*upstream.Lease, error) { return s.pool.Get(deadline) }
+func (s *fakeServer) Silent() bool                                     { return s.gone }
+
+func (s *fakeServer) Enter(admission.Request, time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.full {
+		return false
+	}
+	s.entered++
+	return true
+}
+
+func (s *fakeServer) Leave(*upstream.Batch, *upstream.Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entered--
+}
+
+func (s *fakeServer) Proof() (time.Time, position.Position) {
+	return s.proved, position.Position{Term: 1, Offset: 7}
+}
+
+func (s *fakeServer) kinds() []upstream.OperationKind {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]upstream.OperationKind(nil), s.log...)
+}
+
+// fakeConnection is a connection to a fakeServer.
+type fakeConnection struct {
+	server *fakeServer
+	queue  []upstream.Result
+	open   bool
+	lost   bool
+}
+
+func (c *fakeConnection) Send(operations []upstream.Operation, _ time.Time) error {
+	for _, operation := range operations {
+		c.server.mu.Lock()
+		c.server.log = append(c.server.log, operation.Kind)
+		lose, hold := c.server.lose && operation.Kind.UsesSlot(), c.server.hold
+		c.server.mu.Unlock()
+		if hold != nil && operation.Kind.UsesSlot() {
+			<-hold
+		}
+		if lose {
+			c.lost = true
+			return nil
+		}
+		switch operation.Kind {
+		case upstream.Begin, upstream.BeginReadOnly:
+			c.open = true
+		case upstream.Commit, upstream.Rollback:
+			c.open = false
+		default:
+		}
+		result := upstream.Result{Rows: [][]byte{[]byte(operation.RequestID)}, Position: position.Position{Term: 1, Offset: 9}}
+		if c.open {
+			result.State = upstream.InTransaction
+		}
+		c.queue = append(c.queue, result)
+	}
+	return nil
+}
+
+func (c *fakeConnection) Receive(upstream.OperationKind, time.Time) (upstream.Result, error) {
+	if len(c.queue) == 0 {
+		return upstream.Result{}, net.ErrClosed
+	}
+	result := c.queue[0]
+	c.queue = c.queue[1:]
+	return result, nil
+}
+
+func (c *fakeConnection) Alive() bool { return !c.lost }
+func (c *fakeConnection) Close()      {}
+
+type proofs struct {
+	mu   sync.Mutex
+	list []time.Time
+}
+
+// connect links an asking side to an owner of the server.
+func connect(t *testing.T, server *fakeServer) (*Link, *Owner, *proofs) {
+	t.Helper()
+	owner := NewOwner(server)
+	here, there := net.Pipe()
+	go owner.Serve(there)
+	taken := &proofs{}
+	link := NewLink(here, func(_ string, at time.Time, _ position.Position) {
+		taken.mu.Lock()
+		defer taken.mu.Unlock()
+		taken.list = append(taken.list, at)
+	})
+	t.Cleanup(link.Close)
+	return link, owner, taken
+}
+
+func lease(link *Link, server string) *upstream.Lease {
+	return upstream.NewRemoteLease(link.Session(server), upstream.NewStats(), func() {})
+}
+
+func statement(id string) upstream.Operation {
+	return upstream.Operation{Kind: upstream.RunStatement, RequestID: id, Statement: &command.Statement{RequestID: id}}
+}
+
+func soon() time.Time { return time.Now().Add(5 * time.Second) }
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(5 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// TestStreamsOfALinkNeverMix runs statements of many users over one link; each gets
+// the answer to its own.
+func TestStreamsOfALinkNeverMix(t *testing.T) {
+	link, _, _ := connect(t, newFakeServer())
+	var working sync.WaitGroup
+	for user := range 40 {
+		working.Go(func() {
+			for i := range 20 {
+				id := string(rune('a'+user)) + string(rune('a'+i))
+				batch := lease(link, "s1").Run([]upstream.Operation{statement(id)}, soon())
+				must.NoError(t, batch.Err)
+				must.Eq(t, id, string(batch.Last().Rows[0]))
+			}
+		})
+	}
+	working.Wait()
+}
+
+// TestTransactionKeepsItsConnection runs a transaction through the owner: its
+// session values go with it, and nothing is left open.
+func TestTransactionKeepsItsConnection(t *testing.T) {
+	server := newFakeServer()
+	link, owner, _ := connect(t, server)
+	l := lease(link, "s1")
+	begin := append(l.Adapt(map[string]string{"zone": "a"}, nil), upstream.Operation{Kind: upstream.Begin})
+	batch := l.Run(begin, soon())
+	must.NoError(t, batch.Err)
+	must.Eq(t, upstream.InTransaction, batch.Last().State)
+	must.Eq(t, 1, owner.Active())
+	must.Len(t, 0, l.Adapt(map[string]string{"zone": "a"}, nil), must.Sprint("values stay while the transaction is open"))
+	batch = l.Run([]upstream.Operation{statement("x"), {Kind: upstream.Commit, RequestID: "x"}}, soon())
+	must.NoError(t, batch.Err)
+	must.Eq(t, upstream.Idle, batch.Last().State)
+	must.Eq(t, 0, owner.Active())
+	must.Eq(t, []upstream.OperationKind{upstream.SetValue, upstream.Begin, upstream.RunStatement, upstream.Commit}, server.kinds())
+	must.Len(t, 1, l.Adapt(map[string]string{"zone": "a"}, nil), must.Sprint("an owner keeps no values between transactions"))
+}
+
+// TestWhatIsLeftOpenIsRolledBack ends a transaction's session, then its link.
+func TestWhatIsLeftOpenIsRolledBack(t *testing.T) {
+	for _, end := range []func(*Link, *upstream.Lease){
+		func(_ *Link, l *upstream.Lease) { l.Discard() },
+		func(link *Link, _ *upstream.Lease) { link.Close() },
+	} {
+		server := newFakeServer()
+		link, owner, _ := connect(t, server)
+		l := lease(link, "s1")
+		must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
+		end(link, l)
+		eventually(t, "the transaction stays open", func() bool {
+			kinds := server.kinds()
+			return kinds[len(kinds)-1] == upstream.Rollback && owner.Active() == 0
+		})
+	}
+}
+
+// TestEndDuringABatch ends a session while its batch runs at the owner: the batch's
+// transaction is rolled back once it is over.
+func TestEndDuringABatch(t *testing.T) {
+	server := newFakeServer()
+	link, owner, _ := connect(t, server)
+	server.hold = make(chan struct{})
+	l := lease(link, "s1")
+	batch := l.Run([]upstream.Operation{{Kind: upstream.Begin}, statement("x")}, time.Now().Add(50*time.Millisecond))
+	must.True(t, batch.TimedOut())
+	l.Discard()
+	close(server.hold)
+	eventually(t, "the transaction stays open", func() bool { return owner.Active() == 0 })
+	kinds := server.kinds()
+	must.Eq(t, upstream.Rollback, kinds[len(kinds)-1])
+}
+
+// TestWhatDidNotRunIsSaidSo: for want of a slot, of the server, of a transaction.
+func TestWhatDidNotRunIsSaidSo(t *testing.T) {
+	server := newFakeServer()
+	link, _, _ := connect(t, server)
+	server.full = true
+	batch := lease(link, "s1").Run([]upstream.Operation{statement("x")}, soon())
+	must.NoError(t, batch.Err)
+	must.Eq(t, upstream.Busy, batch.Last().Outcome)
+	must.SliceEmpty(t, server.kinds())
+
+	told := false
+	unknown := upstream.NewRemoteLease(link.Session("s2"), upstream.NewStats(), func() { told = true })
+	batch = unknown.Run([]upstream.Operation{statement("x")}, soon())
+	must.NoError(t, batch.Err)
+	must.Eq(t, upstream.Unreached, batch.Last().Outcome)
+	must.True(t, told)
+
+	l := lease(link, "s1")
+	must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
+	batch = l.Run([]upstream.Operation{statement("x"), {Kind: upstream.Rollback}}, soon())
+	must.NoError(t, batch.Err)
+	must.Eq(t, upstream.Busy, batch.First().Outcome)
+	must.Eq(t, upstream.Idle, batch.Last().State, must.Sprint("the rollback needs no slot"))
+}
+
+// TestLostAnswerLeavesDoubt: the server's answer to a statement does not come.
+func TestLostAnswerLeavesDoubt(t *testing.T) {
+	server := newFakeServer()
+	link, owner, _ := connect(t, server)
+	server.lose = true
+	l := lease(link, "s1")
+	batch := l.Run([]upstream.Operation{statement("x")}, soon())
+	must.ErrorIs(t, batch.Err, ErrInDoubt)
+	must.False(t, l.Alive())
+	must.Eq(t, 0, owner.Active())
+	must.Eq(t, 0, server.entered)
+}
+
+// TestProofIsNeverDatedLate: what an owner knew some time ago is dated before the
+// question by at least that time.
+func TestProofIsNeverDatedLate(t *testing.T) {
+	server := newFakeServer()
+	server.proved = time.Now().Add(-300 * time.Millisecond)
+	link, _, taken := connect(t, server)
+	must.NoError(t, lease(link, "s1").Run([]upstream.Operation{statement("x")}, soon()).Err)
+	must.Len(t, 1, taken.list)
+	must.False(t, taken.list[0].After(server.proved))
+}
+
+// TestSilentOwner ends a link whose other side reads and says nothing.
+func TestSilentOwner(t *testing.T) {
+	here, there := net.Pipe()
+	go func() {
+		buffer := make([]byte, 4096)
+		for {
+			if _, err := there.Read(buffer); err != nil {
+				return
+			}
+		}
+	}()
+	link := NewLink(here, func(string, time.Time, position.Position) {})
+	began := time.Now()
+	batch := lease(link, "s1").Run([]upstream.Operation{statement("x")}, soon())
+	must.ErrorIs(t, batch.Err, ErrLinkLost)
+	must.Less(t, 3*time.Second, time.Since(began))
+	must.False(t, link.Alive())
+}
+
+// TestOwnerThatLeavesGetsNoNewWork and finishes what is under way.
+func TestOwnerThatLeavesGetsNoNewWork(t *testing.T) {
+	server := newFakeServer()
+	link, owner, _ := connect(t, server)
+	l := lease(link, "s1")
+	must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
+	owner.Leave()
+	eventually(t, "the link does not learn of it", func() bool { return !link.Alive() })
+	must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Commit, RequestID: "x"}}, soon()).Err)
+}
+
+// TestMeaninglessFramesHarmNobody sends garbage to an owner.
+func TestMeaninglessFramesHarmNobody(t *testing.T) {
+	for _, garbage := range [][]byte{{}, {0xff, 0xff, 0xff, 0xff, 1}, make([]byte, 64), {0, 0, 0, 9, frameRun, 0, 0, 0, 0, 0, 0, 0, 1}} {
+		owner := NewOwner(newFakeServer())
+		here, there := net.Pipe()
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			owner.Serve(there)
+		}()
+		_ = here.SetDeadline(time.Now().Add(time.Second))
+		_, _ = here.Write(garbage)
+		_ = here.Close()
+		<-served
+		must.Eq(t, 0, owner.Active())
+	}
+}
+
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte{0x95, 0xa1, 's', 0x90, 0x00, 0xc2, 0x94, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		server := newFakeServer()
+		owner := NewOwner(server)
+		here, there := net.Pipe()
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			owner.Serve(there)
+		}()
+		_ = here.SetDeadline(time.Now().Add(time.Second))
+		frame := append([]byte{0, 0, byte((len(body) + 9) >> 8), byte(len(body) + 9), frameRun, 0, 0, 0, 0, 0, 0, 0, 1}, body...)
+		_, _ = here.Write(frame)
+		_ = here.Close()
+		<-served
+	})
+}
--- a/internal/standin/managed/session.go
+++ b/internal/standin/managed/session.go
@@ -96,7 +96,7 @@
 func (s *Session) breakOff() { s.once.Do(func() { close(s.broken) }) }
 
 // Send implements upstream.Connection.
-func (s *Session) Send(operations []upstream.Operation) error {
+func (s *Session) Send(operations []upstream.Operation, _ time.Time) error {
 	if !s.Alive() {
 		return errReset
 	}
--- a/internal/standin/managed/session_test.go
+++ b/internal/standin/managed/session_test.go
@@ -36,7 +36,7 @@
 		var last upstream.Result
 		for i := range 200 {
 			operation := operations(i)
-			must.NoError(t, connection.Send([]upstream.Operation{operation}))
+			must.NoError(t, connection.Send([]upstream.Operation{operation}, time.Time{}))
 			last, err = connection.Receive(operation.Kind, time.Now().Add(10*time.Second))
 			must.NoError(t, err)
 		}
--- a/internal/upstream/batch.go
+++ b/internal/upstream/batch.go
@@ -39,11 +39,10 @@
 
 // Run sends operations and waits for all their answers.
 func (l *Lease) Run(operations []Operation, deadline time.Time) Batch {
-	stats := l.pool.stats
 	batch := Batch{SentAt: time.Now(), Results: make([]Result, 0, len(operations))}
-	stats.Started(batch.SentAt)
-	if batch.Err = l.Send(operations); batch.Err != nil {
-		stats.Unreachable(time.Now())
+	l.started(batch.SentAt)
+	if batch.Err = l.Send(operations, deadline); batch.Err != nil {
+		l.broke()
 		return batch
 	}
 	for i := range operations {
@@ -51,20 +50,81 @@
 		if err != nil {
 			batch.Err = err
 			if !batch.TimedOut() {
-				stats.Unreachable(time.Now())
+				l.broke()
 			}
 			return batch
 		}
 		l.note(&operations[i], &result)
 		batch.Results = append(batch.Results, result)
 	}
+	l.answered(operations, &batch)
+	return batch
+}
+
+// rollBackLimit bounds the wait for the answer to a rollback.
+const rollBackLimit = 500 * time.Millisecond
+
+// RollBack ends the open transaction and gives the connection back, or discards
+// one that does not become idle.
+func (l *Lease) RollBack() {
+	batch := l.Run([]Operation{{Kind: Rollback}}, time.Now().Add(rollBackLimit))
+	if batch.Err != nil {
+		l.Discard()
+		return
+	}
+	l.Settle(batch.Last())
+}
+
+// Settle gives the connection back if its last answer left it idle, and discards
+// it otherwise.
+func (l *Lease) Settle(last *Result) {
+	if last.State == Idle {
+		l.Return()
+		return
+	}
+	l.Discard()
+}
+
+// started notes that the server owes an answer. Of a server that is reached
+// through another node, that node keeps the account.
+func (l *Lease) started(now time.Time) {
+	if !l.Remote() {
+		l.stats.Started(now)
+	}
+}
+
+// broke notes a connection that broke. A link to another node that breaks says
+// nothing of the server behind it.
+func (l *Lease) broke() {
+	if !l.Remote() {
+		l.stats.Unreachable(time.Now())
+	}
+}
+
+// answered takes what the answers tell of the server.
+func (l *Lease) answered(operations []Operation, batch *Batch) {
+	last := batch.Last()
 	now := time.Now()
-	stats.Answered(now)
-	stats.Observe(batch.Last().Position)
+	if last.Outcome == Unreached && l.Remote() {
+		l.unreached()
+	}
+	if last.Outcome == Unreached || last.Outcome == NoConnection {
+		return
+	}
+	if l.Remote() {
+		l.stats.AnsweredThrough(now)
+	} else {
+		l.stats.Answered(now)
+	}
+	l.stats.Observe(last.Position)
 	if runsStatement(operations) {
-		stats.Sample(now, now.Sub(batch.SentAt))
+		l.stats.Sample(now, now.Sub(batch.SentAt))
+	}
+	if l.Remote() && last.State == Idle {
+		// The other node keeps a session's state only while a transaction is open.
+		clear(l.Values)
+		clear(l.Prepared)
 	}
-	return batch
 }
 
 func runsStatement(operations []Operation) bool {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,8 +8,8 @@
 	"dewknot/internal/command"
 )
 
-// Lease is a pooled connection lent to one user, with the session state that
-// the server keeps for it.
+// Lease is a connection lent to one user, with the session state that the server
+// keeps for it. It belongs to a pool, or goes through another node.
 type Lease struct {
 	Connection
 	// Values are the session values set on the connection.
@@ -17,12 +17,29 @@
 	// Prepared holds the names prepared on the connection.
 	Prepared map[string]command.PreparedStatement
 
-	pool     *Pool
-	returned time.Time
+	stats *Stats
+	// pool is nil for a connection that goes through another node.
+	pool *Pool
+	// unreached is called when that node says that it does not reach the server.
+	unreached func()
+	returned  time.Time
 	// generation is the pool's when the connection was opened.
 	generation int
 }
 
+// NewRemoteLease returns a lease of a connection that goes through another node.
+// unreached is called when that node says that it does not reach the server.
+func NewRemoteLease(connection Connection, stats *Stats, unreached func()) *Lease {
+	return &Lease{
+		Connection: connection, stats: stats, unreached: unreached,
+		Values: map[string]string{}, Prepared: map[string]command.PreparedStatement{},
+	}
+}
+
+// Remote reports whether the connection goes through another node, which then
+// limits the work on the server.
+func (l *Lease) Remote() bool { return l.pool == nil }
+
 // Pool lends connections to one server. It is safe for concurrent use.
 type Pool struct {
 	dialer  Dialer
@@ -267,7 +284,7 @@
 	p.stats.Observe(at)
 	p.stats.dialed(now.Sub(began))
 	lease := &Lease{
-		Connection: connection, pool: p, generation: generation,
+		Connection: connection, stats: p.stats, pool: p, generation: generation,
 		Values: map[string]string{}, Prepared: map[string]command.PreparedStatement{},
 	}
 	p.mutex.Lock()
@@ -323,6 +340,10 @@
 // Return gives a clean connection back: no answer outstanding, no transaction open.
 func (l *Lease) Return() {
 	pool := l.pool
+	if pool == nil {
+		l.Close()
+		return
+	}
 	pool.mutex.Lock()
 	if l.generation != pool.generation {
 		pool.mutex.Unlock()
@@ -346,6 +367,9 @@
 func (l *Lease) Discard() {
 	l.Close()
 	pool := l.pool
+	if pool == nil {
+		return
+	}
 	pool.mutex.Lock()
 	if l.generation == pool.generation {
 		pool.open--
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -48,7 +48,7 @@
 	dead   bool
 }
 
-func (c *idleConnection) Send([]Operation) error { return nil }
+func (c *idleConnection) Send([]Operation, time.Time) error { return nil }
 
 func (c *idleConnection) Receive(OperationKind, time.Time) (Result, error) { return Result{}, nil }
 
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -24,8 +24,9 @@
 
 // Stats is what answers have told about one server. It is safe for concurrent use.
 type Stats struct {
-	lastAnswer atomic.Int64 // nanoseconds since epoch
-	epoch      time.Time
+	lastAnswer  atomic.Int64 // nanoseconds since epoch
+	lastThrough atomic.Int64 // the same, of an answer through another node
+	epoch       time.Time
 
 	mutex sync.Mutex
 	// unansweredSince is when the first request was sent that the server has not
@@ -40,6 +41,7 @@
 	failedAt        time.Time
 	failures        int
 	busyUntil       time.Time
+	avoidUntil      time.Time
 }
 
 // NewStats returns empty statistics.
@@ -77,7 +79,16 @@
 	s.mutex.Unlock()
 }
 
-// SinceAnswer returns the time since the server last said something.
+// AnsweredThrough notes that the server has said something through another node,
+// which shows that it lives, not that this node reaches it.
+func (s *Stats) AnsweredThrough(now time.Time) { s.lastThrough.Store(int64(now.Sub(s.epoch))) }
+
+// SinceSign returns the time since the server last said something in any way.
+func (s *Stats) SinceSign(now time.Time) time.Duration {
+	return now.Sub(s.epoch.Add(time.Duration(max(s.lastAnswer.Load(), s.lastThrough.Load()))))
+}
+
+// SinceAnswer returns the time since the server last said something directly.
 func (s *Stats) SinceAnswer(now time.Time) time.Duration {
 	return now.Sub(s.epoch.Add(time.Duration(s.lastAnswer.Load())))
 }
@@ -106,11 +117,18 @@
 	s.unansweredSince = time.Time{}
 }
 
+// Avoid keeps work from the server until a time, without evidence against it.
+func (s *Stats) Avoid(until time.Time) {
+	s.mutex.Lock()
+	s.avoidUntil = until
+	s.mutex.Unlock()
+}
+
 // Avoided reports whether the server has lately been unreachable.
 func (s *Stats) Avoided(now time.Time) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.failures > 0 && now.Sub(s.failedAt) < failurePause
+	return now.Before(s.avoidUntil) || s.failures > 0 && now.Sub(s.failedAt) < failurePause
 }
 
 // Busied notes that the server refused for want of a slot.
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -94,11 +94,17 @@
 	TimedOut
 	// Rejected: the server does not accept it in this state.
 	Rejected
+	// NoConnection: it did not run; the node that holds the connections to the
+	// server had none free in time.
+	NoConnection
+	// Unreached: it did not run; the node that holds the connections to the
+	// server does not reach it.
+	Unreached
 )
 
 var outcomeNames = [...]string{
 	"succeeded", "busy", "behind", "not_primary", "statement_missing", "connection_limit",
-	"wrong_server", "failed", "timed_out", "rejected",
+	"wrong_server", "failed", "timed_out", "rejected", "no_connection", "unreached",
 }
 
 // String returns the outcome's name in logs.
@@ -107,7 +113,7 @@
 // NotRun reports whether the outcome promises that the operation did not run.
 func (o Outcome) NotRun() bool {
 	switch o {
-	case Busy, Behind, NotPrimary, StatementMissing, ConnectionLimit, WrongServer:
+	case Busy, Behind, NotPrimary, StatementMissing, ConnectionLimit, WrongServer, NoConnection, Unreached:
 		return true
 	default:
 		return false
@@ -151,10 +157,15 @@
 	Status *Status
 }
 
+// UsesSlot tells the operations that take one of a server's slots while they run
+// on behalf of a caller.
+func (k OperationKind) UsesSlot() bool { return k == RunStatement || k == Commit }
+
 // Connection is a connection to a server. It is used by one goroutine at a time.
 type Connection interface {
-	// Send writes operations in one go.
-	Send(operations []Operation) error
+	// Send writes operations in one go; their answers are of no use after the
+	// deadline.
+	Send(operations []Operation, deadline time.Time) error
 	// Receive reads the answer to the oldest operation that has none yet.
 	Receive(kind OperationKind, deadline time.Time) (Result, error)
 	// Alive reports whether the connection is idle and not closed by the server.
