A message between nodes that claims a length it does not have is refused

Cause: FuzzRequest, after 5 s: 11 bytes that claim an array of 3.7 thousand million operations made the decoder allocate it, and the process ended for want of memory. The same decoder serves internal/peer and internal/relay.

Change: codec.Decode walks through the data with the library's Skip before it decodes; relay decodes through it as well.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -27,7 +27,14 @@
 	return out.Bytes(), nil
 }
 
-// Decode decodes a value that Append encoded.
+// Decode decodes a value that Append encoded. The data is walked through first: a
+// length that it claims but does not have must not be allocated.
 func Decode(data []byte, value any) error {
+	decoder := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(decoder)
+	decoder.Reset(bytes.NewReader(data))
+	if err := decoder.Skip(); err != nil {
+		return errors.Wrap(err, "decode: the data is not whole")
+	}
 	return errors.Wrap(msgpack.Unmarshal(data, value), "decode")
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"dewknot/internal/codec"
 	"dewknot/internal/objectstore"
 )
 
@@ -215,5 +216,5 @@
 	if err != nil || len(content) < int(size) {
 		return errors.Errorf("a message between nodes ended after %d of %d bytes", len(content), size)
 	}
-	return errors.Wrap(msgpack.Unmarshal(content, message), "decode a message between nodes")
+	return errors.Wrap(codec.Decode(content, message), "decode a message between nodes")
 }
