Calls to the store are counted by kind and outcome; members and leases are listed stale

Change: store_calls_total{call,kind,outcome}. Listings of members and leases may be seconds old (a conflict corrects them), so they ask for stale answers, which cost a tenth.

--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -28,6 +28,9 @@
 type Store interface {
 	// List returns all objects of a kind and the revision up to which they are complete.
 	List(ctx context.Context, kind string) ([]Object, uint64, error)
+	// ListStale returns the objects of a kind as they were some seconds ago, or
+	// are now, at a lower price.
+	ListStale(ctx context.Context, kind string) ([]Object, error)
 	// Watch waits up to wait for changes after a revision and returns them with
 	// the revision to go on from. No change within wait is no error.
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Object, uint64, error)
@@ -64,6 +67,11 @@
 	HistoryGone: "the history is gone; list the objects again",
 }
 
+// String returns the outcome's name in logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+var outcomeNames = [...]string{"not_done", "unknown", "conflict", "not_found", "history_gone"}
+
 // Error is a failed call; its message names the remedy.
 type Error struct {
 	Outcome Outcome
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -146,7 +146,7 @@
 func (n *Node) listLeases(ctx context.Context) ([]objectstore.Object, bool) {
 	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
 	defer cancel()
-	objects, _, err := n.ports.Store.List(limited, n.options.Kinds.Leases)
+	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Leases)
 	return objects, err == nil
 }
 
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -97,7 +97,7 @@
 func (n *Node) listMembers(ctx context.Context) (*objectstore.Object, error) {
 	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
 	defer cancel()
-	objects, _, err := n.ports.Store.List(limited, n.options.Kinds.Members)
+	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Members)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/proxy/metered.go
@@ -0,0 +1,67 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"dewknot/internal/objectstore"
+)
+
+// meteredStore counts the calls to the store, which are priced.
+type meteredStore struct {
+	objectstore.Store
+	calls *prometheus.CounterVec
+}
+
+// count counts a call by what it asked and how it ended.
+func (m *meteredStore) count(call, kind string, err error) {
+	outcome := "done"
+	if err != nil {
+		outcome = objectstore.OutcomeOf(err).String()
+	}
+	m.calls.WithLabelValues(call, kind, outcome).Inc()
+}
+
+// List implements objectstore.Store.
+func (m *meteredStore) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
+	objects, revision, err := m.Store.List(ctx, kind)
+	m.count("list", kind, err)
+	return objects, revision, err
+}
+
+// ListStale implements objectstore.Store.
+func (m *meteredStore) ListStale(ctx context.Context, kind string) ([]objectstore.Object, error) {
+	objects, err := m.Store.ListStale(ctx, kind)
+	m.count("list_stale", kind, err)
+	return objects, err
+}
+
+// Watch implements objectstore.Store.
+func (m *meteredStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objectstore.Object, uint64, error) {
+	events, revision, err := m.Store.Watch(ctx, kind, after, wait)
+	m.count("watch", kind, err)
+	return events, revision, err
+}
+
+// Get implements objectstore.Store.
+func (m *meteredStore) Get(ctx context.Context, kind, name string) (objectstore.Object, error) {
+	object, err := m.Store.Get(ctx, kind, name)
+	m.count("get", kind, err)
+	return object, err
+}
+
+// Create implements objectstore.Store.
+func (m *meteredStore) Create(ctx context.Context, kind, name string, content []byte) (objectstore.Object, error) {
+	object, err := m.Store.Create(ctx, kind, name, content)
+	m.count("create", kind, err)
+	return object, err
+}
+
+// Replace implements objectstore.Store.
+func (m *meteredStore) Replace(ctx context.Context, kind, name string, revision uint64, content []byte) (objectstore.Object, error) {
+	object, err := m.Store.Replace(ctx, kind, name, revision, content)
+	m.count("replace", kind, err)
+	return object, err
+}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -18,6 +18,8 @@
 	reads     *prometheus.CounterVec
 	refusals  *prometheus.CounterVec
 	failovers *prometheus.CounterVec
+	// storeCalls are the calls to the store.
+	storeCalls *prometheus.CounterVec
 }
 
 const metricsNamespace = "dewknot"
@@ -40,14 +42,15 @@
 			Namespace: metricsNamespace, Name: "command_duration_seconds", Buckets: durationBuckets,
 			Help: "Time from a command's arrival to its answer, for commands that reached a server.",
 		}, []string{"freshness"}),
-		reads:     counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
-		refusals:  counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
-		failovers: counter("failover_phases_total", "Phases entered by the failover machines.", "service", "phase"),
+		reads:      counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
+		refusals:   counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
+		storeCalls: counter("store_calls_total", "Calls to the store.", "call", "kind", "outcome"),
+		failovers:  counter("failover_phases_total", "Phases entered by the failover machines.", "service", "phase"),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.commands, m.durations, m.reads, m.refusals, m.failovers,
+	m.registry.MustRegister(m.commands, m.durations, m.reads, m.refusals, m.failovers, m.storeCalls,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
 		gauge("server_connections", "Connections open to all servers.", node.openConnections),
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -137,6 +137,7 @@
 		catalog: catalog.New(options.DrainBound), started: time.Now(),
 	}
 	node.metrics = newMetrics(node)
+	node.ports.Store = &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls}
 	node.caches = map[string]*objectstore.Cache{
 		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{node}),
 		options.Kinds.Servers:       objectstore.NewCache(&directorySink{node}),
--- a/internal/standin/managed/store.go
+++ b/internal/standin/managed/store.go
@@ -192,6 +192,12 @@
 	return nil
 }
 
+// ListStale implements objectstore.Store.
+func (c *Client) ListStale(ctx context.Context, kind string) ([]objectstore.Object, error) {
+	objects, _, err := c.List(ctx, kind)
+	return objects, err
+}
+
 // List implements objectstore.Store.
 func (c *Client) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
 	limited, cancel := context.WithTimeout(ctx, callLimit)
