Failover: an order that was not answered binds the next to the same target

A fence by ordering the present primary does not help, since it was down.

Change: while an order is unanswered, only its target may be ordered again in a service with synchronous replicas, unless it has left the directory. Of equal replicas every holder chooses the same. The simulation makes one event log, not two: the second kept a bubble from ending when DEWKNOT_SIMULATED_LOG was set.

Conclusion: a holder that is lost after an unanswered order leaves its successor without this knowledge; listed as open.

--- a/internal/failover/choice.go
+++ b/internal/failover/choice.go
@@ -49,21 +49,37 @@
 }
 
 // furthest returns the report of the eligible server that has received most,
-// nil if there is none.
+// nil if there is none. Of equal ones every holder chooses the same.
 func (m *Machine) furthest(now time.Time, reports []Report) *Report {
 	var best *Report
 	for i := range reports {
 		report := &reports[i]
-		if !m.eligible(report.ID, now) {
+		if !m.eligible(report.ID, now) || (m.bound() && report.ID != m.target) {
 			continue
 		}
-		if best == nil || best.Received.Less(report.Received) {
+		if best == nil || best.Received.Less(report.Received) || (best.Received == report.Received && report.ID < best.ID) {
 			best = report
 		}
 	}
 	return best
 }
 
+// bound reports whether only the last target may be ordered again. Its order was
+// not answered: it may have been accepted, so that the target leads in a moment
+// and acknowledges commits that no other replica of the survey would have. Once
+// the target has left the directory it cannot.
+func (m *Machine) bound() bool {
+	if !m.unanswered || m.observation.SynchronousReplicas == 0 || m.target == m.observation.Leader {
+		return false
+	}
+	for _, server := range m.observation.Servers {
+		if server.ID == m.target {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsAllCommits reports whether the best server surely holds every
 // acknowledged commit of a service with synchronous replicas. Either it holds
 // all that the primary itself holds, or so many replicas have reported, none
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -257,6 +257,25 @@
 	must.SliceEmpty(t, machine.Step(at(3900), Observed{back}))
 }
 
+// TestUnansweredOrderBindsTheNext: the order for one replica may have been accepted,
+// so ordering the other would lose what the first acknowledges as the primary.
+func TestUnansweredOrderBindsTheNext(t *testing.T) {
+	machine := holder(t)
+	seenDown(t, machine, at(100), synchronous(true))
+	must.Eq(t, []Effect{Order{Target: "c", Token: tokensPerEpoch + 1}}, machine.Step(at(150), reports(10, 11)))
+	must.SliceEmpty(t, machine.Step(at(1150), Ordered{Unanswered}))
+	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, seenDown(t, machine, at(2400), synchronous(true)))
+	must.Eq(t, []Effect{Order{Target: "c", Token: tokensPerEpoch + 2}}, machine.Step(at(2450), reports(11, 11)))
+	must.SliceEmpty(t, machine.Step(at(3450), Ordered{Unanswered}))
+	seenDown(t, machine, at(4700), synchronous(true))
+	only := Surveyed{Reports: []Report{{ID: "b", Term: 1, Received: position.Position{Term: 1, Offset: 11}}}}
+	must.SliceEmpty(t, machine.Step(at(4750), only), must.Sprint("the first target is silent, but may lead"))
+	gone := synchronous(true)
+	gone.Servers = gone.Servers[:2]
+	must.Eq(t, []Effect{Survey{Except: "a", Hold: true}}, seenDown(t, machine, at(6000), gone))
+	must.Eq(t, []Effect{Order{Target: "b", Token: tokensPerEpoch + 3}}, machine.Step(at(6050), only))
+}
+
 func TestTakeoverDoesNotLetReplicasGoWhileItSurveysThem(t *testing.T) {
 	machine := other(0)
 	machine.Step(at(100), Observed{synchronous(true)})
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -88,12 +88,14 @@
 
 func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
 	fleet := &simulatedFleet{
-		store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"}, log: eventlog.New(io.Discard, "simulation", 1),
+		store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"},
 		broken: broken, nodes: map[string]*proxy.Node{},
 	}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
 		fleet.written = &lockedBuffer{}
 		fleet.log = eventlog.New(fleet.written, "simulation", 1_000_000)
+	} else {
+		fleet.log = eventlog.New(io.Discard, "simulation", 1)
 	}
 	fleet.check.onLost = func(at position.Position, commit *commitRecord) {
 		fleet.log.Write("rolled_back", zap.Stringer("position", at), zap.Bool("acknowledged", !commit.acknowledged.IsZero()))
@@ -142,6 +144,8 @@
 	f.running.Go(func() { _ = node.Run(ctx, listener) })
 }
 
+func (f *simulatedFleet) name(node int) string { return fmt.Sprintf("node-%d", node) }
+
 func (f *simulatedFleet) reaches(node int, server string) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
