Five nodes of a large fleet watch the store, the others watch them

Change: from 16 nodes on, five chosen by rendezvous hashing watch the store; a node asks one of them, which answers only if the store itself has answered it within its watch's wait and a second. If a reader fails, the next is asked at once; if none is up to date, the node watches the store itself, with longer pauses while that is down. Removals in a node's cache carry the revision up to which the change is complete, so a follower never misses one.

--- a/internal/objectstore/cache.go
+++ b/internal/objectstore/cache.go
@@ -20,6 +20,8 @@
 	// deleted keeps removals that watchers may not have seen.
 	deleted []Object
 	changed chan struct{}
+	// confirmed is when the store itself last answered.
+	confirmed time.Time
 }
 
 // keptRemovals bounds the removals that a cache remembers.
@@ -57,7 +59,8 @@
 	for _, event := range events {
 		if event.Deleted {
 			delete(c.objects, event.Name)
-			c.remove(event, event.Revision)
+			// The event's own revision may be that of the object's last change.
+			c.remove(event, revision)
 		} else {
 			c.objects[event.Name] = event
 		}
@@ -69,6 +72,21 @@
 	c.next.Apply(events, revision)
 }
 
+// Confirmed implements Sink.
+func (c *Cache) Confirmed(now time.Time) {
+	c.mutex.Lock()
+	c.confirmed = now
+	c.mutex.Unlock()
+	c.next.Confirmed(now)
+}
+
+// Age returns the time since the store itself last answered this node.
+func (c *Cache) Age() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return time.Since(c.confirmed)
+}
+
 // Lost implements Sink.
 func (c *Cache) Lost(err error) { c.next.Lost(err) }
 
--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -12,6 +12,9 @@
 	Reset(objects []Object, revision uint64)
 	// Apply takes changes since the last call, complete up to a revision.
 	Apply(events []Object, revision uint64)
+	// Confirmed tells that the store itself has just answered, so that all changes
+	// up to now are known.
+	Confirmed(now time.Time)
 	// Lost and Regained tell when the store stops and starts to answer.
 	Lost(err error)
 	Regained()
@@ -21,6 +24,11 @@
 const (
 	firstRetryDelay = 100 * time.Millisecond
 	lastRetryDelay  = 600 * time.Millisecond
+	// spareRetryDelay is the longest delay of a node that usually watches readers.
+	spareRetryDelay = 1500 * time.Millisecond
+	// readerPause is the pause after a reader told of changes, so that many
+	// changes in a row come together.
+	readerPause = 60 * time.Millisecond
 	// answerLimit is how long the store may take for an answer, beyond the wait
 	// that a watch asks for.
 	answerLimit = time.Second
@@ -45,56 +53,113 @@
 // for long.
 //
 // Between calls that the store does not answer, others are asked, who may still
-// be served by it; others may be nil. What they know is taken if it is newer.
-func Follow(ctx context.Context, store, others Source, kind string, wait time.Duration, sink Sink) {
-	follower := &follower{store: store, others: others, kind: kind, wait: wait, sink: sink, answering: true}
+// be served by it. What they know is taken if it is newer.
+//
+// Where there are readers, they are watched in place of the store: few nodes watch
+// it, and the rest turn to it only if no reader has lately been answered by it.
+func Follow(ctx context.Context, cfg FollowConfig) {
+	follower := &follower{FollowConfig: cfg, answering: true}
 	for ctx.Err() == nil {
 		follower.step(ctx)
 	}
 }
 
+// FollowConfig configures Follow.
+type FollowConfig struct {
+	Store Source
+	// Others, if not nil, are asked while the store does not answer.
+	Others Source
+	// Readers, if not nil, are nodes that watch the store for others. A watch fails
+	// if this node is one of them, or if none of them is up to date.
+	Readers ReaderSource
+	Kind    string
+	// Wait returns the bound of one watch of the store.
+	Wait func() time.Duration
+	Sink Sink
+}
+
+// ReaderSource watches nodes that watch the store.
+type ReaderSource interface {
+	Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error)
+}
+
 type follower struct {
-	store     Source
-	others    Source
-	kind      string
-	wait      time.Duration
-	sink      Sink
+	FollowConfig
 	listed    bool
 	revision  uint64
 	answering bool
 	delay     time.Duration
+	// spare is set once readers have answered in place of the store.
+	spare bool
 }
 
 // step makes one call and takes its answer.
 func (f *follower) step(ctx context.Context) {
-	if f.listed {
+	switch {
+	case !f.listed:
+		f.list(ctx)
+	case !f.watchReaders(ctx):
 		f.watch(ctx)
-		return
 	}
-	f.list(ctx)
+}
+
+// watchReaders watches a reader and reports whether one was up to date.
+func (f *follower) watchReaders(ctx context.Context) bool {
+	if f.Readers == nil {
+		return false
+	}
+	events, revision, err := f.Readers.Watch(ctx, f.Kind, f.revision)
+	if err != nil {
+		if OutcomeOf(err) != HistoryGone {
+			return false
+		}
+		f.listed = false
+		return true
+	}
+	f.spare = true
+	f.succeeded()
+	if revision > f.revision {
+		f.revision = revision
+		f.Sink.Apply(events, revision)
+	}
+	if len(events) > 0 {
+		pause(ctx, readerPause)
+	}
+	return true
+}
+
+// pause waits for half to one and a half times a span.
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span/2 + rand.N(span))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
 }
 
 func (f *follower) list(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
-	objects, revision, err := f.store.List(limited, f.kind)
+	objects, revision, err := f.Store.List(limited, f.Kind)
 	if err != nil {
 		f.failed(ctx, err)
 		return
 	}
 	f.succeeded()
 	f.listed, f.revision = true, revision
-	f.sink.Reset(objects, revision)
+	f.Sink.Reset(objects, revision)
+	f.Sink.Confirmed(time.Now())
 }
 
 func (f *follower) watch(ctx context.Context) {
-	wait := f.wait
+	wait := f.Wait()
 	if !f.answering {
 		wait = probeWait
 	}
 	limited, cancel := context.WithTimeout(ctx, wait+answerLimit)
 	defer cancel()
-	events, revision, err := f.store.Watch(limited, f.kind, f.revision, wait)
+	events, revision, err := f.Store.Watch(limited, f.Kind, f.revision, wait)
 	if err != nil {
 		if OutcomeOf(err) == HistoryGone {
 			f.listed = false
@@ -105,14 +170,15 @@
 	}
 	f.succeeded()
 	f.revision = revision
-	f.sink.Apply(events, revision)
+	f.Sink.Apply(events, revision)
+	f.Sink.Confirmed(time.Now())
 }
 
 func (f *follower) succeeded() {
 	f.delay = 0
 	if !f.answering {
 		f.answering = true
-		f.sink.Regained()
+		f.Sink.Regained()
 	}
 }
 
@@ -122,39 +188,37 @@
 	}
 	if f.answering {
 		f.answering = false
-		f.sink.Lost(err)
+		f.Sink.Lost(err)
 	}
 	f.askOthers(ctx)
-	f.delay = min(max(2*f.delay, firstRetryDelay), lastRetryDelay)
-	jittered := f.delay/2 + rand.N(f.delay/2)
-	timer := time.NewTimer(jittered)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+	longest := lastRetryDelay
+	if f.spare {
+		longest = spareRetryDelay
 	}
+	f.delay = min(max(2*f.delay, firstRetryDelay), longest)
+	pause(ctx, f.delay*2/3)
 }
 
 // askOthers takes what others know, if it is newer than what is known here.
 func (f *follower) askOthers(ctx context.Context) {
-	if f.others == nil {
+	if f.Others == nil {
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	if f.listed {
-		events, revision, err := f.others.Watch(limited, f.kind, f.revision, 0)
+		events, revision, err := f.Others.Watch(limited, f.Kind, f.revision, 0)
 		if err == nil && revision > f.revision {
 			f.revision = revision
-			f.sink.Apply(events, revision)
+			f.Sink.Apply(events, revision)
 		}
 		if err == nil || OutcomeOf(err) != HistoryGone {
 			return
 		}
 	}
-	objects, revision, err := f.others.List(limited, f.kind)
+	objects, revision, err := f.Others.List(limited, f.Kind)
 	if err == nil && revision > f.revision {
 		f.listed, f.revision = true, revision
-		f.sink.Reset(objects, revision)
+		f.Sink.Reset(objects, revision)
 	}
 }
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -16,21 +16,32 @@
 
 // watchShare is the wait of a watch as a part of the bound within which its
 // changes have to be in force; the rest is for a watch that the store swallowed.
-const watchShare = 0.55
+// A reader's changes have a second way to go, so it waits for less.
+const (
+	watchShare  = 0.55
+	readerShare = 0.4
+)
 
 // follow starts the watches on configuration and directory.
 func (n *Node) follow(ctx context.Context) {
-	part := func(bound time.Duration) time.Duration { return time.Duration(watchShare * float64(bound)) }
-	others := &otherNodes{n}
 	kinds := n.options.Kinds
-	go objectstore.Follow(ctx, n.ports.Store, others, kinds.Configuration, part(n.options.ConfigurationBound), n.caches[kinds.Configuration])
-	go objectstore.Follow(ctx, n.ports.Store, others, kinds.Servers, part(n.options.DrainBound), n.caches[kinds.Servers])
+	for kind, bound := range map[string]time.Duration{
+		kinds.Configuration: n.options.ConfigurationBound, kinds.Servers: n.options.DrainBound,
+	} {
+		go objectstore.Follow(ctx, objectstore.FollowConfig{
+			Store: n.ports.Store, Others: &otherNodes{n}, Readers: &storeReaders{node: n, bound: bound},
+			Kind: kind, Wait: func() time.Duration { return n.watchWait(bound) }, Sink: n.caches[kind],
+		})
+	}
 	go n.keepMembership(ctx)
 	go n.readLeases(ctx)
 }
 
 type configurationSink struct{ *Node }
 
+// Confirmed implements objectstore.Sink.
+func (s *configurationSink) Confirmed(time.Time) {}
+
 // Reset implements objectstore.Sink.
 func (s *configurationSink) Reset(objects []objectstore.Object, revision uint64) {
 	s.Apply(objects, revision)
@@ -68,6 +79,9 @@
 
 type directorySink struct{ *Node }
 
+// Confirmed implements objectstore.Sink.
+func (s *directorySink) Confirmed(time.Time) {}
+
 // Reset implements objectstore.Sink.
 func (s *directorySink) Reset(objects []objectstore.Object, _ uint64) {
 	servers := make([]catalog.Server, 0, len(objects))
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -230,6 +230,9 @@
 	if err != nil {
 		return relay.Answer{Failed: true, Outcome: objectstore.OutcomeOf(err)}
 	}
+	if question.Within > 0 && cache.Age() > question.Within {
+		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
+	}
 	return answer
 }
 
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -125,6 +125,8 @@
 	// caches hold the objects of the kinds that other nodes may ask for.
 	caches  map[string]*objectstore.Cache
 	members atomic.Pointer[[]Member]
+	// readerSet is made of the members.
+	readerSet atomic.Pointer[readerSet]
 	// links lead to nodes that own connections, owner serves this node's own.
 	links *remote.Links
 	owner *remote.Owner
--- /dev/null
+++ b/internal/proxy/readers.go
@@ -0,0 +1,135 @@
+package proxy
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"dewknot/internal/objectstore"
+	"dewknot/internal/placement"
+	"dewknot/internal/relay"
+)
+
+const (
+	// readersFrom is the size of a fleet from which only some nodes watch the
+	// store; of a smaller one all do, which spares a change one way.
+	readersFrom = 16
+	// readerCount is how many nodes watch the store for the others. Two of them
+	// that stand still one after the other leave a change time within its bound.
+	readerCount = 5
+	// pollShare is the wait of a question to a reader as a part of the bound.
+	pollShare = 0.3
+	// readerSlack is how long a reader's watch may take beyond its wait.
+	readerSlack = time.Second
+)
+
+// readerSet are the nodes that watch the store, made for a list of members.
+type readerSet struct {
+	members *[]Member
+	// reads is set if this node is one of them.
+	reads bool
+	// others are the readers in the order in which this node asks them.
+	others []Member
+}
+
+// readers returns the present readers; nil if all nodes watch the store.
+func (n *Node) readers() *readerSet {
+	members := n.members.Load()
+	if members == nil || n.ports.Peers == nil || len(*members)+1 < readersFrom {
+		return nil
+	}
+	if known := n.readerSet.Load(); known != nil && known.members == members {
+		return known
+	}
+	set := &readerSet{members: members}
+	candidates := []placement.Candidate{{ID: n.options.Name}}
+	byName := map[string]Member{}
+	for _, member := range *members {
+		candidates = append(candidates, placement.Candidate{ID: member.Name})
+		byName[member.Name] = member
+	}
+	for _, name := range placement.Rank("store readers", "", candidates, readerCount) {
+		if name == n.options.Name {
+			set.reads = true
+			continue
+		}
+		set.others = append(set.others, byName[name])
+	}
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(n.options.Name))
+	first := int(hash.Sum32()) % len(set.others)
+	set.others = append(slices.Clone(set.others[first:]), set.others[:first]...)
+	n.readerSet.Store(set)
+	return set
+}
+
+// watchWait is how long a watch of the store waits. A reader's changes have a
+// second way to go, so it waits for less.
+func (n *Node) watchWait(bound time.Duration) time.Duration {
+	share := watchShare
+	if n.readers() != nil {
+		share = readerShare
+	}
+	return time.Duration(share * float64(bound))
+}
+
+// storeReaders asks readers for changes of one kind. It implements
+// objectstore.ReaderSource.
+type storeReaders struct {
+	node  *Node
+	bound time.Duration
+
+	mu sync.Mutex
+	// skip is how many readers this node has given up in its order.
+	skip int
+}
+
+var errNoReader = &objectstore.Error{Outcome: objectstore.NotDone, Detail: "no reader of the store is up to date"}
+
+// Watch implements objectstore.ReaderSource: it goes on with the reader that
+// answered last, and asks each of the others once if that one fails.
+func (s *storeReaders) Watch(ctx context.Context, kind string, after uint64) ([]objectstore.Object, uint64, error) {
+	set := s.node.readers()
+	if set == nil || set.reads {
+		return nil, 0, errNoReader
+	}
+	wait := time.Duration(pollShare * float64(s.bound))
+	question := relay.Question{Kind: kind, Changes: true, After: after, Wait: wait, Within: s.node.watchWait(s.bound) + readerSlack}
+	for range set.others {
+		answer, err := s.ask(ctx, s.present(set.others), question)
+		if err == nil && (!answer.Failed || answer.Outcome == objectstore.HistoryGone) {
+			return answer.Objects, answer.Revision, failureOf(&answer)
+		}
+		s.next()
+		// The next one is asked at once, and what it knows now is enough.
+		question.Wait = 0
+	}
+	return nil, 0, errNoReader
+}
+
+func (s *storeReaders) ask(ctx context.Context, reader Member, question relay.Question) (relay.Answer, error) {
+	limited, cancel := context.WithTimeout(ctx, question.Wait+memberAnswerLimit)
+	defer cancel()
+	return s.node.ports.Peers.Ask(limited, reader.Address, question)
+}
+
+func (s *storeReaders) present(readers []Member) Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return readers[s.skip%len(readers)]
+}
+
+func (s *storeReaders) next() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.skip++
+}
+
+func failureOf(answer *relay.Answer) error {
+	if !answer.Failed {
+		return nil
+	}
+	return &objectstore.Error{Outcome: answer.Outcome, Detail: "of a reader"}
+}
--- /dev/null
+++ b/internal/proxy/readers_test.go
@@ -0,0 +1,83 @@
+package proxy_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/bubbletest"
+	"dewknot/internal/catalog"
+	"dewknot/internal/proxy"
+	"dewknot/internal/standin/managed"
+)
+
+// configurationVersion returns the version in force on a node.
+func configurationVersion(t *testing.T, node *proxy.Node) uint64 {
+	t.Helper()
+	families, err := node.Metrics().Gather()
+	must.NoError(t, err)
+	for _, family := range families {
+		if family.GetName() == "dewknot_configuration_version" {
+			return uint64(family.GetMetric()[0].GetGauge().GetValue())
+		}
+	}
+	t.Fatal("the node tells no version")
+	return 0
+}
+
+func (f *simulatedFleet) configure(version uint64) {
+	f.store.Put(managed.ConfigurationKind, "main", catalog.Configuration{
+		Version: version, Routes: testRoutes, TransactionIdle: time.Second,
+		Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24}},
+	})
+}
+
+// TestFewNodesWatchTheStore: in a fleet of 24 nodes, five watch the store. Changes are in
+// force everywhere at once, and within the bound after the store has stopped to
+// answer some nodes, whichever these are, or all of them for a while.
+func TestFewNodesWatchTheStore(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const nodes, bound = 24, 4 * time.Second
+		fleet := newFleet(nodes, 0, nothingBroken)
+		time.Sleep(10 * time.Second)
+		before := fleet.store.Watches()
+		time.Sleep(20 * time.Second)
+		// Two kinds, five nodes, waits of 0.4 of 4 s and of 7 s.
+		must.Less(t, 2*5*20, fleet.store.Watches()-before)
+		must.Positive(t, fleet.store.Watches()-before)
+		version := uint64(1)
+		change := func(within time.Duration, except map[string]bool) {
+			version++
+			fleet.configure(version)
+			time.Sleep(within)
+			for name, node := range fleet.nodes {
+				if !except[name] {
+					must.Eq(t, version, configurationVersion(t, node), must.Sprint(name))
+				}
+			}
+		}
+		change(300*time.Millisecond, nil)
+		for first := 0; first < nodes; first += 6 {
+			for i := range 6 {
+				fleet.store.SetCut(fleet.name(first+i), true)
+			}
+			time.Sleep(500 * time.Millisecond)
+			change(bound, nil)
+			for i := range 6 {
+				fleet.store.SetCut(fleet.name(first+i), false)
+			}
+			time.Sleep(3 * time.Second)
+			change(300*time.Millisecond, nil)
+		}
+		fleet.store.SetDown(true)
+		time.Sleep(6 * time.Second)
+		fleet.store.SetDown(false)
+		change(bound, nil)
+		time.Sleep(5 * time.Second)
+		change(300*time.Millisecond, nil)
+		fleet.stop()
+		time.Sleep(10 * time.Second)
+		fleet.log.Close()
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,6 +28,9 @@
 	Changes bool          `msgpack:"c,omitempty"`
 	After   uint64        `msgpack:"a,omitempty"`
 	Wait    time.Duration `msgpack:"w,omitempty"`
+	// Within, with Changes, refuses an answer from a node that the store itself has
+	// not answered for so long.
+	Within time.Duration `msgpack:"i,omitempty"`
 	// Server, if set, asks whether the node has lately reached a server.
 	Server string `msgpack:"s,omitempty"`
 	// Tunnel, with Server, asks for a connection to the server through the node:
@@ -64,6 +67,8 @@
 	lengthBytes     = 4
 	// serveLimit bounds one exchange, beyond the wait that a question asks for.
 	serveLimit = 3 * time.Second
+	// dialLimit bounds the opening of a connection.
+	dialLimit = 400 * time.Millisecond
 	// maxWait bounds the wait that a question may ask for.
 	maxWait = 30 * time.Second
 )
@@ -176,7 +181,7 @@
 
 // Ask asks the node at an address.
 func Ask(ctx context.Context, address string, question Question) (Answer, error) {
-	var dialer net.Dialer
+	dialer := net.Dialer{Timeout: dialLimit}
 	connection, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "reach another node; ask a different one")
--- a/internal/standin/managed/store.go
+++ b/internal/standin/managed/store.go
@@ -39,6 +39,7 @@
 	loseAnswers int
 	cut         map[string]bool
 	creations   map[string]int
+	watches     int
 }
 
 type change struct {
@@ -146,6 +147,13 @@
 	return s.creations[kind]
 }
 
+// Watches returns how many watches nodes have begun.
+func (s *Store) Watches() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.watches
+}
+
 // Count returns the number of objects of a kind.
 func (s *Store) Count(kind string) int {
 	s.mutex.Lock()
@@ -222,6 +230,9 @@
 	limited, cancel := context.WithTimeout(ctx, wait+callLimit)
 	defer cancel()
 	end := time.Now().Add(wait)
+	c.store.mutex.Lock()
+	c.store.watches++
+	c.store.mutex.Unlock()
 	for {
 		if err := c.enter(limited); err != nil {
 			return nil, 0, err
