A node that starts waits for the list of members before it opens connections

Change: the first listing is repeated every 0.15 to 0.45 s; callers' work waits for it within its time for a connection.

--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -39,13 +39,20 @@
 	secondMemberLook = 3 * time.Second
 	memberLook       = 40 * time.Second
 	memberRetry      = 2 * time.Second
+	// firstMemberRetry is the pause until a node that starts has a list at all.
+	firstMemberRetry = 300 * time.Millisecond
 )
 
 // keepMembership enters this node among the members and looks at them at long
 // intervals. A list that is old costs a few questions that nobody answers.
 func (n *Node) keepMembership(ctx context.Context) {
 	// A node that starts again finds the others at once, before it has callers.
-	_, _ = n.listMembers(ctx)
+	for ctx.Err() == nil {
+		if _, err := n.listMembers(ctx); err == nil {
+			break
+		}
+		n.waitAbout(ctx, firstMemberRetry)
+	}
 	n.waitAbout(ctx, firstMemberLook)
 	for ctx.Err() == nil && !n.lookAtMembers(ctx) {
 		n.waitAbout(ctx, memberRetry)
@@ -112,10 +119,30 @@
 			members = append(members, member)
 		}
 	}
-	n.members.Store(&members)
+	if n.members.Swap(&members) == nil {
+		close(n.membersKnown)
+	}
 	return own, nil
 }
 
+// awaitMembers waits, but not past a deadline, until a node that has just started
+// knows how many others there are: one that does not know would open connections
+// as if it were alone.
+func (n *Node) awaitMembers(deadline time.Time) {
+	if n.members.Load() != nil || n.ports.Peers == nil {
+		return
+	}
+	timer := time.NewTimer(min(time.Until(deadline), time.Until(n.started.Add(membersPatience))))
+	defer timer.Stop()
+	select {
+	case <-n.membersKnown:
+	case <-timer.C:
+	}
+}
+
+// membersPatience is how long after its start a node waits for a list of members.
+const membersPatience = 10 * time.Second
+
 // enter writes this node's entry, in place of an old one if there is one.
 func (n *Node) enter(ctx context.Context, old *objectstore.Object) bool {
 	content, err := json.Marshal(Member{Address: n.options.PeerAddress, Zone: n.options.Zone})
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -125,6 +125,8 @@
 	// caches hold the objects of the kinds that other nodes may ask for.
 	caches  map[string]*objectstore.Cache
 	members atomic.Pointer[[]Member]
+	// membersKnown is closed once members has a value.
+	membersKnown chan struct{}
 	// readerSet is made of the members.
 	readerSet atomic.Pointer[readerSet]
 	// links lead to nodes that own connections, owner serves this node's own.
@@ -136,7 +138,7 @@
 func New(options Options, ports Ports, log *eventlog.Log) *Node {
 	node := &Node{
 		options: options, ports: ports, log: log,
-		catalog: catalog.New(options.DrainBound), started: time.Now(),
+		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}),
 	}
 	node.metrics = newMetrics(node)
 	node.ports.Store = &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls}
--- a/internal/proxy/owners.go
+++ b/internal/proxy/owners.go
@@ -47,6 +47,7 @@
 // lend lends a connection to a server for callers' work: one of this node's own,
 // or one of the server's owner.
 func (n *Node) lend(target *server, deadline time.Time) (*upstream.Lease, error) {
+	n.awaitMembers(deadline)
 	owners := n.ownersBefore(target)
 	if len(owners) == 0 {
 		return target.pool.Get(deadline)
