--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -190,8 +190,10 @@
 	var asked sync.WaitGroup
 	for _, member := range members {
 		asked.Go(func() {
+			began := time.Now()
 			answer, err := n.ports.Peers.Ask(ctx, member.Address, question)
 			if err != nil {
+				n.log.Write(eventlog.PeerSilent, zap.String("peer", member.Name), zap.Duration("after", time.Since(began)), zap.Error(err))
 				return
 			}
 			mutex.Lock()
