Failover: a takeover uses the other nodes' word once, in place of asking twice

Cause: a node that takes the lease over asked five nodes whether they reach the primary before it read the lease, and again after it had written it.

Change: nobody reaching the primary holds for 0.6 s and for one survey. A slow store outlives it, and then the others are asked again.

--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -24,6 +24,9 @@
 	// matter to a holder that does.
 	holderDelay   = 400 * time.Millisecond
 	takeoverDelay = 2500 * time.Millisecond
+	// corroborationLife is how long other nodes' word that the primary is down
+	// holds: long enough to take the lease over in between.
+	corroborationLife = 600 * time.Millisecond
 	// contradictedPause is the pause after other nodes have reached a primary
 	// that this node does not reach.
 	contradictedPause = time.Second
@@ -103,6 +106,9 @@
 	holderLives bool
 	// renewed is set between the renewal of the lease and the survey it is for.
 	renewed bool
+	// confirmedDown is the primary that no other node reached at confirmedAt.
+	confirmedDown string
+	confirmedAt   time.Time
 	// detourAt is when work last began to go through another node.
 	detourAt time.Time
 	epoch    uint64
@@ -201,7 +207,7 @@
 	if now.Sub(m.needSince) < delay || now.Before(m.notBefore) {
 		return nil
 	}
-	if m.observation.Leader != "" && (m.observation.LeaderDown || !m.holding) {
+	if m.observation.Leader != "" && (m.observation.LeaderDown || !m.holding) && !m.justCorroborated(now) {
 		m.phase = Corroborating
 		return []Effect{Corroborate{Server: m.observation.Leader, Holder: m.holder}}
 	}
@@ -222,7 +228,7 @@
 	}
 	if m.holding {
 		m.phase = Surveying
-		m.renewed = false
+		m.renewed, m.confirmedDown = false, ""
 		return []Effect{Survey{Except: m.downLeader(), Hold: m.observation.SynchronousReplicas > 0}}
 	}
 	m.phase = ReadingLease
--- a/internal/failover/witness.go
+++ b/internal/failover/witness.go
@@ -19,6 +19,13 @@
 // majority that reaches the primary keeps it.
 const detourTrial = 3 * time.Second
 
+// justCorroborated reports whether other nodes have just said that the primary is
+// down, so that a node which has taken the lease over since need not ask again.
+func (m *Machine) justCorroborated(now time.Time) bool {
+	return m.holding && m.observation.LeaderDown && m.confirmedDown == m.observation.Leader &&
+		!m.confirmedAt.IsZero() && now.Sub(m.confirmedAt) < corroborationLife
+}
+
 // corroborated weighs what other nodes see. A primary that another node reaches
 // lives, and replacing it would lose what it has not replicated: its work goes
 // through that node. If that has been tried and the primary is still silent, it
@@ -39,6 +46,9 @@
 		m.needSince, m.holderLives, m.detourAt = time.Time{}, false, now
 		return []Effect{Detour{Server: m.observation.Leader}}
 	}
+	if event.Reached == 0 && m.observation.LeaderDown {
+		m.confirmedDown, m.confirmedAt = m.observation.Leader, now
+	}
 	if m.holding || !event.HolderAnswered || m.holderLives {
 		return m.act()
 	}
