--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -69,6 +69,8 @@
 	life    int
 	// led holds the nodes that get no new callers.
 	led []int
+	// muted holds the nodes that read nothing from the links of others.
+	muted map[string]bool
 	// nodes holds the running nodes by name.
 	nodes map[string]*proxy.Node
 }
@@ -89,7 +91,7 @@
 func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
 	fleet := &simulatedFleet{
 		store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"},
-		broken: broken, nodes: map[string]*proxy.Node{},
+		broken: broken, nodes: map[string]*proxy.Node{}, muted: map[string]bool{},
 	}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
 		fleet.written = &lockedBuffer{}
@@ -232,10 +234,38 @@
 		return nil, net.ErrClosed
 	}
 	here, there := net.Pipe()
-	go node.ServeLink(there)
+	go node.ServeLink(&mutedConn{there, p.fleet, address})
 	return here, nil
 }
 
+// mutedConn is a node's end of a link; nothing comes in while the node stands still.
+type mutedConn struct {
+	net.Conn
+	fleet *simulatedFleet
+	node  string
+}
+
+// Read implements net.Conn.
+func (c *mutedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	for c.fleet.isMuted(c.node) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return n, err
+}
+
+func (f *simulatedFleet) isMuted(node string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.muted[node]
+}
+
+func (f *simulatedFleet) setMuted(node string, muted bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.muted[node] = muted
+}
+
 func (f *simulatedFleet) stop() {
 	for i := range f.listeners {
 		f.stopNode(i)
@@ -246,7 +276,7 @@
 // trouble strikes the fleet once; it returns when the trouble has passed.
 func (f *simulatedFleet) trouble(random *rand.Rand) {
 	span := time.Duration(500+random.IntN(4000)) * time.Millisecond
-	kind := random.IntN(12)
+	kind := random.IntN(13)
 	f.log.Write("trouble", zap.Int("kind", kind), zap.Duration("span", span), zap.String("primary", f.group.Primary().ID()))
 	pick := func() *managed.Server { return f.group.Server(random.IntN(len(f.zones))) }
 	switch kind {
@@ -309,6 +339,11 @@
 		f.store.SetCut(node, true)
 		time.Sleep(span)
 		f.store.SetCut(node, false)
+	case 12:
+		node := f.name(random.IntN(len(f.listeners)))
+		f.setMuted(node, true)
+		time.Sleep(span)
+		f.setMuted(node, false)
 	}
 }
 
--- a/internal/remote/remote_test.go
+++ b/internal/remote/remote_test.go
@@ -321,36 +321,30 @@
 // TestMeaninglessFramesHarmNobody sends garbage to an owner.
 func TestMeaninglessFramesHarmNobody(t *testing.T) {
 	for _, garbage := range [][]byte{{}, {0xff, 0xff, 0xff, 0xff, 1}, make([]byte, 64), {0, 0, 0, 9, frameRun, 0, 0, 0, 0, 0, 0, 0, 1}} {
-		owner := NewOwner(newFakeServer())
-		here, there := net.Pipe()
-		served := make(chan struct{})
-		go func() {
-			defer close(served)
-			owner.Serve(there)
-		}()
-		_ = here.SetDeadline(time.Now().Add(time.Second))
-		_, _ = here.Write(garbage)
-		_ = here.Close()
-		<-served
-		must.Eq(t, 0, owner.Active())
+		must.Eq(t, 0, writeToOwner(garbage).Active())
 	}
 }
 
 func FuzzRequest(f *testing.F) {
 	f.Add([]byte{0x95, 0xa1, 's', 0x90, 0x00, 0xc2, 0x94, 0, 0, 0, 0})
-	f.Fuzz(func(t *testing.T, body []byte) {
-		server := newFakeServer()
-		owner := NewOwner(server)
-		here, there := net.Pipe()
-		served := make(chan struct{})
-		go func() {
-			defer close(served)
-			owner.Serve(there)
-		}()
-		_ = here.SetDeadline(time.Now().Add(time.Second))
+	f.Fuzz(func(_ *testing.T, body []byte) {
 		frame := append([]byte{0, 0, byte((len(body) + 9) >> 8), byte(len(body) + 9), frameRun, 0, 0, 0, 0, 0, 0, 0, 1}, body...)
-		_, _ = here.Write(frame)
-		_ = here.Close()
-		<-served
+		writeToOwner(frame)
 	})
 }
+
+// writeToOwner writes bytes to an owner and closes the connection.
+func writeToOwner(content []byte) *Owner {
+	owner := NewOwner(newFakeServer())
+	here, there := net.Pipe()
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		owner.Serve(there)
+	}()
+	_ = here.SetDeadline(time.Now().Add(time.Second))
+	_, _ = here.Write(content)
+	_ = here.Close()
+	<-served
+	return owner
+}
