Callers and the judge of promises stand in one package for simulation and soak

Change: internal/judge, with a small Session interface; the simulation's memory client implements it. Ruled out: a second checker over the wire.

--- /dev/null
+++ b/internal/judge/judge.go
@@ -0,0 +1,178 @@
+// Package judge drives callers against a fleet and judges what they are told by
+// what the servers of the stand-in ran. Simulation and soak share it.
+package judge
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/position"
+)
+
+// Judge compares what callers are told with what servers ran. It implements
+// managed.Observer and is safe for concurrent use.
+type Judge struct {
+	mu sync.Mutex
+	// requests holds what is known of each request by its id.
+	requests map[string]*request
+	// commits holds every commit by its position.
+	commits map[position.Position]*Commit
+	// Violations are the broken promises; read them when all callers are done.
+	Violations []string
+	// Reads and Writes count what servers ran.
+	Reads  int
+	Writes int
+	// OnLost, if set, is told of commits that a promotion removed.
+	OnLost func(position.Position, *Commit)
+}
+
+type request struct {
+	session   string
+	freshness catalog.Freshness
+	staleness time.Duration
+	began     time.Time
+	committed int
+	// promised is set once the caller was told that nothing is kept.
+	promised bool
+}
+
+// Commit is a commit that a server made.
+type Commit struct {
+	requests []string
+	session  string
+	// Acknowledged is when its caller was told of success; zero if it was not.
+	Acknowledged time.Time
+	lost         bool
+}
+
+// New returns a judge that has seen nothing.
+func New() *Judge {
+	return &Judge{requests: map[string]*request{}, commits: map[position.Position]*Commit{}}
+}
+
+// Violate notes a broken promise.
+func (j *Judge) Violate(format string, values ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.violate(format, values...)
+}
+
+func (j *Judge) violate(format string, values ...any) {
+	j.Violations = append(j.Violations, fmt.Sprintf(format, values...))
+}
+
+// Begin notes a request that a caller is about to send. Statements of a
+// transaction are judged from the transaction's beginning.
+func (j *Judge) Begin(id, session string, route *catalog.Route, began time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.requests[id] = &request{session: session, freshness: route.Freshness, staleness: route.MaxStaleness, began: began}
+}
+
+// Acknowledged notes that a caller was told of success for the writes of some requests.
+func (j *Judge) Acknowledged(ids []string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	for _, id := range ids {
+		request := j.requests[id]
+		if request.committed == 0 {
+			j.violate("request %s was acknowledged, but no server committed it", id)
+		}
+		for _, commit := range j.commits {
+			for _, writer := range commit.requests {
+				if writer == id {
+					commit.Acknowledged = now
+					commit.session = request.session
+				}
+			}
+		}
+	}
+}
+
+// Promised notes that a caller was told that nothing of some requests is kept.
+func (j *Judge) Promised(ids []string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, id := range ids {
+		j.requests[id].promised = true
+		if j.requests[id].committed > 0 {
+			j.violate("request %s was committed, but its caller was told that nothing is kept", id)
+		}
+	}
+}
+
+// ReadRan implements managed.Observer.
+func (j *Judge) ReadRan(id string, at time.Time, has func(position.Position) bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.Reads++
+	request := j.requests[id]
+	if request == nil {
+		j.violate("a server ran read %q that no caller sent", id)
+		return
+	}
+	for place, commit := range j.commits {
+		if commit.lost || commit.Acknowledged.IsZero() || has(place) {
+			continue
+		}
+		span := request.staleness
+		if request.freshness == catalog.Current {
+			span = 0
+		}
+		own := request.freshness == catalog.ReadYourWrites && commit.session == request.session && commit.Acknowledged.Before(request.began)
+		if own || commit.Acknowledged.Before(request.began.Add(-span)) {
+			j.violate("read %s (freshness %d) at %v misses commit %v acknowledged %v before it began", id, request.freshness,
+				at.Format("05.000"), place, request.began.Sub(commit.Acknowledged))
+		}
+	}
+}
+
+// WritesCommitted implements managed.Observer.
+func (j *Judge) WritesCommitted(ids []string, at position.Position) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.Writes += len(ids)
+	for _, id := range ids {
+		request := j.requests[id]
+		if request == nil {
+			j.violate("a server committed write %q that no caller sent", id)
+			continue
+		}
+		request.committed++
+		if request.committed > 1 {
+			j.violate("request %s took effect %d times", id, request.committed)
+		}
+		if request.promised {
+			j.violate("request %s was committed after its caller was told that nothing is kept", id)
+		}
+	}
+	j.commits[at] = &Commit{requests: ids}
+}
+
+// RolledBack implements managed.Observer.
+func (j *Judge) RolledBack(at position.Position) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if commit := j.commits[at]; commit != nil {
+		commit.lost = true
+		if j.OnLost != nil {
+			j.OnLost(at, commit)
+		}
+	}
+}
+
+// AcknowledgedLost counts acknowledged commits that a promotion removed.
+func (j *Judge) AcknowledgedLost() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	count := 0
+	for _, commit := range j.commits {
+		if commit.lost && !commit.Acknowledged.IsZero() {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/proxy/caller_test.go
+++ b/internal/proxy/caller_test.go
@@ -1,20 +1,17 @@
 package proxy_test
 
 import (
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"dewknot/internal/catalog"
 	"dewknot/internal/command"
 	"dewknot/internal/failure"
+	"dewknot/internal/judge"
 	"dewknot/internal/proxy"
-	"dewknot/internal/upstream"
 )
 
 // memoryClient is the caller's end of a session, in memory.
@@ -120,218 +117,65 @@
 
 func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{} }
 
-// caller drives sessions with random operations and tells the checker what it was told.
-type caller struct {
-	name    string
-	fleet   *simulatedFleet
-	random  *rand.Rand
-	check   *checker
-	session int
-	request int
-	values  map[string]string
-	served  int
-	refused int
-	unknown int
-}
-
-func (c *caller) run(until time.Time) {
-	for time.Now().Before(until) {
-		client := c.connect()
-		if client == nil {
-			time.Sleep(50 * time.Millisecond)
-			continue
-		}
-		c.session++
-		c.values = map[string]string{}
-		c.operate(client, until)
-		close(client.commands)
-		<-client.closed
-	}
-}
-
-func (c *caller) connect() *memoryClient {
-	listener := c.fleet.listener(c.random)
-	client := newMemoryClient(databases[c.random.IntN(len(databases))])
+// Ask implements judge.Session.
+func (c *memoryClient) Ask(asked command.Command) (judge.Answer, bool) {
 	select {
-	case listener.pending <- client:
-	case <-listener.closed:
-		return nil
-	case <-time.After(time.Second):
-		return nil
-	}
-	select {
-	case reply := <-client.replies:
-		if reply.Failure == nil {
-			return client
-		}
-	case <-client.closed:
-	}
-	return nil
-}
-
-// maxOperations bounds the operations of a session.
-const maxOperations = 30
-
-func (c *caller) operate(client *memoryClient, until time.Time) {
-	route := testRoutes[client.database]
-	for range c.random.IntN(maxOperations) + 1 {
-		if !time.Now().Before(until) {
-			return
-		}
-		healthy := true
-		switch c.random.IntN(10) {
-		case 0:
-			healthy = c.setValue(client, &route)
-		case 1, 2, 3:
-			healthy = c.transaction(client, &route)
-		case 4, 5:
-			healthy = c.single(client, &route, true)
-		default:
-			healthy = c.single(client, &route, false)
-		}
-		if !healthy {
-			return
-		}
-		time.Sleep(time.Duration(c.random.IntN(120)) * time.Millisecond)
-	}
-}
-
-// ask sends a command and returns the reply; false means the session has ended.
-func (c *caller) ask(client *memoryClient, asked command.Command) (proxy.Reply, bool) {
-	select {
-	case client.commands <- asked:
-	case <-client.closed:
-		return proxy.Reply{}, false
+	case c.commands <- asked:
+	case <-c.closed:
+		return judge.Answer{}, false
 	}
 	select {
-	case reply := <-client.replies:
-		return reply, true
-	case <-client.closed:
+	case reply := <-c.replies:
+		return answerOf(&reply), true
+	case <-c.closed:
 		select {
-		case reply := <-client.replies:
-			return reply, true
+		case reply := <-c.replies:
+			return answerOf(&reply), true
 		default:
-			return proxy.Reply{}, false
+			return judge.Answer{}, false
 		}
 	}
 }
 
-func (c *caller) nextID() string {
-	c.request++
-	return fmt.Sprintf("%s.%d.%d", c.name, c.session, c.request)
-}
-
-func (c *caller) sessionName() string { return fmt.Sprintf("%s.%d", c.name, c.session) }
-
-func (c *caller) setValue(client *memoryClient, _ *catalog.Route) bool {
-	name, value := fmt.Sprintf("v%d", c.random.IntN(3)), fmt.Sprint(c.random.IntN(5))
-	reply, open := c.ask(client, command.Command{Kind: command.SetValue, RequestID: c.nextID(), Name: name, Value: value})
-	if open && reply.Failure == nil {
-		c.values[name] = value
+func answerOf(reply *proxy.Reply) judge.Answer {
+	answer := judge.Answer{Rows: reply.Rows, Signature: reply.Signature, State: reply.State}
+	if reply.Failure != nil {
+		answer.Failed, answer.NotRun = true, reply.Failure.Kind.NotRun()
 	}
-	return open
+	return answer
 }
 
-func (c *caller) thing() string { return fmt.Sprintf("t%d", c.random.IntN(20)) }
+// memorySession is a caller's session; Close ends it from the caller's side.
+type memorySession struct{ *memoryClient }
 
-func (c *caller) single(client *memoryClient, route *catalog.Route, writes bool) bool {
-	id := c.nextID()
-	c.check.begin(id, c.sessionName(), route, time.Now())
-	asked := command.Command{Kind: command.Read, RequestID: id, Text: "read " + c.thing()}
-	if writes {
-		asked = command.Command{Kind: command.Write, RequestID: id, Text: "write " + c.thing() + " " + id}
-	}
-	reply, open := c.ask(client, asked)
-	if !open {
-		return false
-	}
-	c.judge(&reply, []string{id}, writes)
-	if reply.Failure == nil && !writes {
-		c.checkRows(id, &reply)
-	}
-	return reply.State == upstream.Idle
+// Close implements judge.Session.
+func (s memorySession) Close() {
+	close(s.commands)
+	<-s.closed
 }
 
-// judge tells the checker what a final answer promised.
-func (c *caller) judge(reply *proxy.Reply, ids []string, wrote bool) {
-	switch {
-	case reply.Failure == nil:
-		c.served++
-		if wrote {
-			c.check.acknowledged(ids)
-		}
-	case reply.Failure.Kind.NotRun():
-		c.refused++
-		c.check.promised(ids)
-	default:
-		c.unknown++
-	}
-}
-
-func (c *caller) checkRows(id string, reply *proxy.Reply) {
-	if len(reply.Rows) != 2 || reply.Signature != id {
-		c.check.mutex.Lock()
-		c.check.violate("the answer to %s is signed for %s with %d rows", id, reply.Signature, len(reply.Rows))
-		c.check.mutex.Unlock()
-		return
-	}
-	if expected := valuesText(c.values); string(reply.Rows[1]) != expected {
-		c.check.mutex.Lock()
-		c.check.violate("read %s ran with values %q, the session has %q", id, reply.Rows[1], expected)
-		c.check.mutex.Unlock()
-	}
+// caller returns a caller of the fleet.
+func (f *simulatedFleet) caller(name string, random *rand.Rand) *judge.Caller {
+	return judge.NewCaller(judge.CallerConfig{Name: name, Seed: random, Judge: f.check, Connect: f.connect})
 }
 
-func valuesText(values map[string]string) string {
-	var names []string
-	for name := range values {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	var text strings.Builder
-	for _, name := range names {
-		text.WriteString(name + "=" + values[name] + ";")
-	}
-	return text.String()
-}
-
-// transaction runs a whole transaction.
-func (c *caller) transaction(client *memoryClient, route *catalog.Route) bool {
-	began := time.Now()
-	kind := command.Begin
-	if c.random.IntN(3) == 0 {
-		kind = command.BeginReadOnly
-	}
-	if reply, open := c.ask(client, command.Command{Kind: kind, RequestID: c.nextID()}); !open || reply.Failure != nil {
-		return open
+func (f *simulatedFleet) connect(random *rand.Rand) (judge.Session, *catalog.Route) {
+	listener := f.listener(random)
+	client := newMemoryClient(databases[random.IntN(len(databases))])
+	select {
+	case listener.pending <- client:
+	case <-listener.closed:
+		return nil, nil
+	case <-time.After(time.Second):
+		return nil, nil
 	}
-	var writes []string
-	for range c.random.IntN(5) {
-		id := c.nextID()
-		c.check.begin(id, c.sessionName(), route, began)
-		asked := command.Command{Kind: command.Read, RequestID: id, Text: "read " + c.thing()}
-		if kind == command.Begin && c.random.IntN(2) == 0 {
-			asked = command.Command{Kind: command.Write, RequestID: id, Text: "write " + c.thing() + " " + id}
-			writes = append(writes, id)
-		}
-		reply, open := c.ask(client, asked)
-		if !open {
-			return false
-		}
-		if reply.Failure != nil {
-			c.judge(&reply, writes, true)
-			_, open := c.ask(client, command.Command{Kind: command.Rollback, RequestID: c.nextID()})
-			return open
+	select {
+	case reply := <-client.replies:
+		if reply.Failure == nil {
+			route := testRoutes[client.database]
+			return memorySession{client}, &route
 		}
-		time.Sleep(time.Duration(c.random.IntN(40)) * time.Millisecond)
-	}
-	if c.random.IntN(5) == 0 {
-		_, open := c.ask(client, command.Command{Kind: command.Rollback, RequestID: c.nextID()})
-		return open
-	}
-	reply, open := c.ask(client, command.Command{Kind: command.Commit, RequestID: c.nextID(), Text: "commit"})
-	if open {
-		c.judge(&reply, writes, len(writes) > 0)
+	case <-client.closed:
 	}
-	return open
+	return nil, nil
 }
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -20,6 +20,7 @@
 	"dewknot/internal/bubbletest"
 	"dewknot/internal/catalog"
 	"dewknot/internal/eventlog"
+	"dewknot/internal/judge"
 	"dewknot/internal/position"
 	"dewknot/internal/proxy"
 	"dewknot/internal/relay"
@@ -53,7 +54,7 @@
 	store    *managed.Store
 	group    *managed.Group
 	promoter *managed.Promoter
-	check    *checker
+	check    *judge.Judge
 	zones    []string
 	log      *eventlog.Log
 	broken   brokenMechanism
@@ -90,7 +91,7 @@
 
 func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
 	fleet := &simulatedFleet{
-		store: managed.NewStore(), check: newChecker(), zones: []string{"a", "b", "c"},
+		store: managed.NewStore(), check: judge.New(), zones: []string{"a", "b", "c"},
 		broken: broken, nodes: map[string]*proxy.Node{}, muted: map[string]bool{},
 	}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
@@ -99,8 +100,8 @@
 	} else {
 		fleet.log = eventlog.New(io.Discard, "simulation", 1)
 	}
-	fleet.check.onLost = func(at position.Position, commit *commitRecord) {
-		fleet.log.Write("rolled_back", zap.Stringer("position", at), zap.Bool("acknowledged", !commit.acknowledged.IsZero()))
+	fleet.check.OnLost = func(at position.Position, commit *judge.Commit) {
+		fleet.log.Write("rolled_back", zap.Stringer("position", at), zap.Bool("acknowledged", !commit.Acknowledged.IsZero()))
 	}
 	fleet.group = managed.NewGroup(managed.Settings{
 		Name: testService, Zones: fleet.zones, Slots: 3, Queue: 12, Connections: 24,
@@ -360,14 +361,12 @@
 	fleet := newFleet(nodes, synchronousReplicas, broken)
 	time.Sleep(2 * time.Second)
 	until := time.Now().Add(length)
-	var callers []*caller
+	var callers []*judge.Caller
 	var working sync.WaitGroup
 	for i := range 9 {
-		driver := &caller{
-			name: fmt.Sprintf("c%d", i), fleet: fleet, check: fleet.check, random: rand.New(rand.NewPCG(seed, uint64(i))),
-		}
+		driver := fleet.caller(fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(seed, uint64(i))))
 		callers = append(callers, driver)
-		working.Go(func() { driver.run(until) })
+		working.Go(func() { driver.Run(until) })
 	}
 	for stream := range 2 {
 		random := rand.New(rand.NewPCG(seed, uint64(1000+stream)))
@@ -386,12 +385,12 @@
 	if fleet.written != nil {
 		_, _ = fleet.written.WriteTo(os.Stderr)
 	}
-	result := outcome{violations: fleet.check.violations, reads: fleet.check.reads, writes: fleet.check.writes}
-	result.acknowledgedLost = fleet.check.acknowledgedLost()
+	result := outcome{violations: fleet.check.Violations, reads: fleet.check.Reads, writes: fleet.check.Writes}
+	result.acknowledgedLost = fleet.check.AcknowledgedLost()
 	for _, driver := range callers {
-		result.served += driver.served
-		result.refused += driver.refused
-		result.unknown += driver.unknown
+		result.served += driver.Served
+		result.refused += driver.Refused
+		result.unknown += driver.Unknown
 	}
 	return result
 }
@@ -479,16 +478,16 @@
 		fleet := newFleet(3, 0, nothingBroken)
 		time.Sleep(8 * time.Second)
 		fleet.group.Server(2).SetDeaf(true)
-		driver := &caller{name: "c", fleet: fleet, check: fleet.check, random: rand.New(rand.NewPCG(1, 1))}
-		driver.run(time.Now().Add(3 * time.Second))
+		driver := fleet.caller("c", rand.New(rand.NewPCG(1, 1)))
+		driver.Run(time.Now().Add(3 * time.Second))
 		busy := fleet.group.Server(1)
 		busy.SetBusy(time.Now().Add(2500 * time.Millisecond))
 		time.Sleep(200 * time.Millisecond)
 		lost := fleet.group.Primary()
 		lost.Crash()
-		driver.run(time.Now().Add(4 * time.Second))
+		driver.Run(time.Now().Add(4 * time.Second))
 		must.Eq(t, busy.ID(), fleet.group.Primary().ID())
-		must.Eq(t, 0, fleet.check.acknowledgedLost())
+		must.Eq(t, 0, fleet.check.AcknowledgedLost())
 		fleet.stop()
 		time.Sleep(10 * time.Second)
 		fleet.log.Close()
@@ -504,15 +503,15 @@
 		var working sync.WaitGroup
 		until := time.Now().Add(10 * time.Second)
 		for i := range 6 {
-			driver := &caller{name: fmt.Sprintf("c%d", i), fleet: fleet, check: fleet.check, random: rand.New(rand.NewPCG(1, uint64(i)))}
-			working.Go(func() { driver.run(until) })
+			driver := fleet.caller(fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(1, uint64(i))))
+			working.Go(func() { driver.Run(until) })
 		}
 		working.Wait()
 		must.SliceEmpty(t, fleet.promoter.Orders())
 		fleet.group.SetConnections(24)
-		driver := &caller{name: "last", fleet: fleet, check: fleet.check, random: rand.New(rand.NewPCG(1, 99))}
-		driver.run(time.Now().Add(5 * time.Second))
-		must.Positive(t, driver.served)
+		driver := fleet.caller("last", rand.New(rand.NewPCG(1, 99)))
+		driver.Run(time.Now().Add(5 * time.Second))
+		must.Positive(t, driver.Served)
 		fleet.stop()
 		time.Sleep(10 * time.Second)
 		fleet.log.Close()
@@ -527,10 +526,10 @@
 		bubbletest.Test(t, func(t *testing.T) {
 			fleet := newFleet(5, 0, nothingBroken)
 			time.Sleep(8 * time.Second)
-			drive := func(span time.Duration) *caller {
-				total := &caller{name: "c", fleet: fleet, check: fleet.check, random: rand.New(rand.NewPCG(1, uint64(time.Now().UnixNano())))}
-				total.name += fmt.Sprint(time.Now().UnixNano())
-				total.run(time.Now().Add(span))
+			drive := func(span time.Duration) *judge.Caller {
+				now := time.Now().UnixNano()
+				total := fleet.caller(fmt.Sprintf("c%d", now), rand.New(rand.NewPCG(1, uint64(now))))
+				total.Run(time.Now().Add(span))
 				return total
 			}
 			drive(3 * time.Second)
@@ -543,9 +542,9 @@
 			drive(4 * time.Second)
 			driver := drive(4 * time.Second)
 			must.SliceEmpty(t, fleet.promoter.Orders())
-			must.Greater(t, 10, driver.served)
-			must.LessEq(t, 2, driver.refused, must.Sprintf("cut off: %v", cut))
-			must.SliceEmpty(t, fleet.check.violations)
+			must.Greater(t, 10, driver.Served)
+			must.LessEq(t, 2, driver.Refused, must.Sprintf("cut off: %v", cut))
+			must.SliceEmpty(t, fleet.check.Violations)
 			fleet.stop()
 			time.Sleep(10 * time.Second)
 			fleet.log.Close()
