--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -88,8 +88,12 @@
 }
 
 func options(loaded *settings.Proxy) proxy.Options {
+	advertised := loaded.Peers
+	if loaded.Advertise != "" {
+		advertised = loaded.Advertise
+	}
 	return proxy.Options{
-		Name: loaded.Name, Zone: loaded.Zone, PeerAddress: loaded.Peers, Regions: loaded.Regions, Life: rand.Text(),
+		Name: loaded.Name, Zone: loaded.Zone, PeerAddress: advertised, Regions: loaded.Regions, Life: rand.Text(),
 		ConfigurationBound: loaded.ConfigurationBound.Duration, DrainBound: loaded.DrainBound.Duration,
 		StopGrace: loaded.StopGrace.Duration, Kinds: platform.Kinds,
 	}
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -18,6 +18,9 @@
 	Metrics   string `toml:"metrics" validate:"omitempty,hostname_port"`
 	// Peers is the address for other nodes; without it they cannot ask this one.
 	Peers string `toml:"peers" validate:"omitempty,hostname_port"`
+	// Advertise is the address at which other nodes reach Peers, if another one,
+	// such as that of a port mapping.
+	Advertise string `toml:"advertise" validate:"omitempty,hostname_port"`
 	// Store is the durable store, Promotions takes orders to promote a server.
 	Store      string `toml:"store" validate:"required,hostname_port"`
 	Promotions string `toml:"promotions" validate:"omitempty,hostname_port"`
