Log level, metrics by server

Change: log_level (everything, problems, beliefs), eventlog built from a configuration struct; gauges of connections and of statements running, waiting and through an owner, by service and server, collected when asked for, in place of the total. Ruled out: a debug level (every decision is logged already).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,7 +45,9 @@
 	if err != nil {
 		return err
 	}
-	log := eventlog.New(out, loaded.Name, loaded.LogLinesPerSecond)
+	log := eventlog.New(out, eventlog.Config{
+		Node: loaded.Name, LinesPerSecond: loaded.LogLinesPerSecond, Level: eventlog.Level(loaded.LogLevel),
+	})
 	defer log.Close()
 	debug.SetMemoryLimit(int64(memoryShare * float64(loaded.MemoryLimitMB<<20)))
 	callers, err := listen(loaded.Callers)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -9,6 +9,7 @@
 package eventlog
 
 import (
+	"cmp"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -97,6 +98,8 @@
 	stop    chan struct{}
 	done    chan struct{}
 	name    string
+	// last is the last class that is written.
+	last Class
 
 	budgets [classes]budget
 	mutex   sync.Mutex
@@ -126,8 +129,34 @@
 	return true
 }
 
-// New returns a log of a node that writes to out at most linesPerSecond.
-func New(out io.Writer, node string, linesPerSecond int) *Log {
+// Level is which classes are written.
+type Level string
+
+// The levels.
+const (
+	// Everything writes served requests too.
+	Everything Level = "everything"
+	// Problems leaves served requests out.
+	Problems Level = "problems"
+	// Beliefs writes only what changes what the node believes.
+	Beliefs Level = "beliefs"
+)
+
+// highest is the last class that a level writes.
+var highest = map[Level]Class{Everything: Success, Problems: Failure, Beliefs: Belief}
+
+// Config configures a log.
+type Config struct {
+	// Node is the writer's name, on every line.
+	Node string
+	// LinesPerSecond bounds the volume.
+	LinesPerSecond int
+	// Level is Everything if it is empty.
+	Level Level
+}
+
+// New returns a log that writes to out.
+func New(out io.Writer, cfg Config) *Log {
 	configuration := zapcore.EncoderConfig{
 		TimeKey: "time", MessageKey: "event", EncodeTime: zapcore.RFC3339NanoTimeEncoder,
 		EncodeDuration: zapcore.MillisDurationEncoder, LineEnding: "\n",
@@ -135,19 +164,24 @@
 	log := &Log{
 		encoder: zapcore.NewJSONEncoder(configuration), lines: make(chan []byte, ringSize),
 		stop: make(chan struct{}), done: make(chan struct{}),
-		name: node, dropped: map[Event]int{}, clock: time.Now,
+		name: cfg.Node, dropped: map[Event]int{}, clock: time.Now,
 	}
 	for class := range log.budgets {
-		log.budgets[class].limit = max(1, int(shares[class]*float64(linesPerSecond)))
+		log.budgets[class].limit = max(1, int(shares[class]*float64(cfg.LinesPerSecond)))
 	}
+	log.last = highest[cmp.Or(cfg.Level, Everything)]
 	go log.write(out)
 	return log
 }
 
 // Write logs an event. It never blocks.
 func (l *Log) Write(event Event, fields ...zap.Field) {
+	class := Vocabulary[event]
+	if class > l.last {
+		return
+	}
 	now := l.clock()
-	if !l.budgets[Vocabulary[event]].take(now) {
+	if !l.budgets[class].take(now) {
 		l.drop(event)
 		return
 	}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -52,7 +52,7 @@
 // the node believes, and every line above a bound is counted.
 func TestClassesDoNotDisplaceEachOther(t *testing.T) {
 	out := &lockedBuffer{}
-	log := New(out, "node-1", 100)
+	log := New(out, Config{Node: "node-1", LinesPerSecond: 100})
 	log.clock = frozen
 	for i := range 500 {
 		log.Write(RequestFailed, zap.Int("number", i))
@@ -69,11 +69,31 @@
 	must.True(t, strings.Contains(out.lines()[100], `"request_failed":455`))
 }
 
+// TestLevels: each level leaves out the classes below it, uncounted.
+func TestLevels(t *testing.T) {
+	for level, expected := range map[Level]map[string]int{
+		"":         {"node_started": 1, "request_failed": 1, "request_served": 1},
+		Everything: {"node_started": 1, "request_failed": 1, "request_served": 1},
+		Problems:   {"node_started": 1, "request_failed": 1},
+		Beliefs:    {"node_started": 1},
+	} {
+		out := &lockedBuffer{}
+		log := New(out, Config{Node: "node-1", LinesPerSecond: 100, Level: level})
+		log.Write(NodeStarted)
+		log.Write(RequestFailed)
+		log.Write(RequestServed)
+		log.Flush()
+		log.Close()
+		must.Eq(t, expected, events(t, out.lines()), must.Sprint(level))
+		must.Eq(t, int64(0), log.Dropped())
+	}
+}
+
 // TestOutputThatNobodyReadsDoesNotBlock: the writer hangs, requests go on.
 func TestOutputThatNobodyReadsDoesNotBlock(t *testing.T) {
 	reader, writer := io.Pipe()
 	defer func() { _ = reader.Close() }()
-	log := New(writer, "node-1", 1_000_000)
+	log := New(writer, Config{Node: "node-1", LinesPerSecond: 1_000_000})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -53,7 +53,8 @@
 	m.registry.MustRegister(m.commands, m.durations, m.reads, m.refusals, m.failovers, m.storeCalls,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
-		gauge("server_connections", "Connections open to all servers.", node.openConnections),
+		newServerCollector(node),
+		gauge("remote_sessions", "Sessions of other nodes with work on this node's connections.", func() float64 { return float64(node.owner.Active()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(node.log.Dropped()) }),
 		gauge("known_members", "Other nodes known.", func() float64 { return float64(node.KnownMembers()) }),
 		gauge("store_lost", "1 while the store does not answer.", node.storeLost),
@@ -64,15 +65,6 @@
 // Metrics returns the node's metrics for its metrics address.
 func (n *Node) Metrics() prometheus.Gatherer { return n.metrics.registry }
 
-func (n *Node) openConnections() float64 {
-	open := 0
-	n.servers.Range(func(_, value any) bool {
-		open += value.(*server).pool.Open()
-		return true
-	})
-	return float64(open)
-}
-
 func (n *Node) storeLost() float64 {
 	if n.storeDown.Load() {
 		return 1
--- /dev/null
+++ b/internal/proxy/server_metrics.go
@@ -0,0 +1,52 @@
+package proxy
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// serverCollector tells what this node has in use of each server. The servers come
+// and go, so they are counted when the metrics are asked for.
+type serverCollector struct {
+	node        *Node
+	connections *prometheus.Desc
+	running     *prometheus.Desc
+	waiting     *prometheus.Desc
+	limit       *prometheus.Desc
+	remote      *prometheus.Desc
+}
+
+func newServerCollector(node *Node) *serverCollector {
+	desc := func(name, help string) *prometheus.Desc {
+		return prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "server", name), help, []string{"service", "server"}, nil)
+	}
+	return &serverCollector{
+		node:        node,
+		connections: desc("connections", "Connections of this node open to the server."),
+		running:     desc("statements_running", "Statements that this node has running on the server."),
+		waiting:     desc("statements_waiting", "Statements that wait at this node for the server."),
+		limit:       desc("statements_limit", "Statements that this node lets run on the server at a time."),
+		remote:      desc("statements_through_owner", "Statements of this node that run through the server's owner."),
+	}
+}
+
+// Describe implements prometheus.Collector.
+func (c *serverCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, desc := range []*prometheus.Desc{c.connections, c.running, c.waiting, c.limit, c.remote} {
+		out <- desc
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *serverCollector) Collect(out chan<- prometheus.Metric) {
+	c.node.servers.Range(func(_, value any) bool {
+		s := value.(*server)
+		running, waiting := s.gate.Load()
+		for desc, value := range map[*prometheus.Desc]float64{
+			c.connections: float64(s.pool.Open()), c.running: float64(running), c.waiting: float64(waiting),
+			c.limit: s.gate.Limit(), c.remote: float64(s.remote.Load()),
+		} {
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, s.service, s.id)
+		}
+		return true
+	})
+}
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -46,7 +46,7 @@
 
 func serveScript(t *testing.T, closing, aborting bool, reads ...error) *scriptedClient {
 	t.Helper()
-	node := New(Options{DrainBound: time.Second}, Ports{}, eventlog.New(io.Discard, "node", 100))
+	node := New(Options{DrainBound: time.Second}, Ports{}, eventlog.New(io.Discard, eventlog.Config{Node: "node", LinesPerSecond: 100}))
 	node.catalog.ApplyConfiguration(&catalog.Configuration{Version: 1, Routes: map[string]catalog.Route{"database": {Database: "database"}}})
 	node.closing.Store(closing)
 	node.aborting.Store(aborting)
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -96,9 +96,9 @@
 	}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
 		fleet.written = &lockedBuffer{}
-		fleet.log = eventlog.New(fleet.written, "simulation", 1_000_000)
+		fleet.log = eventlog.New(fleet.written, eventlog.Config{Node: "simulation", LinesPerSecond: 1_000_000})
 	} else {
-		fleet.log = eventlog.New(io.Discard, "simulation", 1)
+		fleet.log = eventlog.New(io.Discard, eventlog.Config{Node: "simulation", LinesPerSecond: 1})
 	}
 	fleet.check.OnLost = func(at position.Position, commit *judge.Commit) {
 		fleet.log.Write("rolled_back", zap.Stringer("position", at), zap.Bool("acknowledged", !commit.Acknowledged.IsZero()))
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -34,6 +34,9 @@
 	MemoryLimitMB int `toml:"memory_limit_mb" validate:"min=16,max=1048576"`
 	// LogLinesPerSecond bounds the volume of logs.
 	LogLinesPerSecond int `toml:"log_lines_per_second" validate:"min=1,max=1000000"`
+	// LogLevel is which events are written: everything, problems (no served
+	// requests) or beliefs (no requests).
+	LogLevel string `toml:"log_level" validate:"oneof=everything problems beliefs"`
 	// Regions gives the region of each zone.
 	Regions map[string]string `toml:"regions"`
 }
@@ -42,7 +45,7 @@
 func ProxyDefaults() Proxy {
 	return Proxy{
 		ConfigurationBound: Duration{4 * time.Second}, DrainBound: Duration{7 * time.Second},
-		StopGrace: Duration{6 * time.Second}, MemoryLimitMB: 256, LogLinesPerSecond: 200,
+		StopGrace: Duration{6 * time.Second}, MemoryLimitMB: 256, LogLinesPerSecond: 200, LogLevel: "everything",
 	}
 }
 
--- a/internal/settings/proxy_test.go
+++ b/internal/settings/proxy_test.go
@@ -32,6 +32,8 @@
 		usable + "memory = 1\n":                "settings.toml:6:1: unknown key \"memory\"; remove it or correct its name",
 		usable + "peers = \"here\"\n":          "peers = \"here\": write it as ip:port, such as 127.0.0.1:7000",
 		usable + "log_lines_per_second = \"\"": "correct the value of \"log_lines_per_second\"",
+		usable + "log_level = \"debug\"\n":     "log_level = \"debug\": use one of: everything problems beliefs",
+		usable + "advertise = \"there\"\n":     "advertise = \"there\": write it as ip:port",
 		"name = \"n1\"\n":                      "zone = \"\": a value is needed",
 	} {
 		_, err := loadProxy(t, content)
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -19,7 +19,7 @@
 	while [ ! -e "$dir/stop" ]; do
 		"$dir/dewknot-proxy" run --settings "$dir/node-$node.toml" >>"$dir/node-$node.log" 2>&1 &
 		echo $! >"$dir/node-$node.pid"
-		wait $! || true
+		wait $! 2>/dev/null || true
 		rm -f "$dir/node-$node.pid"
 		sleep 0.3
 	done
