A node that knows no members opens no connections; owners by unit tests

Tests of the ranking, of the share, of owners that do not reach a server, of a store that is down at a node's start. soak.sh is read whole and ends its processes on any exit. Ruled out: longer waits (the callers' time).

--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -127,16 +127,19 @@
 
 // awaitMembers waits, but not past a deadline, until a node that has just started
 // knows how many others there are: one that does not know would open connections
-// as if it were alone.
-func (n *Node) awaitMembers(deadline time.Time) {
+// as if it were alone. It reports whether connections may be opened.
+func (n *Node) awaitMembers(deadline time.Time) bool {
 	if n.members.Load() != nil || n.ports.Peers == nil {
-		return
+		return true
 	}
-	timer := time.NewTimer(min(time.Until(deadline), time.Until(n.started.Add(membersPatience))))
+	patience := time.Until(n.started.Add(membersPatience))
+	timer := time.NewTimer(min(time.Until(deadline), patience))
 	defer timer.Stop()
 	select {
 	case <-n.membersKnown:
+		return true
 	case <-timer.C:
+		return patience <= 0
 	}
 }
 
--- a/internal/proxy/owners.go
+++ b/internal/proxy/owners.go
@@ -47,7 +47,9 @@
 // lend lends a connection to a server for callers' work: one of this node's own,
 // or one of the server's owner.
 func (n *Node) lend(target *server, deadline time.Time) (*upstream.Lease, error) {
-	n.awaitMembers(deadline)
+	if !n.awaitMembers(deadline) {
+		return nil, upstream.ErrNoConnection
+	}
 	owners := n.ownersBefore(target)
 	if len(owners) == 0 {
 		return target.pool.Get(deadline)
--- /dev/null
+++ b/internal/proxy/owners_test.go
@@ -0,0 +1,173 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/bubbletest"
+	"dewknot/internal/catalog"
+	"dewknot/internal/eventlog"
+	"dewknot/internal/objectstore"
+	"dewknot/internal/position"
+	"dewknot/internal/relay"
+	"dewknot/internal/upstream"
+)
+
+var errTestUnreachable = errors.New("unreachable")
+
+// memberStore lists members; while down it answers nothing.
+type memberStore struct {
+	objectstore.Store
+	members []string
+	down    atomic.Bool
+}
+
+// ListStale implements objectstore.Store.
+func (s *memberStore) ListStale(context.Context, string) ([]objectstore.Object, error) {
+	if s.down.Load() {
+		return nil, &objectstore.Error{Outcome: objectstore.NotDone}
+	}
+	var objects []objectstore.Object
+	for _, name := range s.members {
+		objects = append(objects, objectstore.Object{Name: name, Content: fmt.Appendf(nil, `{"address":%q,"zone":%q}`, name, name[:1])})
+	}
+	return objects, nil
+}
+
+// linkPeers notes which nodes links are asked of; none can be had.
+type linkPeers struct {
+	relay.Answer
+	asked chan string
+}
+
+func (p *linkPeers) Ask(context.Context, string, relay.Question) (relay.Answer, error) {
+	return relay.Answer{}, errTestUnreachable
+}
+
+func (p *linkPeers) Link(_ context.Context, address string) (net.Conn, error) {
+	p.asked <- address
+	return nil, errTestUnreachable
+}
+
+// countingDialer counts the connections that a node wants of its own.
+type countingDialer struct{ dials atomic.Int64 }
+
+func (d *countingDialer) Dial(context.Context, string, string, string) (upstream.Connection, position.Position, error) {
+	d.dials.Add(1)
+	return nil, position.Position{}, errTestUnreachable
+}
+
+// ownersNode returns a node of zone a that knows one server in zone b, of a service
+// with some connections.
+func ownersNode(store *memberStore, peers Peers, dialer upstream.Dialer, connections int) (*Node, *server) {
+	node := New(Options{
+		Name: "a0", Zone: "a", PeerAddress: "a0", DrainBound: time.Second,
+		Regions: map[string]string{"a": "r1", "b": "r2", "c": "r2"},
+	}, Ports{Store: store, Peers: peers, Dialer: dialer}, eventlog.New(discard{}, eventlog.Config{Node: "a0", LinesPerSecond: 1}))
+	node.catalog.ApplyConfiguration(&catalog.Configuration{
+		Version: 1, Services: map[string]catalog.Service{"bookings": {Name: "bookings", MaxConnections: connections}},
+	})
+	node.catalog.ReplaceDirectory([]catalog.Server{{ID: "s1", Service: "bookings", Address: "s1", Zone: "b"}}, time.Now())
+	return node, node.server("s1")
+}
+
+type discard struct{}
+
+func (discard) Write(content []byte) (int, error) { return len(content), nil }
+
+// TestNodeThatKnowsNoMembersOpensNoConnections: the store is down at a node's
+// start, so it does not know how many others there are.
+func TestNodeThatKnowsNoMembersOpensNoConnections(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		store, dialer := &memberStore{}, &countingDialer{}
+		store.down.Store(true)
+		node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, dialer, 40)
+		_, _ = node.listMembers(t.Context())
+		for range 10 {
+			_, err := node.lend(target, time.Now().Add(100*time.Millisecond))
+			must.ErrorIs(t, err, upstream.ErrNoConnection)
+		}
+		must.Eq(t, int64(0), dialer.dials.Load())
+		// The list comes while work waits for it; a node that is alone opens its own.
+		store.down.Store(false)
+		go func() {
+			time.Sleep(50 * time.Millisecond)
+			_, _ = node.listMembers(context.Background())
+		}()
+		_, err := node.lend(target, time.Now().Add(time.Second))
+		must.ErrorIs(t, err, errTestUnreachable)
+		must.Positive(t, dialer.dials.Load())
+		node.log.Close()
+	})
+}
+
+// TestNodeWithoutAListServesInTheEnd: no list could be had for long.
+func TestNodeWithoutAListServesInTheEnd(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		store, dialer := &memberStore{}, &countingDialer{}
+		node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, dialer, 40)
+		time.Sleep(membersPatience)
+		_, err := node.lend(target, time.Now().Add(time.Second))
+		must.ErrorIs(t, err, errTestUnreachable)
+		node.log.Close()
+	})
+}
+
+// TestOwnersAreNearTheServer: where connections are few, a node asks nodes of the
+// server's zone, then of its region, and opens its own connections last.
+func TestOwnersAreNearTheServer(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		store, dialer := &memberStore{members: []string{"a1", "a2", "b1", "b2", "c1", "c2", "c3"}}, &countingDialer{}
+		peers := &linkPeers{asked: make(chan string, 100)}
+		node, target := ownersNode(store, peers, dialer, 20)
+		_, err := node.listMembers(t.Context())
+		must.NoError(t, err)
+		_, err = node.lend(target, time.Now().Add(5*time.Second))
+		must.ErrorIs(t, err, errTestUnreachable, must.Sprint("no owner can be reached, so its own"))
+		close(peers.asked)
+		var asked []string
+		for address := range peers.asked {
+			asked = append(asked, address[:1])
+		}
+		must.Eq(t, []string{"b", "b", "c", "c"}, asked)
+		must.Positive(t, dialer.dials.Load())
+		node.log.Close()
+	})
+}
+
+// TestEnoughConnectionsAreNotShared: three connections for each node.
+func TestEnoughConnectionsAreNotShared(t *testing.T) {
+	store := &memberStore{members: []string{"a1", "b1", "b2"}}
+	node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, &countingDialer{}, 15)
+	_, err := node.listMembers(t.Context())
+	must.NoError(t, err)
+	must.SliceEmpty(t, node.ownersBefore(target))
+	store.members = append(store.members, "c1")
+	_, err = node.listMembers(t.Context())
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, node.ownersBefore(target))
+	node.log.Close()
+}
+
+// TestOwnerThatDoesNotReachTheServerIsLeftOutForAWhile, one at a time.
+func TestOwnerThatDoesNotReachTheServerIsLeftOutForAWhile(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		target := &server{stats: upstream.NewStats()}
+		owners := []string{"first", "second", "third"}
+		target.shun("first", len(owners))
+		must.Eq(t, owners[1:], target.notShunned(owners, time.Now()))
+		must.False(t, target.stats.Avoided(time.Now()))
+		target.shun("second", len(owners))
+		must.Eq(t, owners[1:], target.notShunned(owners, time.Now()))
+		must.True(t, target.stats.Avoided(time.Now()), must.Sprint("two owners say so: the server is down"))
+		time.Sleep(shunSpan + time.Millisecond)
+		must.Eq(t, owners, target.notShunned(owners, time.Now()))
+	})
+}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -5,14 +5,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-seconds=${1:-60}
-seed=${2:-$RANDOM}
-nodes=${3:-9}
-dir=$(mktemp -d "${TMPDIR:-/tmp}/dewknot-soak.XXXXXX")
-
-go build -o "$dir/dewknot-proxy" ./cmd/dewknot-proxy
-go test -c -race -o "$dir/soak.test" ./platform
-
 # supervise NODE: runs a node's process until the soak is over.
 supervise() {
 	local node=$1
@@ -25,30 +17,42 @@
 	done
 }
 
-DEWKNOT_SOAK_DIR=$dir DEWKNOT_SOAK_SEED=$seed DEWKNOT_SOAK_SECONDS=$seconds DEWKNOT_SOAK_NODES=$nodes \
-	"$dir/soak.test" -test.run '^TestSoak$' -test.count=1 -test.v >"$dir/soak.log" 2>&1 &
-driver=$!
-until [ -e "$dir/ready" ] || ! kill -0 "$driver" 2>/dev/null; do sleep 0.05; done
-supervisors=()
-for ((node = 0; node < nodes; node++)); do
-	supervise "$node" &
-	supervisors+=($!)
-done
+# end_nodes ends what was started, whatever the outcome.
+end_nodes() {
+	touch "$dir/stop"
+	local pid_file pid
+	for pid_file in "$dir"/node-*.pid; do
+		[ -e "$pid_file" ] || continue
+		pid=$(cat "$pid_file")
+		kill -CONT "$pid" 2>/dev/null || true
+		kill -TERM "$pid" 2>/dev/null || true
+	done
+	wait
+	[ "$kept" = yes ] || rm -rf "$dir"
+}
 
-status=0
-wait "$driver" || status=$?
-touch "$dir/stop"
-for pid_file in "$dir"/node-*.pid; do
-	[ -e "$pid_file" ] || continue
-	pid=$(cat "$pid_file")
-	kill -CONT "$pid" 2>/dev/null || true
-	kill -TERM "$pid" 2>/dev/null || true
-done
-wait "${supervisors[@]}" || true
+main() {
+	local seconds=${1:-60} seed=${2:-$RANDOM} nodes=${3:-9} status=0 node driver
+	dir=$(mktemp -d "${TMPDIR:-/tmp}/dewknot-soak.XXXXXX")
+	go build -o "$dir/dewknot-proxy" ./cmd/dewknot-proxy
+	go test -c -race -o "$dir/soak.test" ./platform
+	DEWKNOT_SOAK_DIR=$dir DEWKNOT_SOAK_SEED=$seed DEWKNOT_SOAK_SECONDS=$seconds DEWKNOT_SOAK_NODES=$nodes \
+		"$dir/soak.test" -test.run '^TestSoak$' -test.count=1 -test.v >"$dir/soak.log" 2>&1 &
+	driver=$!
+	until [ -e "$dir/ready" ] || ! kill -0 "$driver" 2>/dev/null; do sleep 0.05; done
+	kept=yes
+	trap end_nodes EXIT
+	for ((node = 0; node < nodes; node++)); do
+		supervise "$node" 2>/dev/null &
+	done
+	wait "$driver" || status=$?
+	grep -E 'seed [0-9]+,|served|--- FAIL|violat' "$dir/soak.log" | head -20 || true
+	if [ "$status" -ne 0 ]; then
+		echo "soak failed with seed $seed ($nodes nodes, $seconds s); logs: $dir" >&2
+		exit 1
+	fi
+	kept=no
+}
 
-grep -E 'seed [0-9]+,|served|--- FAIL|violat' "$dir/soak.log" | head -20 || true
-if [ "$status" -ne 0 ]; then
-	echo "soak failed with seed $seed ($nodes nodes, $seconds s); logs: $dir" >&2
-	exit 1
-fi
-rm -rf "$dir"
+main "$@"
+exit 0
