An owner that is silent for 0.3 s gets no new work

Ruled out: a shorter limit for losing the link (what is in flight on it would be in doubt whenever an owner's processor quota is spent for a while).

Change: after 0.1 s without a frame, while answers are awaited, the link is pinged; after 0.3 s its owner is suspect and the next owner is used, until any frame comes. A suspect link is watched to the end, also if nobody waits for it any longer.

Tests: TestSuspectOwner, TestSuspectOwnerIsWatchedToTheEnd.

--- a/internal/remote/link.go
+++ b/internal/remote/link.go
@@ -17,7 +17,10 @@
 // Times of a link's watch.
 const (
 	// pingInterval is the pause between looks while answers are awaited.
-	pingInterval = 250 * time.Millisecond
+	pingInterval = 100 * time.Millisecond
+	// suspicionLimit is after how long without a frame, while answers are awaited,
+	// new work turns to another owner.
+	suspicionLimit = 300 * time.Millisecond
 	// silenceLimit is after how long without a frame, while answers are awaited,
 	// the link counts as lost.
 	silenceLimit = 800 * time.Millisecond
@@ -35,6 +38,8 @@
 	onProof ProofFunc
 
 	leaving atomic.Bool
+	// suspect is set while the owner is silent for longer than usual.
+	suspect atomic.Bool
 	lost    chan struct{}
 	once    sync.Once
 
@@ -67,8 +72,8 @@
 	return w.Conn.Write(content)
 }
 
-// Alive reports whether the link is open and its owner wants new work.
-func (l *Link) Alive() bool { return l.open() && !l.leaving.Load() }
+// Alive reports whether the link is open, and its owner answers and wants new work.
+func (l *Link) Alive() bool { return l.open() && !l.leaving.Load() && !l.suspect.Load() }
 
 func (l *Link) open() bool {
 	select {
@@ -109,6 +114,7 @@
 		l.mu.Lock()
 		l.heard = time.Now()
 		l.mu.Unlock()
+		l.suspect.Store(false)
 		switch f.Kind {
 		case frameRan:
 			var answered response
@@ -156,12 +162,13 @@
 	l.mu.Unlock()
 }
 
-// watch ends the link if the owner is silent while answers are awaited.
+// watch ends the link if the owner is silent while answers are awaited. A suspect
+// owner is watched to the end, also if nobody waits for it any longer.
 func (l *Link) watch() {
 	now := time.Now()
 	l.mu.Lock()
 	silent := min(now.Sub(l.heard), now.Sub(l.asked))
-	l.watching = len(l.waiting) > 0 && l.open()
+	l.watching = (len(l.waiting) > 0 || l.suspect.Load()) && l.open()
 	watching := l.watching
 	l.mu.Unlock()
 	switch {
@@ -169,6 +176,9 @@
 	case silent >= silenceLimit:
 		l.Close()
 	default:
+		if silent >= suspicionLimit {
+			l.suspect.Store(true)
+		}
 		if silent >= pingInterval {
 			// A ping that cannot be written shows in the silence.
 			go func() { _ = l.w.Send(framePing, 0, &empty{}) }()
--- a/internal/remote/remote_test.go
+++ b/internal/remote/remote_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -307,6 +308,59 @@
 	must.False(t, link.Alive())
 }
 
+// TestSuspectOwner: an owner that stands still for a moment gets no new work, and
+// gets some again once it answers.
+func TestSuspectOwner(t *testing.T) {
+	server := newFakeServer()
+	owner := NewOwner(server)
+	here, there := net.Pipe()
+	stopped := &stoppedConn{Conn: there}
+	go owner.Serve(stopped)
+	link := NewLink(here, func(string, time.Time, position.Position) {})
+	t.Cleanup(link.Close)
+	stopped.still.Store(true)
+	done := make(chan upstream.Batch, 1)
+	go func() { done <- lease(link, "s1").Run([]upstream.Operation{statement("x")}, soon()) }()
+	began := time.Now()
+	eventually(t, "the owner is not suspected", func() bool { return !link.Alive() })
+	must.Less(t, silenceLimit, time.Since(began))
+	stopped.still.Store(false)
+	batch := <-done
+	must.NoError(t, batch.Err, must.Sprint("what was under way is not given up"))
+	eventually(t, "the owner stays suspected", link.Alive)
+}
+
+// TestSuspectOwnerIsWatchedToTheEnd: nobody waits for the owner any longer, and it
+// stays silent.
+func TestSuspectOwnerIsWatchedToTheEnd(t *testing.T) {
+	here, there := net.Pipe()
+	go NewOwner(newFakeServer()).Serve(&stoppedConn{Conn: there, forever: true})
+	link := NewLink(here, func(string, time.Time, position.Position) {})
+	batch := lease(link, "s1").Run([]upstream.Operation{statement("x")}, time.Now().Add(suspicionLimit+2*pingInterval))
+	must.True(t, batch.TimedOut())
+	select {
+	case <-link.Lost():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the link stays open")
+	}
+}
+
+// stoppedConn passes nothing in while it stands still.
+type stoppedConn struct {
+	net.Conn
+	still atomic.Bool
+	// forever keeps it standing still.
+	forever bool
+}
+
+func (c *stoppedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	for c.still.Load() || (c.forever && err == nil) {
+		time.Sleep(time.Millisecond)
+	}
+	return n, err
+}
+
 // TestOwnerThatLeavesGetsNoNewWork and finishes what is under way.
 func TestOwnerThatLeavesGetsNoNewWork(t *testing.T) {
 	server := newFakeServer()
