Reads leave an owner that has become suspect

Cause: a read under way with a frozen owner waited 0.6 s before it was asked of another server, since only new work turned away at 0.3 s.

Change: what another owner can give (reads, beginnings and proofs outside of open transactions) ends its wait when the owner becomes suspect. A write, and a statement of an open transaction, waits on: sending it again is not safe.

--- a/internal/remote/link.go
+++ b/internal/remote/link.go
@@ -40,6 +40,9 @@
 	leaving atomic.Bool
 	// suspect is set while the owner is silent for longer than usual.
 	suspect atomic.Bool
+	// suspected is closed when the owner becomes suspect, and replaced when it is
+	// heard again; mu guards the field.
+	suspected chan struct{}
 	lost    chan struct{}
 	once    sync.Once
 
@@ -57,7 +60,7 @@
 func NewLink(conn net.Conn, onProof ProofFunc) *Link {
 	l := &Link{
 		conn: conn, w: framing.NewWriter(deadlineWriter{conn}), onProof: onProof,
-		lost: make(chan struct{}), waiting: map[uint64]chan response{}, heard: time.Now(),
+		lost: make(chan struct{}), suspected: make(chan struct{}), waiting: map[uint64]chan response{}, heard: time.Now(),
 	}
 	go l.readLoop()
 	return l
@@ -111,10 +114,7 @@
 		if err != nil {
 			return
 		}
-		l.mu.Lock()
-		l.heard = time.Now()
-		l.mu.Unlock()
-		l.suspect.Store(false)
+		l.hear()
 		switch f.Kind {
 		case frameRan:
 			var answered response
@@ -129,6 +129,25 @@
 	}
 }
 
+// hear notes that the owner has said something.
+func (l *Link) hear() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = time.Now()
+	if l.suspect.CompareAndSwap(true, false) {
+		l.suspected = make(chan struct{})
+	}
+}
+
+// suspectOwner turns new work, and reads under way, to another owner.
+func (l *Link) suspectOwner() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.suspect.CompareAndSwap(false, true) {
+		close(l.suspected)
+	}
+}
+
 // deliver hands a response to whoever awaits it; a late one is dropped.
 func (l *Link) deliver(stream uint64, answered response) {
 	l.mu.Lock()
@@ -141,7 +160,7 @@
 }
 
 // await announces that a stream awaits a response.
-func (l *Link) await(stream uint64) chan response {
+func (l *Link) await(stream uint64) (answer chan response, suspected chan struct{}) {
 	awaited := make(chan response, 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,7 +172,7 @@
 		l.watching = true
 		time.AfterFunc(pingInterval, l.watch)
 	}
-	return awaited
+	return awaited, l.suspected
 }
 
 func (l *Link) forget(stream uint64) {
@@ -177,7 +196,7 @@
 		l.Close()
 	default:
 		if silent >= suspicionLimit {
-			l.suspect.Store(true)
+			l.suspectOwner()
 		}
 		if silent >= pingInterval {
 			// A ping that cannot be written shows in the silence.
@@ -196,7 +215,10 @@
 
 	ticket  Ticket
 	awaited chan response
-	sentAt  time.Time
+	// suspected ends the wait for an answer that another owner can give; nil if
+	// there is none.
+	suspected chan struct{}
+	sentAt    time.Time
 	results []upstream.Result
 	// cause is why no further answers come.
 	cause error
@@ -212,7 +234,10 @@
 		return ErrLinkLost
 	}
 	s.sentAt = time.Now()
-	s.awaited = s.link.await(s.stream)
+	s.awaited, s.suspected = s.link.await(s.stream)
+	if s.open || !repeatable(operations) {
+		s.suspected = nil
+	}
 	err := s.link.w.Send(frameRun, s.stream, &request{
 		Server: s.server, Operations: operations, Budget: deadline.Sub(s.sentAt), Open: s.open, Ticket: s.ticket,
 	})
@@ -223,6 +248,18 @@
 	return err
 }
 
+// repeatable reports whether operations outside of a transaction change nothing that
+// lasts, so that they may be asked of another owner.
+func repeatable(operations []upstream.Operation) bool {
+	for i := range operations {
+		operation := &operations[i]
+		if operation.Kind == upstream.Commit || (operation.Kind == upstream.RunStatement && operation.Statement.Writes) {
+			return false
+		}
+	}
+	return true
+}
+
 // Receive implements upstream.Connection.
 func (s *Session) Receive(_ upstream.OperationKind, deadline time.Time) (upstream.Result, error) {
 	if s.awaited != nil {
@@ -255,6 +292,8 @@
 		}
 	case <-s.link.lost:
 		s.cause = ErrLinkLost
+	case <-s.suspected:
+		s.cause = ErrLinkLost
 	case <-timer.C:
 		s.cause = os.ErrDeadlineExceeded
 	}
