--- /dev/null
+++ b/internal/proxy/fleet_test.go
@@ -0,0 +1,272 @@
+package proxy_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/catalog"
+	"dewknot/internal/eventlog"
+	"dewknot/internal/judge"
+	"dewknot/internal/position"
+	"dewknot/internal/proxy"
+	"dewknot/internal/relay"
+	"dewknot/internal/standin/managed"
+	"dewknot/internal/upstream"
+)
+
+const testService = "bookings"
+
+var (
+	databases = []string{"current", "bounded", "session"}
+
+	testRoutes = map[string]catalog.Route{
+		"current": {
+			Name: "current", Database: "current", Service: testService, Freshness: catalog.Current,
+			StatementTimeout: 800 * time.Millisecond, TargetLatency: 600 * time.Millisecond, Priority: 1,
+		},
+		"bounded": {
+			Name: "bounded", Database: "bounded", Service: testService, Freshness: catalog.BoundedStaleness,
+			MaxStaleness: 700 * time.Millisecond, StatementTimeout: 2 * time.Second, TargetLatency: time.Second, Priority: 2,
+		},
+		"session": {
+			Name: "session", Database: "session", Service: testService, Freshness: catalog.ReadYourWrites,
+			MaxStaleness: 1200 * time.Millisecond, StatementTimeout: 800 * time.Millisecond, TargetLatency: time.Second, Priority: 2,
+		},
+	}
+)
+
+// simulatedFleet is a fleet of real nodes in one process, on virtual time.
+type simulatedFleet struct {
+	store    *managed.Store
+	group    *managed.Group
+	promoter *managed.Promoter
+	check    *judge.Judge
+	zones    []string
+	log      *eventlog.Log
+	broken   brokenMechanism
+	// written holds the event log, if it is kept.
+	written *lockedBuffer
+
+	mutex     sync.Mutex
+	listeners []*memoryListener
+	cancels   []context.CancelFunc
+	// cuts holds the servers that a node cannot reach.
+	cuts    []map[string]bool
+	running sync.WaitGroup
+	life    int
+	// led holds the nodes that get no new callers.
+	led []int
+	// muted holds the nodes that read nothing from the links of others.
+	muted map[string]bool
+	// nodes holds the running nodes by name.
+	nodes map[string]*proxy.Node
+}
+
+// lockedBuffer keeps a log in memory: a write to a file would not be part of a
+// bubble's virtual time.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(content []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.Buffer.Write(content)
+}
+
+func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
+	fleet := &simulatedFleet{
+		store: managed.NewStore(), check: judge.New(), zones: []string{"a", "b", "c"},
+		broken: broken, nodes: map[string]*proxy.Node{}, muted: map[string]bool{},
+	}
+	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
+		fleet.written = &lockedBuffer{}
+		fleet.log = eventlog.New(fleet.written, eventlog.Config{Node: "simulation", LinesPerSecond: 1_000_000})
+	} else {
+		fleet.log = eventlog.New(io.Discard, eventlog.Config{Node: "simulation", LinesPerSecond: 1})
+	}
+	fleet.check.OnLost = func(at position.Position, commit *judge.Commit) {
+		fleet.log.Write("rolled_back", zap.Stringer("position", at), zap.Bool("acknowledged", !commit.Acknowledged.IsZero()))
+	}
+	fleet.group = managed.NewGroup(managed.Settings{
+		Name: testService, Zones: fleet.zones, Slots: 3, Queue: 12, Connections: 24,
+		Work: 4 * time.Millisecond, Handshake: 5 * time.Millisecond, ReceiveDelay: 3 * time.Millisecond,
+		ApplyDelay: 8 * time.Millisecond, PromotionDelay: 600 * time.Millisecond, NetworkDelay: 2 * time.Millisecond,
+		SynchronousReplicas: synchronousReplicas,
+	}, fleet.check, fleet.store.PublishEntry)
+	groups := map[string]*managed.Group{testService: fleet.group}
+	fleet.promoter = &managed.Promoter{Groups: groups}
+	fleet.store.Put(managed.ConfigurationKind, "main", catalog.Configuration{
+		Version: 1, Routes: testRoutes, TransactionIdle: time.Second,
+		Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24, SynchronousReplicas: synchronousReplicas}},
+	})
+	for i := range nodes {
+		fleet.listeners = append(fleet.listeners, nil)
+		fleet.cancels = append(fleet.cancels, nil)
+		fleet.cuts = append(fleet.cuts, map[string]bool{})
+		fleet.startNode(i)
+	}
+	return fleet
+}
+
+func (f *simulatedFleet) startNode(i int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.life++
+	name := fmt.Sprintf("node-%d", i)
+	listener := newMemoryListener()
+	ctx, cancel := context.WithCancel(context.Background())
+	f.listeners[i], f.cancels[i] = listener, cancel
+	node := proxy.New(proxy.Options{
+		Name: name, Zone: f.zones[i%len(f.zones)], PeerAddress: name, Life: strconv.Itoa(f.life),
+		Regions:            map[string]string{"a": "r1", "b": "r2", "c": "r3"},
+		ConfigurationBound: 4 * time.Second, DrainBound: 7 * time.Second, StopGrace: 6 * time.Second,
+		Kinds: proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind},
+	}, proxy.Ports{
+		Store: f.store.Client(name), Promoter: f.promoter, Decoder: managed.Decoder{},
+		Dialer: &breakingDialer{Dialer: &simulatedDialer{f, i}, broken: f.broken},
+		Client: func(connection net.Conn) proxy.Client { return clientPort{connection.(*memoryClient)} },
+		Peers:  memoryPeers{f},
+	}, f.log)
+	f.nodes[name] = node
+	f.running.Go(func() { _ = node.Run(ctx, listener) })
+}
+
+func (f *simulatedFleet) name(node int) string { return fmt.Sprintf("node-%d", node) }
+
+func (f *simulatedFleet) reaches(node int, server string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.cuts[node][server]
+}
+
+func (f *simulatedFleet) setCut(node int, server string, cut bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cuts[node][server] = cut
+}
+
+// stopListening leads new callers away from a node.
+func (f *simulatedFleet) stopListening(i int) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.led = append(f.led, i)
+}
+
+func (f *simulatedFleet) listener(random *rand.Rand) *memoryListener {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for {
+		if i := random.IntN(len(f.listeners)); !slices.Contains(f.led, i) {
+			return f.listeners[i]
+		}
+	}
+}
+
+// stopNode stops a node as planned; it reports false if the node is stopped already.
+func (f *simulatedFleet) stopNode(i int) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.cancels[i] == nil {
+		return false
+	}
+	f.cancels[i]()
+	f.cancels[i] = nil
+	delete(f.nodes, fmt.Sprintf("node-%d", i))
+	return true
+}
+
+// simulatedDialer reaches servers as a node does, directly or through another node.
+type simulatedDialer struct {
+	fleet *simulatedFleet
+	node  int
+}
+
+func (d *simulatedDialer) Dial(ctx context.Context, address, service, id string) (upstream.Connection, position.Position, error) {
+	from := d.node
+	d.fleet.mutex.Lock()
+	node := d.fleet.nodes[fmt.Sprintf("node-%d", d.node)]
+	d.fleet.mutex.Unlock()
+	if node != nil {
+		if via, detour := node.DetourTo(id); detour {
+			_, _ = fmt.Sscanf(via, "node-%d", &from)
+		}
+	}
+	dialer := &managed.Dialer{Groups: d.fleet.promoter.Groups, Reach: func(id string) bool { return d.fleet.reaches(from, id) }}
+	return dialer.Dial(ctx, address, service, id)
+}
+
+// memoryPeers lets the fleet's nodes ask each other.
+type memoryPeers struct{ fleet *simulatedFleet }
+
+func (p memoryPeers) Ask(ctx context.Context, address string, question relay.Question) (relay.Answer, error) {
+	time.Sleep(2 * time.Millisecond)
+	p.fleet.mutex.Lock()
+	node := p.fleet.nodes[address]
+	p.fleet.mutex.Unlock()
+	if node == nil {
+		return relay.Answer{}, net.ErrClosed
+	}
+	return node.Answer(ctx, question), nil
+}
+
+// Link opens a link to another node over a pipe.
+func (p memoryPeers) Link(_ context.Context, address string) (net.Conn, error) {
+	time.Sleep(2 * time.Millisecond)
+	p.fleet.mutex.Lock()
+	node := p.fleet.nodes[address]
+	p.fleet.mutex.Unlock()
+	if node == nil {
+		return nil, net.ErrClosed
+	}
+	here, there := net.Pipe()
+	go node.ServeLink(&mutedConn{there, p.fleet, address})
+	return here, nil
+}
+
+// mutedConn is a node's end of a link; nothing comes in while the node stands still.
+type mutedConn struct {
+	net.Conn
+	fleet *simulatedFleet
+	node  string
+}
+
+// Read implements net.Conn.
+func (c *mutedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	for c.fleet.isMuted(c.node) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return n, err
+}
+
+func (f *simulatedFleet) isMuted(node string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.muted[node]
+}
+
+func (f *simulatedFleet) setMuted(node string, muted bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.muted[node] = muted
+}
+
+func (f *simulatedFleet) stop() {
+	for i := range f.listeners {
+		f.stopNode(i)
+	}
+	f.running.Wait()
+}
