Entries of nodes that are gone for good are removed

Cause: members were only ever added.

Ruled out: removal at a planned stop (most nodes return within seconds, and nodes that start with the store down need the list); entries that run out (the platform has none).

Change: each node looks after the next one in the order of names. One that does not answer at three looks in a row (about two minutes) loses its entry, at its revision; a node that lives enters itself again at its next look. One question a node in 40 s.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -56,6 +56,7 @@
 	ServerReachable       Event = "server_reachable"
 	DetourTaken           Event = "detour_taken"
 	PeerSilent            Event = "peer_silent"
+	MemberRemoved         Event = "member_removed"
 	LinkOpened            Event = "link_opened"
 	LinkEnded             Event = "link_ended"
 	PrimaryAnnounced      Event = "primary_announced"
@@ -78,7 +79,7 @@
 	NodeStarted: Belief, NodeStopping: Belief, NodeStopped: Belief, SettingsRead: Belief, SettingsRefused: Belief,
 	StoreLost: Belief, StoreRegained: Belief, ConfigurationApplied: Belief, ConfigurationRefused: Belief,
 	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, ServerEntryRefused: Belief,
-	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
+	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
 	RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
 	LinesDropped: Belief,
--- a/internal/objectstore/objectstore.go
+++ b/internal/objectstore/objectstore.go
@@ -40,6 +40,8 @@
 	Create(ctx context.Context, kind, name string, content []byte) (Object, error)
 	// Replace changes an object at a given revision; another revision is a Conflict.
 	Replace(ctx context.Context, kind, name string, revision uint64, content []byte) (Object, error)
+	// Delete removes an object at a given revision; another revision is a Conflict.
+	Delete(ctx context.Context, kind, name string, revision uint64) error
 }
 
 // Outcome tells what is known of a call that failed.
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -22,6 +22,8 @@
 	Name    string `json:"-"`
 	Address string `json:"address"`
 	Zone    string `json:"zone,omitempty"`
+	// Revision is the entry's.
+	Revision uint64 `json:"-"`
 }
 
 // Peers asks other nodes.
@@ -65,9 +67,12 @@
 	if objects, ok := n.listLeases(ctx); ok {
 		n.leasesKnown(objects)
 	}
+	var watched neighbor
 	for ctx.Err() == nil {
 		n.waitAbout(ctx, memberLook)
-		n.lookAtMembers(ctx)
+		if n.lookAtMembers(ctx) {
+			n.checkNeighbor(ctx, &watched)
+		}
 	}
 }
 
@@ -111,7 +116,7 @@
 	var own *objectstore.Object
 	members := make([]Member, 0, len(objects))
 	for i := range objects {
-		member := Member{Name: objects[i].Name}
+		member := Member{Name: objects[i].Name, Revision: objects[i].Revision}
 		switch {
 		case member.Name == n.options.Name:
 			own = &objects[i]
--- a/internal/proxy/metered.go
+++ b/internal/proxy/metered.go
@@ -59,6 +59,13 @@
 	return object, err
 }
 
+// Delete implements objectstore.Store.
+func (m *meteredStore) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	err := m.Store.Delete(ctx, kind, name, revision)
+	m.count("delete", kind, err)
+	return err
+}
+
 // Replace implements objectstore.Store.
 func (m *meteredStore) Replace(ctx context.Context, kind, name string, revision uint64, content []byte) (objectstore.Object, error) {
 	object, err := m.Store.Replace(ctx, kind, name, revision, content)
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -213,6 +213,31 @@
 	})
 }
 
+// TestMembersThatAreGoneAreRemoved: a node leaves for good. Its entry goes, so that it
+// is not chosen as an owner or a reader for ever; when it returns it enters again.
+func TestMembersThatAreGoneAreRemoved(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		fleet := newFleet(5, 0, nothingBroken)
+		time.Sleep(10 * time.Second)
+		must.Eq(t, 5, fleet.store.Count(managed.MemberKind))
+		fleet.stopNode(2)
+		time.Sleep(5 * time.Minute)
+		must.Eq(t, 4, fleet.store.Count(managed.MemberKind))
+		for name, node := range fleet.nodes {
+			must.Eq(t, 3, node.KnownMembers(), must.Sprint(name))
+		}
+		fleet.startNode(2)
+		time.Sleep(2 * time.Minute)
+		must.Eq(t, 5, fleet.store.Count(managed.MemberKind))
+		for name, node := range fleet.nodes {
+			must.Eq(t, 4, node.KnownMembers(), must.Sprint(name))
+		}
+		fleet.stop()
+		time.Sleep(10 * time.Second)
+		fleet.log.Close()
+	})
+}
+
 // TestServerWithAFullQueueIsNotLeftOutOfTheChoice: a replica that has received
 // nothing for a while answers the survey at once, the other one is busy. The
 // busy one has received all and must be promoted.
--- a/internal/remote/link.go
+++ b/internal/remote/link.go
@@ -43,8 +43,8 @@
 	// suspected is closed when the owner becomes suspect, and replaced when it is
 	// heard again; mu guards the field.
 	suspected chan struct{}
-	lost    chan struct{}
-	once    sync.Once
+	lost      chan struct{}
+	once      sync.Once
 
 	mu      sync.Mutex
 	waiting map[uint64]chan response
@@ -219,7 +219,7 @@
 	// there is none.
 	suspected chan struct{}
 	sentAt    time.Time
-	results []upstream.Result
+	results   []upstream.Result
 	// cause is why no further answers come.
 	cause error
 	open  bool
--- a/internal/standin/managed/store.go
+++ b/internal/standin/managed/store.go
@@ -289,6 +289,23 @@
 	})
 }
 
+// Delete implements objectstore.Store.
+func (c *Client) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	object, found := c.store.objects[kind][name]
+	c.store.mutex.Unlock()
+	switch {
+	case !found:
+		return &objectstore.Error{Outcome: objectstore.NotFound}
+	case object.Revision != revision:
+		return &objectstore.Error{Outcome: objectstore.Conflict}
+	}
+	c.store.Remove(kind, name)
+	return nil
+}
+
 func (c *Client) change(ctx context.Context, kind, name string, content []byte, allowed func(objectstore.Object, bool) bool) (objectstore.Object, error) {
 	if err := c.enter(ctx); err != nil {
 		return objectstore.Object{}, err
