A reader that has listed nothing yet does not make others list anew

Cause, found by reading: a cache without a listing answered a watch with 'history gone', on which a follower lists from the store, at once and again while the reader has nothing; after a restart of all nodes with a slow store that is a storm of priced calls. Change: it answers that nothing was done, and the next reader is asked, then the store's watch.

--- a/internal/objectstore/cache.go
+++ b/internal/objectstore/cache.go
@@ -144,7 +144,10 @@
 func (c *Cache) since(after uint64) ([]Object, uint64, chan struct{}, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if !c.listed || after < c.oldestKnown() {
+	if !c.listed {
+		return nil, 0, nil, &Error{Outcome: NotDone, Detail: "the node has listed nothing yet"}
+	}
+	if after < c.oldestKnown() {
 		return nil, 0, nil, &Error{Outcome: HistoryGone, Detail: "the node does not know all changes since then"}
 	}
 	var events []Object
--- a/internal/objectstore/follow_test.go
+++ b/internal/objectstore/follow_test.go
@@ -295,6 +295,9 @@
 	cache := NewCache(&recordingSink{})
 	_, _, err := cache.List()
 	must.Eq(t, NotDone, OutcomeOf(err))
+	// It does not know that any history is gone: nobody should list anew for it.
+	_, _, err = cache.Watch(t.Context(), 3, 0)
+	must.Eq(t, NotDone, OutcomeOf(err))
 	cache.Reset([]Object{{Name: "a", Revision: 1}, {Name: "b", Revision: 2}}, 3)
 	cache.Apply([]Object{{Name: "a", Revision: 1, Deleted: true}}, 5)
 	cache.Reset([]Object{{Name: "c", Revision: 7}}, 8)
