Changes in a row are taken together

Cause: each change of the directory ends the watch of every node that watches the store; at the start of a fleet the servers enter one after the other, and each of them cost a priced call a node.

Change: after changes the next watch begins 30 to 90 ms later. A second change within that time is known so much later, well within any bound; a promotion is also known from the servers' own answers.

Ruled out: a longer pause (a change of the primary would be known later).

--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -26,9 +26,9 @@
 	lastRetryDelay  = 600 * time.Millisecond
 	// spareRetryDelay is the longest delay of a node that usually watches readers.
 	spareRetryDelay = 1500 * time.Millisecond
-	// readerPause is the pause after a reader told of changes, so that many
-	// changes in a row come together.
-	readerPause = 60 * time.Millisecond
+	// changesPause is about the pause after changes, so that many in a row come
+	// together.
+	changesPause = 60 * time.Millisecond
 	// answerLimit is how long the store may take for an answer, beyond the wait
 	// that a watch asks for.
 	answerLimit = time.Second
@@ -123,7 +123,7 @@
 		f.Sink.Apply(events, revision)
 	}
 	if len(events) > 0 {
-		pause(ctx, readerPause)
+		pause(ctx, changesPause)
 	}
 	return true
 }
@@ -172,6 +172,9 @@
 	f.revision = revision
 	f.Sink.Apply(events, revision)
 	f.Sink.Confirmed(time.Now())
+	if len(events) > 0 {
+		pause(ctx, changesPause)
+	}
 }
 
 func (f *follower) succeeded() {
--- a/internal/objectstore/follow_test.go
+++ b/internal/objectstore/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -238,6 +239,27 @@
 	})
 }
 
+// TestChangesInARowComeTogether: 100 changes 10 ms apart cost few calls, and the last
+// is known at once.
+func TestChangesInARowComeTogether(t *testing.T) {
+	follow(t, 2*time.Second, func(store *scriptedStore, sink *recordingSink) {
+		time.Sleep(time.Second)
+		store.mutex.Lock()
+		before := store.calls
+		store.mutex.Unlock()
+		for i := range 100 {
+			store.set(fmt.Sprint(i))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		content, _ := sink.seen()
+		must.Eq(t, "99", content)
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		must.Less(t, 40, store.calls-before)
+	})
+}
+
 // reader is a node that watches the store for others.
 type reader struct{ cache *Cache }
 
