Members know each other sooner

Change: a node enters itself after 0.35 to 1.05 s and looks again after 1 to 3 s. Ruled out: longer pauses between watches (a change of the primary would be known later).

--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -37,8 +37,8 @@
 const (
 	// firstMemberLook is about when a node enters itself, secondMemberLook the
 	// pause after which nodes that started together see each other.
-	firstMemberLook  = time.Second
-	secondMemberLook = 3 * time.Second
+	firstMemberLook  = 700 * time.Millisecond
+	secondMemberLook = 2 * time.Second
 	memberLook       = 40 * time.Second
 	memberRetry      = 2 * time.Second
 	// firstMemberRetry is the pause until a node that starts has a list at all.
