Tests of links run on virtual time

A pipe has no buffer, unlike a socket. Change: these tests run in bubbles, and a side that stands still keeps what it is sent. Ruled out: a fault of the link (the error is in doubt either way, and a read is asked elsewhere).

--- a/internal/remote/remote_test.go
+++ b/internal/remote/remote_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"dewknot/internal/admission"
+	"dewknot/internal/bubbletest"
 	"dewknot/internal/command"
 	"dewknot/internal/position"
 	"dewknot/internal/upstream"
@@ -171,242 +172,300 @@
 // TestStreamsOfALinkNeverMix runs statements of many users over one link; each gets
 // the answer to its own.
 func TestStreamsOfALinkNeverMix(t *testing.T) {
-	link, _, _ := connect(t, newFakeServer())
-	var working sync.WaitGroup
-	for user := range 40 {
-		working.Go(func() {
-			for i := range 20 {
-				id := string(rune('a'+user)) + string(rune('a'+i))
-				batch := lease(link, "s1").Run([]upstream.Operation{statement(id)}, soon())
-				must.NoError(t, batch.Err)
-				must.Eq(t, id, string(batch.Last().Rows[0]))
-			}
-		})
-	}
-	working.Wait()
+	bubbletest.Test(t, func(t *testing.T) {
+		link, _, _ := connect(t, newFakeServer())
+		var working sync.WaitGroup
+		for user := range 40 {
+			working.Go(func() {
+				for i := range 20 {
+					id := string(rune('a'+user)) + string(rune('a'+i))
+					batch := lease(link, "s1").Run([]upstream.Operation{statement(id)}, soon())
+					must.NoError(t, batch.Err)
+					must.Eq(t, id, string(batch.Last().Rows[0]))
+				}
+			})
+		}
+		working.Wait()
+	})
 }
 
 // TestTransactionKeepsItsConnection runs a transaction through the owner: its
 // session values go with it, and nothing is left open.
 func TestTransactionKeepsItsConnection(t *testing.T) {
-	server := newFakeServer()
-	link, owner, _ := connect(t, server)
-	l := lease(link, "s1")
-	begin := append(l.Adapt(map[string]string{"zone": "a"}, nil), upstream.Operation{Kind: upstream.Begin})
-	batch := l.Run(begin, soon())
-	must.NoError(t, batch.Err)
-	must.Eq(t, upstream.InTransaction, batch.Last().State)
-	must.Eq(t, 1, owner.Active())
-	must.Len(t, 0, l.Adapt(map[string]string{"zone": "a"}, nil), must.Sprint("values stay while the transaction is open"))
-	batch = l.Run([]upstream.Operation{statement("x"), {Kind: upstream.Commit, RequestID: "x"}}, soon())
-	must.NoError(t, batch.Err)
-	must.Eq(t, upstream.Idle, batch.Last().State)
-	must.Eq(t, 0, owner.Active())
-	must.Eq(t, []upstream.OperationKind{upstream.SetValue, upstream.Begin, upstream.RunStatement, upstream.Commit}, server.kinds())
-	must.Len(t, 1, l.Adapt(map[string]string{"zone": "a"}, nil), must.Sprint("an owner keeps no values between transactions"))
+	bubbletest.Test(t, func(t *testing.T) {
+		server := newFakeServer()
+		link, owner, _ := connect(t, server)
+		l := lease(link, "s1")
+		begin := append(l.Adapt(map[string]string{"zone": "a"}, nil), upstream.Operation{Kind: upstream.Begin})
+		batch := l.Run(begin, soon())
+		must.NoError(t, batch.Err)
+		must.Eq(t, upstream.InTransaction, batch.Last().State)
+		must.Eq(t, 1, owner.Active())
+		must.Len(t, 0, l.Adapt(map[string]string{"zone": "a"}, nil), must.Sprint("values stay while the transaction is open"))
+		batch = l.Run([]upstream.Operation{statement("x"), {Kind: upstream.Commit, RequestID: "x"}}, soon())
+		must.NoError(t, batch.Err)
+		must.Eq(t, upstream.Idle, batch.Last().State)
+		must.Eq(t, 0, owner.Active())
+		must.Eq(t, []upstream.OperationKind{upstream.SetValue, upstream.Begin, upstream.RunStatement, upstream.Commit}, server.kinds())
+		must.Len(t, 1, l.Adapt(map[string]string{"zone": "a"}, nil), must.Sprint("an owner keeps no values between transactions"))
+	})
 }
 
 // TestWhatIsLeftOpenIsRolledBack ends a transaction's session, then its link.
 func TestWhatIsLeftOpenIsRolledBack(t *testing.T) {
-	for _, end := range []func(*Link, *upstream.Lease){
-		func(_ *Link, l *upstream.Lease) { l.Discard() },
-		func(link *Link, _ *upstream.Lease) { link.Close() },
-	} {
-		server := newFakeServer()
-		link, owner, _ := connect(t, server)
-		l := lease(link, "s1")
-		must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
-		end(link, l)
-		eventually(t, "the transaction stays open", func() bool {
-			kinds := server.kinds()
-			return kinds[len(kinds)-1] == upstream.Rollback && owner.Active() == 0
-		})
-	}
+	bubbletest.Test(t, func(t *testing.T) {
+		for _, end := range []func(*Link, *upstream.Lease){
+			func(_ *Link, l *upstream.Lease) { l.Discard() },
+			func(link *Link, _ *upstream.Lease) { link.Close() },
+		} {
+			server := newFakeServer()
+			link, owner, _ := connect(t, server)
+			l := lease(link, "s1")
+			must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
+			end(link, l)
+			eventually(t, "the transaction stays open", func() bool {
+				kinds := server.kinds()
+				return kinds[len(kinds)-1] == upstream.Rollback && owner.Active() == 0
+			})
+		}
+	})
 }
 
 // TestEndDuringABatch ends a session while its batch runs at the owner: the batch's
 // transaction is rolled back once it is over.
 func TestEndDuringABatch(t *testing.T) {
-	server := newFakeServer()
-	link, owner, _ := connect(t, server)
-	server.hold = make(chan struct{})
-	l := lease(link, "s1")
-	batch := l.Run([]upstream.Operation{{Kind: upstream.Begin}, statement("x")}, time.Now().Add(50*time.Millisecond))
-	must.True(t, batch.TimedOut())
-	l.Discard()
-	close(server.hold)
-	eventually(t, "the transaction stays open", func() bool { return owner.Active() == 0 })
-	kinds := server.kinds()
-	must.Eq(t, upstream.Rollback, kinds[len(kinds)-1])
+	bubbletest.Test(t, func(t *testing.T) {
+		server := newFakeServer()
+		link, owner, _ := connect(t, server)
+		server.hold = make(chan struct{})
+		l := lease(link, "s1")
+		batch := l.Run([]upstream.Operation{{Kind: upstream.Begin}, statement("x")}, time.Now().Add(50*time.Millisecond))
+		must.True(t, batch.TimedOut())
+		l.Discard()
+		close(server.hold)
+		eventually(t, "the transaction stays open", func() bool { return owner.Active() == 0 })
+		kinds := server.kinds()
+		must.Eq(t, upstream.Rollback, kinds[len(kinds)-1])
+	})
 }
 
 // TestWhatDidNotRunIsSaidSo: for want of a slot, of the server, of a transaction.
 func TestWhatDidNotRunIsSaidSo(t *testing.T) {
-	server := newFakeServer()
-	link, _, _ := connect(t, server)
-	server.full = true
-	batch := lease(link, "s1").Run([]upstream.Operation{statement("x")}, soon())
-	must.NoError(t, batch.Err)
-	must.Eq(t, upstream.Busy, batch.Last().Outcome)
-	must.SliceEmpty(t, server.kinds())
-
-	told := false
-	unknown := upstream.NewRemoteLease(link.Session("s2"), upstream.NewStats(), func() { told = true })
-	batch = unknown.Run([]upstream.Operation{statement("x")}, soon())
-	must.NoError(t, batch.Err)
-	must.Eq(t, upstream.Unreached, batch.Last().Outcome)
-	must.True(t, told)
-
-	l := lease(link, "s1")
-	must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
-	batch = l.Run([]upstream.Operation{statement("x"), {Kind: upstream.Rollback}}, soon())
-	must.NoError(t, batch.Err)
-	must.Eq(t, upstream.Busy, batch.First().Outcome)
-	must.Eq(t, upstream.Idle, batch.Last().State, must.Sprint("the rollback needs no slot"))
+	bubbletest.Test(t, func(t *testing.T) {
+		server := newFakeServer()
+		link, _, _ := connect(t, server)
+		server.full = true
+		batch := lease(link, "s1").Run([]upstream.Operation{statement("x")}, soon())
+		must.NoError(t, batch.Err)
+		must.Eq(t, upstream.Busy, batch.Last().Outcome)
+		must.SliceEmpty(t, server.kinds())
+
+		told := false
+		unknown := upstream.NewRemoteLease(link.Session("s2"), upstream.NewStats(), func() { told = true })
+		batch = unknown.Run([]upstream.Operation{statement("x")}, soon())
+		must.NoError(t, batch.Err)
+		must.Eq(t, upstream.Unreached, batch.Last().Outcome)
+		must.True(t, told)
+
+		l := lease(link, "s1")
+		must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
+		batch = l.Run([]upstream.Operation{statement("x"), {Kind: upstream.Rollback}}, soon())
+		must.NoError(t, batch.Err)
+		must.Eq(t, upstream.Busy, batch.First().Outcome)
+		must.Eq(t, upstream.Idle, batch.Last().State, must.Sprint("the rollback needs no slot"))
+	})
 }
 
 // TestLostAnswerLeavesDoubt: the server's answer to a statement does not come.
 func TestLostAnswerLeavesDoubt(t *testing.T) {
-	server := newFakeServer()
-	link, owner, _ := connect(t, server)
-	server.lose = true
-	l := lease(link, "s1")
-	batch := l.Run([]upstream.Operation{statement("x")}, soon())
-	must.ErrorIs(t, batch.Err, ErrInDoubt)
-	must.False(t, l.Alive())
-	must.Eq(t, 0, owner.Active())
-	must.Eq(t, 0, server.entered)
+	bubbletest.Test(t, func(t *testing.T) {
+		server := newFakeServer()
+		link, owner, _ := connect(t, server)
+		server.lose = true
+		l := lease(link, "s1")
+		batch := l.Run([]upstream.Operation{statement("x")}, soon())
+		must.ErrorIs(t, batch.Err, ErrInDoubt)
+		must.False(t, l.Alive())
+		must.Eq(t, 0, owner.Active())
+		must.Eq(t, 0, server.entered)
+	})
 }
 
 // TestProofIsNeverDatedLate: what an owner knew some time ago is dated before the
 // question by at least that time.
 func TestProofIsNeverDatedLate(t *testing.T) {
-	server := newFakeServer()
-	server.proved = time.Now().Add(-300 * time.Millisecond)
-	link, _, taken := connect(t, server)
-	must.NoError(t, lease(link, "s1").Run([]upstream.Operation{statement("x")}, soon()).Err)
-	must.Len(t, 1, taken.list)
-	must.False(t, taken.list[0].After(server.proved))
+	bubbletest.Test(t, func(t *testing.T) {
+		server := newFakeServer()
+		server.proved = time.Now().Add(-300 * time.Millisecond)
+		link, _, taken := connect(t, server)
+		must.NoError(t, lease(link, "s1").Run([]upstream.Operation{statement("x")}, soon()).Err)
+		must.Len(t, 1, taken.list)
+		must.False(t, taken.list[0].After(server.proved))
+	})
 }
 
 // TestSilentOwner ends a link whose other side reads and says nothing.
 func TestSilentOwner(t *testing.T) {
-	here, there := net.Pipe()
-	go func() {
-		buffer := make([]byte, 4096)
-		for {
-			if _, err := there.Read(buffer); err != nil {
-				return
+	bubbletest.Test(t, func(t *testing.T) {
+		here, there := net.Pipe()
+		go func() {
+			buffer := make([]byte, 4096)
+			for {
+				if _, err := there.Read(buffer); err != nil {
+					return
+				}
 			}
-		}
-	}()
-	link := NewLink(here, func(string, time.Time, position.Position) {})
-	began := time.Now()
-	write := statement("x")
-	write.Statement.Writes = true
-	batch := lease(link, "s1").Run([]upstream.Operation{write}, soon())
-	must.ErrorIs(t, batch.Err, ErrLinkLost)
-	must.Less(t, 3*time.Second, time.Since(began))
-	must.False(t, link.Alive())
+		}()
+		link := NewLink(here, func(string, time.Time, position.Position) {})
+		began := time.Now()
+		write := statement("x")
+		write.Statement.Writes = true
+		batch := lease(link, "s1").Run([]upstream.Operation{write}, soon())
+		must.ErrorIs(t, batch.Err, ErrLinkLost)
+		must.Less(t, 3*time.Second, time.Since(began))
+		must.False(t, link.Alive())
+	})
 }
 
 // TestSuspectOwner: an owner that stands still for a moment gets no new work, and
 // gets some again once it answers.
 func TestSuspectOwner(t *testing.T) {
-	server := newFakeServer()
-	owner := NewOwner(server)
-	here, there := net.Pipe()
-	stopped := &stoppedConn{Conn: there}
-	go owner.Serve(stopped)
-	link := NewLink(here, func(string, time.Time, position.Position) {})
-	t.Cleanup(link.Close)
-	stopped.still.Store(true)
-	done := make(chan upstream.Batch, 1)
-	write := statement("x")
-	write.Statement.Writes = true
-	go func() { done <- lease(link, "s1").Run([]upstream.Operation{write}, soon()) }()
-	began := time.Now()
-	eventually(t, "the owner is not suspected", func() bool { return !link.Alive() })
-	must.Less(t, silenceLimit, time.Since(began))
-	stopped.still.Store(false)
-	batch := <-done
-	must.NoError(t, batch.Err, must.Sprint("a write under way is not given up"))
-	eventually(t, "the owner stays suspected", link.Alive)
+	bubbletest.Test(t, func(t *testing.T) {
+		server := newFakeServer()
+		here, there := net.Pipe()
+		stopped := serveStopped(NewOwner(server), there)
+		link := NewLink(here, func(string, time.Time, position.Position) {})
+		t.Cleanup(link.Close)
+		stopped.still.Store(true)
+		done := make(chan upstream.Batch, 1)
+		write := statement("x")
+		write.Statement.Writes = true
+		go func() { done <- lease(link, "s1").Run([]upstream.Operation{write}, soon()) }()
+		began := time.Now()
+		eventually(t, "the owner is not suspected", func() bool { return !link.Alive() })
+		must.Less(t, silenceLimit, time.Since(began))
+		stopped.resume()
+		batch := <-done
+		must.NoError(t, batch.Err, must.Sprint("a write under way is not given up"))
+		eventually(t, "the owner stays suspected", link.Alive)
+	})
 }
 
 // TestReadsLeaveASuspectOwner: another owner can answer them; a statement of an open
 // transaction waits for its own.
 func TestReadsLeaveASuspectOwner(t *testing.T) {
-	server := newFakeServer()
-	here, there := net.Pipe()
-	stopped := &stoppedConn{Conn: there}
-	go NewOwner(server).Serve(stopped)
-	link := NewLink(here, func(string, time.Time, position.Position) {})
-	t.Cleanup(link.Close)
-	transaction := lease(link, "s1")
-	must.NoError(t, transaction.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
-	stopped.still.Store(true)
-	done := make(chan upstream.Batch, 1)
-	go func() { done <- transaction.Run([]upstream.Operation{statement("x")}, soon()) }()
-	read := lease(link, "s1").Run([]upstream.Operation{statement("y")}, soon())
-	must.ErrorIs(t, read.Err, ErrLinkLost)
-	must.False(t, link.Alive())
-	select {
-	case <-link.Lost():
-		t.Fatal("the link is lost with the transaction")
-	default:
-	}
-	stopped.still.Store(false)
-	must.NoError(t, (<-done).Err)
+	bubbletest.Test(t, func(t *testing.T) {
+		server := newFakeServer()
+		here, there := net.Pipe()
+		stopped := serveStopped(NewOwner(server), there)
+		link := NewLink(here, func(string, time.Time, position.Position) {})
+		t.Cleanup(link.Close)
+		transaction := lease(link, "s1")
+		must.NoError(t, transaction.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
+		stopped.still.Store(true)
+		done := make(chan upstream.Batch, 1)
+		go func() { done <- transaction.Run([]upstream.Operation{statement("x")}, soon()) }()
+		read := lease(link, "s1").Run([]upstream.Operation{statement("y")}, soon())
+		must.ErrorIs(t, read.Err, ErrLinkLost)
+		must.False(t, link.Alive())
+		select {
+		case <-link.Lost():
+			t.Fatal("the link is lost with the transaction")
+		default:
+		}
+		stopped.resume()
+		must.NoError(t, (<-done).Err)
+	})
 }
 
 // TestSuspectOwnerIsWatchedToTheEnd: nobody waits for the owner any longer, and it
 // stays silent.
 func TestSuspectOwnerIsWatchedToTheEnd(t *testing.T) {
-	here, there := net.Pipe()
-	go NewOwner(newFakeServer()).Serve(&stoppedConn{Conn: there, forever: true})
-	link := NewLink(here, func(string, time.Time, position.Position) {})
-	batch := lease(link, "s1").Run([]upstream.Operation{statement("x")}, time.Now().Add(suspicionLimit+2*pingInterval))
-	must.ErrorIs(t, batch.Err, ErrLinkLost)
-	select {
-	case <-link.Lost():
-	case <-time.After(5 * time.Second):
-		t.Fatal("the link stays open")
-	}
+	bubbletest.Test(t, func(t *testing.T) {
+		here, there := net.Pipe()
+		stopped := serveStopped(NewOwner(newFakeServer()), there)
+		stopped.still.Store(true)
+		defer stopped.resume()
+		link := NewLink(here, func(string, time.Time, position.Position) {})
+		batch := lease(link, "s1").Run([]upstream.Operation{statement("x")}, time.Now().Add(suspicionLimit+2*pingInterval))
+		must.ErrorIs(t, batch.Err, ErrLinkLost)
+		select {
+		case <-link.Lost():
+		case <-time.After(5 * time.Second):
+			t.Fatal("the link stays open")
+		}
+	})
 }
 
-// stoppedConn passes nothing in while it stands still.
+// stoppedConn passes nothing in while it stands still. What is sent to it meanwhile is
+// kept, as a process that stands still is sent to.
 type stoppedConn struct {
 	net.Conn
-	still atomic.Bool
-	// forever keeps it standing still.
-	forever bool
+	still  atomic.Bool
+	pieces chan []byte
+	rest   []byte
+}
+
+// serveStopped serves an owner over a connection that can stand still.
+func serveStopped(owner *Owner, conn net.Conn) *stoppedConn {
+	c := &stoppedConn{Conn: conn, pieces: make(chan []byte, 1000)}
+	go func() {
+		defer close(c.pieces)
+		buffer := make([]byte, 4096)
+		for {
+			n, err := conn.Read(buffer)
+			if err != nil {
+				return
+			}
+			c.pieces <- append([]byte(nil), buffer[:n]...)
+		}
+	}()
+	go owner.Serve(c)
+	return c
 }
 
 func (c *stoppedConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	for c.still.Load() || (c.forever && err == nil) {
+	for len(c.rest) == 0 {
+		piece, open := <-c.pieces
+		if !open {
+			return 0, net.ErrClosed
+		}
+		c.rest = piece
+	}
+	for c.still.Load() {
 		time.Sleep(time.Millisecond)
 	}
-	return n, err
+	n := copy(buffer, c.rest)
+	c.rest = c.rest[n:]
+	return n, nil
+}
+
+// resume lets what was sent in.
+func (c *stoppedConn) resume() {
+	c.still.Store(false)
+	time.Sleep(10 * time.Millisecond)
 }
 
 // TestOwnerThatLeavesGetsNoNewWork and finishes what is under way.
 func TestOwnerThatLeavesGetsNoNewWork(t *testing.T) {
-	server := newFakeServer()
-	link, owner, _ := connect(t, server)
-	l := lease(link, "s1")
-	must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
-	owner.Leave()
-	eventually(t, "the link does not learn of it", func() bool { return !link.Alive() })
-	must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Commit, RequestID: "x"}}, soon()).Err)
+	bubbletest.Test(t, func(t *testing.T) {
+		server := newFakeServer()
+		link, owner, _ := connect(t, server)
+		l := lease(link, "s1")
+		must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
+		owner.Leave()
+		eventually(t, "the link does not learn of it", func() bool { return !link.Alive() })
+		must.NoError(t, l.Run([]upstream.Operation{{Kind: upstream.Commit, RequestID: "x"}}, soon()).Err)
+	})
 }
 
 // TestMeaninglessFramesHarmNobody sends garbage to an owner.
 func TestMeaninglessFramesHarmNobody(t *testing.T) {
-	for _, garbage := range [][]byte{{}, {0xff, 0xff, 0xff, 0xff, 1}, make([]byte, 64), {0, 0, 0, 9, frameRun, 0, 0, 0, 0, 0, 0, 0, 1}} {
-		must.Eq(t, 0, writeToOwner(garbage).Active())
-	}
+	bubbletest.Test(t, func(t *testing.T) {
+		for _, garbage := range [][]byte{{}, {0xff, 0xff, 0xff, 0xff, 1}, make([]byte, 64), {0, 0, 0, 9, frameRun, 0, 0, 0, 0, 0, 0, 0, 1}} {
+			must.Eq(t, 0, writeToOwner(garbage).Active())
+		}
+	})
 }
 
 func FuzzRequest(f *testing.F) {
