Two readers of the store in each zone

Change: each zone's nodes rank two readers of their zone; a node asks its own zone's first, then its region's, then others, five at most.

--- a/internal/proxy/owners.go
+++ b/internal/proxy/owners.go
@@ -91,13 +91,7 @@
 	addresses := map[string]string{n.options.Name: ""}
 	tiers := make([][]placement.Candidate, 3)
 	sort := func(name, memberZone string) {
-		tier := 2
-		switch {
-		case memberZone == zone:
-			tier = 0
-		case n.options.Regions[memberZone] == n.options.Regions[zone]:
-			tier = 1
-		}
+		tier := n.zoneDistance(memberZone, zone)
 		tiers[tier] = append(tiers[tier], placement.Candidate{ID: name})
 	}
 	sort(n.options.Name, n.options.Zone)
--- a/internal/proxy/readers.go
+++ b/internal/proxy/readers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
-	"slices"
 	"sync"
 	"time"
 
@@ -16,9 +14,14 @@
 	// readersFrom is the size of a fleet from which only some nodes watch the
 	// store; of a smaller one all do, which spares a change one way.
 	readersFrom = 16
-	// readerCount is how many nodes watch the store for the others. Two of them
-	// that stand still one after the other leave a change time within its bound.
-	readerCount = 5
+	// zoneReaders is how many nodes of each zone watch the store for the others. A
+	// node asks those of its own zone first, since a change may be large and bytes
+	// between zones are dear.
+	zoneReaders = 2
+	// readersAsked is how many readers a node asks before it asks the store itself.
+	// Two of them that stand still one after the other leave a change time within
+	// its bound.
+	readersAsked = 5
 	// pollShare is the wait of a question to a reader as a part of the bound.
 	pollShare = 0.3
 	// readerSlack is how long a reader's watch may take beyond its wait.
@@ -43,28 +46,55 @@
 	if known := n.readerSet.Load(); known != nil && known.members == members {
 		return known
 	}
+	set := n.chooseReaders(members)
+	n.readerSet.Store(set)
+	return set
+}
+
+// chooseReaders ranks the nodes of each zone, and puts the readers in the order in
+// which this node asks them: its own zone's, its region's, the rest, each shuffled
+// by its name so that the nodes of a zone are spread over its readers.
+func (n *Node) chooseReaders(members *[]Member) *readerSet {
 	set := &readerSet{members: members}
-	candidates := []placement.Candidate{{ID: n.options.Name}}
+	byZone := map[string][]placement.Candidate{n.options.Zone: {{ID: n.options.Name}}}
 	byName := map[string]Member{}
 	for _, member := range *members {
-		candidates = append(candidates, placement.Candidate{ID: member.Name})
+		byZone[member.Zone] = append(byZone[member.Zone], placement.Candidate{ID: member.Name})
 		byName[member.Name] = member
 	}
-	for _, name := range placement.Rank("store readers", "", candidates, readerCount) {
-		if name == n.options.Name {
-			set.reads = true
-			continue
+	tiers := make([][]placement.Candidate, 3)
+	for zone, candidates := range byZone {
+		for _, name := range placement.Rank("store readers", "", candidates, zoneReaders) {
+			if name == n.options.Name {
+				set.reads = true
+				continue
+			}
+			tier := n.zoneDistance(n.options.Zone, zone)
+			tiers[tier] = append(tiers[tier], placement.Candidate{ID: name})
+		}
+	}
+	for _, tier := range tiers {
+		for _, name := range placement.Rank(n.options.Name, "", tier, readersAsked) {
+			if len(set.others) < readersAsked {
+				set.others = append(set.others, byName[name])
+			}
 		}
-		set.others = append(set.others, byName[name])
 	}
-	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(n.options.Name))
-	first := int(hash.Sum32()) % len(set.others)
-	set.others = append(slices.Clone(set.others[first:]), set.others[:first]...)
-	n.readerSet.Store(set)
 	return set
 }
 
+// zoneDistance is 0 for the same zone, 1 for another of its region, 2 for the rest.
+func (n *Node) zoneDistance(from, to string) int {
+	switch {
+	case from == to:
+		return 0
+	case n.options.Regions[from] == n.options.Regions[to]:
+		return 1
+	default:
+		return 2
+	}
+}
+
 // watchWait is how long a watch of the store waits. A reader's changes have a
 // second way to go, so it waits for less.
 func (n *Node) watchWait(bound time.Duration) time.Duration {
