Nodes whose calls the store refuses ask others once a second

At a fleet's first start 301 nodes watch the store while about 390 servers enter themselves, its 2,000 calls a second are used up, and each refused call asked three other nodes for whole listings, up to ten times a second. (Computed from the code: 97 KB a listing, some 500 MB/s in all; not yet seen in a log.)

Ruled out: readers (none are chosen before the members are known), failover (no event).

Change: at most one round of asking others a second and kind.

--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -26,6 +26,9 @@
 	lastRetryDelay  = 600 * time.Millisecond
 	// spareRetryDelay is the longest delay of a node that usually watches readers.
 	spareRetryDelay = 1500 * time.Millisecond
+	// othersPause is the least pause between two rounds of asking others, whose
+	// answers may be whole listings.
+	othersPause = time.Second
 	// changesPause is about the pause after changes, so that many in a row come
 	// together.
 	changesPause = 60 * time.Millisecond
@@ -89,6 +92,8 @@
 	revision  uint64
 	answering bool
 	delay     time.Duration
+	// askedOthers is when others were last asked.
+	askedOthers time.Time
 	// spare is set once readers have answered in place of the store.
 	spare bool
 }
@@ -204,9 +209,10 @@
 
 // askOthers takes what others know, if it is newer than what is known here.
 func (f *follower) askOthers(ctx context.Context) {
-	if f.Others == nil {
+	if f.Others == nil || time.Since(f.askedOthers) < othersPause {
 		return
 	}
+	f.askedOthers = time.Now()
 	limited, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
 	if f.listed {
--- a/internal/objectstore/follow_test.go
+++ b/internal/objectstore/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -239,6 +240,44 @@
 	})
 }
 
+// countingSource counts the rounds of asking others.
+type countingSource struct {
+	cacheSource
+	rounds atomic.Int64
+}
+
+// List implements Source.
+func (s *countingSource) List(ctx context.Context, kind string) ([]Object, uint64, error) {
+	s.rounds.Add(1)
+	return s.cacheSource.List(ctx, kind)
+}
+
+// busyStore refuses every call at once, as one does whose rate is used up.
+type busyStore struct{ Store }
+
+// List implements Source.
+func (busyStore) List(context.Context, string) ([]Object, uint64, error) {
+	return nil, 0, &Error{Outcome: NotDone}
+}
+
+// TestRefusedNodesDoNotFloodOthers: a store that refuses at once is asked again soon,
+// other nodes once a second.
+func TestRefusedNodesDoNotFloodOthers(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		others := &countingSource{cacheSource: cacheSource{NewCache(&recordingSink{})}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var following sync.WaitGroup
+		following.Go(func() {
+			Follow(ctx, FollowConfig{Store: busyStore{}, Others: others, Kind: "kind", Wait: fixed(2 * time.Second), Sink: &recordingSink{}})
+		})
+		time.Sleep(10 * time.Second)
+		cancel()
+		following.Wait()
+		must.LessEq(t, int64(10), others.rounds.Load())
+		must.GreaterEq(t, int64(7), others.rounds.Load())
+	})
+}
+
 // TestChangesInARowComeTogether: 100 changes 10 ms apart cost few calls, and the last
 // is known at once.
 func TestChangesInARowComeTogether(t *testing.T) {
