--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,7 +3,8 @@
 // others whether they reach a server.
 //
 // A connection carries one question and one answer, each a msgpack value behind
-// its length. Questions are rare, so connections are not kept.
+// its length. Questions are rare, so connections are not kept, except those that
+// become a tunnel to a server or a link of package remote.
 package relay
 
 import (
