--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -169,18 +169,25 @@
 	})
 }
 
-// MergeServer takes a new or changed entry of the directory.
-func (c *Catalog) MergeServer(server Server, now time.Time) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.changeDirectory(now, func(directory map[string]*Server) { mergeServer(directory, server, now) })
-}
-
-// RemoveServer notes that an entry has vanished from the directory.
-func (c *Catalog) RemoveServer(id string, now time.Time) {
+// MergeDirectory takes changes of the directory in their order: entries that are
+// new or have changed, and with Gone set the IDs of those that have vanished. All
+// of them make one new snapshot, since a snapshot costs as much as the directory is
+// long and changes come in batches when a fleet starts.
+func (c *Catalog) MergeDirectory(changes []Server, now time.Time) {
+	if len(changes) == 0 {
+		return
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.changeDirectory(now, func(directory map[string]*Server) { markGone(directory, id, now) })
+	c.changeDirectory(now, func(directory map[string]*Server) {
+		for i := range changes {
+			if changes[i].Gone {
+				markGone(directory, changes[i].ID, now)
+				continue
+			}
+			mergeServer(directory, changes[i], now)
+		}
+	})
 }
 
 // mergeServer replaces an entry. The time since which a server leaves is kept
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,82 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// countChanges counts the snapshots that a catalog publishes.
+func countChanges(c *Catalog) *int {
+	published := new(int)
+	c.OnChange(func(_, _ *Snapshot) { *published++ })
+	return published
+}
+
+// TestMergeDirectoryPublishesOnce: a batch of changes makes one snapshot, whatever
+// its length, in which the last change of an entry counts.
+func TestMergeDirectoryPublishesOnce(t *testing.T) {
+	c := New(time.Minute)
+	published := countChanges(c)
+	now := time.Unix(1000, 0)
+	var changes []Server
+	for i := range 50 {
+		changes = append(changes, Server{ID: fmt.Sprintf("s%02d", i), Service: "bookings", Revision: uint64(i)})
+	}
+	changes = append(changes,
+		Server{ID: "s00", Gone: true},
+		Server{ID: "s01", Service: "bookings", Draining: true, Revision: 60},
+		Server{ID: "s02", Gone: true}, Server{ID: "s02", Service: "bookings", Revision: 61})
+	c.MergeDirectory(changes, now)
+	must.Eq(t, 1, *published)
+	servers := c.Current().Servers
+	must.MapLen(t, 50, servers)
+	must.Len(t, 50, c.Current().ByService["bookings"])
+	must.True(t, servers["s00"].Gone)
+	must.Eq(t, now, servers["s00"].LeavingSince)
+	must.True(t, servers["s01"].Leaving())
+	must.False(t, servers["s02"].Leaving())
+	c.MergeDirectory(nil, now)
+	must.Eq(t, 1, *published)
+}
+
+// TestLeavingSinceStays: the time since which a server leaves is that of the first
+// entry that said so, until an entry says that it stays.
+func TestLeavingSinceStays(t *testing.T) {
+	c := New(time.Minute)
+	first := time.Unix(1000, 0)
+	merge := func(server Server, at time.Time) *Server {
+		server.ID, server.Service = "s1", "bookings"
+		c.MergeDirectory([]Server{server}, at)
+		return c.Current().Servers["s1"]
+	}
+	must.Eq(t, first, merge(Server{Draining: true, Revision: 2}, first).LeavingSince)
+	must.Eq(t, first, merge(Server{Draining: true, Revision: 3}, first.Add(time.Second)).LeavingSince)
+	must.Eq(t, first, merge(Server{Gone: true}, first.Add(2*time.Second)).LeavingSince)
+	must.True(t, merge(Server{Revision: 4}, first.Add(3*time.Second)).LeavingSince.IsZero())
+	must.False(t, merge(Server{Draining: true, Revision: 3}, first.Add(4*time.Second)).Draining, must.Sprint("an older revision"))
+}
+
+// TestGoneServersAreForgotten: a server that is gone stays known for the retention.
+func TestGoneServersAreForgotten(t *testing.T) {
+	c := New(10 * time.Second)
+	now := time.Unix(1000, 0)
+	c.ReplaceDirectory([]Server{{ID: "s1", Service: "bookings"}, {ID: "s2", Service: "bookings"}}, now)
+	c.ReplaceDirectory([]Server{{ID: "s2", Service: "bookings"}}, now)
+	must.True(t, c.Current().Servers["s1"].Gone)
+	c.MergeDirectory([]Server{{ID: "s2", Service: "bookings", Revision: 1}}, now.Add(11*time.Second))
+	must.MapNotContainsKey(t, c.Current().Servers, "s1")
+}
+
+// TestConfigurationNeverGoesBack: only a newer version changes anything.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	c := New(time.Minute)
+	published := countChanges(c)
+	must.True(t, c.ApplyConfiguration(&Configuration{Version: 7}))
+	must.False(t, c.ApplyConfiguration(&Configuration{Version: 7}))
+	must.False(t, c.ApplyConfiguration(&Configuration{Version: 6}))
+	must.Eq(t, 7, c.Current().Configuration.Version)
+	must.Eq(t, 1, *published)
+}
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -96,11 +96,11 @@
 
 // Apply implements objectstore.Sink.
 func (s *directorySink) Apply(events []objectstore.Object, _ uint64) {
-	now := time.Now()
+	changes := make([]catalog.Server, 0, len(events))
 	for _, event := range events {
 		if event.Deleted {
 			s.log.Write(eventlog.ServerGone, zap.String("server", event.Name), zap.Uint64("revision", event.Revision))
-			s.catalog.RemoveServer(event.Name, now)
+			changes = append(changes, catalog.Server{ID: event.Name, Gone: true})
 			continue
 		}
 		server, ok := s.decode(event)
@@ -109,8 +109,9 @@
 		}
 		s.log.Write(eventlog.ServerChanged, zap.String("server", server.ID), zap.String("service", server.Service),
 			zap.Stringer("role", server.Role), zap.Bool("draining", server.Draining), zap.Uint64("revision", server.Revision))
-		s.catalog.MergeServer(server, now)
+		changes = append(changes, server)
 	}
+	s.catalog.MergeDirectory(changes, time.Now())
 }
 
 func (s *directorySink) decode(object objectstore.Object) (catalog.Server, bool) {
