--- a/internal/objectstore/cache.go
+++ b/internal/objectstore/cache.go
@@ -22,6 +22,8 @@
 	changed chan struct{}
 	// confirmed is when the store itself last answered.
 	confirmed time.Time
+	// versions are the bases of patches.
+	versions *versions
 }
 
 // keptRemovals bounds the removals that a cache remembers.
@@ -29,7 +31,7 @@
 
 // NewCache returns an empty cache before a sink.
 func NewCache(next Sink) *Cache {
-	return &Cache{next: next, objects: map[string]Object{}, changed: make(chan struct{})}
+	return &Cache{next: next, objects: map[string]Object{}, changed: make(chan struct{}), versions: newVersions()}
 }
 
 // Reset implements Sink.
@@ -42,9 +44,12 @@
 		kept[object.Name] = object
 	}
 	for name, object := range c.objects {
-		if _, found := kept[name]; !found {
+		listed, found := kept[name]
+		if !found {
 			c.remove(object, revision)
+			continue
 		}
+		c.replaced(&object, &listed)
 	}
 	c.objects = kept
 	c.wake()
@@ -61,9 +66,11 @@
 			delete(c.objects, event.Name)
 			// The event's own revision may be that of the object's last change.
 			c.remove(event, revision)
-		} else {
-			c.objects[event.Name] = event
+			continue
 		}
+		known := c.objects[event.Name]
+		c.replaced(&known, &event)
+		c.objects[event.Name] = event
 	}
 	if len(events) > 0 {
 		c.wake()
@@ -97,22 +104,44 @@
 func (c *Cache) remove(object Object, revision uint64) {
 	object.Deleted, object.Revision, object.Content = true, revision, nil
 	c.deleted = append(c.deleted, object)
+	c.versions.drop(object.Name)
 	if len(c.deleted) > keptRemovals {
 		c.deleted = c.deleted[len(c.deleted)-keptRemovals:]
 	}
 }
 
+// replaced keeps the version that another one replaces as a base of patches; the
+// lock is held.
+func (c *Cache) replaced(older, newer *Object) {
+	if older.Revision < newer.Revision {
+		c.versions.keep(*older)
+	}
+}
+
 func (c *Cache) wake() {
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
+var errNothingListed = &Error{Outcome: NotDone, Detail: "the node has listed nothing yet"}
+
+// Revision returns the revision up to which changes are known, or an error if none
+// were ever listed.
+func (c *Cache) Revision() (uint64, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !c.listed {
+		return 0, errNothingListed
+	}
+	return c.revision, nil
+}
+
 // List returns all objects, or an error if none were ever listed.
 func (c *Cache) List() ([]Object, uint64, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.listed {
-		return nil, 0, &Error{Outcome: NotDone, Detail: "the node has listed nothing yet"}
+		return nil, 0, errNothingListed
 	}
 	objects := make([]Object, 0, len(c.objects))
 	for _, object := range c.objects {
@@ -145,7 +174,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if !c.listed {
-		return nil, 0, nil, &Error{Outcome: NotDone, Detail: "the node has listed nothing yet"}
+		return nil, 0, nil, errNothingListed
 	}
 	if after < c.oldestKnown() {
 		return nil, 0, nil, &Error{Outcome: HistoryGone, Detail: "the node does not know all changes since then"}
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -11,8 +11,10 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
 	"dewknot/internal/catalog"
@@ -69,6 +71,8 @@
 	led []int
 	// muted holds the nodes that read nothing from the links of others.
 	muted map[string]bool
+	// answered counts the bytes of the answers that nodes gave each other.
+	answered atomic.Int64
 	// nodes holds the running nodes by name.
 	nodes map[string]*proxy.Node
 }
@@ -219,7 +223,10 @@
 	if node == nil {
 		return relay.Answer{}, net.ErrClosed
 	}
-	return node.Answer(ctx, question), nil
+	answer := node.Answer(ctx, question)
+	content, err := msgpack.Marshal(answer)
+	p.fleet.answered.Add(int64(len(content)))
+	return answer, err
 }
 
 // Link opens a link to another node over a pipe.
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -213,66 +213,6 @@
 	return answers
 }
 
-// otherNodes is the source of what other nodes know.
-type otherNodes struct{ node *Node }
-
-// sourcesAsked is how many nodes are asked for what they know.
-const sourcesAsked = 3
-
-// List implements objectstore.Source.
-func (o *otherNodes) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
-	return o.ask(ctx, relay.Question{Kind: kind})
-}
-
-// Watch implements objectstore.Source.
-func (o *otherNodes) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objectstore.Object, uint64, error) {
-	return o.ask(ctx, relay.Question{Kind: kind, Changes: true, After: after, Wait: wait})
-}
-
-// ask returns the newest of some nodes' answers.
-func (o *otherNodes) ask(ctx context.Context, question relay.Question) ([]objectstore.Object, uint64, error) {
-	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
-	defer cancel()
-	best := relay.Answer{Failed: true, Outcome: objectstore.NotDone}
-	for _, answer := range o.node.askMembers(limited, o.node.someMembers(sourcesAsked), question) {
-		if best.Failed || (!answer.Failed && answer.Revision > best.Revision) {
-			best = answer.Answer
-		}
-	}
-	if best.Failed {
-		return nil, 0, &objectstore.Error{Outcome: best.Outcome, Detail: "no other node knows more"}
-	}
-	return best.Objects, best.Revision, nil
-}
-
-// memberAnswerLimit bounds the wait for other nodes' answers.
-const memberAnswerLimit = 400 * time.Millisecond
-
-// Answer implements relay.Handler.
-func (n *Node) Answer(ctx context.Context, question relay.Question) relay.Answer {
-	if question.Server != "" {
-		return relay.Answer{Reached: n.reaches(question.Server)}
-	}
-	cache := n.caches[question.Kind]
-	if cache == nil {
-		return relay.Answer{Failed: true, Outcome: objectstore.NotFound}
-	}
-	var answer relay.Answer
-	var err error
-	if question.Changes {
-		answer.Objects, answer.Revision, err = cache.Watch(ctx, question.After, question.Wait)
-	} else {
-		answer.Objects, answer.Revision, err = cache.List()
-	}
-	if err != nil {
-		return relay.Answer{Failed: true, Outcome: objectstore.OutcomeOf(err)}
-	}
-	if question.Within > 0 && cache.Age() > question.Within {
-		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
-	}
-	return answer
-}
-
 // reachedWithin is how old an answer of a server may be to count as reached: not
 // so old that the server may have ended since.
 const reachedWithin = 60 * time.Millisecond
--- a/internal/proxy/readers.go
+++ b/internal/proxy/readers.go
@@ -142,7 +142,7 @@
 func (s *storeReaders) ask(ctx context.Context, reader Member, question relay.Question) (relay.Answer, error) {
 	limited, cancel := context.WithTimeout(ctx, question.Wait+memberAnswerLimit)
 	defer cancel()
-	return s.node.ports.Peers.Ask(limited, reader.Address, question)
+	return s.node.askObjects(limited, reader.Address, question)
 }
 
 func (s *storeReaders) present(readers []Member) Member {
--- a/internal/proxy/readers_test.go
+++ b/internal/proxy/readers_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -81,3 +82,72 @@
 		fleet.log.Close()
 	})
 }
+
+// manyRoutes returns routes of a large deployment; the timeout of the first depends
+// on the version.
+func manyRoutes(version uint64) map[string]catalog.Route {
+	const count = 1000
+	routes := map[string]catalog.Route{}
+	for i := range count {
+		route := testRoutes["bounded"]
+		route.Name = fmt.Sprintf("route-%04d", i)
+		route.Database = route.Name
+		if i == 0 {
+			route.StatementTimeout += time.Duration(version) * time.Millisecond
+		}
+		routes[route.Name] = route
+	}
+	return routes
+}
+
+// TestChangesTravelAsPatches: a change of one route of a thousand, some 200 KB as
+// a whole, is in force on 24 nodes after some hundred bytes for each, also after
+// some changes in quick succession and on a node that starts later.
+func TestChangesTravelAsPatches(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const nodes = 24
+		fleet := newFleet(nodes, 0, nothingBroken)
+		version := uint64(1)
+		configure := func() {
+			version++
+			fleet.store.Put(managed.ConfigurationKind, "main", catalog.Configuration{
+				Version: version, Routes: manyRoutes(version), TransactionIdle: time.Second,
+				Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24}},
+			})
+		}
+		inForce := func() {
+			for name, node := range fleet.nodes {
+				must.Eq(t, version, configurationVersion(t, node), must.Sprint(name))
+			}
+		}
+		configure()
+		time.Sleep(10 * time.Second)
+		inForce()
+		before := fleet.answered.Load()
+		for range 10 {
+			configure()
+			time.Sleep(500 * time.Millisecond)
+		}
+		inForce()
+		for range 10 {
+			configure()
+			time.Sleep(30 * time.Millisecond)
+		}
+		time.Sleep(500 * time.Millisecond)
+		inForce()
+		const perNodeAndChange = 2_000
+		t.Logf("%d bytes a node and change", (fleet.answered.Load()-before)/(20*nodes))
+		must.Less(t, 20*nodes*perNodeAndChange, fleet.answered.Load()-before)
+		fleet.stopNode(0)
+		configure()
+		time.Sleep(2 * time.Second)
+		fleet.startNode(0)
+		time.Sleep(10 * time.Second)
+		configure()
+		time.Sleep(time.Second)
+		inForce()
+		fleet.stop()
+		time.Sleep(10 * time.Second)
+		fleet.log.Close()
+	})
+}
--- /dev/null
+++ b/internal/proxy/sources.go
@@ -0,0 +1,116 @@
+package proxy
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"dewknot/internal/objectstore"
+	"dewknot/internal/relay"
+)
+
+// otherNodes is the source of what other nodes know.
+type otherNodes struct{ node *Node }
+
+const (
+	// sourcesAsked is how many nodes are asked for what they know.
+	sourcesAsked = 3
+	// memberAnswerLimit bounds the wait for other nodes' answers.
+	memberAnswerLimit = 400 * time.Millisecond
+)
+
+// List implements objectstore.Source.
+func (o *otherNodes) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
+	return o.ask(ctx, relay.Question{Kind: kind})
+}
+
+// Watch implements objectstore.Source.
+func (o *otherNodes) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objectstore.Object, uint64, error) {
+	return o.ask(ctx, relay.Question{Kind: kind, Changes: true, After: after, Wait: wait})
+}
+
+// ask asks some nodes how much they know, and the one that knows most for it: an
+// answer may be a whole listing, of which one is enough.
+func (o *otherNodes) ask(ctx context.Context, question relay.Question) ([]objectstore.Object, uint64, error) {
+	limited, cancel := context.WithTimeout(ctx, 2*memberAnswerLimit)
+	defer cancel()
+	best, found := o.newest(limited, question.Kind)
+	if !found || (question.Changes && best.Revision <= question.After) {
+		return nil, 0, &objectstore.Error{Outcome: objectstore.NotDone, Detail: "no other node knows more"}
+	}
+	answer, err := o.node.askObjects(limited, best.from, question)
+	if err != nil {
+		return nil, 0, &objectstore.Error{Outcome: objectstore.NotDone, Detail: err.Error()}
+	}
+	return answer.Objects, answer.Revision, failureOf(&answer)
+}
+
+// newest returns the answer of the node that knows most of a kind.
+func (o *otherNodes) newest(ctx context.Context, kind string) (memberAnswer, bool) {
+	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
+	defer cancel()
+	var best memberAnswer
+	found := false
+	for _, answer := range o.node.askMembers(limited, o.node.someMembers(sourcesAsked), relay.Question{Kind: kind, Peek: true}) {
+		if !answer.Failed && (!found || answer.Revision > best.Revision) {
+			best, found = answer, true
+		}
+	}
+	return best, found
+}
+
+// askObjects asks another node for objects. Large ones come as patches of what this
+// node has, where it has what the other one believes.
+func (n *Node) askObjects(ctx context.Context, address string, question relay.Question) (relay.Answer, error) {
+	question.Patches = question.Changes
+	answer, err := n.ports.Peers.Ask(ctx, address, question)
+	if err != nil || len(answer.Patched) == 0 {
+		return answer, err
+	}
+	expanded, err := n.caches[question.Kind].Expand(answer.Patched)
+	if err == nil {
+		answer.Objects = append(answer.Objects, expanded...)
+		slices.SortFunc(answer.Objects, func(a, b objectstore.Object) int { return cmp.Compare(a.Revision, b.Revision) })
+		return answer, nil
+	}
+	question.Patches, question.Wait = false, 0
+	return n.ports.Peers.Ask(ctx, address, question)
+}
+
+// Answer implements relay.Handler.
+func (n *Node) Answer(ctx context.Context, question relay.Question) relay.Answer {
+	if question.Server != "" {
+		return relay.Answer{Reached: n.reaches(question.Server)}
+	}
+	cache := n.caches[question.Kind]
+	if cache == nil {
+		return relay.Answer{Failed: true, Outcome: objectstore.NotFound}
+	}
+	answer, err := answerFrom(ctx, cache, &question)
+	if err != nil {
+		return relay.Answer{Failed: true, Outcome: objectstore.OutcomeOf(err)}
+	}
+	if question.Within > 0 && cache.Age() > question.Within {
+		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
+	}
+	return answer
+}
+
+// answerFrom answers a question for objects from what this node knows.
+func answerFrom(ctx context.Context, cache *objectstore.Cache, question *relay.Question) (relay.Answer, error) {
+	var answer relay.Answer
+	var err error
+	switch {
+	case question.Peek:
+		answer.Revision, err = cache.Revision()
+	case question.Changes:
+		answer.Objects, answer.Revision, err = cache.Watch(ctx, question.After, question.Wait)
+		if question.Patches {
+			answer.Objects, answer.Patched = cache.Compact(answer.Objects, question.After)
+		}
+	default:
+		answer.Objects, answer.Revision, err = cache.List()
+	}
+	return answer, err
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,11 @@
 	// Within, with Changes, refuses an answer from a node that the store itself has
 	// not answered for so long.
 	Within time.Duration `msgpack:"i,omitempty"`
+	// Patches, with Changes, allows objects to be told as patches of the versions
+	// that were in force at After.
+	Patches bool `msgpack:"p,omitempty"`
+	// Peek asks for the revision only.
+	Peek bool `msgpack:"e,omitempty"`
 	// Server, if set, asks whether the node has lately reached a server.
 	Server string `msgpack:"s,omitempty"`
 	// Tunnel, with Server, asks for a connection to the server through the node:
@@ -49,6 +54,8 @@
 	Outcome  objectstore.Outcome  `msgpack:"o,omitempty"`
 	Objects  []objectstore.Object `msgpack:"x,omitempty"`
 	Revision uint64               `msgpack:"r,omitempty"`
+	// Patched are further objects, told as patches.
+	Patched []objectstore.PatchedObject `msgpack:"d,omitempty"`
 	// Reached answers a question about a server.
 	Reached bool `msgpack:"y,omitempty"`
 }
