--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -17,60 +17,39 @@
 	"dewknot/internal/standin/managed"
 )
 
+// troubleKinds is how many kinds of trouble a simulated day draws from. Seeds that
+// once failed are played again, so a kind keeps its number.
+const troubleKinds = 13
+
+// troublesOfServers holds the stand-in's own troubles by their numbers.
+var troublesOfServers = map[int]managed.Trouble{
+	0: managed.PrimaryCrash, 1: managed.PrimaryDark, 2: managed.ReplicaDeaf, 3: managed.ReplicaLate, 4: managed.AnswersLost,
+	5: managed.StoreDown, 6: managed.StoreSlow, 8: managed.PrimarySevered, 9: managed.OrdersLate,
+}
+
 // trouble strikes the fleet once; it returns when the trouble has passed.
 func (f *simulatedFleet) trouble(random *rand.Rand) {
 	span := time.Duration(500+random.IntN(4000)) * time.Millisecond
-	kind := random.IntN(13)
+	kind := random.IntN(troubleKinds)
 	f.log.Write("trouble", zap.Int("kind", kind), zap.Duration("span", span), zap.String("primary", f.group.Primary().ID()))
-	pick := func() *managed.Server { return f.group.Server(random.IntN(len(f.zones))) }
+	if trouble, found := troublesOfServers[kind]; found {
+		victims := managed.Victims{Group: f.group, Store: f.store, Promoter: f.promoter}
+		victims.Strike(trouble, random, span)
+		return
+	}
+	f.troubleOfNodes(kind, random, span)
+}
+
+// troubleOfNodes strikes a node.
+func (f *simulatedFleet) troubleOfNodes(kind int, random *rand.Rand, span time.Duration) {
+	node := random.IntN(len(f.listeners))
 	switch kind {
-	case 0:
-		crashed := f.group.Primary()
-		crashed.Crash()
-		time.Sleep(span)
-		crashed.Restart()
-	case 1:
-		dark := f.group.Primary()
-		dark.SetReachable(false)
-		time.Sleep(span)
-		dark.SetReachable(true)
-	case 2:
-		deaf := pick()
-		deaf.SetDeaf(true)
-		time.Sleep(span)
-		deaf.SetDeaf(false)
-	case 3:
-		late := pick()
-		late.SetApplyDelay(time.Duration(random.IntN(1500)) * time.Millisecond)
-		time.Sleep(span)
-		late.SetApplyDelay(8 * time.Millisecond)
-	case 4:
-		f.group.Primary().LoseAnswers(1 + random.IntN(4))
-		pick().LoseAnswers(1 + random.IntN(4))
-	case 5:
-		f.store.SetDown(true)
-		time.Sleep(span)
-		f.store.SetDown(false)
-	case 6:
-		f.store.SetDelay(time.Duration(random.IntN(400)) * time.Millisecond)
-		time.Sleep(span)
-		f.store.SetDelay(4 * time.Millisecond)
 	case 7:
-		node, server := random.IntN(len(f.listeners)), f.group.Primary().ID()
+		server := f.group.Primary().ID()
 		f.setCut(node, server, true)
 		time.Sleep(span)
 		f.setCut(node, server, false)
-	case 8:
-		severed := f.group.Primary()
-		severed.SetSevered(true)
-		time.Sleep(span)
-		severed.SetSevered(false)
-	case 9:
-		f.promoter.SetLate(span)
-		time.Sleep(span)
-		f.promoter.SetLate(0)
 	case 10:
-		node := random.IntN(len(f.listeners))
 		if !f.stopNode(node) {
 			return
 		}
@@ -79,15 +58,13 @@
 	case 11:
 		f.store.Forget()
 		f.store.LoseAnswers(2)
-		node := fmt.Sprintf("node-%d", random.IntN(len(f.listeners)))
-		f.store.SetCut(node, true)
+		f.store.SetCut(f.name(node), true)
 		time.Sleep(span)
-		f.store.SetCut(node, false)
+		f.store.SetCut(f.name(node), false)
 	case 12:
-		node := f.name(random.IntN(len(f.listeners)))
-		f.setMuted(node, true)
+		f.setMuted(f.name(node), true)
 		time.Sleep(span)
-		f.setMuted(node, false)
+		f.setMuted(f.name(node), false)
 	}
 }
 
--- a/internal/remote/link.go
+++ b/internal/remote/link.go
@@ -43,8 +43,9 @@
 	// suspected is closed when the owner becomes suspect, and replaced when it is
 	// heard again; mu guards the field.
 	suspected chan struct{}
-	lost      chan struct{}
-	once      sync.Once
+	// lost is closed when the link has ended.
+	lost chan struct{}
+	once sync.Once
 
 	mu      sync.Mutex
 	waiting map[uint64]chan response
@@ -87,9 +88,6 @@
 	}
 }
 
-// Lost is closed when the link has ended.
-func (l *Link) Lost() <-chan struct{} { return l.lost }
-
 // Close ends the link.
 func (l *Link) Close() {
 	l.once.Do(func() {
--- a/internal/remote/links.go
+++ b/internal/remote/links.go
@@ -72,40 +72,26 @@
 	}
 }
 
-// look returns the first open link. If an owner before it is being reached for the
-// first time, it reports that waiting is worth while.
+// look returns the first open link. The first owner before it that can be tried is
+// being reached meanwhile; if no link is open, pending tells that waiting for one is
+// worth while.
 func (ls *Links) look(addresses []string, now time.Time) (link *Link, address string, pending bool, changed chan struct{}) {
 	ls.mu.Lock()
 	defer ls.mu.Unlock()
-	for _, address := range addresses {
-		p := ls.peers[address]
+	for _, candidate := range addresses {
+		p := ls.peers[candidate]
 		if p == nil {
 			p = &peer{}
-			ls.peers[address] = p
+			ls.peers[candidate] = p
 		}
 		if p.link != nil && p.link.Alive() {
-			return p.link, address, false, nil
-		}
-		if ls.dial(address, p, now) {
-			pending = true
-			if ls.otherAlive(addresses) == nil {
-				break
-			}
+			return p.link, candidate, false, nil
 		}
+		pending = pending || ls.dial(candidate, p, now)
 	}
 	return nil, "", pending, ls.changed
 }
 
-// otherAlive returns any open link among the addresses.
-func (ls *Links) otherAlive(addresses []string) *Link {
-	for _, address := range addresses {
-		if p := ls.peers[address]; p != nil && p.link != nil && p.link.Alive() {
-			return p.link
-		}
-	}
-	return nil
-}
-
 // dial opens a link if it is time to, and reports whether one is being opened that
 // is worth waiting for; the lock is held.
 func (ls *Links) dial(address string, p *peer, now time.Time) bool {
--- a/internal/remote/remote_test.go
+++ b/internal/remote/remote_test.go
@@ -369,7 +369,7 @@
 		must.ErrorIs(t, read.Err, ErrLinkLost)
 		must.False(t, link.Alive())
 		select {
-		case <-link.Lost():
+		case <-link.lost:
 			t.Fatal("the link is lost with the transaction")
 		default:
 		}
@@ -390,7 +390,7 @@
 		batch := lease(link, "s1").Run([]upstream.Operation{statement("x")}, time.Now().Add(suspicionLimit+2*pingInterval))
 		must.ErrorIs(t, batch.Err, ErrLinkLost)
 		select {
-		case <-link.Lost():
+		case <-link.lost:
 		case <-time.After(5 * time.Second):
 			t.Fatal("the link stays open")
 		}
--- a/internal/standin/managed/session.go
+++ b/internal/standin/managed/session.go
@@ -196,7 +196,7 @@
 
 // run runs an operation and reports whether its answer is lost.
 func (s *Session) run(operation *upstream.Operation) (upstream.Result, bool) {
-	if usesSlot(operation.Kind) {
+	if takesSlot(operation.Kind) {
 		if !s.takeSlot() {
 			return s.refuseBusy(), false
 		}
@@ -209,15 +209,17 @@
 	}
 	result := s.apply(operation)
 	lost := false
-	if usesSlot(operation.Kind) && s.server.loseAnswers > 0 {
+	if takesSlot(operation.Kind) && s.server.loseAnswers > 0 {
 		s.server.loseAnswers--
 		lost = true
 	}
 	return result, lost
 }
 
-func usesSlot(kind upstream.OperationKind) bool {
-	return kind == upstream.RunStatement || kind == upstream.Commit || kind == upstream.ReportStatus || kind == upstream.HoldReplication
+// takesSlot tells the operations that take a slot: callers' work, and two kinds of
+// questions that only nodes ask.
+func takesSlot(kind upstream.OperationKind) bool {
+	return kind.UsesSlot() || kind == upstream.ReportStatus || kind == upstream.HoldReplication
 }
 
 func (s *Session) takeSlot() bool {
