--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,8 +16,10 @@
 type otherNodes struct{ node *Node }
 
 const (
-	// sourcesAsked is how many nodes are asked for what they know.
-	sourcesAsked = 3
+	// nearSources is how many of the nearest nodes are asked for what they know, and
+	// farSources how many of any: a zone may be cut off as a whole.
+	nearSources = 2
+	farSources  = 1
 	// memberAnswerLimit bounds the wait for other nodes' answers.
 	memberAnswerLimit = 400 * time.Millisecond
 )
@@ -46,15 +50,34 @@
 	return answer.Objects, answer.Revision, failureOf(&answer)
 }
 
-// newest returns the answer of the node that knows most of a kind.
+// sources returns the nodes to ask, nearest first: listings are large, and bytes
+// between regions are dear.
+func (n *Node) sources() []Member {
+	members := n.someMembers(math.MaxInt)
+	slices.SortStableFunc(members, func(a, b Member) int {
+		return cmp.Compare(n.zoneDistance(n.options.Zone, a.Zone), n.zoneDistance(n.options.Zone, b.Zone))
+	})
+	if len(members) <= nearSources+farSources {
+		return members
+	}
+	far := members[nearSources+rand.IntN(len(members)-nearSources)]
+	return append(members[:nearSources:nearSources], far)
+}
+
+// newest returns the answer of the node that knows most of a kind, the nearest of
+// those that know as much.
 func (o *otherNodes) newest(ctx context.Context, kind string) (memberAnswer, bool) {
 	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
 	defer cancel()
+	sources := o.node.sources()
+	answers := o.node.askMembers(limited, sources, relay.Question{Kind: kind, Peek: true})
 	var best memberAnswer
 	found := false
-	for _, answer := range o.node.askMembers(limited, o.node.someMembers(sourcesAsked), relay.Question{Kind: kind, Peek: true}) {
-		if !answer.Failed && (!found || answer.Revision > best.Revision) {
-			best, found = answer, true
+	for _, source := range sources {
+		for _, answer := range answers {
+			if answer.from == source.Address && !answer.Failed && (!found || answer.Revision > best.Revision) {
+				best, found = answer, true
+			}
 		}
 	}
 	return best, found
