--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -95,7 +95,7 @@
 		advertised = loaded.Advertise
 	}
 	return proxy.Options{
-		Name: loaded.Name, Zone: loaded.Zone, PeerAddress: advertised, Regions: loaded.Regions, Life: rand.Text(),
+		Name: loaded.Name, Zone: loaded.Zone, PeerAddress: advertised, Seeds: loaded.Seeds, Regions: loaded.Regions, Life: rand.Text(),
 		ConfigurationBound: loaded.ConfigurationBound.Duration, DrainBound: loaded.DrainBound.Duration,
 		StopGrace: loaded.StopGrace.Duration, Kinds: platform.Kinds,
 	}
--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -35,6 +35,9 @@
 	// answerLimit is how long the store may take for an answer, beyond the wait
 	// that a watch asks for.
 	answerLimit = time.Second
+	// firstListLimit is the same for the first listing where others can be asked:
+	// a node that starts has nothing yet.
+	firstListLimit = 400 * time.Millisecond
 	// probeWait is the wait of a watch while the store does not answer.
 	probeWait = 100 * time.Millisecond
 )
@@ -144,7 +147,11 @@
 }
 
 func (f *follower) list(ctx context.Context) {
-	limited, cancel := context.WithTimeout(ctx, answerLimit)
+	limit := answerLimit
+	if f.Others != nil && f.askedOthers.IsZero() {
+		limit = firstListLimit
+	}
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	objects, revision, err := f.Store.List(limited, f.Kind)
 	if err != nil {
--- /dev/null
+++ b/internal/proxy/ask.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/eventlog"
+	"dewknot/internal/relay"
+)
+
+// memberAnswer is an answer and the address of the node that gave it.
+type memberAnswer struct {
+	relay.Answer
+	from string
+}
+
+// askMembers asks other nodes at the same time and returns the answers that
+// came before ctx ended.
+func (n *Node) askMembers(ctx context.Context, members []Member, question relay.Question) []memberAnswer {
+	return n.gather(ctx, members, question, 0)
+}
+
+// gather is askMembers, but with a grace it waits no longer than that after the
+// first answer that did not fail.
+func (n *Node) gather(ctx context.Context, members []Member, question relay.Question, grace time.Duration) []memberAnswer {
+	limited, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answered := make(chan *memberAnswer, len(members))
+	for _, member := range members {
+		go func() { answered <- n.askMember(limited, &member, question) }()
+	}
+	var answers []memberAnswer
+	var enough <-chan time.Time
+	for range members {
+		select {
+		case answer := <-answered:
+			if answer == nil {
+				continue
+			}
+			answers = append(answers, *answer)
+			if grace > 0 && !answer.Failed && enough == nil {
+				timer := time.NewTimer(grace)
+				defer timer.Stop()
+				enough = timer.C
+			}
+		case <-enough:
+			return answers
+		}
+	}
+	return answers
+}
+
+// askMember asks one node; nil if it does not answer.
+func (n *Node) askMember(ctx context.Context, member *Member, question relay.Question) *memberAnswer {
+	began := time.Now()
+	answer, err := n.ports.Peers.Ask(ctx, member.Address, question)
+	if err != nil {
+		n.log.Write(eventlog.PeerSilent, zap.String("peer", member.Name), zap.String("address", member.Address),
+			zap.Duration("after", time.Since(began)), zap.Error(err))
+		return nil
+	}
+	return &memberAnswer{Answer: answer, from: member.Address}
+}
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -134,7 +134,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.listeners[i], f.cancels[i] = listener, cancel
 	node := proxy.New(proxy.Options{
-		Name: name, Zone: f.zones[i%len(f.zones)], PeerAddress: name, Life: strconv.Itoa(f.life),
+		Name: name, Zone: f.zones[i%len(f.zones)], PeerAddress: name, Life: strconv.Itoa(f.life), Seeds: f.seeds(),
 		Regions:            map[string]string{"a": "r1", "b": "r2", "c": "r3"},
 		ConfigurationBound: 4 * time.Second, DrainBound: 7 * time.Second, StopGrace: 6 * time.Second,
 		Kinds: proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind},
@@ -148,6 +148,9 @@
 	f.running.Go(func() { _ = node.Run(ctx, listener) })
 }
 
+// seeds are the addresses that nodes ask while the store does not answer.
+func (f *simulatedFleet) seeds() []string { return []string{f.name(0), f.name(1), f.name(2)} }
+
 func (f *simulatedFleet) name(node int) string { return fmt.Sprintf("node-%d", node) }
 
 func (f *simulatedFleet) reaches(node int, server string) bool {
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -41,20 +41,12 @@
 	secondMemberLook = 2 * time.Second
 	memberLook       = 40 * time.Second
 	memberRetry      = 2 * time.Second
-	// firstMemberRetry is the pause until a node that starts has a list at all.
-	firstMemberRetry = 300 * time.Millisecond
 )
 
 // keepMembership enters this node among the members and looks at them at long
 // intervals. A list that is old costs a few questions that nobody answers.
 func (n *Node) keepMembership(ctx context.Context) {
-	// A node that starts again finds the others at once, before it has callers.
-	for ctx.Err() == nil {
-		if _, err := n.listMembers(ctx); err == nil {
-			break
-		}
-		n.waitAbout(ctx, firstMemberRetry)
-	}
+	n.findMembers(ctx)
 	n.waitAbout(ctx, firstMemberLook)
 	for ctx.Err() == nil && !n.lookAtMembers(ctx) {
 		n.waitAbout(ctx, memberRetry)
@@ -88,7 +80,7 @@
 }
 
 func (n *Node) lookAtMembers(ctx context.Context) bool {
-	own, err := n.listMembers(ctx)
+	own, err := n.listMembers(ctx, storeCallLimit)
 	if err != nil {
 		return false
 	}
@@ -106,13 +98,19 @@
 
 // listMembers takes the other members from the store and returns this node's own
 // entry, nil if there is none.
-func (n *Node) listMembers(ctx context.Context) (*objectstore.Object, error) {
-	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+func (n *Node) listMembers(ctx context.Context, limit time.Duration) (*objectstore.Object, error) {
+	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Members)
 	if err != nil {
 		return nil, err
 	}
+	return n.takeMembers(objects), nil
+}
+
+// takeMembers takes the other members from a listing of all, and returns this node's
+// own entry, nil if there is none.
+func (n *Node) takeMembers(objects []objectstore.Object) *objectstore.Object {
 	var own *objectstore.Object
 	members := make([]Member, 0, len(objects))
 	for i := range objects {
@@ -127,7 +125,7 @@
 	if n.members.Swap(&members) == nil {
 		close(n.membersKnown)
 	}
-	return own, nil
+	return own
 }
 
 // awaitMembers waits, but not past a deadline, until a node that has just started
@@ -184,35 +182,6 @@
 	return chosen[:min(count, len(chosen))]
 }
 
-// memberAnswer is an answer and the address of the node that gave it.
-type memberAnswer struct {
-	relay.Answer
-	from string
-}
-
-// askMembers asks other nodes at the same time and returns the answers that
-// came before ctx ended.
-func (n *Node) askMembers(ctx context.Context, members []Member, question relay.Question) []memberAnswer {
-	var mutex sync.Mutex
-	var answers []memberAnswer
-	var asked sync.WaitGroup
-	for _, member := range members {
-		asked.Go(func() {
-			began := time.Now()
-			answer, err := n.ports.Peers.Ask(ctx, member.Address, question)
-			if err != nil {
-				n.log.Write(eventlog.PeerSilent, zap.String("peer", member.Name), zap.Duration("after", time.Since(began)), zap.Error(err))
-				return
-			}
-			mutex.Lock()
-			defer mutex.Unlock()
-			answers = append(answers, memberAnswer{Answer: answer, from: member.Address})
-		})
-	}
-	asked.Wait()
-	return answers
-}
-
 // reachedWithin is how old an answer of a server may be to count as reached: not
 // so old that the server may have ended since.
 const reachedWithin = 60 * time.Millisecond
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -78,7 +78,10 @@
 	Zone string
 	// PeerAddress is where other nodes reach this one.
 	PeerAddress string
-	Regions     map[string]string // region by zone
+	// Seeds are addresses of some other nodes, which a node that starts asks while
+	// the store does not answer. They may be out of date.
+	Seeds   []string
+	Regions map[string]string // region by zone
 	// Life is unique to the process.
 	Life string
 	// ConfigurationBound is within how long a change has to be in force.
--- a/internal/proxy/owners_test.go
+++ b/internal/proxy/owners_test.go
@@ -89,7 +89,7 @@
 		store, dialer := &memberStore{}, &countingDialer{}
 		store.down.Store(true)
 		node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, dialer, 40)
-		_, _ = node.listMembers(t.Context())
+		_, _ = node.listMembers(t.Context(), time.Second)
 		for range 10 {
 			_, err := node.lend(target, time.Now().Add(100*time.Millisecond))
 			must.ErrorIs(t, err, upstream.ErrNoConnection)
@@ -99,7 +99,7 @@
 		store.down.Store(false)
 		go func() {
 			time.Sleep(50 * time.Millisecond)
-			_, _ = node.listMembers(context.Background())
+			_, _ = node.listMembers(context.Background(), time.Second)
 		}()
 		_, err := node.lend(target, time.Now().Add(time.Second))
 		must.ErrorIs(t, err, errTestUnreachable)
@@ -127,7 +127,7 @@
 		store, dialer := &memberStore{members: []string{"a1", "a2", "b1", "b2", "c1", "c2", "c3"}}, &countingDialer{}
 		peers := &linkPeers{asked: make(chan string, 100)}
 		node, target := ownersNode(store, peers, dialer, 20)
-		_, err := node.listMembers(t.Context())
+		_, err := node.listMembers(t.Context(), time.Second)
 		must.NoError(t, err)
 		_, err = node.lend(target, time.Now().Add(5*time.Second))
 		must.ErrorIs(t, err, errTestUnreachable, must.Sprint("no owner can be reached, so its own"))
@@ -146,11 +146,11 @@
 func TestEnoughConnectionsAreNotShared(t *testing.T) {
 	store := &memberStore{members: []string{"a1", "b1", "b2"}}
 	node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, &countingDialer{}, 15)
-	_, err := node.listMembers(t.Context())
+	_, err := node.listMembers(t.Context(), time.Second)
 	must.NoError(t, err)
 	must.SliceEmpty(t, node.ownersBefore(target))
 	store.members = append(store.members, "c1")
-	_, err = node.listMembers(t.Context())
+	_, err = node.listMembers(t.Context(), time.Second)
 	must.NoError(t, err)
 	must.SliceNotEmpty(t, node.ownersBefore(target))
 	node.log.Close()
--- /dev/null
+++ b/internal/proxy/seeds.go
@@ -0,0 +1,81 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"dewknot/internal/objectstore"
+	"dewknot/internal/relay"
+)
+
+const (
+	// firstListLimit bounds the first listing of a node that starts: a store that
+	// takes longer is not waited for while other nodes can tell.
+	firstListLimit = 350 * time.Millisecond
+	// firstMemberRetry is the pause until a node that starts asks again for members.
+	firstMemberRetry = 300 * time.Millisecond
+	// answerGrace is how long further answers are waited for after the first.
+	answerGrace = 60 * time.Millisecond
+)
+
+// findMembers waits until a node that starts knows the other members: from the store,
+// or while that does not answer from the nodes that the settings name.
+func (n *Node) findMembers(ctx context.Context) {
+	limit := firstListLimit
+	for ctx.Err() == nil {
+		if _, err := n.listMembers(ctx, limit); err == nil {
+			return
+		}
+		if n.askSeeds(ctx) {
+			return
+		}
+		limit = storeCallLimit
+		n.waitAbout(ctx, firstMemberRetry)
+	}
+}
+
+// askSeeds takes the members from the seed that knows most of them. It reports false
+// if none answers that knows any.
+func (n *Node) askSeeds(ctx context.Context) bool {
+	if n.ports.Peers == nil {
+		return false
+	}
+	var seeds []Member
+	for _, address := range n.options.Seeds {
+		if address != n.options.PeerAddress {
+			seeds = append(seeds, Member{Address: address})
+		}
+	}
+	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
+	defer cancel()
+	var most []objectstore.Object
+	for _, answer := range n.gather(limited, seeds, relay.Question{Kind: n.options.Kinds.Members}, answerGrace) {
+		if !answer.Failed && len(answer.Objects) > len(most) {
+			most = answer.Objects
+		}
+	}
+	if len(most) == 0 {
+		return false
+	}
+	n.takeMembers(most)
+	return true
+}
+
+// memberList answers a question for the members, this node among them.
+func (n *Node) memberList() relay.Answer {
+	known := n.members.Load()
+	if known == nil {
+		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
+	}
+	own := Member{Name: n.options.Name, Address: n.options.PeerAddress, Zone: n.options.Zone}
+	var answer relay.Answer
+	for _, member := range append([]Member{own}, *known...) {
+		content, err := json.Marshal(member)
+		if err != nil {
+			continue
+		}
+		answer.Objects = append(answer.Objects, objectstore.Object{Name: member.Name, Revision: member.Revision, Content: content})
+	}
+	return answer
+}
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -39,6 +39,7 @@
 func (o *otherNodes) ask(ctx context.Context, question relay.Question) ([]objectstore.Object, uint64, error) {
 	limited, cancel := context.WithTimeout(ctx, 2*memberAnswerLimit)
 	defer cancel()
+	o.node.awaitMembers(time.Now().Add(memberAnswerLimit))
 	best, found := o.newest(limited, question.Kind)
 	if !found || (question.Changes && best.Revision <= question.After) {
 		return nil, 0, &objectstore.Error{Outcome: objectstore.NotDone, Detail: "no other node knows more"}
@@ -70,7 +71,7 @@
 	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
 	defer cancel()
 	sources := o.node.sources()
-	answers := o.node.askMembers(limited, sources, relay.Question{Kind: kind, Peek: true})
+	answers := o.node.gather(limited, sources, relay.Question{Kind: kind, Peek: true}, answerGrace)
 	var best memberAnswer
 	found := false
 	for _, source := range sources {
@@ -106,6 +107,9 @@
 	if question.Server != "" {
 		return relay.Answer{Reached: n.reaches(question.Server)}
 	}
+	if question.Kind != "" && question.Kind == n.options.Kinds.Members {
+		return n.memberList()
+	}
 	cache := n.caches[question.Kind]
 	if cache == nil {
 		return relay.Answer{Failed: true, Outcome: objectstore.NotFound}
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -54,7 +55,7 @@
 		}
 	}
 	node, _ := ownersNode(store, peers, nil, 24)
-	_, err := node.listMembers(t.Context())
+	_, err := node.listMembers(t.Context(), time.Second)
 	must.NoError(t, err)
 	return (&otherNodes{node}).List(t.Context(), "kind")
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -198,6 +198,8 @@
 	if deadline, set := ctx.Deadline(); set {
 		_ = connection.SetDeadline(deadline)
 	}
+	// A question whose answer is no longer wanted ends at once.
+	defer context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Now()) })()
 	if err := send(connection, question); err != nil {
 		return Answer{}, err
 	}
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -21,6 +21,9 @@
 	// Advertise is the address at which other nodes reach Peers, if another one,
 	// such as that of a port mapping.
 	Advertise string `toml:"advertise" validate:"omitempty,hostname_port"`
+	// Seeds are addresses of some nodes' Peers, asked by a node that starts while the
+	// store does not answer. They may be out of date, and this node's own.
+	Seeds []string `toml:"seeds" validate:"max=64,dive,hostname_port"`
 	// Store is the durable store, Promotions takes orders to promote a server.
 	Store      string `toml:"store" validate:"required,hostname_port"`
 	Promotions string `toml:"promotions" validate:"omitempty,hostname_port"`
--- a/internal/settings/proxy_test.go
+++ b/internal/settings/proxy_test.go
@@ -34,6 +34,7 @@
 		usable + "log_lines_per_second = \"\"": "correct the value of \"log_lines_per_second\"",
 		usable + "log_level = \"debug\"\n":     "log_level = \"debug\": use one of: everything problems beliefs",
 		usable + "advertise = \"there\"\n":     "advertise = \"there\": write it as ip:port",
+		usable + "seeds = [\"there\"]\n":       "seeds[0] = \"there\": write it as ip:port",
 		"name = \"n1\"\n":                      "zone = \"\": a value is needed",
 	} {
 		_, err := loadProxy(t, content)
