--- a/internal/failover/choice.go
+++ b/internal/failover/choice.go
@@ -36,8 +36,7 @@
 	}
 	m.target = best.ID
 	m.phase = Promoting
-	m.counter++
-	return []Effect{Order{Target: best.ID, Token: m.epoch*tokensPerEpoch + m.counter}}
+	return []Effect{Order{Target: best.ID, Token: m.nextToken()}}
 }
 
 // resume ends what a survey that held the replicas began.
--- a/internal/failover/events.go
+++ b/internal/failover/events.go
@@ -11,7 +11,7 @@
 	// Answers counts the nodes that answered, Reached those that reach the primary.
 	Answers int
 	Reached int
-	// HolderAnswered is set if the holder of the lease was among them.
+	// HolderAnswered is set if one of the superiors was among them.
 	HolderAnswered bool
 }
 
@@ -60,11 +60,11 @@
 // except LeaderFound, Resume and Detour.
 type Effect interface{ isEffect() }
 
-// Corroborate asks other nodes, the holder of the lease among them, whether they
-// reach the primary.
+// Corroborate asks other nodes whether they reach the primary, among them the holder
+// of the lease and the deputies who act before this node.
 type Corroborate struct {
-	Server string
-	Holder string
+	Server    string
+	Superiors []string
 }
 
 // Detour tells that other nodes reach a server which this node does not: work for
--- a/internal/failover/lease.go
+++ b/internal/failover/lease.go
@@ -8,6 +8,9 @@
 	Epoch  uint64 `json:"epoch"`
 	// Life tells the holder's processes of the same name apart.
 	Life string `json:"life"`
+	// Deputies are nodes that may act in the holder's place, in this order, while the
+	// store cannot be asked who the holder is.
+	Deputies []string `json:"deputies,omitempty"`
 }
 
 // leaseKnown takes the lease as it stands in the store: at the start, or since
@@ -16,12 +19,16 @@
 	acting := m.phase == ReadingLease
 	if event.Failed {
 		if acting {
-			m.rest(now, pauseAfterFailure)
+			return m.deputize(now)
 		}
 		return nil
 	}
+	m.lease = event.Lease
 	if event.Lease.Holder == m.node && event.Lease.Life == m.life {
 		m.revision = event.Revision
+		if acting && m.fenced {
+			return m.write(event)
+		}
 		m.hold(event.Lease.Epoch)
 		if acting {
 			return m.act()
@@ -45,10 +52,15 @@
 	if !acting && m.phase != Watching {
 		return nil
 	}
+	return m.write(event)
+}
+
+// write takes the lease under the next epoch.
+func (m *Machine) write(known LeaseKnown) []Effect {
 	m.phase = WritingLease
-	m.epoch = event.Lease.Epoch + 1
+	m.epoch = known.Lease.Epoch + 1
 	return []Effect{WriteLease{
-		Revision: event.Revision, Create: event.Missing,
+		Revision: known.Revision, Create: known.Missing,
 		Lease: Lease{Holder: m.node, Epoch: m.epoch, Life: m.life},
 	}}
 }
@@ -57,8 +69,10 @@
 	switch event.Result {
 	case Written:
 		m.revision = event.Revision
+		anew := m.fenced
+		m.fenced = false
 		m.hold(m.epoch)
-		if m.renewed {
+		if m.renewed || anew {
 			return m.act()
 		}
 		m.phase = Watching
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -100,8 +100,15 @@
 
 	phase   Phase
 	holding bool
-	// holder is the lease's last holder known.
+	// lease is the lease as it was last known, holder its holder; while this node
+	// holds it, holder is the last other one.
+	lease  Lease
 	holder string
+	// deputizing is set while this node acts as a deputy.
+	deputizing bool
+	// fenced is set after a rejected order: the next lease takes a new epoch, since a
+	// deputy may have used a higher token.
+	fenced bool
 	// holderLives is set once the holder has answered since the need began.
 	holderLives bool
 	// renewed is set between the renewal of the lease and the survey it is for.
@@ -209,7 +216,7 @@
 	}
 	if m.observation.Leader != "" && (m.observation.LeaderDown || !m.holding) && !m.justCorroborated(now) {
 		m.phase = Corroborating
-		return []Effect{Corroborate{Server: m.observation.Leader, Holder: m.holder}}
+		return []Effect{Corroborate{Server: m.observation.Leader, Superiors: m.superiors()}}
 	}
 	return m.act()
 }
@@ -245,5 +252,6 @@
 
 func (m *Machine) rest(now time.Time, pause time.Duration) {
 	m.phase = Watching
+	m.deputizing = false
 	m.notBefore = now.Add(pause)
 }
--- a/internal/failover/order.go
+++ b/internal/failover/order.go
@@ -32,8 +32,7 @@
 	}
 	m.phase = Withdrawing
 	m.target = m.observation.Leader
-	m.counter++
-	return []Effect{Order{Target: m.target, Token: m.epoch*tokensPerEpoch + m.counter}}
+	return []Effect{Order{Target: m.target, Token: m.nextToken()}}
 }
 
 func (m *Machine) ordered(now time.Time, event Ordered) []Effect {
@@ -52,7 +51,11 @@
 	case Rejected:
 		// Either the target does not run, or another node holds a newer token.
 		m.rejected[m.target] = now
-		m.holding = false
+		if m.deputizing {
+			m.rest(now, deputyPause)
+			return nil
+		}
+		m.holding, m.fenced = false, true
 		m.phase = ReadingLease
 		return []Effect{ReadLease{}}
 	}
--- /dev/null
+++ b/internal/proxy/deputy_test.go
@@ -0,0 +1,69 @@
+package proxy_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/bubbletest"
+	"dewknot/internal/failover"
+	"dewknot/internal/standin/managed"
+)
+
+// TestPrimaryIsReplacedWithoutStoreAndHolder: the store is down, the holder of the
+// lease is gone, and then the primary crashes: a deputy replaces it. When the store is
+// back and the new primary crashes too, the next change has a higher token.
+func TestPrimaryIsReplacedWithoutStoreAndHolder(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const nodes = 6
+		fleet := newFleet(nodes, 0, nothingBroken)
+		time.Sleep(20 * time.Second)
+		object, err := fleet.store.Client("test").Get(t.Context(), managed.LeaseKind, testService)
+		must.NoError(t, err)
+		var lease failover.Lease
+		must.NoError(t, json.Unmarshal(object.Content, &lease))
+		must.Len(t, failover.MaxDeputies, lease.Deputies)
+		must.SliceNotContains(t, lease.Deputies, lease.Holder)
+		// The nodes serve the service, so they look at it.
+		until := time.Now().Add(25 * time.Second)
+		var working sync.WaitGroup
+		for i := range 4 * nodes {
+			caller := fleet.caller(fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(1, uint64(i))))
+			working.Go(func() { caller.Run(until) })
+		}
+		fleet.store.SetDown(true)
+		for i := range nodes {
+			if fleet.name(i) == lease.Holder {
+				fleet.stopListening(i)
+				fleet.stopNode(i)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		crashed := fleet.group.Primary()
+		crashed.Crash()
+		time.Sleep(5 * time.Second)
+		must.NotEq(t, crashed.ID(), fleet.group.Primary().ID())
+		orders := fleet.promoter.Orders()
+		must.Len(t, 1, orders)
+		must.SliceContains(t, lease.Deputies, orders[0].Holder)
+
+		fleet.store.SetDown(false)
+		crashed.Restart()
+		time.Sleep(3 * time.Second)
+		fleet.group.Primary().Crash()
+		time.Sleep(6 * time.Second)
+		orders = fleet.promoter.Orders()
+		must.Greater(t, 1, len(orders))
+		must.Greater(t, orders[0].Token, orders[len(orders)-1].Token)
+		working.Wait()
+		must.SliceEmpty(t, fleet.check.Violations)
+		fleet.stop()
+		time.Sleep(10 * time.Second)
+		fleet.log.Close()
+	})
+}
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dewknot/internal/catalog"
 	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
 	"dewknot/internal/objectstore"
-	"dewknot/internal/placement"
 )
 
 // watchShare is the wait of a watch as a part of the bound within which its
@@ -132,69 +129,3 @@
 func (s *directorySink) Regained() {
 	s.log.Write(eventlog.StoreRegained, zap.String("watch", "directory"))
 }
-
-// storeCallLimit bounds a call to the store.
-const storeCallLimit = 1500 * time.Millisecond
-
-// readLeases learns, at the start, of leases that an earlier life of this node
-// holds. Leases that are missing are made once the members are known.
-func (n *Node) readLeases(ctx context.Context) {
-	for ctx.Err() == nil {
-		if objects, ok := n.listLeases(ctx); ok && n.catalog.Current().Configuration != nil {
-			n.leasesKnown(objects)
-			return
-		}
-		time.Sleep(leaseRetry)
-	}
-}
-
-// leasesKnown tells the failover machines who holds the leases.
-func (n *Node) leasesKnown(objects []objectstore.Object) {
-	for _, object := range objects {
-		n.service(object.Name).submit(decodeLease(object))
-	}
-}
-
-// leaseRetry is the pause before leases are listed again.
-const leaseRetry = time.Second
-
-func (n *Node) listLeases(ctx context.Context) ([]objectstore.Object, bool) {
-	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
-	defer cancel()
-	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Leases)
-	return objects, err == nil
-}
-
-// makeLeases makes the missing leases of the services for which this node ranks
-// first among the members, so that holders are spread over the nodes and a fleet
-// that starts makes each lease about once. Views that differ cost a conflict.
-func (n *Node) makeLeases(ctx context.Context) bool {
-	configuration := n.catalog.Current().Configuration
-	objects, ok := n.listLeases(ctx)
-	if configuration == nil || !ok {
-		return false
-	}
-	made := map[string]bool{}
-	for _, object := range objects {
-		made[object.Name] = true
-	}
-	candidates := []placement.Candidate{{ID: n.options.Name}}
-	for _, member := range *n.members.Load() {
-		candidates = append(candidates, placement.Candidate{ID: member.Name})
-	}
-	for name := range configuration.Services {
-		if !made[name] && placement.Rank(name, "", candidates, 1)[0] == n.options.Name {
-			n.service(name).submit(failover.LeaseKnown{Missing: true})
-		}
-	}
-	return true
-}
-
-func decodeLease(object objectstore.Object) failover.LeaseKnown {
-	event := failover.LeaseKnown{Revision: object.Revision}
-	if err := json.Unmarshal(object.Content, &event.Lease); err != nil {
-		// An unreadable lease is replaced at its revision.
-		event.Lease = failover.Lease{}
-	}
-	return event
-}
--- /dev/null
+++ b/internal/proxy/leases.go
@@ -0,0 +1,177 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/eventlog"
+	"dewknot/internal/failover"
+	"dewknot/internal/objectstore"
+	"dewknot/internal/placement"
+)
+
+const (
+	// storeCallLimit bounds a call to the store, silentStoreLimit the same while it
+	// does not answer the watches either.
+	storeCallLimit   = 1500 * time.Millisecond
+	silentStoreLimit = 400 * time.Millisecond
+)
+
+// readLeases learns, at the start, of leases that an earlier life of this node
+// holds. Leases that are missing are made once the members are known.
+func (n *Node) readLeases(ctx context.Context) {
+	for ctx.Err() == nil {
+		if objects, ok := n.listLeases(ctx); ok && n.catalog.Current().Configuration != nil {
+			n.leasesKnown(objects)
+			return
+		}
+		time.Sleep(leaseRetry)
+	}
+}
+
+// leasesKnown tells the failover machines who holds the leases.
+func (n *Node) leasesKnown(objects []objectstore.Object) {
+	for _, object := range objects {
+		n.service(object.Name).submit(decodeLease(object))
+	}
+}
+
+// leaseRefresh is about the pause between a change of the primary and a listing of the
+// leases, which tells who holds them now and who the deputies are.
+const leaseRefresh = 2 * time.Second
+
+// refreshLeases lists the leases soon; the calls of many nodes are spread, and changes
+// in a row make one call.
+func (n *Node) refreshLeases() {
+	if !n.refreshingLeases.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(leaseRefresh/2+rand.N(leaseRefresh), func() {
+		n.refreshingLeases.Store(false)
+		if n.stopping.Load() {
+			return
+		}
+		n.lookAtLeases(context.Background())
+	})
+}
+
+// lookAtLeases learns who holds the leases and who the deputies are.
+func (n *Node) lookAtLeases(ctx context.Context) {
+	if objects, ok := n.listLeases(ctx); ok {
+		n.leasesKnown(objects)
+	}
+}
+
+// leaseRetry is the pause before leases are listed again.
+const leaseRetry = time.Second
+
+func (n *Node) listLeases(ctx context.Context) ([]objectstore.Object, bool) {
+	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+	defer cancel()
+	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Leases)
+	return objects, err == nil
+}
+
+// makeLeases makes the missing leases of the services for which this node ranks
+// first among the members, so that holders are spread over the nodes and a fleet
+// that starts makes each lease about once. Views that differ cost a conflict.
+func (n *Node) makeLeases(ctx context.Context) bool {
+	configuration := n.catalog.Current().Configuration
+	objects, ok := n.listLeases(ctx)
+	if configuration == nil || !ok {
+		return false
+	}
+	made := map[string]bool{}
+	for _, object := range objects {
+		made[object.Name] = true
+	}
+	candidates := []placement.Candidate{{ID: n.options.Name}}
+	for _, member := range *n.members.Load() {
+		candidates = append(candidates, placement.Candidate{ID: member.Name})
+	}
+	for name := range configuration.Services {
+		if !made[name] && placement.Rank(name, "", candidates, 1)[0] == n.options.Name {
+			n.service(name).submit(failover.LeaseKnown{Missing: true})
+		}
+	}
+	return true
+}
+
+func decodeLease(object objectstore.Object) failover.LeaseKnown {
+	event := failover.LeaseKnown{Revision: object.Revision}
+	if err := json.Unmarshal(object.Content, &event.Lease); err != nil {
+		// An unreadable lease is replaced at its revision.
+		event.Lease = failover.Lease{}
+	}
+	return event
+}
+
+// deputies returns the nodes that may act for this one while the store is silent: the
+// first of other zones, since a zone may be lost as a whole, then any.
+func (n *Node) deputies(service string) []string {
+	known := n.members.Load()
+	if known == nil {
+		return nil
+	}
+	var elsewhere, near []placement.Candidate
+	for _, member := range *known {
+		candidate := placement.Candidate{ID: member.Name}
+		if member.Zone == n.options.Zone {
+			near = append(near, candidate)
+		} else {
+			elsewhere = append(elsewhere, candidate)
+		}
+	}
+	ranked := append(placement.Rank(service, "", elsewhere, failover.MaxDeputies), placement.Rank(service, "", near, failover.MaxDeputies)...)
+	return ranked[:min(len(ranked), failover.MaxDeputies)]
+}
+
+func (s *service) readLease() {
+	limit := storeCallLimit
+	if s.node.storeDown.Load() {
+		limit = silentStoreLimit
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	object, err := s.node.ports.Store.Get(ctx, s.node.options.Kinds.Leases, s.name)
+	switch {
+	case err == nil:
+		s.submit(decodeLease(object))
+	case objectstore.OutcomeOf(err) == objectstore.NotFound:
+		s.submit(failover.LeaseKnown{Missing: true})
+	default:
+		s.submit(failover.LeaseKnown{Failed: true})
+	}
+}
+
+func (s *service) writeLease(effect failover.WriteLease) {
+	effect.Lease.Deputies = s.node.deputies(s.name)
+	content, err := json.Marshal(effect.Lease)
+	if err != nil {
+		s.submit(failover.LeaseWritten{Result: failover.Uncertain})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), storeCallLimit)
+	defer cancel()
+	kind := s.node.options.Kinds.Leases
+	var object objectstore.Object
+	if effect.Create {
+		object, err = s.node.ports.Store.Create(ctx, kind, s.name, content)
+	} else {
+		object, err = s.node.ports.Store.Replace(ctx, kind, s.name, effect.Revision, content)
+	}
+	result := failover.Written
+	if err != nil {
+		result = failover.Uncertain
+		if objectstore.OutcomeOf(err) == objectstore.Conflict {
+			result = failover.Superseded
+		}
+	}
+	s.node.log.Write(eventlog.FailoverLease, zap.String("service", s.name),
+		zap.Uint64("epoch", effect.Lease.Epoch), zap.Bool("written", result == failover.Written), zap.Error(err))
+	s.submit(failover.LeaseWritten{Result: result, Revision: object.Revision})
+}
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -40,7 +40,10 @@
 	firstMemberLook  = 700 * time.Millisecond
 	secondMemberLook = 2 * time.Second
 	memberLook       = 40 * time.Second
-	memberRetry      = 2 * time.Second
+	// leasesLook is about the pause until all nodes that start together have made
+	// their leases.
+	leasesLook  = 6 * time.Second
+	memberRetry = 2 * time.Second
 )
 
 // keepMembership enters this node among the members and looks at them at long
@@ -55,15 +58,14 @@
 	for ctx.Err() == nil && !(n.lookAtMembers(ctx) && n.makeLeases(ctx)) {
 		n.waitAbout(ctx, memberRetry)
 	}
-	n.waitAbout(ctx, secondMemberLook)
-	if objects, ok := n.listLeases(ctx); ok {
-		n.leasesKnown(objects)
-	}
+	n.waitAbout(ctx, leasesLook)
+	n.lookAtLeases(ctx)
 	var watched neighbor
 	for ctx.Err() == nil {
 		n.waitAbout(ctx, memberLook)
 		if n.lookAtMembers(ctx) {
 			n.checkNeighbor(ctx, &watched)
+			n.lookAtLeases(ctx)
 		}
 	}
 }
@@ -216,7 +218,7 @@
 	question := relay.Question{Server: effect.Server}
 	var holder []memberAnswer
 	var asked sync.WaitGroup
-	asked.Go(func() { holder = node.askMembers(ctx, node.memberNamed(effect.Holder), question) })
+	asked.Go(func() { holder = node.askMembers(ctx, node.membersNamed(effect.Superiors), question) })
 	answers := node.askMembers(ctx, node.someMembers(witnessesAsked), question)
 	asked.Wait()
 	outcome := failover.Corroborated{Answers: len(answers), HolderAnswered: len(holder) > 0}
@@ -231,16 +233,17 @@
 	return outcome
 }
 
-// memberNamed returns the member with a name, if it is known and another node.
-func (n *Node) memberNamed(name string) []Member {
+// membersNamed returns the members with some names that are known and other nodes.
+func (n *Node) membersNamed(names []string) []Member {
 	known := n.members.Load()
 	if known == nil || n.ports.Peers == nil {
 		return nil
 	}
+	var named []Member
 	for _, member := range *known {
-		if member.Name == name {
-			return []Member{member}
+		if slices.Contains(names, member.Name) {
+			named = append(named, member)
 		}
 	}
-	return nil
+	return named
 }
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -125,6 +125,8 @@
 	closing      atomic.Bool
 	aborting     atomic.Bool
 	storeDown    atomic.Bool
+	// refreshingLeases is set while a listing of the leases is due.
+	refreshingLeases atomic.Bool
 	// caches hold the objects of the kinds that other nodes may ask for.
 	caches  map[string]*objectstore.Cache
 	members atomic.Pointer[[]Member]
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"hash/fnv"
 	"sync"
 	"sync/atomic"
@@ -16,7 +15,6 @@
 	"dewknot/internal/failover"
 	"dewknot/internal/freshness"
 	"dewknot/internal/leadership"
-	"dewknot/internal/objectstore"
 	"dewknot/internal/upstream"
 )
 
@@ -133,7 +131,12 @@
 		found.(*server).pool.Trim(time.Now())
 	}
 	if entry.Role == catalog.Primary && !entry.Gone {
-		if n.service(entry.Service).belief.Announce(entry.ID, entry.Revision) {
+		service := n.service(entry.Service)
+		replaced := service.belief.Leader() != ""
+		if service.belief.Announce(entry.ID, entry.Revision) {
+			if replaced {
+				n.refreshLeases()
+			}
 			n.log.Write(eventlog.PrimaryAnnounced, zap.String("service", entry.Service),
 				zap.String("server", entry.ID), zap.Uint64("revision", entry.Revision))
 		}
@@ -254,47 +257,6 @@
 	}
 }
 
-func (s *service) readLease() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeCallLimit)
-	defer cancel()
-	object, err := s.node.ports.Store.Get(ctx, s.node.options.Kinds.Leases, s.name)
-	switch {
-	case err == nil:
-		s.submit(decodeLease(object))
-	case objectstore.OutcomeOf(err) == objectstore.NotFound:
-		s.submit(failover.LeaseKnown{Missing: true})
-	default:
-		s.submit(failover.LeaseKnown{Failed: true})
-	}
-}
-
-func (s *service) writeLease(effect failover.WriteLease) {
-	content, err := json.Marshal(effect.Lease)
-	if err != nil {
-		s.submit(failover.LeaseWritten{Result: failover.Uncertain})
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), storeCallLimit)
-	defer cancel()
-	kind := s.node.options.Kinds.Leases
-	var object objectstore.Object
-	if effect.Create {
-		object, err = s.node.ports.Store.Create(ctx, kind, s.name, content)
-	} else {
-		object, err = s.node.ports.Store.Replace(ctx, kind, s.name, effect.Revision, content)
-	}
-	result := failover.Written
-	if err != nil {
-		result = failover.Uncertain
-		if objectstore.OutcomeOf(err) == objectstore.Conflict {
-			result = failover.Superseded
-		}
-	}
-	s.node.log.Write(eventlog.FailoverLease, zap.String("service", s.name),
-		zap.Uint64("epoch", effect.Lease.Epoch), zap.Bool("written", result == failover.Written), zap.Error(err))
-	s.submit(failover.LeaseWritten{Result: result, Revision: object.Revision})
-}
-
 // orderLimit bounds an order to promote.
 const orderLimit = time.Second
 
