--- a/internal/failover/choice.go
+++ b/internal/failover/choice.go
@@ -34,9 +34,8 @@
 		}
 		return m.resume()
 	}
-	m.target = best.ID
 	m.phase = Promoting
-	return []Effect{Order{Target: best.ID, Token: m.nextToken()}}
+	return m.order(best.ID)
 }
 
 // resume ends what a survey that held the replicas began.
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -126,6 +126,9 @@
 	notBefore   time.Time
 	settleUntil time.Time
 	target      string
+	// token is that of the last order, repeats how often it may be given again.
+	token   uint64
+	repeats int
 	// unanswered is set while an order may still be carried out late.
 	unanswered  bool
 	rejected    map[string]time.Time
@@ -195,6 +198,9 @@
 		if now.Before(m.settleUntil) {
 			return nil
 		}
+		if again := m.repeat(); again != nil {
+			return again
+		}
 		m.rest(now, 0)
 	}
 	if m.phase != Watching {
--- a/internal/failover/order.go
+++ b/internal/failover/order.go
@@ -20,6 +20,34 @@
 // String returns the outcome's name in logs.
 func (o PromotionOutcome) String() string { return outcomeNames[o] }
 
+const (
+	// maxRepeats is how often an order that was not answered is given again, under the
+	// same token and for the same target: whichever of them is carried out first makes
+	// the change, and the others change nothing.
+	maxRepeats = 4
+	// repeatPause is the pause before an order is given again.
+	repeatPause = 100 * time.Millisecond
+)
+
+// order orders the promotion of a server under a new token.
+func (m *Machine) order(target string) []Effect {
+	m.target = target
+	m.token = m.nextToken()
+	m.repeats = maxRepeats
+	return []Effect{Order{Target: m.target, Token: m.token}}
+}
+
+// repeat gives the last order again, if it was not answered and is still needed.
+func (m *Machine) repeat() []Effect {
+	needed, _ := m.need()
+	if m.repeats == 0 || !needed {
+		return nil
+	}
+	m.repeats--
+	m.phase = Promoting
+	return []Effect{Order{Target: m.target, Token: m.token}}
+}
+
 // withdraw fences off an order that was not answered and is no longer needed,
 // by ordering the present primary under a higher token. Only services with
 // synchronous replicas need it: their replicas are held until then, since an
@@ -31,8 +59,7 @@
 		return nil
 	}
 	m.phase = Withdrawing
-	m.target = m.observation.Leader
-	return []Effect{Order{Target: m.target, Token: m.nextToken()}}
+	return m.order(m.observation.Leader)
 }
 
 func (m *Machine) ordered(now time.Time, event Ordered) []Effect {
@@ -44,10 +71,14 @@
 	}
 	switch event.Outcome {
 	case Accepted:
+		m.repeats = 0
 		m.phase, m.settleUntil = Settling, now.Add(settleLimit)
 	case Unanswered:
 		m.unanswered = true
-		m.phase, m.settleUntil = Settling, now.Add(unansweredLimit)
+		m.phase, m.settleUntil = Settling, now.Add(repeatPause)
+		if m.repeats == 0 {
+			m.settleUntil = now.Add(unansweredLimit)
+		}
 	case Rejected:
 		// Either the target does not run, or another node holds a newer token.
 		m.rejected[m.target] = now
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -257,8 +257,8 @@
 	}
 }
 
-// orderLimit bounds an order to promote.
-const orderLimit = time.Second
+// orderLimit bounds an order to promote; one that is not answered is given again.
+const orderLimit = 600 * time.Millisecond
 
 func (s *service) order(effect failover.Order) {
 	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
