--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -88,10 +88,10 @@
 }
 
 type replayTrace struct {
-	File   string `arg:"" type:"existingfile" help:"Trace written by dewknot sim --trace."`
-	Expect string `type:"existingfile" help:"File of stated outcomes: a line a request, as this command prints with --outcomes."`
+	File   string `arg:"" type:"existingfile" help:"Trace of a group's machine (dewknot sim --trace) or of a failover machine."`
+	Expect string `type:"existingfile" help:"File of stated outcomes: a line a request or order, as this command prints with --outcomes."`
 	// Outcomes prints what became of each request.
-	Outcomes bool `help:"Print what became of each request."`
+	Outcomes bool `help:"Print what became of each request, or the orders to promote."`
 }
 
 // Run replays the trace; a difference counts as a violation.
@@ -132,6 +132,9 @@
 	for _, outcome := range result.Outcomes {
 		_, _ = fmt.Fprintf(&lines, "%s %s server %d\n", outcome.Request, outcome.Kind, outcome.Server)
 	}
+	for _, order := range result.Orders {
+		_, _ = fmt.Fprintf(&lines, "order %s token %d\n", order.Target, order.Token)
+	}
 	return lines.String()
 }
 
--- a/internal/proxy/deputy_test.go
+++ b/internal/proxy/deputy_test.go
@@ -21,7 +21,7 @@
 func TestPrimaryIsReplacedWithoutStoreAndHolder(t *testing.T) {
 	bubbletest.Test(t, func(t *testing.T) {
 		const nodes = 6
-		fleet := newFleet(nodes, 0, nothingBroken)
+		fleet := newRecordedFleet(nodes, 0)
 		time.Sleep(20 * time.Second)
 		object, err := fleet.store.Client("test").Get(t.Context(), managed.LeaseKind, testService)
 		must.NoError(t, err)
@@ -65,5 +65,6 @@
 		fleet.stop()
 		time.Sleep(10 * time.Second)
 		fleet.log.Close()
+		must.Greater(t, 1, fleet.traces.replayAll(t))
 	})
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -73,6 +73,8 @@
 	muted map[string]bool
 	// answered counts the bytes of the answers that nodes gave each other.
 	answered atomic.Int64
+	// traces holds the traces of all failover machines, if they are recorded.
+	traces *traceRecorder
 	// nodes holds the running nodes by name.
 	nodes map[string]*proxy.Node
 }
@@ -91,6 +93,27 @@
 }
 
 func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
+	fleet := prepareFleet(nodes, synchronousReplicas, broken)
+	fleet.startNodes()
+	return fleet
+}
+
+// newRecordedFleet returns a fleet that records its failover machines.
+func newRecordedFleet(nodes int, synchronousReplicas int) *simulatedFleet {
+	fleet := prepareFleet(nodes, synchronousReplicas, nothingBroken)
+	fleet.recordTraces()
+	fleet.startNodes()
+	return fleet
+}
+
+func (f *simulatedFleet) startNodes() {
+	for i := range f.listeners {
+		f.startNode(i)
+	}
+}
+
+// prepareFleet returns a fleet whose nodes are not started yet.
+func prepareFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
 	fleet := &simulatedFleet{
 		store: managed.NewStore(), check: judge.New(), zones: []string{"a", "b", "c"},
 		broken: broken, nodes: map[string]*proxy.Node{}, muted: map[string]bool{},
@@ -116,11 +139,10 @@
 		Version: 1, Routes: testRoutes, TransactionIdle: time.Second,
 		Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24, SynchronousReplicas: synchronousReplicas}},
 	})
-	for i := range nodes {
+	for range nodes {
 		fleet.listeners = append(fleet.listeners, nil)
 		fleet.cancels = append(fleet.cancels, nil)
 		fleet.cuts = append(fleet.cuts, map[string]bool{})
-		fleet.startNode(i)
 	}
 	return fleet
 }
@@ -143,6 +165,7 @@
 		Dialer: &breakingDialer{Dialer: &simulatedDialer{f, i}, broken: f.broken},
 		Client: func(connection net.Conn) proxy.Client { return clientPort{connection.(*memoryClient)} },
 		Peers:  memoryPeers{f},
+		Trace:  f.traces.of(name, strconv.Itoa(f.life)),
 	}, f.log)
 	f.nodes[name] = node
 	f.running.Go(func() { _ = node.Run(ctx, listener) })
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -58,6 +58,12 @@
 	Promote(ctx context.Context, service, server, holder string, token uint64) failover.PromotionOutcome
 }
 
+// FailoverTrace records what a failover machine was told and what it decided.
+type FailoverTrace interface {
+	// Step records one step, at a time since the node's start.
+	Step(at time.Duration, event failover.Event, effects []failover.Effect)
+}
+
 // Decoder reads the platform's objects into the product's own.
 type Decoder interface {
 	Configuration(content []byte) (*catalog.Configuration, error)
@@ -105,6 +111,9 @@
 	Connect func(ctx context.Context, address string) (net.Conn, error)
 	// Client wraps an accepted connection.
 	Client func(net.Conn) Client
+	// Trace, if not nil, begins the trace of a service's failover machine, whose
+	// takeovers are delayed by a rank.
+	Trace func(service string, rank time.Duration) FailoverTrace
 }
 
 // Node is a running node.
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -57,16 +57,22 @@
 	seeking     sync.Mutex
 	mutex       sync.Mutex
 	machine     *failover.Machine
-	lastSeen    failover.Phase
+	// trace records the machine; nil if it is not wanted.
+	trace    FailoverTrace
+	lastSeen failover.Phase
 }
 
 func (n *Node) service(name string) *service {
 	if found, ok := n.services.Load(name); ok {
 		return found.(*service)
 	}
+	rank := n.takeoverRank(name)
 	created := &service{
 		node: n, name: name, belief: leadership.NewBelief(), replication: make(chan struct{}, 1),
-		machine: failover.New(n.options.Name, n.options.Life, n.takeoverRank(name)),
+		machine: failover.New(n.options.Name, n.options.Life, rank),
+	}
+	if n.ports.Trace != nil {
+		created.trace = n.ports.Trace(name, rank)
 	}
 	found, _ := n.services.LoadOrStore(name, created)
 	return found.(*service)
@@ -220,7 +226,11 @@
 // submit gives the failover machine an event and carries out its effects.
 func (s *service) submit(event failover.Event) {
 	s.mutex.Lock()
-	effects := s.machine.Step(time.Now(), event)
+	now := time.Now()
+	effects := s.machine.Step(now, event)
+	if s.trace != nil {
+		s.trace.Step(now.Sub(s.node.started), event, effects)
+	}
 	phase := s.machine.Phase()
 	if phase != s.lastSeen {
 		s.node.log.Write(eventlog.FailoverPhase, zap.String("service", s.name), zap.Stringer("phase", phase),
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -78,7 +78,11 @@
 
 // simulate plays a day with random troubles, two at a time.
 func simulate(seed uint64, nodes, synchronousReplicas int, length time.Duration, broken brokenMechanism) outcome {
-	fleet := newFleet(nodes, synchronousReplicas, broken)
+	return simulateOn(newFleet(nodes, synchronousReplicas, broken), seed, length)
+}
+
+// simulateOn plays a day on a fleet that has just started, and stops it.
+func simulateOn(fleet *simulatedFleet, seed uint64, length time.Duration) outcome {
 	time.Sleep(2 * time.Second)
 	until := time.Now().Add(length)
 	var callers []*judge.Caller
--- /dev/null
+++ b/internal/proxy/trace_test.go
@@ -0,0 +1,80 @@
+package proxy_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/bubbletest"
+	"dewknot/internal/proxy"
+	"dewknot/internal/trace"
+)
+
+// traceRecorder keeps the traces of a fleet's failover machines.
+type traceRecorder struct {
+	mutex   sync.Mutex
+	content map[string]*bytes.Buffer
+	writers []*trace.FailoverWriter
+}
+
+// recordTraces makes a fleet's nodes that start from now on record their machines.
+func (f *simulatedFleet) recordTraces() {
+	f.traces = &traceRecorder{content: map[string]*bytes.Buffer{}}
+}
+
+// of returns how one life of a node records its machines; nil if it does not.
+func (r *traceRecorder) of(node, life string) func(service string, rank time.Duration) proxy.FailoverTrace {
+	if r == nil {
+		return nil
+	}
+	return func(service string, rank time.Duration) proxy.FailoverTrace {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		content := &bytes.Buffer{}
+		writer := trace.NewFailoverWriter(content, trace.FailoverSettings{Node: node, Life: life, Rank: rank})
+		r.content[fmt.Sprintf("%s-%s-%s", service, node, life)] = content
+		r.writers = append(r.writers, writer)
+		return writer
+	}
+}
+
+// replayAll replays all traces, demands that they show what the live machines did, and
+// returns how many orders they hold. With DEWKNOT_TRACES they are written to that folder.
+func (r *traceRecorder) replayAll(t *testing.T) int {
+	t.Helper()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, writer := range r.writers {
+		must.NoError(t, writer.Close())
+	}
+	orders := 0
+	for name, content := range r.content {
+		if folder := os.Getenv("DEWKNOT_TRACES"); folder != "" {
+			must.NoError(t, os.WriteFile(filepath.Join(folder, name+".trace"), content.Bytes(), 0o600))
+		}
+		result, err := trace.Replay(bytes.NewReader(content.Bytes()))
+		must.NoError(t, err)
+		must.Eq(t, "", result.Difference, must.Sprint(name))
+		orders += len(result.Orders)
+	}
+	return orders
+}
+
+// TestFailoverOfRecordedDaysReplays: what the failover machines of a day with random
+// troubles were told gives the same orders again. The seeds once lost commits.
+func TestFailoverOfRecordedDaysReplays(t *testing.T) {
+	for _, seed := range []uint64{9, 11} {
+		bubbletest.Test(t, func(t *testing.T) {
+			fleet := newRecordedFleet(fewNodes, 1)
+			result := simulateOn(fleet, seed, 40*time.Second)
+			must.SliceEmpty(t, result.violations)
+			must.Positive(t, fleet.traces.replayAll(t))
+		})
+	}
+}
--- a/internal/sim/owner.go
+++ b/internal/sim/owner.go
@@ -26,7 +26,7 @@
 	wakes   uint64
 	// lastPinned is the connection that the mutation SharePinned lends out.
 	lastPinned *serverConn
-	tracer     *trace.Writer
+	tracer     *trace.GroupWriter
 	lastAnswer serverAnswer
 }
 
@@ -87,7 +87,7 @@
 		created.conns = append(created.conns, map[*serverConn]bool{})
 	}
 	if world := n.world; world.settings.Trace != nil && world.tracer == nil && name == groupName(0) {
-		world.tracer = trace.NewWriter(world.settings.Trace, settings)
+		world.tracer = trace.NewGroupWriter(world.settings.Trace, settings)
 		created.tracer = world.tracer
 	}
 	n.owned[name] = created
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -82,7 +82,7 @@
 	operated uint64
 	// stopped is when callers stop; the rest of the run lets everything settle.
 	stopped time.Duration
-	tracer  *trace.Writer
+	tracer  *trace.GroupWriter
 }
 
 // settleTime is the time after the last fault in which everything is healed and
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -1,8 +1,8 @@
-// Package trace records what a group's machine was told and what it decided, and
-// replays recordings: the same events must give the same effects, byte for byte.
+// Package trace records what a reducer was told and what it decided, and replays
+// recordings: the same events must give the same effects, byte for byte.
 //
-// A trace is a file of JSON lines: a header with the machine's settings, then a
-// line a step with its time, event and effects.
+// A trace is a file of JSON lines: a header with the kind of machine and its settings,
+// then a line a step with its time, event and effects.
 package trace
 
 import (
@@ -16,8 +16,8 @@
 
 	"github.com/pkg/errors"
 
+	"dewknot/internal/failover"
 	"dewknot/internal/failure"
-	"dewknot/internal/group"
 )
 
 // version is the format's version.
@@ -25,8 +25,10 @@
 
 // header is the first line of a trace.
 type header struct {
-	Version  int            `json:"version"`
-	Settings group.Settings `json:"settings"`
+	Version int `json:"version"`
+	// Machine names the kind of machine; empty stands for a group's.
+	Machine  string          `json:"machine,omitempty"`
+	Settings json.RawMessage `json:"settings"`
 }
 
 // item is an event or effect with the name of its type.
@@ -42,13 +44,22 @@
 	Effects []item        `json:"effects"`
 }
 
-// eventTypes lists the events by name.
-var eventTypes = typesOf(
-	group.Arrive{}, group.Finish{}, group.StatusAnswer{}, group.StatusFailure{}, group.SessionEnd{}, group.Cancel{},
-	group.Leaving{}, group.Accept{}, group.Resize{}, group.Fresh{}, group.Tick{},
-)
+// stepper is a reducer of events of type E to effects of type F.
+type stepper[E, F any] interface {
+	Step(at time.Duration, event E) []F
+}
+
+// kind describes the machines of one kind, with settings of type S.
+type kind[S, E, F any] struct {
+	name string
+	// events lists the events by name.
+	events map[string]reflect.Type
+	start  func(settings S) stepper[E, F]
+	// note takes the effects of a step that was replayed.
+	note func(result *Result, effects []F)
+}
 
-func typesOf(events ...group.Event) map[string]reflect.Type {
+func typesOf[E any](events ...E) map[string]reflect.Type {
 	types := map[string]reflect.Type{}
 	for _, event := range events {
 		types[nameOf(event)] = reflect.TypeOf(event)
@@ -63,7 +74,7 @@
 	return item{Type: nameOf(value), Data: data}, errors.Wrap(err, "encode trace")
 }
 
-func itemsOf(effects []group.Effect) ([]item, error) {
+func itemsOf[F any](effects []F) ([]item, error) {
 	items := make([]item, 0, len(effects))
 	for _, effect := range effects {
 		encoded, err := itemOf(effect)
@@ -75,20 +86,22 @@
 	return items, nil
 }
 
-// Writer records a machine.
-type Writer struct {
+// Writer records a machine whose events are of type E and effects of type F.
+type Writer[E, F any] struct {
 	out *bufio.Writer
 	err error
 }
 
-// NewWriter begins a trace.
-func NewWriter(out io.Writer, settings group.Settings) *Writer {
-	writer := &Writer{out: bufio.NewWriter(out)}
-	writer.line(header{Version: version, Settings: settings})
+// newWriter begins a trace.
+func newWriter[E, F, S any](out io.Writer, machine string, settings S) *Writer[E, F] {
+	writer := &Writer[E, F]{out: bufio.NewWriter(out)}
+	encoded, err := json.Marshal(settings)
+	writer.err = errors.Wrap(err, "encode trace")
+	writer.line(header{Version: version, Machine: machine, Settings: encoded})
 	return writer
 }
 
-func (w *Writer) line(value any) {
+func (w *Writer[E, F]) line(value any) {
 	if w.err != nil {
 		return
 	}
@@ -101,7 +114,7 @@
 }
 
 // Step records one step.
-func (w *Writer) Step(at time.Duration, event group.Event, effects []group.Effect) {
+func (w *Writer[E, F]) Step(at time.Duration, event E, effects []F) {
 	encodedEvent, err := itemOf(event)
 	if err != nil {
 		w.err = err
@@ -116,7 +129,7 @@
 }
 
 // Close writes what is buffered and returns the first error.
-func (w *Writer) Close() error {
+func (w *Writer[E, F]) Close() error {
 	if w.err != nil {
 		return w.err
 	}
@@ -133,8 +146,11 @@
 
 // Result is what a replay showed.
 type Result struct {
-	Steps    int
+	Steps int
+	// Outcomes are those of the requests of a group's machine.
 	Outcomes []Outcome
+	// Orders are those of a failover machine.
+	Orders []failover.Order
 	// Difference describes the first step whose effects differ; empty if none.
 	Difference string
 }
@@ -153,11 +169,26 @@
 	if err := strict(lines.Bytes(), &first); err != nil || first.Version != version {
 		return nil, errors.Errorf("the trace's first line is no header of version %d; record it again", version)
 	}
-	machine := group.New(first.Settings)
+	switch first.Machine {
+	case "":
+		return replay(groups, first.Settings, lines)
+	case failovers.name:
+		return replay(failovers, first.Settings, lines)
+	default:
+		return nil, errors.Errorf("the trace is of a machine %q; use the program that recorded it", first.Machine)
+	}
+}
+
+func replay[S, E, F any](of kind[S, E, F], settings json.RawMessage, lines *bufio.Scanner) (*Result, error) {
+	var decoded S
+	if err := strict(settings, &decoded); err != nil {
+		return nil, errors.Wrap(err, "the trace's settings cannot be read; record it again")
+	}
+	machine := of.start(decoded)
 	result := &Result{}
 	for lines.Scan() {
 		result.Steps++
-		if err := replayLine(machine, lines.Bytes(), result); err != nil {
+		if err := replayLine(of, machine, lines.Bytes(), result); err != nil {
 			return nil, errors.Wrapf(err, "line %d", result.Steps+1)
 		}
 	}
@@ -170,12 +201,12 @@
 	return decoder.Decode(target)
 }
 
-func replayLine(machine *group.Machine, line []byte, result *Result) error {
+func replayLine[S, E, F any](of kind[S, E, F], machine stepper[E, F], line []byte, result *Result) error {
 	recorded := step{}
 	if err := strict(line, &recorded); err != nil {
 		return errors.Wrap(err, "decode step")
 	}
-	event, err := decodeEvent(recorded.Event)
+	event, err := decodeEvent[E](of.events, recorded.Event)
 	if err != nil {
 		return err
 	}
@@ -184,31 +215,28 @@
 	if err != nil {
 		return err
 	}
-	result.note(effects)
+	of.note(result, effects)
 	if result.Difference == "" {
 		result.Difference = difference(result.Steps, recorded.Effects, items)
 	}
 	return nil
 }
 
-func decodeEvent(encoded item) (group.Event, error) {
-	eventType, known := eventTypes[encoded.Type]
+func decodeEvent[E any](events map[string]reflect.Type, encoded item) (E, error) {
+	var none E
+	eventType, known := events[encoded.Type]
 	if !known {
-		return nil, errors.Errorf("unknown event %q", encoded.Type)
+		return none, errors.Errorf("unknown event %q", encoded.Type)
 	}
 	value := reflect.New(eventType)
 	if err := strict(encoded.Data, value.Interface()); err != nil {
-		return nil, errors.Wrapf(err, "event %s", encoded.Type)
+		return none, errors.Wrapf(err, "event %s", encoded.Type)
 	}
-	return value.Elem().Interface().(group.Event), nil
-}
-
-func (r *Result) note(effects []group.Effect) {
-	for _, effect := range effects {
-		if reply, ok := effect.(group.Reply); ok {
-			r.Outcomes = append(r.Outcomes, Outcome{Request: reply.ID.String(), Kind: reply.Kind, Server: reply.Server})
-		}
+	event, ok := value.Elem().Interface().(E)
+	if !ok {
+		return none, errors.Errorf("%q is no event of this machine", encoded.Type)
 	}
+	return event, nil
 }
 
 func difference(number int, want, got []item) string {
