--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -66,7 +66,6 @@
 		n.waitAbout(ctx, memberLook)
 		if n.lookAtMembers(ctx) {
 			n.checkNeighbor(ctx, &watched)
-			n.lookAtLeases(ctx)
 		}
 	}
 }
