--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -28,13 +28,15 @@
 }
 
 // Decode decodes a value that Append encoded. The data is walked through first: a
-// length that it claims but does not have must not be allocated.
+// length that it claims but does not have must not be allocated. A decoder that met
+// such a length has grown its buffer towards it, a megabyte each time, so it is not put
+// back for the next user.
 func Decode(data []byte, value any) error {
 	decoder := msgpack.GetDecoder()
-	defer msgpack.PutDecoder(decoder)
 	decoder.Reset(bytes.NewReader(data))
 	if err := decoder.Skip(); err != nil {
 		return errors.Wrap(err, "decode: the data is not whole")
 	}
+	msgpack.PutDecoder(decoder)
 	return errors.Wrap(msgpack.Unmarshal(data, value), "decode")
 }
