--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -52,10 +53,14 @@
 	return answers
 }
 
-// askMember asks one node; nil if it does not answer.
+// askMember asks one node; nil if it does not answer. That its answer is no longer
+// wanted says nothing of the node, and is not logged.
 func (n *Node) askMember(ctx context.Context, member *Member, question relay.Question) *memberAnswer {
 	began := time.Now()
 	answer, err := n.ports.Peers.Ask(ctx, member.Address, question)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil
+	}
 	if err != nil {
 		n.log.Write(eventlog.PeerSilent, zap.String("peer", member.Name), zap.String("address", member.Address),
 			zap.Duration("after", time.Since(began)), zap.Error(err))
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -16,6 +16,7 @@
 	commands  *prometheus.CounterVec
 	durations *prometheus.HistogramVec
 	reads     *prometheus.CounterVec
+	floorAges *prometheus.HistogramVec
 	refusals  *prometheus.CounterVec
 	failovers *prometheus.CounterVec
 	// storeCalls are the calls to the store.
@@ -42,6 +43,10 @@
 			Namespace: metricsNamespace, Name: "command_duration_seconds", Buckets: durationBuckets,
 			Help: "Time from a command's arrival to its answer, for commands that reached a server.",
 		}, []string{"freshness"}),
+		floorAges: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsNamespace, Name: "read_floor_age_seconds", Buckets: durationBuckets,
+			Help: "Age of the position that a read on any server had to see, when it was answered.",
+		}, []string{"freshness"}),
 		reads:      counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
 		refusals:   counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
 		storeCalls: counter("store_calls_total", "Calls to the store.", "call", "kind", "outcome"),
@@ -50,7 +55,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.commands, m.durations, m.reads, m.refusals, m.failovers, m.storeCalls,
+	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.failovers, m.storeCalls,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
 		newServerCollector(node),
@@ -91,6 +96,9 @@
 			role = catalog.Primary
 		}
 		m.reads.WithLabelValues(level, role.String()).Inc()
+		if since := s.account.floor.Since; !since.IsZero() {
+			m.floorAges.WithLabelValues(level).Observe(time.Since(since).Seconds())
+		}
 	}
 }
 
--- a/internal/proxy/server_metrics.go
+++ b/internal/proxy/server_metrics.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 )
 
@@ -13,6 +15,8 @@
 	waiting     *prometheus.Desc
 	limit       *prometheus.Desc
 	remote      *prometheus.Desc
+	lag         *prometheus.Desc
+	proofAge    *prometheus.Desc
 }
 
 func newServerCollector(node *Node) *serverCollector {
@@ -26,27 +30,38 @@
 		waiting:     desc("statements_waiting", "Statements that wait at this node for the server."),
 		limit:       desc("statements_limit", "Statements that this node lets run on the server at a time."),
 		remote:      desc("statements_through_owner", "Statements of this node that run through the server's owner."),
+		lag:         desc("lag_seconds", "How far behind the primary this node expects the server to be."),
+		proofAge: prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "service", "proof_age_seconds"),
+			"Age of the newest position that the primary is known to have had, from which reads on replicas get their floors.", []string{"service"}, nil),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (c *serverCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{c.connections, c.running, c.waiting, c.limit, c.remote} {
+	for _, desc := range []*prometheus.Desc{c.connections, c.running, c.waiting, c.limit, c.remote, c.lag, c.proofAge} {
 		out <- desc
 	}
 }
 
 // Collect implements prometheus.Collector.
 func (c *serverCollector) Collect(out chan<- prometheus.Metric) {
+	now := time.Now()
 	c.node.servers.Range(func(_, value any) bool {
 		s := value.(*server)
 		running, waiting := s.gate.Load()
 		for desc, value := range map[*prometheus.Desc]float64{
 			c.connections: float64(s.pool.Open()), c.running: float64(running), c.waiting: float64(waiting),
-			c.limit: s.gate.Limit(), c.remote: float64(s.remote.Load()),
+			c.limit: s.gate.Limit(), c.remote: float64(s.remote.Load()), c.lag: s.stats.Lag(now).Seconds(),
 		} {
 			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, s.service, s.id)
 		}
 		return true
 	})
+	c.node.services.Range(func(_, value any) bool {
+		s := value.(*service)
+		if proof := s.proofs.Newest(); !proof.At.IsZero() {
+			out <- prometheus.MustNewConstMetric(c.proofAge, prometheus.GaugeValue, now.Sub(proof.At).Seconds(), s.name)
+		}
+		return true
+	})
 }
--- a/internal/upstream/stats.go
+++ b/internal/upstream/stats.go
@@ -221,6 +221,13 @@
 	s.lagAt = now
 }
 
+// Lag returns how far behind the primary the server is expected to be.
+func (s *Stats) Lag(now time.Time) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.lagEstimate(now)
+}
+
 func (s *Stats) lagEstimate(now time.Time) time.Duration {
 	keep := math.Exp(-now.Sub(s.lagAt).Seconds() / lagForgetting.Seconds())
 	return time.Duration(float64(s.lag) * keep)
