--- a/internal/proxy/deputy_test.go
+++ b/internal/proxy/deputy_test.go
@@ -62,9 +62,7 @@
 		must.Greater(t, orders[0].Token, orders[len(orders)-1].Token)
 		working.Wait()
 		must.SliceEmpty(t, fleet.check.Violations)
-		fleet.stop()
-		time.Sleep(10 * time.Second)
-		fleet.log.Close()
+		fleet.end()
 		must.Greater(t, 1, fleet.traces.replayAll(t))
 	})
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -303,3 +303,11 @@
 	}
 	f.running.Wait()
 }
+
+// end stops the fleet at the end of a test. Calls that are still under way end by
+// their own limits.
+func (f *simulatedFleet) end() {
+	f.stop()
+	time.Sleep(10 * time.Second)
+	f.log.Close()
+}
--- a/internal/proxy/readers_test.go
+++ b/internal/proxy/readers_test.go
@@ -77,9 +77,7 @@
 		change(bound, nil)
 		time.Sleep(5 * time.Second)
 		change(300*time.Millisecond, nil)
-		fleet.stop()
-		time.Sleep(10 * time.Second)
-		fleet.log.Close()
+		fleet.end()
 	})
 }
 
@@ -146,8 +144,6 @@
 		configure()
 		time.Sleep(time.Second)
 		inForce()
-		fleet.stop()
-		time.Sleep(10 * time.Second)
-		fleet.log.Close()
+		fleet.end()
 	})
 }
--- a/internal/proxy/seeds_test.go
+++ b/internal/proxy/seeds_test.go
@@ -40,9 +40,7 @@
 				must.Eq(t, nodes-1, started.KnownMembers())
 				silence(fleet, false)
 				time.Sleep(3 * time.Second)
-				fleet.stop()
-				time.Sleep(10 * time.Second)
-				fleet.log.Close()
+				fleet.end()
 			})
 		})
 	}
@@ -73,8 +71,6 @@
 		for name, node := range fleet.nodes {
 			must.True(t, node.Ready(), must.Sprint(name))
 		}
-		fleet.stop()
-		time.Sleep(10 * time.Second)
-		fleet.log.Close()
+		fleet.end()
 	})
 }
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -102,10 +102,7 @@
 		})
 	}
 	working.Wait()
-	fleet.stop()
-	// Calls that are still under way end by their own limits.
-	time.Sleep(10 * time.Second)
-	fleet.log.Close()
+	fleet.end()
 	if fleet.written != nil {
 		_, _ = fleet.written.WriteTo(os.Stderr)
 	}
@@ -188,9 +185,7 @@
 		}
 		must.LessEq(t, 2, fleet.store.Creations(managed.LeaseKind))
 		must.Eq(t, 1, fleet.store.Count(managed.LeaseKind))
-		fleet.stop()
-		time.Sleep(10 * time.Second)
-		fleet.log.Close()
+		fleet.end()
 	})
 }
 
@@ -213,9 +208,7 @@
 		for name, node := range fleet.nodes {
 			must.Eq(t, 4, node.KnownMembers(), must.Sprint(name))
 		}
-		fleet.stop()
-		time.Sleep(10 * time.Second)
-		fleet.log.Close()
+		fleet.end()
 	})
 }
 
@@ -237,9 +230,7 @@
 		driver.Run(time.Now().Add(4 * time.Second))
 		must.Eq(t, busy.ID(), fleet.group.Primary().ID())
 		must.Eq(t, 0, fleet.check.AcknowledgedLost())
-		fleet.stop()
-		time.Sleep(10 * time.Second)
-		fleet.log.Close()
+		fleet.end()
 	})
 }
 
@@ -261,9 +252,7 @@
 		driver := fleet.caller("last", rand.New(rand.NewPCG(1, 99)))
 		driver.Run(time.Now().Add(5 * time.Second))
 		must.Positive(t, driver.Served)
-		fleet.stop()
-		time.Sleep(10 * time.Second)
-		fleet.log.Close()
+		fleet.end()
 	})
 }
 
@@ -294,9 +283,7 @@
 			must.Greater(t, 10, driver.Served)
 			must.LessEq(t, 2, driver.Refused, must.Sprintf("cut off: %v", cut))
 			must.SliceEmpty(t, fleet.check.Violations)
-			fleet.stop()
-			time.Sleep(10 * time.Second)
-			fleet.log.Close()
+			fleet.end()
 		})
 	}
 }
