--- a/internal/failover/deputy.go
+++ b/internal/failover/deputy.go
@@ -56,6 +56,8 @@
 		return nil
 	}
 	m.deputizing = true
+	// The lease may be told anew before the order; its tokens are others' then.
+	m.deputyTokens = m.lease.Epoch*tokensPerEpoch + uint64(m.deputyRank())*ownTokens + m.firstDeputyToken()
 	m.phase = Surveying
 	return []Effect{Survey{Except: m.downLeader()}}
 }
@@ -64,10 +66,10 @@
 // the epoch, or of a deputy's.
 func (m *Machine) nextToken() uint64 {
 	m.counter++
-	if !m.deputizing {
-		return m.epoch*tokensPerEpoch + m.counter
+	if m.deputizing {
+		return m.deputyTokens + m.counter
 	}
-	return m.lease.Epoch*tokensPerEpoch + uint64(m.deputyRank())*ownTokens + m.firstDeputyToken() + m.counter
+	return m.epoch*tokensPerEpoch + m.counter
 }
 
 // firstDeputyToken keeps the lives of a node apart: what an earlier one used is
--- a/internal/failover/deputy_test.go
+++ b/internal/failover/deputy_test.go
@@ -119,3 +119,15 @@
 	must.SliceEmpty(t, machine.Step(at(1500), Observed{down()}))
 	must.SliceNotEmpty(t, machine.Step(at(1410).Add(deputyPause+10*time.Millisecond), Observed{down()}))
 }
+
+// TestDeputyKeepsItsTokens: the store tells a newer lease, of which this node is no
+// deputy, while the deputy surveys. Its order stays among its own tokens: those of the
+// new lease belong to others.
+func TestDeputyKeepsItsTokens(t *testing.T) {
+	machine := deputy("n2", "l", leaseOf(3))
+	must.Eq(t, []Effect{Survey{Except: "a"}}, storeSilent(machine, 100))
+	must.SliceEmpty(t, machine.Step(at(1350), LeaseKnown{Revision: 9, Lease: Lease{Holder: "n4", Epoch: 4, Life: "y", Deputies: []string{"n5"}}}))
+	token := orderedBy(t, machine, 1400)
+	must.Greater(t, 3*tokensPerEpoch+ownTokens, token)
+	must.Less(t, 3*tokensPerEpoch+2*ownTokens, token)
+}
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -104,8 +104,10 @@
 	// holds it, holder is the last other one.
 	lease  Lease
 	holder string
-	// deputizing is set while this node acts as a deputy.
-	deputizing bool
+	// deputizing is set while this node acts as a deputy, whose tokens begin after
+	// deputyTokens.
+	deputizing   bool
+	deputyTokens uint64
 	// fenced is set after a rejected order: the next lease takes a new epoch, since a
 	// deputy may have used a higher token.
 	fenced bool
