--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -60,7 +60,18 @@
 	}
 	log.Write(eventlog.NodeStarted, zap.String("zone", loaded.Zone))
 	dialer := &platform.Dialer{Who: loaded.Name}
-	node := proxy.New(options(&loaded), ports(&loaded, dialer), log)
+	way := ports(&loaded, dialer)
+	messages, err := openMessages(&loaded, log)
+	if err != nil {
+		return err
+	}
+	if messages != nil {
+		way.Messages = messages
+	}
+	node := proxy.New(options(&loaded), way, log)
+	if messages != nil {
+		go messages.serve(node)
+	}
 	dialer.Connect = func(ctx context.Context, address, id string) (net.Conn, error) {
 		if via, detour := node.DetourTo(id); detour {
 			return relay.Tunnel(ctx, via, id)
@@ -98,6 +109,7 @@
 		Name: loaded.Name, Zone: loaded.Zone, PeerAddress: advertised, Seeds: loaded.Seeds, Regions: loaded.Regions, Life: rand.Text(),
 		ConfigurationBound: loaded.ConfigurationBound.Duration, DrainBound: loaded.DrainBound.Duration,
 		StopGrace: loaded.StopGrace.Duration, Kinds: platform.Kinds,
+		Agreed: loaded.UnfencedPromotions, MessageAddress: loaded.Messages,
 	}
 }
 
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -67,6 +67,14 @@
 	FailoverSurvey        Event = "failover_survey"
 	FailoverWitnesses     Event = "failover_witnesses"
 	FailoverOrder         Event = "failover_order"
+	TenureChanged         Event = "tenure_changed"
+	TenureRound           Event = "tenure_round"
+	VotersChanged         Event = "voters_changed"
+	VotersRefused         Event = "voters_refused"
+	VoterRecovered        Event = "voter_recovered"
+	StepDown              Event = "step_down"
+	AnswerUnproved        Event = "answer_unproved"
+	MessageLost           Event = "message_lost"
 	RequestServed         Event = "request_served"
 	RequestFailed         Event = "request_failed"
 	AttemptFailed         Event = "attempt_failed"
@@ -81,6 +89,7 @@
 	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, ServerEntryRefused: Belief,
 	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
+	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, MessageLost: Belief, AnswerUnproved: Failure,
 	RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
 	LinesDropped: Belief,
 }
--- a/internal/failover/choice.go
+++ b/internal/failover/choice.go
@@ -12,6 +12,9 @@
 	Primary  bool
 	Term     uint64
 	Received position.Position
+	// Assumed is set if the server has not reported, and Received is what it was known
+	// to have applied.
+	Assumed bool `json:",omitempty"`
 }
 
 // surveyed chooses the target: the server that has received most.
@@ -19,6 +22,10 @@
 	if m.phase != Surveying {
 		return nil
 	}
+	if m.agreed {
+		m.campaign.reports, m.campaign.surveyed = event.Reports, true
+		return m.decide(now)
+	}
 	for _, report := range event.Reports {
 		if report.Primary && report.ID != m.observation.Leader {
 			m.rest(now, pauseAfterFailure)
@@ -52,7 +59,7 @@
 	var best *Report
 	for i := range reports {
 		report := &reports[i]
-		if !m.eligible(report.ID, now) || (m.bound() && report.ID != m.target) {
+		if !m.eligible(report.ID, now) || (m.bound() && report.ID != m.target) || (m.agreed && m.replacedBefore(report)) {
 			continue
 		}
 		if best == nil || best.Received.Less(report.Received) || (best.Received == report.Received && report.ID < best.ID) {
@@ -67,7 +74,7 @@
 // and acknowledges commits that no other replica of the survey would have. Once
 // the target has left the directory it cannot.
 func (m *Machine) bound() bool {
-	if !m.unanswered || m.observation.SynchronousReplicas == 0 || m.target == m.observation.Leader {
+	if m.agreed || !m.unanswered || m.observation.SynchronousReplicas == 0 || m.target == m.observation.Leader {
 		return false
 	}
 	for _, server := range m.observation.Servers {
@@ -109,7 +116,7 @@
 }
 
 func (m *Machine) eligible(id string, now time.Time) bool {
-	if id == m.observation.Leader {
+	if id == m.observation.Leader && !m.openingOnly() {
 		return false
 	}
 	if at, found := m.rejected[id]; found && now.Sub(at) < rejectedLife {
--- a/internal/failover/deputy.go
+++ b/internal/failover/deputy.go
@@ -56,6 +56,9 @@
 		return nil
 	}
 	m.deputizing = true
+	if m.agreed {
+		return m.prepare(now)
+	}
 	// The lease may be told anew before the order; its tokens are others' then.
 	m.deputyTokens = m.lease.Epoch*tokensPerEpoch + uint64(m.deputyRank())*ownTokens + m.firstDeputyToken()
 	m.phase = Surveying
@@ -65,6 +68,15 @@
 // nextToken returns a token that was never used: a later one of the holder's part of
 // the epoch, or of a deputy's.
 func (m *Machine) nextToken() uint64 {
+	if m.agreed {
+		// The voters promise a ballot to one candidate only.
+		floor := m.epoch
+		if m.deputizing {
+			floor = m.lease.Epoch + 1
+		}
+		m.highest = max(m.highest, m.observation.LeastBallot+floor*tokensPerEpoch) + 1
+		return m.highest
+	}
 	m.counter++
 	if m.deputizing {
 		return m.deputyTokens + m.counter
--- a/internal/failover/deputy_test.go
+++ b/internal/failover/deputy_test.go
@@ -14,7 +14,7 @@
 
 // deputy returns a machine of a node that knows a lease of another one.
 func deputy(node, life string, lease Lease) *Machine {
-	machine := New(node, life, 0)
+	machine := New(Config{Node: node, Life: life})
 	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: lease})
 	return machine
 }
--- a/internal/failover/events.go
+++ b/internal/failover/events.go
@@ -1,5 +1,7 @@
 package failover
 
+import "time"
+
 // Event is something that happened to a service or to a step of the machine.
 type Event interface{ isEvent() }
 
@@ -79,6 +81,8 @@
 	Create   bool
 	Revision uint64
 	Lease    Lease
+	// Brief is set if something urgent waits for the answer, and goes on without it.
+	Brief bool `json:",omitempty"`
 }
 
 // Survey asks all servers of the service, but one, for their status.
@@ -96,6 +100,9 @@
 type Order struct {
 	Target string
 	Token  uint64
+	// Within, if not zero, is within which time the order has to be sent: later, other
+	// nodes may have agreed on another one.
+	Within time.Duration `json:",omitempty"`
 }
 
 // LeaderFound tells that a server reports to be the primary.
--- a/internal/failover/lease.go
+++ b/internal/failover/lease.go
@@ -11,6 +11,12 @@
 	// Deputies are nodes that may act in the holder's place, in this order, while the
 	// store cannot be asked who the holder is.
 	Deputies []string `json:"deputies,omitempty"`
+	// Target is the server whose promotion was last ordered, under Ballot, by agreement.
+	// It is written before the order is sent, and serves if the voters lose their memory.
+	Target string `json:"target,omitempty"`
+	Ballot uint64 `json:"ballot,omitempty"`
+	// Term is the newest term known before that order.
+	Term uint64 `json:"term,omitempty"`
 }
 
 // leaseKnown takes the lease as it stands in the store: at the start, or since
@@ -23,6 +29,10 @@
 		}
 		return nil
 	}
+	if !acting && event.Revision < m.revision {
+		// The listing is older than what this node has written or read.
+		return nil
+	}
 	m.lease = event.Lease
 	if event.Lease.Holder == m.node && event.Lease.Life == m.life {
 		m.revision = event.Revision
@@ -31,7 +41,7 @@
 		}
 		m.hold(event.Lease.Epoch)
 		if acting {
-			return m.act()
+			return m.act(now)
 		}
 		return nil
 	}
@@ -61,11 +71,19 @@
 	m.epoch = known.Lease.Epoch + 1
 	return []Effect{WriteLease{
 		Revision: known.Revision, Create: known.Missing,
-		Lease: Lease{Holder: m.node, Epoch: m.epoch, Life: m.life},
+		Lease: m.newLease(),
 	}}
 }
 
+// newLease is the lease as this node writes it. What was last ordered stays in it.
+func (m *Machine) newLease() Lease {
+	return Lease{Holder: m.node, Epoch: m.epoch, Life: m.life, Target: m.lease.Target, Ballot: m.lease.Ballot, Term: m.lease.Term}
+}
+
 func (m *Machine) leaseWritten(now time.Time, event LeaseWritten) []Effect {
+	if m.campaign.recording {
+		return m.recorded(now, event)
+	}
 	switch event.Result {
 	case Written:
 		m.revision = event.Revision
@@ -73,7 +91,7 @@
 		m.fenced = false
 		m.hold(m.epoch)
 		if m.renewed || anew {
-			return m.act()
+			return m.act(now)
 		}
 		m.phase = Watching
 		effects := m.observed(now)
@@ -107,5 +125,5 @@
 // of replicas that the other one holds.
 func (m *Machine) renew() []Effect {
 	m.phase, m.renewed = WritingLease, true
-	return []Effect{WriteLease{Revision: m.revision, Lease: Lease{Holder: m.node, Epoch: m.epoch, Life: m.life}}}
+	return []Effect{WriteLease{Revision: m.revision, Lease: m.newLease()}}
 }
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -61,10 +61,17 @@
 	Settling
 	// Withdrawing: an order that was not answered is fenced off.
 	Withdrawing
+	// Preparing, Choosing, Clearing and Opening are the steps of a campaign by
+	// agreement: see tenure.go.
+	Preparing
+	Choosing
+	Clearing
+	Opening
 )
 
 var phaseNames = [...]string{
 	"watching", "corroborating", "reading_lease", "writing_lease", "surveying", "promoting", "settling", "withdrawing",
+	"preparing", "choosing", "clearing", "opening",
 }
 
 // String returns the phase's name in logs.
@@ -84,6 +91,14 @@
 	Servers []Server
 	// SynchronousReplicas is how many replicas hold a commit when it is acknowledged.
 	SynchronousReplicas int
+	// Closed is set, by agreement, if no tenure is open; Highest is the highest ballot
+	// that a voter has promised.
+	Closed  bool
+	Highest uint64
+	// LeastBallot is the lowest ballot of the voters' era.
+	LeastBallot uint64
+	// Voiceless is set, by agreement, while too few voters are known to take part.
+	Voiceless bool
 }
 
 // Server is a possible target.
@@ -135,12 +150,33 @@
 	unanswered  bool
 	rejected    map[string]time.Time
 	observation Observation
+
+	// agreed is set if the nodes agree on tenures, since the platform checks no fences.
+	agreed   bool
+	campaign campaign
+	// highest is the highest ballot known.
+	highest uint64
+	// refusedBallot is that of an order which the platform has surely refused.
+	refusedBallot uint64
+	// boundTarget is the server that campaigns are bound to since boundSince.
+	boundTarget string
+	boundSince  time.Time
+}
+
+// Config configures a machine.
+type Config struct {
+	Node string
+	// Life is unique to the process.
+	Life string
+	// Rank delays a takeover, so that the nodes do not all try at once.
+	Rank time.Duration
+	// Agreed makes nodes agree on tenures: see tenure.go.
+	Agreed bool
 }
 
-// New returns a machine. life is unique to the process; rank delays a takeover,
-// so that the nodes do not all try at once.
-func New(node, life string, rank time.Duration) *Machine {
-	return &Machine{node: node, life: life, rank: rank, rejected: map[string]time.Time{}}
+// New returns a machine.
+func New(cfg Config) *Machine {
+	return &Machine{node: cfg.Node, life: cfg.Life, rank: cfg.Rank, agreed: cfg.Agreed, rejected: map[string]time.Time{}}
 }
 
 // Phase returns what the machine is waiting for.
@@ -165,6 +201,18 @@
 		return m.surveyed(now, event)
 	case Ordered:
 		return m.ordered(now, event)
+	case Prepared:
+		return m.prepared(now, event)
+	case SteppedDown:
+		return m.steppedDown(now, event)
+	case Held:
+		return m.held(now, event)
+	case Cleared:
+		return m.cleared(now, event)
+	case Led:
+		return m.led(now, event)
+	case Opened:
+		return m.opened(now, event)
 	}
 	return nil
 }
@@ -172,6 +220,11 @@
 // need returns whether the primary should be replaced, and after which delay.
 func (m *Machine) need() (bool, time.Duration) {
 	switch seen := &m.observation; {
+	case m.agreed && seen.Closed && seen.Leader == "":
+		// None was open in this process's life.
+		return len(seen.Servers) > 0, 0
+	case m.agreed && seen.Closed && !seen.LeaderDown:
+		return len(seen.Servers) > 0, closedDelay
 	case seen.Leader == "":
 		return len(seen.Servers) > 0, leaderlessDelay
 	case seen.LeaderDown, seen.LeaderDraining:
@@ -193,7 +246,7 @@
 }
 
 func (m *Machine) observed(now time.Time) []Effect {
-	if m.phase == Settling {
+	if m.phase == Settling && !m.agreed {
 		if m.observation.Leader == m.target && !m.observation.LeaderDown {
 			return m.settled(now)
 		}
@@ -205,6 +258,12 @@
 		}
 		m.rest(now, 0)
 	}
+	if m.phase == Surveying && m.agreed && m.campaign.surveyed {
+		return m.decide(now)
+	}
+	if m.phase == Clearing {
+		return m.orderIfReady(now)
+	}
 	if m.phase != Watching {
 		return nil
 	}
@@ -219,14 +278,24 @@
 	if !m.holding {
 		delay += m.deference()
 	}
-	if now.Sub(m.needSince) < delay || now.Before(m.notBefore) {
+	if now.Sub(m.needSince) < delay || now.Before(m.notBefore) || m.observation.Voiceless {
 		return nil
 	}
-	if m.observation.Leader != "" && (m.observation.LeaderDown || !m.holding) && !m.justCorroborated(now) {
+	if m.mustCorroborate(now) {
 		m.phase = Corroborating
 		return []Effect{Corroborate{Server: m.observation.Leader, Superiors: m.superiors()}}
 	}
-	return m.act()
+	return m.act(now)
+}
+
+// mustCorroborate reports whether other nodes are asked first: whether they reach the
+// primary, or whether the holder of the lease lives.
+func (m *Machine) mustCorroborate(now time.Time) bool {
+	seen := &m.observation
+	if seen.Leader == "" && !(m.agreed && seen.Closed && !m.holding) {
+		return false
+	}
+	return (seen.LeaderDown || !m.holding) && !m.justCorroborated(now)
 }
 
 // settled ends a change of the primary that has succeeded.
@@ -237,10 +306,14 @@
 	return m.resume()
 }
 
-func (m *Machine) act() []Effect {
+func (m *Machine) act(now time.Time) []Effect {
 	if m.holding && m.observation.SynchronousReplicas > 0 && !m.renewed {
 		return m.renew()
 	}
+	if m.holding && m.agreed {
+		m.renewed = false
+		return m.prepare(now)
+	}
 	if m.holding {
 		m.phase = Surveying
 		m.renewed, m.confirmedDown = false, ""
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -55,7 +55,7 @@
 // holder returns a machine that holds the lease at epoch 1.
 func holder(t *testing.T) *Machine {
 	t.Helper()
-	machine := New("n1", "life", 0)
+	machine := New(Config{Node: "n1", Life: "life"})
 	effects := machine.Step(at(0), LeaseKnown{Missing: true})
 	must.Eq(t, []Effect{WriteLease{Create: true, Lease: Lease{Holder: "n1", Epoch: 1, Life: "life"}}}, effects)
 	must.SliceEmpty(t, machine.Step(at(1), LeaseWritten{Result: Written, Revision: 7}))
@@ -158,7 +158,7 @@
 
 // other returns a machine of a node that does not hold the lease.
 func other(rank time.Duration) *Machine {
-	machine := New("n2", "life", rank)
+	machine := New(Config{Node: "n2", Life: "life", Rank: rank})
 	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3}})
 	return machine
 }
@@ -237,7 +237,7 @@
 }
 
 func TestLeaseOfAnEarlierLifeIsTakenAgainUnderANewEpoch(t *testing.T) {
-	machine := New("n1", "second", 0)
+	machine := New(Config{Node: "n1", Life: "second"})
 	must.Eq(t, []Effect{WriteLease{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 2, Life: "second"}}},
 		machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 1, Life: "first"}}))
 }
--- a/internal/failover/model_test.go
+++ b/internal/failover/model_test.go
@@ -83,7 +83,7 @@
 
 func (w *world) start(i int) {
 	w.lives[i]++
-	w.machines[i] = New(fmt.Sprintf("n%d", i), fmt.Sprintf("n%d.%d", i, w.lives[i]), 0)
+	w.machines[i] = New(Config{Node: fmt.Sprintf("n%d", i), Life: fmt.Sprintf("n%d.%d", i, w.lives[i])})
 	w.pending[i] = nil
 	w.step(i, w.known())
 }
--- a/internal/failover/order.go
+++ b/internal/failover/order.go
@@ -13,9 +13,11 @@
 	Rejected
 	// Unanswered: the order may be carried out, now or later.
 	Unanswered
+	// NotSent: the order came too late to be sent.
+	NotSent
 )
 
-var outcomeNames = [...]string{"accepted", "rejected", "unanswered"}
+var outcomeNames = [...]string{"accepted", "rejected", "unanswered", "not_sent"}
 
 // String returns the outcome's name in logs.
 func (o PromotionOutcome) String() string { return outcomeNames[o] }
@@ -55,7 +57,7 @@
 // late order is carried out first, the present primary has become the only
 // replica that is not held, so it holds all that was acknowledged since.
 func (m *Machine) withdraw() []Effect {
-	if !m.unanswered || !m.holding || m.observation.SynchronousReplicas == 0 {
+	if m.agreed || !m.unanswered || !m.holding || m.observation.SynchronousReplicas == 0 {
 		return nil
 	}
 	m.phase = Withdrawing
@@ -69,6 +71,9 @@
 	if m.phase != Promoting {
 		return nil
 	}
+	if m.agreed {
+		return m.orderAnswered(now, event)
+	}
 	switch event.Outcome {
 	case Accepted:
 		m.repeats = 0
--- /dev/null
+++ b/internal/failover/tenure_test.go
@@ -0,0 +1,165 @@
+package failover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/position"
+)
+
+// agreed returns a machine that holds the lease and agrees on tenures with others.
+func agreed(t *testing.T) *Machine {
+	t.Helper()
+	machine := New(Config{Node: "n1", Life: "x", Agreed: true})
+	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3, Life: "x"}})
+	must.True(t, machine.Holding())
+	return machine
+}
+
+func report(id string, primary bool, term, offset uint64) Report {
+	return Report{ID: id, Primary: primary, Term: term, Received: position.Position{Term: term, Offset: offset}}
+}
+
+// prepareFor brings a machine to a campaign that replaces the primary a.
+func prepareFor(t *testing.T, machine *Machine, event Prepared) []Effect {
+	t.Helper()
+	observation := down()
+	observation.Highest, observation.LeastBallot = 500, 1<<40
+	machine.Step(at(1000), Observed{observation})
+	effects := machine.Step(at(1100), Corroborated{Answers: 3})
+	must.Eq(t, []Effect{Prepare{Ballot: 1<<40 + 3*tokensPerEpoch + 1}}, effects)
+	return machine.Step(at(1130), event)
+}
+
+// TestChangeByAgreement: the target is chosen and written down, leases are waited for,
+// then it is ordered under the ballot, and opened once it leads in a later term.
+func TestChangeByAgreement(t *testing.T) {
+	machine := agreed(t)
+	effects := prepareFor(t, machine, Prepared{Agreed: true, Settled: "a", Term: 4})
+	must.Eq(t, []Effect{Survey{Except: "a"}, StepDown{Server: "a"}}, effects)
+	ballot := uint64(1<<40 + 3*tokensPerEpoch + 1)
+	effects = machine.Step(at(1160), Surveyed{Reports: []Report{report("b", false, 4, 10), report("c", false, 4, 12)}})
+	must.Eq(t, []Effect{Choose{Ballot: ballot, Target: "c", Ordering: true}}, effects)
+	effects = machine.Step(at(1190), Held{Agreed: true})
+	must.Len(t, 2, effects)
+	must.Eq(t, AwaitClear{Ballot: ballot}, effects[0].(AwaitClear))
+	written := effects[1].(WriteLease)
+	must.Eq(t, "c", written.Lease.Target)
+	must.Eq(t, 4, written.Lease.Term)
+	must.SliceEmpty(t, machine.Step(at(1200), LeaseWritten{Result: Written, Revision: 8}))
+	effects = machine.Step(at(2300), Cleared{Agreed: true})
+	must.Eq(t, []Effect{Order{Target: "c", Token: ballot, Within: orderSpan}}, effects)
+	effects = machine.Step(at(2310), Ordered{Accepted})
+	must.Eq(t, []Effect{AwaitLead{Target: "c", Least: 5, Limit: settleLimit}}, effects)
+	effects = machine.Step(at(2700), Led{Leads: true, Term: 5})
+	must.Eq(t, []Effect{Open{Ballot: ballot, Primary: "c", Term: 5}}, effects)
+	machine.Step(at(2730), Opened{Agreed: true})
+	must.Eq(t, Watching, machine.Phase())
+}
+
+// TestStepDownEndsTheWait: a primary that has confirmed that it leads no more makes the
+// leases needless.
+func TestStepDownEndsTheWait(t *testing.T) {
+	machine := agreed(t)
+	prepareFor(t, machine, Prepared{Agreed: true, Settled: "a", Term: 4})
+	machine.Step(at(1160), Surveyed{Reports: []Report{report("b", false, 4, 10), report("c", false, 4, 12)}})
+	machine.Step(at(1190), Held{Agreed: true})
+	machine.Step(at(1200), LeaseWritten{Result: Written, Revision: 8})
+	effects := machine.Step(at(1300), SteppedDown{Server: "a", Done: true})
+	must.Len(t, 1, effects)
+	must.Eq(t, "c", effects[0].(Order).Target)
+}
+
+// TestPlannedChangeWaitsForTheRest: the target has to receive what the primary's log ends
+// with; it is asked again until it has.
+func TestPlannedChangeWaitsForTheRest(t *testing.T) {
+	machine := agreed(t)
+	observation := down()
+	observation.LeaderDown, observation.LeaderDraining = false, true
+	machine.Step(at(1000), Observed{observation})
+	effects := machine.Step(at(1030), Prepared{Agreed: true, Settled: "a", Term: 4})
+	must.Eq(t, []Effect{Survey{}, StepDown{Server: "a"}}, effects)
+	late := Surveyed{Reports: []Report{report("b", false, 4, 10), report("c", false, 4, 12)}}
+	must.SliceEmpty(t, machine.Step(at(1060), late))
+	effects = machine.Step(at(1080), SteppedDown{Server: "a", Done: true, Received: position.Position{Term: 4, Offset: 14}})
+	must.Eq(t, []Effect{Survey{}}, effects)
+	effects = machine.Step(at(1120), Surveyed{Reports: []Report{report("b", false, 4, 10), report("c", false, 4, 14)}})
+	must.Eq(t, "c", effects[0].(Choose).Target)
+}
+
+// TestPendingOrderBindsTheNextCandidate: nothing but its target is ordered, until late
+// orders can no longer be carried out.
+func TestPendingOrderBindsTheNextCandidate(t *testing.T) {
+	machine := agreed(t)
+	prepareFor(t, machine, Prepared{Agreed: true, Bound: "b", BoundBallot: 9, Term: 4})
+	effects := machine.Step(at(1160), Surveyed{Reports: []Report{report("b", false, 4, 10), report("c", false, 4, 12)}})
+	must.Eq(t, "b", effects[0].(Choose).Target)
+	machine.Step(at(1190), Held{Agreed: false})
+	observation := down()
+	machine.Step(at(8000), Observed{observation})
+	machine.Step(at(8100), Corroborated{Answers: 3})
+	machine.Step(at(8130), Prepared{Agreed: true, Bound: "b", BoundBallot: 9, Term: 4})
+	effects = machine.Step(at(8160), Surveyed{Reports: []Report{report("b", false, 4, 10), report("c", false, 4, 12)}})
+	must.Eq(t, "c", effects[0].(Choose).Target)
+}
+
+// TestOrderWithoutAnswerHoldsOthersBack: while an order for the last primary may still be
+// carried out, another server is not ordered.
+func TestOrderWithoutAnswerHoldsOthersBack(t *testing.T) {
+	machine := agreed(t)
+	prepareFor(t, machine, Prepared{Agreed: true, Settled: "a", Term: 4, Loose: "a", LooseFor: 2 * time.Second})
+	machine.Step(at(1160), Surveyed{Reports: []Report{report("b", false, 4, 10), report("c", false, 4, 12)}})
+	machine.Step(at(1190), Held{Agreed: true})
+	machine.Step(at(1200), LeaseWritten{Result: Written, Revision: 8})
+	must.SliceEmpty(t, machine.Step(at(1300), Cleared{Agreed: true}))
+	must.SliceEmpty(t, machine.Step(at(2000), Observed{down()}))
+	// The voters are asked again, since their word has become old.
+	effects := machine.Step(at(3200), Observed{down()})
+	must.Eq(t, "c", effects[0].(Choose).Target)
+	effects = machine.Step(at(3230), Held{Agreed: true})
+	must.Eq(t, "c", effects[0].(Order).Target)
+}
+
+// TestReplacedServerIsNotTaken: a server that leads in an older term goes on with a log
+// of its own. It is neither opened on its word nor ordered.
+func TestReplacedServerIsNotTaken(t *testing.T) {
+	machine := agreed(t)
+	observation := Observation{Leader: "c", Closed: true, Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	machine.Step(at(1000), Observed{observation})
+	machine.Step(at(1400), Observed{observation})
+	machine.Step(at(1430), Prepared{Agreed: true, Settled: "c", Term: 5})
+	effects := machine.Step(at(1460), Surveyed{Reports: []Report{report("a", true, 4, 99), report("b", false, 4, 10)}})
+	must.SliceEmpty(t, effects)
+	must.Eq(t, Watching, machine.Phase())
+	machine.Step(at(2000), Observed{observation})
+	machine.Step(at(2030), Prepared{Agreed: true, Settled: "c", Term: 5})
+	effects = machine.Step(at(2060), Surveyed{Reports: []Report{report("a", true, 4, 99), report("b", false, 5, 10), report("c", true, 5, 12)}})
+	must.Eq(t, "c", effects[0].(Open).Primary)
+	must.Eq(t, 5, effects[0].(Open).Term)
+}
+
+// TestLateOrderIsNotSent: a process that stood still asks the voters again.
+func TestLateOrderIsNotSent(t *testing.T) {
+	machine := agreed(t)
+	prepareFor(t, machine, Prepared{Agreed: true, Settled: "a", Term: 4})
+	machine.Step(at(1160), Surveyed{Reports: []Report{report("b", false, 4, 10), report("c", false, 4, 12)}})
+	machine.Step(at(1190), Held{Agreed: true})
+	machine.Step(at(1300), Cleared{Agreed: true})
+	effects := machine.Step(at(2500), LeaseWritten{Result: Written, Revision: 8})
+	must.Eq(t, "c", effects[0].(Choose).Target)
+}
+
+// TestForgottenTargetIsOpened: voters without memory; the lease names the server that was
+// last ordered, and it says that it leads in a later term.
+func TestForgottenTargetIsOpened(t *testing.T) {
+	machine := New(Config{Node: "n1", Life: "x", Agreed: true})
+	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3, Life: "old", Target: "b", Ballot: 9, Term: 4}})
+	machine.Step(at(20), LeaseWritten{Result: Written, Revision: 8})
+	observation := Observation{Closed: true, Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	machine.Step(at(100), Observed{observation})
+	machine.Step(at(130), Prepared{Agreed: true})
+	effects := machine.Step(at(160), Surveyed{Reports: []Report{report("b", true, 5, 10), report("c", false, 5, 10)}})
+	must.Eq(t, "b", effects[0].(Open).Primary)
+}
--- a/internal/failover/witness.go
+++ b/internal/failover/witness.go
@@ -9,7 +9,7 @@
 // deference is how long a node that does not hold the lease leaves a need to
 // the holder.
 func (m *Machine) deference() time.Duration {
-	if m.holderLives || m.observation.Leader == "" {
+	if m.holderLives || (m.observation.Leader == "" && !(m.agreed && m.observation.Closed)) {
 		return takeoverDelay + m.rank
 	}
 	return holderDelay + m.rank/rankShare
@@ -50,7 +50,7 @@
 		m.confirmedDown, m.confirmedAt = m.observation.Leader, now
 	}
 	if m.holding || !event.HolderAnswered || m.holderLives {
-		return m.act()
+		return m.act(now)
 	}
 	m.holderLives = true
 	return nil
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -34,6 +34,8 @@
 	staleness time.Duration
 	began     time.Time
 	committed int
+	// aside is set once a replaced primary, which went on, committed the request.
+	aside bool
 	// promised is set once the caller was told that nothing is kept.
 	promised bool
 }
@@ -78,6 +80,10 @@
 	now := time.Now()
 	for _, id := range ids {
 		request := j.requests[id]
+		if request.aside {
+			j.violate("request %s was acknowledged, but a replaced primary committed it", id)
+			continue
+		}
 		if request.committed == 0 {
 			j.violate("request %s was acknowledged, but no server committed it", id)
 		}
@@ -92,13 +98,26 @@
 	}
 }
 
+// WritesAcknowledged counts the commits that were acknowledged.
+func (j *Judge) WritesAcknowledged() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	count := 0
+	for _, commit := range j.commits {
+		if !commit.Acknowledged.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
 // Promised notes that a caller was told that nothing of some requests is kept.
 func (j *Judge) Promised(ids []string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, id := range ids {
 		j.requests[id].promised = true
-		if j.requests[id].committed > 0 {
+		if j.requests[id].committed > 0 || j.requests[id].aside {
 			j.violate("request %s was committed, but its caller was told that nothing is kept", id)
 		}
 	}
@@ -152,6 +171,23 @@
 	j.commits[at] = &Commit{requests: ids}
 }
 
+// CommittedAside implements managed.Observer.
+func (j *Judge) CommittedAside(ids []string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, id := range ids {
+		request := j.requests[id]
+		if request == nil {
+			j.violate("a replaced primary committed write %q that no caller sent", id)
+			continue
+		}
+		request.aside = true
+		if request.promised {
+			j.violate("request %s was committed by a replaced primary after its caller was told that nothing is kept", id)
+		}
+	}
+}
+
 // RolledBack implements managed.Observer.
 func (j *Judge) RolledBack(at position.Position) {
 	j.mu.Lock()
--- a/internal/leadership/belief.go
+++ b/internal/leadership/belief.go
@@ -87,6 +87,25 @@
 	return b.set("")
 }
 
+// Deny takes a server's own word that it is not the primary, where the nodes agree on
+// who is: the belief stays. It reports whether that is news.
+func (b *Belief) Deny(id string, now time.Time) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	at, found := b.refuted[id]
+	b.refuted[id] = now
+	return !found || now.Sub(at) >= refutationLife
+}
+
+// Follow takes the server on which the nodes agree; "" if there is none at the moment.
+// It reports whether the belief changed.
+func (b *Belief) Follow(id string) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	delete(b.refuted, id)
+	return b.set(id)
+}
+
 // Refuted reports whether a server has lately denied being the primary.
 func (b *Belief) Refuted(id string, now time.Time) bool {
 	b.mutex.Lock()
--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -9,6 +9,7 @@
 
 	"dewknot/internal/eventlog"
 	"dewknot/internal/relay"
+	"dewknot/internal/upstream"
 )
 
 // memberAnswer is an answer and the address of the node that gave it.
@@ -53,6 +54,15 @@
 	return answers
 }
 
+// askToDemote asks another node to make a server give up the lead; nil if it did not.
+func (n *Node) askToDemote(ctx context.Context, member *Member, server string) *upstream.Status {
+	answer := n.askMember(ctx, member, relay.Question{Server: server, StepDown: true})
+	if answer == nil || !answer.Reached {
+		return nil
+	}
+	return &upstream.Status{Received: answer.Received}
+}
+
 // askMember asks one node; nil if it does not answer. That its answer is no longer
 // wanted says nothing of the node, and is not logged.
 func (n *Node) askMember(ctx context.Context, member *Member, question relay.Question) *memberAnswer {
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -18,10 +18,12 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/catalog"
+	"dewknot/internal/codec"
 	"dewknot/internal/eventlog"
 	"dewknot/internal/judge"
 	"dewknot/internal/position"
 	"dewknot/internal/proxy"
+	"dewknot/internal/quorum"
 	"dewknot/internal/relay"
 	"dewknot/internal/standin/managed"
 	"dewknot/internal/upstream"
@@ -75,6 +77,13 @@
 	answered atomic.Int64
 	// traces holds the traces of all failover machines, if they are recorded.
 	traces *traceRecorder
+	// agreed is set if the nodes agree on tenures, since the platform checks no tokens.
+	agreed bool
+	// apart holds the nodes that no other node reaches, or that reach none.
+	apart map[string]bool
+	// moreTroubles adds the troubles that matter where no fences are checked.
+	moreTroubles bool
+	restarting   sync.Mutex
 	// nodes holds the running nodes by name.
 	nodes map[string]*proxy.Node
 }
@@ -93,14 +102,32 @@
 }
 
 func newFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
-	fleet := prepareFleet(nodes, synchronousReplicas, broken)
+	fleet := prepareFleet(fleetConfig{nodes: nodes, synchronousReplicas: synchronousReplicas, broken: broken})
+	fleet.startNodes()
+	return fleet
+}
+
+// fleetConfig describes a fleet and its platform.
+type fleetConfig struct {
+	nodes               int
+	synchronousReplicas int
+	broken              brokenMechanism
+	// unfenced is a platform that checks no tokens; replaced primaries go on there.
+	unfenced bool
+	// disagreed lets the nodes believe what servers say of themselves all the same.
+	disagreed bool
+}
+
+// newUnfencedFleet returns a fleet on a platform that checks no fences.
+func newUnfencedFleet(nodes, synchronousReplicas int) *simulatedFleet {
+	fleet := prepareFleet(fleetConfig{nodes: nodes, synchronousReplicas: synchronousReplicas, unfenced: true})
 	fleet.startNodes()
 	return fleet
 }
 
 // newRecordedFleet returns a fleet that records its failover machines.
 func newRecordedFleet(nodes int, synchronousReplicas int) *simulatedFleet {
-	fleet := prepareFleet(nodes, synchronousReplicas, nothingBroken)
+	fleet := prepareFleet(fleetConfig{nodes: nodes, synchronousReplicas: synchronousReplicas})
 	fleet.recordTraces()
 	fleet.startNodes()
 	return fleet
@@ -113,10 +140,11 @@
 }
 
 // prepareFleet returns a fleet whose nodes are not started yet.
-func prepareFleet(nodes int, synchronousReplicas int, broken brokenMechanism) *simulatedFleet {
+func prepareFleet(cfg fleetConfig) *simulatedFleet {
+	nodes, synchronousReplicas := cfg.nodes, cfg.synchronousReplicas
 	fleet := &simulatedFleet{
-		store: managed.NewStore(), check: judge.New(), zones: []string{"a", "b", "c"},
-		broken: broken, nodes: map[string]*proxy.Node{}, muted: map[string]bool{},
+		store: managed.NewStore(), check: judge.New(), zones: []string{"a", "b", "c"}, agreed: cfg.unfenced && !cfg.disagreed,
+		broken: cfg.broken, nodes: map[string]*proxy.Node{}, muted: map[string]bool{}, apart: map[string]bool{},
 	}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
 		fleet.written = &lockedBuffer{}
@@ -131,7 +159,7 @@
 		Name: testService, Zones: fleet.zones, Slots: 3, Queue: 12, Connections: 24,
 		Work: 4 * time.Millisecond, Handshake: 5 * time.Millisecond, ReceiveDelay: 3 * time.Millisecond,
 		ApplyDelay: 8 * time.Millisecond, PromotionDelay: 600 * time.Millisecond, NetworkDelay: 2 * time.Millisecond,
-		SynchronousReplicas: synchronousReplicas,
+		SynchronousReplicas: synchronousReplicas, Unfenced: cfg.unfenced,
 	}, fleet.check, fleet.store.PublishEntry)
 	groups := map[string]*managed.Group{testService: fleet.group}
 	fleet.promoter = &managed.Promoter{Groups: groups}
@@ -159,13 +187,14 @@
 		Name: name, Zone: f.zones[i%len(f.zones)], PeerAddress: name, Life: strconv.Itoa(f.life), Seeds: f.seeds(),
 		Regions:            map[string]string{"a": "r1", "b": "r2", "c": "r3"},
 		ConfigurationBound: 4 * time.Second, DrainBound: 7 * time.Second, StopGrace: 6 * time.Second,
-		Kinds: proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind},
+		Kinds:  proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind, Voters: managed.VoterKind},
+		Agreed: f.agreed, MessageAddress: name,
 	}, proxy.Ports{
 		Store: f.store.Client(name), Promoter: f.promoter, Decoder: managed.Decoder{},
 		Dialer: &breakingDialer{Dialer: &simulatedDialer{f, i}, broken: f.broken},
 		Client: func(connection net.Conn) proxy.Client { return clientPort{connection.(*memoryClient)} },
-		Peers:  memoryPeers{f},
-		Trace:  f.traces.of(name, strconv.Itoa(f.life)),
+		Peers:  memoryPeers{f, name}, Messages: &memoryMessages{f, name},
+		Trace: f.traces.of(name, strconv.Itoa(f.life)),
 	}, f.log)
 	f.nodes[name] = node
 	f.running.Go(func() { _ = node.Run(ctx, listener) })
@@ -218,6 +247,20 @@
 	return true
 }
 
+// killNode ends a node without warning, as a kill does: nothing that it still does
+// reaches anybody. It reports false if the node is not running.
+func (f *simulatedFleet) killNode(i int) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.cancels[i] == nil {
+		return false
+	}
+	f.cancels[i]()
+	f.cancels[i] = nil
+	delete(f.nodes, f.name(i))
+	return true
+}
+
 // simulatedDialer reaches servers as a node does, directly or through another node.
 type simulatedDialer struct {
 	fleet *simulatedFleet
@@ -239,7 +282,60 @@
 }
 
 // memoryPeers lets the fleet's nodes ask each other.
-type memoryPeers struct{ fleet *simulatedFleet }
+type memoryPeers struct {
+	fleet *simulatedFleet
+	name  string
+}
+
+// memoryMessages carries the messages of the agreement between the fleet's nodes, in
+// their encoding. What goes to or comes from a node that is apart is lost; a node that
+// stands still gets it later.
+type memoryMessages struct {
+	fleet *simulatedFleet
+	name  string
+}
+
+// SendMessage implements tenure.Sender.
+func (s *memoryMessages) SendMessage(address string, m *quorum.Message) {
+	content, err := codec.Append(nil, m)
+	if err != nil {
+		panic(err)
+	}
+	time.AfterFunc(2*time.Millisecond, func() { s.deliver(address, content) })
+}
+
+func (s *memoryMessages) deliver(address string, content []byte) {
+	for s.fleet.isMuted(address) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.fleet.mutex.Lock()
+	node := s.fleet.nodes[address]
+	lost := s.fleet.apart[address] || s.fleet.apart[s.name]
+	s.fleet.mutex.Unlock()
+	if node == nil || lost {
+		return
+	}
+	received := new(quorum.Message)
+	if err := codec.Decode(content, received); err != nil {
+		panic(err)
+	}
+	node.ReceiveMessage(s.name, received)
+}
+
+// setApart keeps a node from all others and from the store, or lets it reach them again.
+func (f *simulatedFleet) setApart(node string, apart bool) {
+	f.store.SetCut(node, apart)
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.apart[node] = apart
+}
+
+// meets reports whether a node reaches another one.
+func (f *simulatedFleet) meets(one, other string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return !f.apart[one] && !f.apart[other]
+}
 
 func (p memoryPeers) Ask(ctx context.Context, address string, question relay.Question) (relay.Answer, error) {
 	time.Sleep(2 * time.Millisecond)
@@ -249,6 +345,10 @@
 	if node == nil {
 		return relay.Answer{}, net.ErrClosed
 	}
+	if !p.fleet.meets(p.name, address) {
+		<-ctx.Done()
+		return relay.Answer{}, ctx.Err()
+	}
 	answer := node.Answer(ctx, question)
 	content, err := msgpack.Marshal(answer)
 	p.fleet.answered.Add(int64(len(content)))
@@ -261,7 +361,7 @@
 	p.fleet.mutex.Lock()
 	node := p.fleet.nodes[address]
 	p.fleet.mutex.Unlock()
-	if node == nil {
+	if node == nil || !p.fleet.meets(p.name, address) {
 		return nil, net.ErrClosed
 	}
 	here, there := net.Pipe()
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -55,6 +55,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-n.nudged:
 		}
 		now := time.Now()
 		stoodStill := now.Sub(last) > pauseLimit
@@ -82,7 +83,7 @@
 
 // look gathers evidence and gives the failover machine an observation.
 func (s *service) look(now time.Time, stoodStill bool) {
-	leader := s.belief.Leader()
+	leader := s.lastPrimary()
 	if leader != s.health.leader || stoodStill || s.health.results == nil {
 		s.health = leaderHealth{leader: leader, results: make(chan standing, 1)}
 	}
@@ -93,10 +94,14 @@
 	if target != nil && !s.health.asking && s.wantsPing(target, now) {
 		s.ping(target)
 	}
-	if target == nil || down {
+	if s.node.tenures == nil && (target == nil || down) {
 		s.seek()
 	}
-	s.submit(failover.Observed{Observation: s.observe(leader, down)})
+	observation := s.observe(leader, down)
+	if observation.Voiceless {
+		s.warm()
+	}
+	s.submit(failover.Observed{Observation: observation})
 }
 
 // reportHealth logs when the primary stops or starts to answer this node.
@@ -168,6 +173,9 @@
 		}
 		observation.Servers = append(observation.Servers, failover.Server{ID: entry.ID, Leaving: entry.Leaving()})
 	}
+	if s.node.tenures != nil {
+		s.observeTenure(&observation, time.Now())
+	}
 	return observation
 }
 
--- a/internal/proxy/leases.go
+++ b/internal/proxy/leases.go
@@ -19,17 +19,24 @@
 	// does not answer the watches either.
 	storeCallLimit   = 1500 * time.Millisecond
 	silentStoreLimit = 400 * time.Millisecond
+	// briefStoreLimit bounds the note of an order: some round trips between regions.
+	briefStoreLimit = 150 * time.Millisecond
 )
 
 // readLeases learns, at the start, of leases that an earlier life of this node
 // holds. Leases that are missing are made once the members are known.
 func (n *Node) readLeases(ctx context.Context) {
 	for ctx.Err() == nil {
-		if objects, ok := n.listLeases(ctx); ok && n.catalog.Current().Configuration != nil {
-			n.leasesKnown(objects)
-			return
+		objects, ok := n.listLeases(ctx)
+		if !ok {
+			time.Sleep(leaseRetry)
+			continue
+		}
+		for n.catalog.Current().Configuration == nil && ctx.Err() == nil {
+			time.Sleep(configurationLook)
 		}
-		time.Sleep(leaseRetry)
+		n.leasesKnown(objects)
+		return
 	}
 }
 
@@ -66,6 +73,10 @@
 	}
 }
 
+// configurationLook is the pause between looks for the first configuration, which
+// comes with the node's first listings.
+const configurationLook = 50 * time.Millisecond
+
 // leaseRetry is the pause before leases are listed again.
 const leaseRetry = time.Second
 
@@ -155,7 +166,11 @@
 		s.submit(failover.LeaseWritten{Result: failover.Uncertain})
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), storeCallLimit)
+	limit := storeCallLimit
+	if effect.Brief {
+		limit = briefStoreLimit
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	kind := s.node.options.Kinds.Leases
 	var object objectstore.Object
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -22,6 +22,8 @@
 	Name    string `json:"-"`
 	Address string `json:"address"`
 	Zone    string `json:"zone,omitempty"`
+	// Messages is where messages of the agreement reach the node.
+	Messages string `json:"messages,omitempty"`
 	// Revision is the entry's.
 	Revision uint64 `json:"-"`
 }
@@ -94,7 +96,8 @@
 		return true
 	}
 	var entry Member
-	if own != nil && json.Unmarshal(own.Content, &entry) == nil && entry.Address == n.options.PeerAddress && entry.Zone == n.options.Zone {
+	if own != nil && json.Unmarshal(own.Content, &entry) == nil && entry.Address == n.options.PeerAddress &&
+		entry.Zone == n.options.Zone && entry.Messages == n.options.MessageAddress {
 		return true
 	}
 	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
@@ -157,7 +160,7 @@
 
 // enter writes this node's entry, in place of an old one if there is one.
 func (n *Node) enter(ctx context.Context, old *objectstore.Object) bool {
-	content, err := json.Marshal(Member{Address: n.options.PeerAddress, Zone: n.options.Zone})
+	content, err := json.Marshal(Member{Address: n.options.PeerAddress, Zone: n.options.Zone, Messages: n.options.MessageAddress})
 	if err != nil {
 		return false
 	}
@@ -220,10 +223,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pingLimit+memberAnswerLimit)
 	defer cancel()
 	question := relay.Question{Server: effect.Server}
-	var holder []memberAnswer
+	var holder, answers []memberAnswer
 	var asked sync.WaitGroup
 	asked.Go(func() { holder = node.askMembers(ctx, node.membersNamed(effect.Superiors), question) })
-	answers := node.askMembers(ctx, node.someMembers(witnessesAsked), question)
+	if effect.Server != "" {
+		answers = node.askMembers(ctx, node.someMembers(witnessesAsked), question)
+	}
 	asked.Wait()
 	outcome := failover.Corroborated{Answers: len(answers), HolderAnswered: len(holder) > 0}
 	for _, answer := range answers {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -21,6 +21,7 @@
 	"dewknot/internal/failure"
 	"dewknot/internal/objectstore"
 	"dewknot/internal/remote"
+	"dewknot/internal/tenure"
 	"dewknot/internal/upstream"
 )
 
@@ -76,6 +77,8 @@
 	Servers       string
 	Leases        string
 	Members       string
+	// Voters names the table of the nodes that agree on tenures.
+	Voters string
 }
 
 // Options are the node's settings.
@@ -84,6 +87,10 @@
 	Zone string
 	// PeerAddress is where other nodes reach this one.
 	PeerAddress string
+	// Agreed makes nodes agree on tenures, since the platform checks no fences.
+	// MessageAddress is where messages of the agreement reach this node.
+	Agreed         bool
+	MessageAddress string
 	// Seeds are addresses of some other nodes, which a node that starts asks while
 	// the store does not answer. They may be out of date.
 	Seeds   []string
@@ -107,6 +114,8 @@
 	Decoder  Decoder
 	// Peers asks other nodes.
 	Peers Peers
+	// Messages carries the messages of the agreement; nil if nodes do not agree.
+	Messages tenure.Sender
 	// Connect opens a connection to an address, for tunnels of other nodes.
 	Connect func(ctx context.Context, address string) (net.Conn, error)
 	// Client wraps an accepted connection.
@@ -146,13 +155,17 @@
 	// links lead to nodes that own connections, owner serves this node's own.
 	links *remote.Links
 	owner *remote.Owner
+	// tenures is nil where the platform checks fences.
+	tenures *tenure.Keeper
+	// nudged makes the look at the services come at once.
+	nudged chan struct{}
 }
 
 // New returns a node that is not running yet.
 func New(options Options, ports Ports, log *eventlog.Log) *Node {
 	node := &Node{
 		options: options, ports: ports, log: log,
-		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}),
+		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}), nudged: make(chan struct{}, 1),
 	}
 	node.metrics = newMetrics(node)
 	node.ports.Store = &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls}
@@ -162,6 +175,7 @@
 	}
 	node.links = remote.NewLinks(remote.LinksConfig{Dial: node.dialOwner, OnProof: node.ownerProved})
 	node.owner = remote.NewOwner(node)
+	node.tenures = node.newTenures()
 	node.catalog.OnChange(node.catalogChanged)
 	return node
 }
@@ -172,6 +186,9 @@
 	defer cancel()
 	n.follow(background)
 	go n.watchServices(background)
+	if n.tenures != nil {
+		go n.tenures.Run(background)
+	}
 	go n.accept(listener)
 	<-ctx.Done()
 	n.stop(listener)
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -39,7 +39,7 @@
 		return Reply{}, false
 	}
 	begin := batch.Last()
-	if !r.service.judgeBegin(target, &batch, begin) {
+	if !r.service.judgeBegin(target, begin) {
 		lease.Settle(begin)
 		if r.starved(target, begin) {
 			return r.refuse(failure.Overloaded), true
@@ -47,11 +47,15 @@
 		r.notRun(target, begin)
 		return Reply{}, false
 	}
+	if r.service.covered(r.held, time.Now()) {
+		r.service.proved(target, batch.SentAt, begin)
+	}
 	if !r.enter(target, lease, admission.OnlyHere) {
 		lease.RollBack()
 		return r.refuse(failure.Overloaded), true
 	}
 	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, r.slotDeadline(target, lease))
+	arrived := time.Now()
 	r.leave(target, lease, &batch, batch.First())
 	if batch.Err != nil {
 		lease.Discard()
@@ -67,6 +71,9 @@
 		return Reply{}, false
 	}
 	if result.Outcome == upstream.Succeeded {
+		if !r.service.confirmed(r.held, arrived, r.deadline) {
+			return Reply{}, false
+		}
 		r.service.proved(target, batch.SentAt, result)
 	}
 	return r.answer(result), true
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -8,6 +8,7 @@
 	"dewknot/internal/command"
 	"dewknot/internal/eventlog"
 	"dewknot/internal/failure"
+	"dewknot/internal/quorum"
 	"dewknot/internal/remote"
 	"dewknot/internal/upstream"
 )
@@ -56,6 +57,8 @@
 	// until the work first waits for one.
 	overload time.Time
 	tried    map[string]bool
+	// held is the tenure under which the primary is asked.
+	held quorum.Tenure
 	// fruitless counts attempts on servers that had already failed to run it.
 	fruitless int
 }
@@ -190,6 +193,12 @@
 			r.awaitLeader()
 			continue
 		}
+		held, holds := r.service.hold(target.id)
+		if !holds {
+			r.awaitLeader()
+			continue
+		}
+		r.held = held
 		lease, err := r.session.node.lend(target, r.connectionDeadline())
 		if err == nil {
 			return target, lease, failure.None
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -51,6 +51,8 @@
 	// witness is the address of a node that lately reached the primary.
 	witness atomic.Pointer[string]
 	health  leaderHealth
+	// warmed is set once connections for a survey were opened ahead.
+	warmed atomic.Bool
 	// replication holds one token: it keeps surveys, which may hold replicas,
 	// apart from letting go. Both wait for servers while they have it.
 	replication chan struct{}
@@ -69,7 +71,7 @@
 	rank := n.takeoverRank(name)
 	created := &service{
 		node: n, name: name, belief: leadership.NewBelief(), replication: make(chan struct{}, 1),
-		machine: failover.New(n.options.Name, n.options.Life, rank),
+		machine: failover.New(failover.Config{Node: n.options.Name, Life: n.options.Life, Rank: rank, Agreed: n.tenures != nil}),
 	}
 	if n.ports.Trace != nil {
 		created.trace = n.ports.Trace(name, rank)
@@ -136,7 +138,7 @@
 	} else if entry.Leaving() {
 		found.(*server).pool.Trim(time.Now())
 	}
-	if entry.Role == catalog.Primary && !entry.Gone {
+	if entry.Role == catalog.Primary && !entry.Gone && n.tenures == nil {
 		service := n.service(entry.Service)
 		replaced := service.belief.Leader() != ""
 		if service.belief.Announce(entry.ID, entry.Revision) {
@@ -200,7 +202,10 @@
 // leader returns the server believed to be the primary, nil if none is usable.
 func (s *service) leader(now time.Time) *server {
 	id := s.belief.Leader()
-	if id == "" || !s.usable(id, now) {
+	if id == "" || !s.usable(id, now) || !s.leased(now) {
+		return nil
+	}
+	if s.node.tenures != nil && s.belief.Refuted(id, now) {
 		return nil
 	}
 	return s.node.server(id)
@@ -240,11 +245,15 @@
 	}
 	s.mutex.Unlock()
 	for _, effect := range effects {
-		go s.perform(effect)
+		go s.perform(effect, now)
 	}
 }
 
-func (s *service) perform(effect failover.Effect) {
+// perform carries out an effect that was decided at a time.
+func (s *service) perform(effect failover.Effect, decided time.Time) {
+	if s.node.tenures != nil && s.performTenure(effect) {
+		return
+	}
 	switch effect := effect.(type) {
 	case failover.Corroborate:
 		s.submit(s.corroborate(effect))
@@ -259,7 +268,7 @@
 	case failover.Resume:
 		s.resumeReplication()
 	case failover.Order:
-		s.order(effect)
+		s.order(effect, decided)
 	case failover.LeaderFound:
 		if s.belief.Confirm(effect.ID, s.belief.Term()) {
 			s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "survey"), zap.String("service", s.name), zap.String("server", effect.ID))
@@ -270,7 +279,12 @@
 // orderLimit bounds an order to promote; one that is not answered is given again.
 const orderLimit = 600 * time.Millisecond
 
-func (s *service) order(effect failover.Order) {
+func (s *service) order(effect failover.Order, decided time.Time) {
+	if effect.Within > 0 && time.Since(decided) > effect.Within {
+		// This process stood still; another node may be at work.
+		s.submit(failover.Ordered{Outcome: failover.NotSent})
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
 	defer cancel()
 	outcome := s.node.ports.Promoter.Promote(ctx, s.name, effect.Target, s.node.options.Name, effect.Token)
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -66,6 +66,7 @@
 		_ = s.client.Refuse(refusal)
 		return false
 	}
+	s.node.awaitTenure(s.bound.Service, time.Now())
 	return s.client.Accept() == nil
 }
 
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -21,6 +21,10 @@
 // once failed are played again, so a kind keeps its number.
 const troubleKinds = 13
 
+// troublesWithoutFences is how many kinds there are besides where no fences are checked:
+// nodes that no other reaches, a loss of all nodes, a primary alone with a node.
+const troublesWithoutFences = 3
+
 // troublesOfServers holds the stand-in's own troubles by their numbers.
 var troublesOfServers = map[int]managed.Trouble{
 	0: managed.PrimaryCrash, 1: managed.PrimaryDark, 2: managed.ReplicaDeaf, 3: managed.ReplicaLate, 4: managed.AnswersLost,
@@ -30,7 +34,11 @@
 // trouble strikes the fleet once; it returns when the trouble has passed.
 func (f *simulatedFleet) trouble(random *rand.Rand) {
 	span := time.Duration(500+random.IntN(4000)) * time.Millisecond
-	kind := random.IntN(troubleKinds)
+	kinds := troubleKinds
+	if f.moreTroubles {
+		kinds += troublesWithoutFences
+	}
+	kind := random.IntN(kinds)
 	f.log.Write("trouble", zap.Int("kind", kind), zap.Duration("span", span), zap.String("primary", f.group.Primary().ID()))
 	if trouble, found := troublesOfServers[kind]; found {
 		victims := managed.Victims{Group: f.group, Store: f.store, Promoter: f.promoter}
@@ -65,7 +73,51 @@
 		f.setMuted(f.name(node), true)
 		time.Sleep(span)
 		f.setMuted(f.name(node), false)
+	case 13:
+		f.setApart(f.name(node), true)
+		time.Sleep(span)
+		f.setApart(f.name(node), false)
+	case 14:
+		f.restartAll()
+	case 15:
+		f.aloneWithPrimary(node, span)
+	}
+}
+
+// restartAll ends all nodes at the same moment, without warning, and starts them again.
+func (f *simulatedFleet) restartAll() {
+	if !f.restarting.TryLock() {
+		return
+	}
+	defer f.restarting.Unlock()
+	var killed []int
+	for i := range f.listeners {
+		if f.killNode(i) {
+			killed = append(killed, i)
+		}
+	}
+	time.Sleep(700 * time.Millisecond)
+	for _, i := range killed {
+		f.startNode(i)
+	}
+}
+
+// aloneWithPrimary leaves a node alone with the primary, which its replicas do not reach
+// either; all others lose it.
+func (f *simulatedFleet) aloneWithPrimary(node int, span time.Duration) {
+	primary := f.group.Primary()
+	set := func(on bool) {
+		f.setApart(f.name(node), on)
+		primary.SetSevered(on)
+		for i := range f.listeners {
+			if i != node {
+				f.setCut(i, primary.ID(), on)
+			}
+		}
 	}
+	set(true)
+	time.Sleep(span)
+	set(false)
 }
 
 // outcome is what a simulated day came to.
@@ -150,6 +202,35 @@
 
 func TestPromisesHoldUnderRandomTroubles(t *testing.T) { playDays(t, fewNodes) }
 
+// TestPromisesHoldWithoutFences and TestPromisesHoldWithoutFencesThroughOwners: the
+// platform checks no tokens, and replaced primaries go on.
+func TestPromisesHoldWithoutFences(t *testing.T) { playUnfencedDays(t, fewNodes) }
+
+func TestPromisesHoldWithoutFencesThroughOwners(t *testing.T) { playUnfencedDays(t, manyNodes) }
+
+func playUnfencedDays(t *testing.T, nodes int) {
+	for day := range simulatedDays(t) {
+		seed := firstSeed(t) + uint64(day)
+		t.Run(fmt.Sprintf("seed-%d", seed), func(t *testing.T) {
+			bubbletest.Test(t, func(t *testing.T) {
+				fleet := newUnfencedFleet(nodes, int(seed%2))
+				fleet.moreTroubles = true
+				time.Sleep(4 * time.Second)
+				played := simulateOn(fleet, seed, 40*time.Second)
+				for i, violation := range played.violations {
+					if i < 5 {
+						t.Error(violation)
+					}
+				}
+				t.Logf("%d violations, served %d, refused %d, unknown %d, reads %d, writes %d, orders %d", len(played.violations),
+					played.served, played.refused, played.unknown, played.reads, played.writes, len(fleet.promoter.Orders()))
+				must.Greater(t, 400, played.served)
+				must.Eq(t, 0, fleet.group.LoweredTokens(), must.Sprint("orders with a lower token than one before"))
+			})
+		})
+	}
+}
+
 func TestPromisesHoldThroughOwners(t *testing.T) { playDays(t, manyNodes) }
 
 func playDays(t *testing.T, nodes int) {
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -104,6 +104,9 @@
 
 // Answer implements relay.Handler.
 func (n *Node) Answer(ctx context.Context, question relay.Question) relay.Answer {
+	if question.Server != "" && question.StepDown {
+		return n.demotedFor(question.Server)
+	}
 	if question.Server != "" {
 		return relay.Answer{Reached: n.reaches(question.Server)}
 	}
@@ -124,6 +127,18 @@
 	return answer
 }
 
+// demotedFor makes a server give up the lead for another node.
+func (n *Node) demotedFor(server string) relay.Answer {
+	if n.tenures == nil {
+		return relay.Answer{}
+	}
+	status := n.demote(server)
+	if status == nil {
+		return relay.Answer{}
+	}
+	return relay.Answer{Reached: true, Received: status.Received}
+}
+
 // answerFrom answers a question for objects from what this node knows.
 func answerFrom(ctx context.Context, cache *objectstore.Cache, question *relay.Question) (relay.Answer, error) {
 	var answer relay.Answer
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -41,15 +41,17 @@
 			if status != nil && effect.Hold && !status.Primary {
 				status = target.report(upstream.Operation{Kind: upstream.HoldReplication, Term: status.Term + 1}, deadline)
 			}
+			assumed := false
 			if status == nil && !effect.Hold {
 				status = target.lastKnown(time.Now())
+				assumed = true
 			}
 			if status == nil {
 				return
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			reports = append(reports, failover.Report{ID: target.id, Primary: status.Primary, Term: status.Term, Received: status.Received})
+			reports = append(reports, failover.Report{ID: target.id, Primary: status.Primary, Term: status.Term, Received: status.Received, Assumed: assumed})
 		})
 	}
 	asked.Wait()
@@ -149,6 +151,7 @@
 
 // prove asks a server to open and end a transaction that only a primary accepts.
 func (s *service) prove(target *server, lend lender, deadline time.Time) standing {
+	held, holds := s.hold(target.id)
 	lease, err := lend(target, deadline)
 	if err != nil {
 		if _, refused := upstream.RefusalOf(err); refused {
@@ -164,22 +167,23 @@
 		lease.Discard()
 		return silent
 	}
+	arrived := time.Now()
 	lease.Settle(batch.Last())
-	if s.judgeBegin(target, &batch, batch.First()) {
+	if s.judgeBegin(target, batch.First()) && holds && s.confirmed(held, arrived, deadline) {
+		s.proved(target, batch.SentAt, batch.First())
 		return leading
 	}
 	return otherwise
 }
 
-// judgeBegin takes what a server's answer to Begin tells of the primary.
-func (s *service) judgeBegin(target *server, batch *upstream.Batch, begin *upstream.Result) bool {
-	now := time.Now()
+// judgeBegin reports whether a server has accepted a transaction as the primary, and
+// takes its word that it does not lead.
+func (s *service) judgeBegin(target *server, begin *upstream.Result) bool {
 	switch begin.Outcome {
 	case upstream.Succeeded:
-		s.proved(target, batch.SentAt, begin)
 		return true
 	case upstream.NotPrimary:
-		if s.belief.Refute(target.id, now) {
+		if s.deny(target.id, time.Now()) {
 			s.node.log.Write(eventlog.PrimaryDenied, zap.String("service", s.name), zap.String("server", target.id))
 		}
 	default:
@@ -187,9 +191,10 @@
 	return false
 }
 
-// proved takes an answer that only the primary gives to a question sent at a time.
+// proved takes an answer that only the primary gives to a question sent at a time. Where
+// nodes agree on tenures, it has been confirmed.
 func (s *service) proved(target *server, sentAt time.Time, result *upstream.Result) {
-	if s.belief.Confirm(target.id, result.Position.Term) {
+	if s.node.tenures == nil && s.belief.Confirm(target.id, result.Position.Term) {
 		s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "answer"), zap.String("service", s.name),
 			zap.String("server", target.id), zap.Stringer("position", result.Position))
 	}
--- a/internal/proxy/trace_test.go
+++ b/internal/proxy/trace_test.go
@@ -22,11 +22,13 @@
 	mutex   sync.Mutex
 	content map[string]*bytes.Buffer
 	writers []*trace.FailoverWriter
+	// agreed is set if the nodes agree on tenures.
+	agreed bool
 }
 
 // recordTraces makes a fleet's nodes that start from now on record their machines.
 func (f *simulatedFleet) recordTraces() {
-	f.traces = &traceRecorder{content: map[string]*bytes.Buffer{}}
+	f.traces = &traceRecorder{content: map[string]*bytes.Buffer{}, agreed: f.agreed}
 }
 
 // of returns how one life of a node records its machines; nil if it does not.
@@ -38,7 +40,7 @@
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
 		content := &bytes.Buffer{}
-		writer := trace.NewFailoverWriter(content, trace.FailoverSettings{Node: node, Life: life, Rank: rank})
+		writer := trace.NewFailoverWriter(content, trace.FailoverSettings{Node: node, Life: life, Rank: rank, Agreed: r.agreed})
 		r.content[fmt.Sprintf("%s-%s-%s", service, node, life)] = content
 		r.writers = append(r.writers, writer)
 		return &lockedTrace{recorder: r, writer: writer}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -11,6 +11,7 @@
 	"dewknot/internal/eventlog"
 	"dewknot/internal/failure"
 	"dewknot/internal/freshness"
+	"dewknot/internal/quorum"
 	"dewknot/internal/upstream"
 )
 
@@ -21,8 +22,10 @@
 	// server and lease are set from the first statement on.
 	server *server
 	lease  *upstream.Lease
-	// proven is set if the server accepted the transaction as the primary.
+	// proven is set if the server accepted the transaction as the primary, held is the
+	// tenure under which it was asked.
 	proven bool
+	held   quorum.Tenure
 	wrote  bool
 	// failed transactions have left nothing behind and await their end.
 	failed bool
@@ -80,9 +83,15 @@
 			lease.Discard()
 			continue
 		}
+		arrived := time.Now()
 		begin := batch.Last()
-		if r.service.judgeBegin(target, &batch, begin) {
-			t.server, t.lease, t.proven = target, lease, true
+		if r.service.judgeBegin(target, begin) {
+			if !r.service.confirmed(r.held, arrived, r.deadline) {
+				lease.RollBack()
+				continue
+			}
+			r.service.proved(target, batch.SentAt, begin)
+			t.server, t.lease, t.proven, t.held = target, lease, true, r.held
 			return Reply{}, true
 		}
 		lease.Settle(begin)
@@ -157,7 +166,7 @@
 		switch {
 		case result.Outcome == upstream.Succeeded:
 			t.wrote = t.wrote || r.statement.Writes
-			if t.proven {
+			if t.proven && r.service.covered(t.held, time.Now()) {
 				r.service.proved(t.server, batch.SentAt, result)
 			}
 			return r.answer(result)
@@ -168,7 +177,7 @@
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "statement"),
 				zap.String("server", t.server.id), zap.Stringer("outcome", result.Outcome), zap.Uint8("state", uint8(result.State)))
 			if result.Outcome == upstream.NotPrimary {
-				r.service.belief.Refute(t.server.id, time.Now())
+				r.service.deny(t.server.id, time.Now())
 			}
 			return t.refused(r)
 		default:
@@ -246,6 +255,7 @@
 			return t.refused(r)
 		}
 		batch := t.lease.Run([]upstream.Operation{{Kind: upstream.Commit, RequestID: received.RequestID, Text: received.Text}}, r.deadline)
+		arrived := time.Now()
 		r.leave(t.server, t.lease, &batch, batch.Last())
 		if batch.Err != nil {
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", received.RequestID), zap.String("command", "commit"),
@@ -259,6 +269,11 @@
 		}
 		result := batch.Last()
 		if result.Outcome == upstream.Succeeded {
+			if t.wrote && !r.service.confirmed(t.held, arrived, r.deadline) {
+				t.lease.Settle(result)
+				t.lease = nil
+				return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
+			}
 			t.committed(r, result)
 			return r.answer(result)
 		}
--- a/internal/proxy/write.go
+++ b/internal/proxy/write.go
@@ -26,6 +26,7 @@
 		}
 		operations := append(lease.Adapt(r.session.values, r.statement), r.operation())
 		batch := lease.Run(operations, r.deadline)
+		arrived := time.Now()
 		r.leave(target, lease, &batch, batch.Last())
 		if batch.Err != nil {
 			lease.Discard()
@@ -37,6 +38,9 @@
 		lease.Settle(result)
 		if !result.Outcome.NotRun() {
 			if result.Outcome == upstream.Succeeded {
+				if !r.service.confirmed(r.held, arrived, r.deadline) {
+					return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
+				}
 				r.service.proved(target, batch.SentAt, result)
 				r.session.own = freshness.OwnCommit{At: time.Now(), Position: result.Position}
 			}
@@ -59,7 +63,7 @@
 		target.stats.Busied(now.Add(busyLife))
 		r.pause(busyPause)
 	case upstream.NotPrimary:
-		if r.service.belief.Refute(target.id, now) {
+		if r.service.deny(target.id, now) {
 			r.log().Write(eventlog.PrimaryDenied, zap.String("service", r.service.name),
 				zap.String("server", target.id), zap.String("request", r.statement.RequestID))
 		}
--- /dev/null
+++ b/internal/quorum/member.go
@@ -0,0 +1,328 @@
+package quorum
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Lease is the time until which a voter's last grant runs, in nanoseconds of the
+// member's steady clock. It is read on a request's path.
+type Lease struct{ until atomic.Int64 }
+
+// View is what a member knows of a service's tenure. It is immutable; the leases
+// that it points to are renewed in place.
+type View struct {
+	Tenure Tenure
+	// Open is set if a majority of voters gives leases for the tenure.
+	Open bool
+	// Highest is the highest ballot that a voter has promised.
+	Highest uint64
+	leases  []*Lease
+	needed  int
+	base    time.Time
+}
+
+// Covers reports whether the tenure was surely the newest at a time: a majority of
+// voters has granted leases that run beyond it.
+func (v *View) Covers(at time.Time) bool {
+	if !v.Open {
+		return false
+	}
+	since := int64(at.Sub(v.base))
+	covering := 0
+	for _, lease := range v.leases {
+		if lease.until.Load() > since {
+			covering++
+		}
+	}
+	return covering >= v.needed
+}
+
+// renewalsKept is how many renewals to a voter may await their answers.
+const renewalsKept = 8
+
+// renewal is a question to a voter: when it was sent, and up to which revision of which
+// life the voter's records were known then.
+type renewal struct {
+	sequence  uint64
+	sentAt    time.Time
+	known     uint64
+	knownLife uint64
+}
+
+// mirror is what a member knows of a voter.
+type mirror struct {
+	seat     Seat
+	life     uint64
+	revision uint64
+	// wholeAt is when the renewal was sent at whose answer all records were known; zero
+	// if they are not.
+	wholeAt time.Time
+	records map[string]Record
+	lease   *Lease
+	sent    []renewal
+	// heard is when the voter was last heard of; until it was, when the table was taken.
+	heard time.Time
+	met   bool
+	// lost is the age of a voter's process that has no memory, when it was heard.
+	lost time.Duration
+}
+
+// Member keeps a node's leases. It is a reducer, not safe for concurrent use; the
+// views that it returns are.
+type Member struct {
+	name     string
+	life     uint64
+	base     time.Time
+	table    *Table
+	mirrors  []*mirror
+	sequence uint64
+	services map[string]*View
+}
+
+// NewMember returns a member that knows no table yet. base is a time before all
+// others, from which leases are counted.
+func NewMember(name string, life uint64, base time.Time) *Member {
+	return &Member{name: name, life: life, base: base, sequence: FirstSequence(life), services: map[string]*View{}}
+}
+
+// sequenceShift leaves room for the questions of one process.
+const sequenceShift = 24
+
+// FirstSequence returns the sequence number before a process's first question. Answers to
+// an earlier process of the node may still come, and must not be taken for its own.
+func FirstSequence(life uint64) uint64 { return life << sequenceShift }
+
+// Table returns the newest table known, nil if there is none.
+func (n *Member) Table() *Table { return n.table }
+
+// SetTable takes a newer table; leases of the era before are given up. It returns
+// the services whose views have changed.
+func (n *Member) SetTable(now time.Time, table *Table) []string {
+	if n.table != nil && table.Era <= n.table.Era {
+		return nil
+	}
+	n.table = table
+	n.mirrors = nil
+	for _, seat := range table.Seats {
+		n.mirrors = append(n.mirrors, &mirror{seat: seat, records: map[string]Record{}, lease: &Lease{}, heard: now})
+	}
+	var changed []string
+	for service := range n.services {
+		n.look(service)
+		changed = append(changed, service)
+	}
+	return changed
+}
+
+// View returns what is known of a service, nil if nothing is.
+func (n *Member) View(service string) *View { return n.services[service] }
+
+// Renewals asks all voters for leases.
+func (n *Member) Renewals(now time.Time) []Envelope {
+	out := make([]Envelope, 0, len(n.mirrors))
+	for _, of := range n.mirrors {
+		out = append(out, n.renewal(now, of))
+	}
+	return out
+}
+
+func (n *Member) renewal(now time.Time, of *mirror) Envelope {
+	n.sequence++
+	of.sent = append(of.sent, renewal{n.sequence, now, of.revision, of.life})
+	if len(of.sent) > renewalsKept {
+		of.sent = of.sent[1:]
+	}
+	return Envelope{of.seat.Address, Message{
+		Kind: Renew, From: n.name, Life: n.life, Era: n.table.Era, Sequence: n.sequence, Known: of.revision, KnownLife: of.life,
+	}}
+}
+
+func (n *Member) mirror(name string) *mirror {
+	for _, of := range n.mirrors {
+		if of.seat.Name == name {
+			return of
+		}
+	}
+	return nil
+}
+
+// Step takes a voter's message. It returns what to send, and the services whose
+// views have changed.
+func (n *Member) Step(now time.Time, from string, m *Message) ([]Envelope, []string) {
+	of := n.mirror(m.From)
+	if of == nil || n.table.Era != m.Era {
+		return nil, nil
+	}
+	switch m.Kind {
+	case Granted:
+		return n.granted(now, of, m)
+	case Push:
+		return n.pushed(from, of, m)
+	case Unable:
+		of.heard, of.met = now, true
+		if !m.Normal {
+			of.lost = m.Age
+		}
+		of.wholeAt = time.Time{}
+	default:
+	}
+	return nil, nil
+}
+
+// meet begins anew with a voter whose process has changed.
+func (of *mirror) meet(life uint64) {
+	if of.life != life {
+		of.life, of.revision, of.wholeAt = life, 0, time.Time{}
+		of.records = map[string]Record{}
+	}
+	of.lost = 0
+}
+
+func (n *Member) granted(now time.Time, of *mirror, m *Message) ([]Envelope, []string) {
+	of.heard, of.met = now, true
+	asked := of.answered(m.Sequence)
+	if asked == nil {
+		return nil, nil
+	}
+	of.meet(m.Life)
+	if asked.knownLife == m.Life && asked.known > of.revision {
+		// The answer leaves out what was known then, and is not any more.
+		return nil, nil
+	}
+	changed := n.take(of, m.Records)
+	of.revision = max(of.revision, m.Revision)
+	if m.More {
+		return []Envelope{n.renewal(now, of)}, changed
+	}
+	of.wholeAt = asked.sentAt
+	until := int64(asked.sentAt.Add(LeaseSpan - clockMargin).Sub(n.base))
+	of.lease.until.Store(max(of.lease.until.Load(), until))
+	return nil, changed
+}
+
+// answered returns the renewal that an answer belongs to, nil if it is none of this
+// process's, or a very old one.
+func (of *mirror) answered(sequence uint64) *renewal {
+	for i := range of.sent {
+		if of.sent[i].sequence == sequence {
+			return &of.sent[i]
+		}
+	}
+	return nil
+}
+
+// pushed takes a changed record. The revision up to which all records are known
+// stays: others may have changed before.
+func (n *Member) pushed(from string, of *mirror, m *Message) ([]Envelope, []string) {
+	of.meet(m.Life)
+	changed := n.take(of, m.Records)
+	if !m.Recall {
+		return nil, changed
+	}
+	reply := Message{Kind: Released, From: n.name, Life: n.life, Era: m.Era, Service: m.Service, Ballot: m.Ballot}
+	return []Envelope{{from, reply}}, changed
+}
+
+// take notes a voter's records and returns the services whose views have changed.
+func (n *Member) take(of *mirror, records []Record) []string {
+	var changed []string
+	for _, record := range records {
+		if known, found := of.records[record.Service]; found && known.Revision >= record.Revision {
+			continue
+		}
+		of.records[record.Service] = record
+		n.look(record.Service)
+		changed = append(changed, record.Service)
+	}
+	return changed
+}
+
+// look makes a service's view anew. A tenure that is no longer open stays known.
+func (n *Member) look(service string) {
+	before := n.services[service]
+	view := &View{needed: n.table.Majority(), base: n.base}
+	if before != nil {
+		view.Tenure, view.Highest = before.Tenure, before.Highest
+	}
+	open := map[Tenure][]*Lease{}
+	for _, of := range n.mirrors {
+		record, found := of.records[service]
+		if !found {
+			continue
+		}
+		view.Highest = max(view.Highest, record.Promised)
+		if record.Open {
+			open[record.Chosen] = append(open[record.Chosen], of.lease)
+		}
+	}
+	for tenure, leases := range open {
+		if len(leases) >= view.needed {
+			view.Tenure, view.Open, view.leases = tenure, true, leases
+		}
+	}
+	n.services[service] = view
+}
+
+// Whole counts the voters whose records are known whole.
+func (n *Member) Whole() int {
+	whole := 0
+	for _, of := range n.mirrors {
+		if !of.wholeAt.IsZero() {
+			whole++
+		}
+	}
+	return whole
+}
+
+// Holdings returns the records of the other voters that were told whole to questions
+// sent after a time, for a voter that recovers.
+func (n *Member) Holdings(after time.Time) [][]Record {
+	var holdings [][]Record
+	for _, of := range n.mirrors {
+		if of.seat.Name == n.name || of.wholeAt.IsZero() || of.wholeAt.Before(after) {
+			continue
+		}
+		held := make([]Record, 0, len(of.records))
+		for _, record := range of.records {
+			held = append(held, record)
+		}
+		holdings = append(holdings, held)
+	}
+	return holdings
+}
+
+// Silent returns the voters that have not been heard of for a span, or not at all for a
+// first span since the table was taken.
+func (n *Member) Silent(now time.Time, span, first time.Duration) []string {
+	var silent []string
+	for _, of := range n.mirrors {
+		since := now.Sub(of.heard)
+		if of.seat.Name != n.name && (since >= span || (!of.met && since >= first)) {
+			silent = append(silent, of.seat.Name)
+		}
+	}
+	return silent
+}
+
+// Unmet reports whether some voters have not answered since the table was taken.
+func (n *Member) Unmet() bool {
+	for _, of := range n.mirrors {
+		if !of.met {
+			return true
+		}
+	}
+	return false
+}
+
+// Lost counts the other voters that have no memory; each has to have been heard of
+// within a span.
+func (n *Member) Lost(now time.Time, span time.Duration) int {
+	lost := 0
+	for _, of := range n.mirrors {
+		if of.seat.Name != n.name && of.lost > 0 && now.Sub(of.heard) < span {
+			lost++
+		}
+	}
+	return lost
+}
--- /dev/null
+++ b/internal/quorum/quorum_test.go
@@ -0,0 +1,300 @@
+package quorum
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	_ "dewknot/internal/propertytest" // fixes the seed
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func at(milliseconds int) time.Time { return epoch.Add(time.Duration(milliseconds) * time.Millisecond) }
+
+// group is a table of three voters and one member, without a network.
+type group struct {
+	table  *Table
+	voters []*Voter
+	member *Member
+}
+
+var groupNames = []string{"v0", "v1", "v2"}
+
+func newGroup(records ...Record) *group {
+	g := &group{table: &Table{Era: 1, Records: records}}
+	for i, name := range groupNames {
+		g.table.Seats = append(g.table.Seats, Seat{Name: name, Address: name, Life: uint64(i + 1)})
+	}
+	for i, name := range groupNames {
+		voter := NewVoter(name, uint64(i+1), at(0))
+		voter.Install(at(0), g.table)
+		g.voters = append(g.voters, voter)
+	}
+	g.member = NewMember("m", 9, at(0))
+	g.member.SetTable(at(0), g.table)
+	return g
+}
+
+// renew lets the member renew its leases with some voters, at a time.
+func (g *group) renew(now int, voters ...int) {
+	renewals := g.member.Renewals(at(now))
+	for _, i := range voters {
+		for _, reply := range g.voters[i].Step(at(now), "m", &renewals[i].Message) {
+			g.member.Step(at(now), groupNames[i], &reply.Message)
+		}
+	}
+}
+
+func openRecord() Record {
+	return Record{Service: "s", Promised: 1, Candidate: Candidate{"c", 1}, Chosen: Tenure{1, "a"}, Open: true, Term: 1}
+}
+
+func (g *group) ask(voter, now int, kind Kind, from string, ballot uint64, primary string) []Envelope {
+	return g.voters[voter].Step(at(now), from, &Message{
+		Kind: kind, From: from, Life: 5, Era: 1, Sequence: 77, Service: "s", Ballot: ballot, Primary: primary, Ordering: kind == Choose,
+	})
+}
+
+func kinds(out []Envelope) []Kind {
+	var all []Kind
+	for _, envelope := range out {
+		all = append(all, envelope.Message.Kind)
+	}
+	return all
+}
+
+// TestLeasesCoverWhatAMajorityGranted: two of three voters suffice, one does not, and a
+// lease ends a span after the question was sent.
+func TestLeasesCoverWhatAMajorityGranted(t *testing.T) {
+	g := newGroup(openRecord())
+	g.renew(2000, 0)
+	must.False(t, g.member.View("s").Covers(at(2000)))
+	g.renew(2100, 0, 1)
+	view := g.member.View("s")
+	must.Eq(t, Tenure{1, "a"}, view.Tenure)
+	must.True(t, view.Covers(at(2100)))
+	last := 2100 + int((LeaseSpan-clockMargin)/time.Millisecond)
+	must.True(t, view.Covers(at(last-1)))
+	must.False(t, view.Covers(at(last)))
+	// The third voter makes a majority with either of the others.
+	g.renew(3000, 1, 2)
+	must.True(t, g.member.View("s").Covers(at(last)))
+}
+
+// TestCandidateWaitsForLeases: a voter tells that it is clear once the member has given
+// up its lease, or the lease has run out.
+func TestCandidateWaitsForLeases(t *testing.T) {
+	g := newGroup(openRecord())
+	g.renew(2000, 0, 1, 2)
+	out := g.ask(0, 2100, Prepare, "x", 2, "")
+	must.Eq(t, []Kind{Push, Promised}, kinds(out))
+	must.False(t, out[1].Message.Clear)
+	replies, _ := g.member.Step(at(2101), "v0", &out[0].Message)
+	must.Eq(t, []Kind{Released}, kinds(replies))
+	cleared := g.voters[0].Step(at(2102), "m", &replies[0].Message)
+	must.Eq(t, []Kind{Cleared}, kinds(cleared))
+	must.Eq(t, "x", cleared[0].To)
+
+	// Another voter's recall is lost; it is repeated, and the lease runs out.
+	out = g.ask(1, 2100, Prepare, "x", 2, "")
+	must.False(t, out[1].Message.Clear)
+	again, waiting := g.voters[1].Tick(at(2200))
+	must.True(t, waiting)
+	must.Eq(t, []Kind{Push}, kinds(again))
+	ended, _ := g.voters[1].Tick(at(2000 + int(LeaseSpan/time.Millisecond)))
+	must.Eq(t, []Kind{Cleared}, kinds(ended))
+}
+
+// TestRecallEndsTheLease: the answers that come after a majority of recalls are not
+// believed, though the leases would run on.
+func TestRecallEndsTheLease(t *testing.T) {
+	g := newGroup(openRecord())
+	g.renew(2000, 0, 1, 2)
+	view := g.member.View("s")
+	for i := range 2 {
+		must.True(t, g.member.View("s").Covers(at(2100)))
+		out := g.ask(i, 2100, Prepare, "x", 2, "")
+		g.member.Step(at(2101), groupNames[i], &out[0].Message)
+	}
+	must.False(t, g.member.View("s").Covers(at(2101)))
+	// A grant that was on its way does not bring the lease back.
+	g.renew(2102, 0, 1)
+	must.False(t, g.member.View("s").Covers(at(2102)))
+	must.Eq(t, view.Tenure, g.member.View("s").Tenure)
+}
+
+// TestReleaseOfAnEarlierTenureIsNoRelease: a late answer to an old recall does not clear
+// the lease of a later tenure.
+func TestReleaseOfAnEarlierTenureIsNoRelease(t *testing.T) {
+	g := newGroup(openRecord())
+	g.renew(2000, 0)
+	out := g.ask(0, 2100, Prepare, "x", 2, "")
+	released, _ := g.member.Step(at(2101), "v0", &out[0].Message)
+	g.voters[0].Step(at(2102), "m", &released[0].Message)
+	g.ask(0, 2103, Choose, "x", 2, "b")
+	must.Eq(t, []Kind{Push, Opened}, kinds(g.ask(0, 2104, Open, "x", 2, "b")))
+	g.renew(2200, 0)
+	out = g.ask(0, 2300, Prepare, "x", 3, "")
+	must.False(t, out[len(out)-1].Message.Clear)
+	must.SliceEmpty(t, g.voters[0].Step(at(2301), "m", &released[0].Message))
+	out = g.ask(0, 2302, Prepare, "x", 3, "")
+	must.False(t, out[len(out)-1].Message.Clear)
+}
+
+// TestBallotHasOneCandidate: neither another node, nor a later process of the same one,
+// may use a ballot again, and others have to leave a candidate its time.
+func TestBallotHasOneCandidate(t *testing.T) {
+	g := newGroup(openRecord())
+	must.Eq(t, []Kind{Promised}, kinds(g.ask(0, 2000, Prepare, "x", 5, "")))
+	must.Eq(t, []Kind{Promised}, kinds(g.ask(0, 2001, Prepare, "x", 5, "")))
+	later := g.voters[0].Step(at(2002), "x", &Message{Kind: Prepare, From: "x", Life: 6, Era: 1, Service: "s", Ballot: 5})
+	must.Eq(t, []Kind{Denied}, kinds(later))
+	must.Eq(t, 5, later[0].Message.Ballot)
+	must.Eq(t, []Kind{Denied}, kinds(g.ask(0, 2003, Prepare, "y", 6, "")))
+	must.Eq(t, []Kind{Denied}, kinds(g.ask(0, 2004, Choose, "y", 5, "b")))
+	free := 2001 + int(CandidateSpan/time.Millisecond)
+	must.Eq(t, []Kind{Promised}, kinds(g.ask(0, free, Prepare, "y", 6, "")))
+	must.Eq(t, []Kind{Denied}, kinds(g.ask(0, free, Choose, "x", 5, "b")))
+}
+
+// TestRecoveredVoterCountsUnknownLeases: a voter that has lost its memory copies the
+// others' records, and counts leases that it may have granted as held for their span.
+func TestRecoveredVoterCountsUnknownLeases(t *testing.T) {
+	g := newGroup(openRecord())
+	restarted := NewVoter("v0", 50, at(3000))
+	restarted.Install(at(3000), g.table)
+	must.True(t, restarted.Recovering())
+	question := &Message{Kind: Renew, From: "m", Era: 1}
+	must.Eq(t, []Kind{Unable}, kinds(restarted.Step(at(3001), "m", question)))
+	one := [][]Record{{openRecord()}}
+	must.False(t, restarted.Recover(at(3300), 1, one))
+	must.True(t, restarted.Recover(at(3300), 1, append(one, one[0])))
+	g.voters[0] = restarted
+	out := g.ask(0, 3301, Prepare, "x", 2, "")
+	must.False(t, out[0].Message.Clear)
+	out = g.ask(0, 3300+int(LeaseSpan/time.Millisecond), Prepare, "x", 2, "")
+	must.True(t, out[0].Message.Clear)
+}
+
+// TestAnswersToAnEarlierProcessAreIgnored: they would leave out records that this one
+// does not know.
+func TestAnswersToAnEarlierProcessAreIgnored(t *testing.T) {
+	g := newGroup(openRecord())
+	g.renew(2000, 0, 1)
+	late := g.member.Renewals(at(2100))[0]
+	reply := g.voters[0].Step(at(2101), "m", &late.Message)
+	restarted := NewMember("m", 10, at(2000))
+	restarted.SetTable(at(2000), g.table)
+	restarted.Renewals(at(2102))
+	restarted.Step(at(2103), "v0", &reply[0].Message)
+	must.Eq(t, 0, restarted.Whole())
+	must.Nil(t, restarted.View("s"))
+}
+
+// TestManyRecordsComeInPages: leases are granted only once all records are known.
+func TestManyRecordsComeInPages(t *testing.T) {
+	var records []Record
+	for i := range 3*pageRecords + 1 {
+		record := openRecord()
+		record.Service = string(rune('a'+i%26)) + string(rune('a'+i/26))
+		records = append(records, record)
+	}
+	g := newGroup(records...)
+	for i := range 2 {
+		question := g.member.Renewals(at(2000))[i]
+		for pages := 1; ; pages++ {
+			reply := g.voters[i].Step(at(2000), "m", &question.Message)
+			out, _ := g.member.Step(at(2000), groupNames[i], &reply[0].Message)
+			if len(out) == 0 {
+				must.Eq(t, 4, pages)
+				break
+			}
+			must.Eq(t, i, g.member.Whole())
+			question = out[0]
+		}
+	}
+	for _, record := range records {
+		must.True(t, g.member.View(record.Service).Covers(at(2000)), must.Sprint(record.Service))
+	}
+}
+
+// TestEraEndsWithWhatWasDecided: a majority of sealed voters tells all; fewer do not end
+// an era unless a majority has lost its memory, and then no tenure stays open.
+func TestEraEndsWithWhatWasDecided(t *testing.T) {
+	g := newGroup(openRecord())
+	g.ask(0, 2000, Prepare, "x", 2, "")
+	g.ask(1, 2000, Prepare, "x", 2, "")
+	g.ask(0, 2001, Choose, "x", 2, "b")
+	g.ask(1, 2001, Choose, "x", 2, "b")
+	sealing := NewSealing(g.table)
+	seal := func(i int) {
+		question := sealing.Questions("k", 1, 1)
+		for _, envelope := range question {
+			if envelope.To == groupNames[i] {
+				for _, reply := range g.voters[i].Step(at(2100), "k", &envelope.Message) {
+					sealing.Take(&reply.Message)
+				}
+			}
+		}
+	}
+	seal(1)
+	_, ended := sealing.Outcome()
+	must.False(t, ended)
+	must.Eq(t, []Kind{Unable}, kinds(g.ask(1, 2101, Prepare, "x", 3, "")))
+	seal(2)
+	records, ended := sealing.Outcome()
+	must.True(t, ended)
+	must.Len(t, 1, records)
+	must.Eq(t, Tenure{2, "b"}, records[0].Chosen)
+	must.True(t, records[0].Ordering)
+	must.False(t, records[0].Open)
+
+	lost := newGroup(openRecord())
+	for i := range 2 {
+		lost.voters[i] = NewVoter(groupNames[i], uint64(60+i), at(5000))
+		lost.voters[i].Install(at(5000), lost.table)
+	}
+	sealing = NewSealing(lost.table)
+	for _, age := range []int{int(LostSpan/time.Millisecond) - 1, int(LostSpan / time.Millisecond)} {
+		for _, envelope := range sealing.Questions("k", 1, 1) {
+			for i, name := range groupNames[:2] {
+				if name == envelope.To {
+					for _, reply := range lost.voters[i].Step(at(5000+age), "k", &envelope.Message) {
+						sealing.Take(&reply.Message)
+					}
+				}
+			}
+		}
+		records, ended = sealing.Outcome()
+		must.Eq(t, age == int(LostSpan/time.Millisecond), ended)
+	}
+	must.False(t, records[0].Open)
+	must.Eq(t, Tenure{}, records[0].Chosen)
+	must.Eq(t, 1, records[0].Promised)
+}
+
+// TestMergeDoesNotDependOnTheOrder of the voters that are asked.
+func TestMergeDoesNotDependOnTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		draw := func(label string) Record {
+			ballot := rapid.Uint64Range(0, 4).Draw(t, label+" chosen")
+			promised := ballot + rapid.Uint64Range(0, 2).Draw(t, label+" promised")
+			record := Record{Service: "s", Promised: promised, Candidate: Candidate{"c", promised}, Term: ballot}
+			if ballot > 0 {
+				record.Chosen = Tenure{ballot, "p"}
+				record.Ordering = rapid.Bool().Draw(t, label+" ordering")
+				record.Open = !record.Ordering && ballot == promised
+			}
+			return record
+		}
+		a, b, c := draw("a"), draw("b"), draw("c")
+		must.Eq(t, Merge([]Record{a, b, c}), Merge([]Record{c, a, b}))
+		must.Eq(t, Merge([]Record{a, b, c}), Merge([]Record{b, c, a}))
+		merged := Merge([]Record{a, b, c})
+		must.True(t, merged.Promised >= a.Promised && merged.Chosen.Ballot >= b.Chosen.Ballot)
+		must.True(t, !merged.Open || merged.Chosen.Ballot == merged.Promised)
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 
 	"dewknot/internal/codec"
 	"dewknot/internal/objectstore"
+	"dewknot/internal/position"
 )
 
 // Question is what one node asks another.
@@ -42,6 +43,9 @@
 	// Tunnel, with Server, asks for a connection to the server through the node:
 	// after an answer with Reached, the connection carries its bytes.
 	Tunnel bool `msgpack:"t,omitempty"`
+	// StepDown, with Server, asks the node to make the server give up the lead; the
+	// answer has Reached if it did.
+	StepDown bool `msgpack:"d,omitempty"`
 	// Link asks the node to serve operations on its connections: after an answer
 	// with Reached, the connection is a link of package remote.
 	Link bool `msgpack:"l,omitempty"`
@@ -58,6 +62,8 @@
 	Patched []objectstore.PatchedObject `msgpack:"d,omitempty"`
 	// Reached answers a question about a server.
 	Reached bool `msgpack:"y,omitempty"`
+	// Received is the end of the log of a server that has stepped down.
+	Received position.Position `msgpack:"v,omitempty"`
 }
 
 // Handler answers questions.
--- a/internal/settings/proxy.go
+++ b/internal/settings/proxy.go
@@ -27,6 +27,11 @@
 	// Store is the durable store, Promotions takes orders to promote a server.
 	Store      string `toml:"store" validate:"required,hostname_port"`
 	Promotions string `toml:"promotions" validate:"omitempty,hostname_port"`
+	// UnfencedPromotions says that the platform does not check the tokens of orders to
+	// promote, and that a replaced primary may go on. The nodes then agree on primaries,
+	// with datagrams to Messages.
+	UnfencedPromotions bool   `toml:"unfenced_promotions"`
+	Messages           string `toml:"messages" validate:"required_if=UnfencedPromotions true,omitempty,hostname_port"`
 	// ConfigurationBound is within how long a change has to be in force.
 	ConfigurationBound Duration `toml:"configuration_bound"`
 	// DrainBound is within how long a leaving server must receive no new work.
--- a/internal/standin/managed/managed.go
+++ b/internal/standin/managed/managed.go
@@ -25,6 +25,9 @@
 	WritesCommitted(requestIDs []string, at position.Position)
 	// RolledBack tells that a promotion removed a commit.
 	RolledBack(at position.Position)
+	// CommittedAside tells that a replaced primary, which goes on, committed the writes of
+	// some requests: they are no part of the service.
+	CommittedAside(requestIDs []string)
 }
 
 // Settings describe a service.
@@ -47,6 +50,9 @@
 	PromotionDelay time.Duration
 	// SynchronousReplicas must have received a commit before it is answered.
 	SynchronousReplicas int
+	// Unfenced makes the platform check no tokens, and a replaced primary go on until it
+	// is told to step down, or for lingerTime after it reaches the new primary.
+	Unfenced bool
 	// NetworkDelay is the one-way delay between nodes and servers.
 	NetworkDelay time.Duration
 }
@@ -75,6 +81,10 @@
 	servers []*Server
 	fence   uint64
 	serial  int
+	// lowered counts the orders whose token was lower than one seen before.
+	lowered int
+	// arrived is the highest token of the orders that have come, carried out or not.
+	arrived uint64
 }
 
 // Entry is a server's entry in the directory.
@@ -96,6 +106,7 @@
 		group.addServer(zone)
 	}
 	group.primary = group.servers[0]
+	group.primary.ledTerm = group.term
 	for _, server := range group.servers {
 		group.announce(server)
 	}
@@ -126,7 +137,7 @@
 func (g *Group) announce(server *Server) {
 	g.publish(Entry{
 		ID: server.id, Service: g.settings.Name, Address: server.id, Zone: server.zone, Slots: g.settings.Slots,
-		Draining: server.draining, Primary: server == g.primary, Gone: !server.up,
+		Draining: server.draining, Primary: server.leads(), Gone: !server.up,
 	})
 }
 
@@ -167,11 +178,14 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	target := g.find(id)
-	if token < g.fence || target == nil || !target.up {
+	if token < g.fence && !g.settings.Unfenced {
 		return false
 	}
-	g.fence = token
-	if target == g.primary {
+	if target == nil || !target.up {
+		return false
+	}
+	g.fence = max(g.fence, token)
+	if target == g.primary && !target.steppedDown {
 		return true
 	}
 	time.AfterFunc(g.settings.PromotionDelay, func() { g.promote(target) })
@@ -182,12 +196,16 @@
 func (g *Group) promote(target *Server) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if !target.up || target == g.primary {
+	if !target.up || (target == g.primary && !target.steppedDown) {
 		return
 	}
 	previous := g.primary
 	g.term++
+	if g.settings.Unfenced && previous != target && previous.up && !previous.steppedDown {
+		g.linger(previous)
+	}
 	g.primary = target
+	target.ledTerm, target.steppedDown, target.lingering = g.term, false, false
 	target.held = false
 	target.applied = len(target.log)
 	for _, lost := range previous.log {
@@ -196,23 +214,100 @@
 		}
 	}
 	for _, server := range g.servers {
-		if server != target {
+		if server != target && !server.lingering {
 			server.truncate(target)
 			g.replicateTo(server)
 		}
 	}
-	if previous.up {
+	if previous.up && previous != target && !previous.lingering {
 		g.announce(previous)
 	}
 	g.announce(target)
 }
 
+// lingerTime is how long a replaced primary goes on once it reaches the new one.
+const lingerTime = time.Second
+
+// lingerLook is the pause between looks whether it does.
+const lingerLook = 50 * time.Millisecond
+
+// linger lets a replaced primary go on; the lock is held.
+func (g *Group) linger(server *Server) {
+	server.lingering = true
+	var since time.Time
+	var look func()
+	look = func() {
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		if !server.lingering {
+			return
+		}
+		now := time.Now()
+		switch {
+		case server.severed:
+			since = time.Time{}
+		case since.IsZero():
+			since = now
+		case now.Sub(since) >= lingerTime:
+			g.endLinger(server)
+			return
+		}
+		time.AfterFunc(lingerLook, look)
+	}
+	time.AfterFunc(lingerLook, look)
+}
+
+// endLinger makes a replaced primary follow the new one; the lock is held.
+func (g *Group) endLinger(server *Server) {
+	server.lingering = false
+	server.truncate(g.primary)
+	if server.up {
+		g.announce(server)
+		g.replicateTo(server)
+	}
+}
+
+// commitAside appends a transaction to the log of a replaced primary; the lock is held.
+func (g *Group) commitAside(server *Server, writes []write) position.Position {
+	at := position.Position{Term: server.ledTerm, Offset: uint64(len(server.log) + 1)}
+	server.log = append(server.log[:len(server.log):len(server.log)], entry{at: at, writes: writes})
+	server.applied = len(server.log)
+	g.observer.CommittedAside(requestsOf(writes))
+	return at
+}
+
+// requestsOf returns the requests of writes.
+func requestsOf(writes []write) []string {
+	requestIDs := make([]string, 0, len(writes))
+	for _, each := range writes {
+		requestIDs = append(requestIDs, each.requestID)
+	}
+	return requestIDs
+}
+
+// arrive notes the token of an order that has come.
+func (g *Group) arrive(token uint64) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if token < g.arrived {
+		g.lowered++
+	}
+	g.arrived = max(g.arrived, token)
+}
+
+// LoweredTokens counts the orders that had a lower token than one before.
+func (g *Group) LoweredTokens() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.lowered
+}
+
 // replicateTo sends the primary's log to a replica; the lock is held.
 func (g *Group) replicateTo(replica *Server) {
 	time.AfterFunc(g.settings.ReceiveDelay, func() {
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
-		if replica == g.primary || !replica.receives() || !g.primary.up || g.primary.severed {
+		if replica == g.primary || replica.lingering || !replica.receives() || !g.primary.up || g.primary.severed {
 			return
 		}
 		if len(g.primary.log) <= len(replica.log) {
@@ -233,11 +328,7 @@
 	at := position.Position{Term: g.term, Offset: uint64(len(g.primary.log) + 1)}
 	g.primary.log = append(g.primary.log, entry{at: at, writes: writes})
 	g.primary.applied = len(g.primary.log)
-	requestIDs := make([]string, 0, len(writes))
-	for _, each := range writes {
-		requestIDs = append(requestIDs, each.requestID)
-	}
-	g.observer.WritesCommitted(requestIDs, at)
+	g.observer.WritesCommitted(requestsOf(writes), at)
 	for _, server := range g.servers {
 		if server != g.primary {
 			g.replicateTo(server)
--- a/internal/standin/managed/server.go
+++ b/internal/standin/managed/server.go
@@ -21,6 +21,11 @@
 	deaf    bool
 	held    bool
 	severed bool
+	// ledTerm is the term in which the server leads, or last led; lingering is set while a
+	// replaced primary goes on, steppedDown while a primary was told to give up the lead.
+	ledTerm     uint64
+	lingering   bool
+	steppedDown bool
 	// loseAnswers makes the next answers get lost after the operation ran.
 	loseAnswers int
 	applyDelay  time.Duration
@@ -45,6 +50,9 @@
 func (s *Server) Crash() {
 	defer s.lock()()
 	s.up = false
+	if s.lingering {
+		s.group.endLinger(s)
+	}
 	s.dropSessions()
 }
 
@@ -122,6 +130,32 @@
 	clear(s.sessions)
 }
 
+// leads reports whether the server acts as the primary; the lock is held.
+func (s *Server) leads() bool {
+	return s.lingering || (s == s.group.primary && !s.steppedDown)
+}
+
+// stepDown makes a primary of a lower term a replica; the lock is held.
+func (s *Server) stepDown(term uint64) {
+	if !s.leads() || term <= s.ledTerm {
+		return
+	}
+	if s.lingering {
+		s.group.endLinger(s)
+		return
+	}
+	s.steppedDown = true
+	s.group.announce(s)
+}
+
+// term returns the term the server is in; the lock is held.
+func (s *Server) term() uint64 {
+	if s.lingering {
+		return s.ledTerm
+	}
+	return s.group.term
+}
+
 // receives reports whether replication reaches the server; the lock is held.
 func (s *Server) receives() bool { return s.up && !s.deaf && !s.held }
 
@@ -168,7 +202,7 @@
 
 func (s *Server) status() *upstream.Status {
 	return &upstream.Status{
-		Primary: s == s.group.primary, Term: s.group.term, Received: s.received(),
+		Primary: s.leads(), Term: s.term(), Received: s.received(),
 		Busy: s.running, Connections: len(s.sessions),
 	}
 }
--- a/internal/standin/managed/session.go
+++ b/internal/standin/managed/session.go
@@ -219,7 +219,7 @@
 // takesSlot tells the operations that take a slot: callers' work, and two kinds of
 // questions that only nodes ask.
 func takesSlot(kind upstream.OperationKind) bool {
-	return kind.UsesSlot() || kind == upstream.ReportStatus || kind == upstream.HoldReplication
+	return kind.UsesSlot() || kind.ReportsStatus()
 }
 
 func (s *Session) takeSlot() bool {
@@ -261,7 +261,7 @@
 	if s.state == upstream.FailedTransaction && operation.Kind != upstream.Rollback {
 		return s.result(upstream.Rejected)
 	}
-	isPrimary := s.server == s.server.group.primary
+	isPrimary := s.server.leads()
 	switch operation.Kind {
 	case upstream.ResetSession:
 		clear(s.values)
@@ -274,7 +274,7 @@
 		if !isPrimary {
 			return s.result(upstream.NotPrimary)
 		}
-		s.state, s.readOnly, s.term = upstream.InTransaction, false, s.server.group.term
+		s.state, s.readOnly, s.term = upstream.InTransaction, false, s.server.ledTerm
 	case upstream.BeginReadOnly:
 		if !s.server.hasApplied(operation.Floor) {
 			return s.result(upstream.Behind)
@@ -286,7 +286,10 @@
 		return s.commit()
 	case upstream.RunStatement:
 		return s.statement(operation)
-	case upstream.ReportStatus, upstream.HoldReplication:
+	case upstream.ReportStatus, upstream.HoldReplication, upstream.StepDown:
+		if operation.Kind == upstream.StepDown {
+			s.server.stepDown(operation.Term)
+		}
 		if operation.Kind == upstream.HoldReplication && !isPrimary {
 			s.server.held = true
 		}
@@ -306,7 +309,16 @@
 
 // leads reports whether a transaction of the primary still runs on it.
 func (s *Session) leads() bool {
-	return s.server == s.server.group.primary && s.term == s.server.group.term
+	return s.server.leads() && s.term == s.server.ledTerm
+}
+
+// commitWrites appends writes to the log of a server that leads; the lock is held.
+func (s *Session) commitWrites(writes []write) {
+	if s.server.lingering {
+		s.server.group.commitAside(s.server, writes)
+		return
+	}
+	s.awaitReplicas(s.server.group.commit(writes))
 }
 
 func (s *Session) commit() upstream.Result {
@@ -320,7 +332,7 @@
 	}
 	s.end()
 	if len(writes) > 0 {
-		s.awaitReplicas(s.server.group.commit(writes))
+		s.commitWrites(writes)
 	}
 	result := s.result(upstream.Succeeded)
 	result.Signature = "committed"
@@ -377,13 +389,13 @@
 }
 
 func (s *Session) write(made write, inPlain bool) upstream.Result {
-	if s.server != s.server.group.primary || (s.state == upstream.InTransaction && !inPlain) {
+	if !s.server.leads() || (s.state == upstream.InTransaction && !inPlain) {
 		return s.result(upstream.NotPrimary)
 	}
 	if inPlain {
 		s.writes = append(s.writes, made)
 	} else {
-		s.awaitReplicas(s.server.group.commit([]write{made}))
+		s.commitWrites([]write{made})
 	}
 	result := s.result(upstream.Succeeded)
 	result.Signature = made.requestID
--- a/internal/standin/managed/session_test.go
+++ b/internal/standin/managed/session_test.go
@@ -20,6 +20,7 @@
 func (silentObserver) ReadRan(string, time.Time, func(position.Position) bool) {}
 func (silentObserver) WritesCommitted([]string, position.Position)             {}
 func (silentObserver) RolledBack(position.Position)                            {}
+func (silentObserver) CommittedAside([]string)                                 {}
 
 // TestRefusalsOfABusyServer asks a busy replica for its status while the
 // primary's commits reach it. The race detector judges it: a refusal carries the
--- a/internal/standin/managed/store.go
+++ b/internal/standin/managed/store.go
@@ -19,6 +19,7 @@
 	ServerKind        = "servers"
 	LeaseKind         = "leases"
 	MemberKind        = "members"
+	VoterKind         = "voters"
 )
 
 // storeDelay is the time of an answer.
@@ -390,6 +391,7 @@
 	late := p.late
 	p.mutex.Unlock()
 	group := p.Groups[service]
+	group.arrive(token)
 	if late > 0 {
 		time.AfterFunc(late, func() { group.Order(server, token) })
 		<-ctx.Done()
--- /dev/null
+++ b/internal/tenure/keeper.go
@@ -0,0 +1,391 @@
+// Package tenure keeps a node's part in the agreement on primaries: it carries the
+// messages of package quorum, renews the node's leases, and moves the table of voters
+// to its next era when voters are lost.
+//
+// What it tells of a service is a quorum.View, read on a request's path without a
+// lock. Candidates prepare, choose and open tenures through it.
+package tenure
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/eventlog"
+	"dewknot/internal/objectstore"
+	"dewknot/internal/quorum"
+)
+
+// Times of the runtime.
+const (
+	// busyInterval is the pause between looks while this node's voter waits for
+	// leases to end or has no memory.
+	busyInterval = 40 * time.Millisecond
+	// unmetInterval is the pause between renewals while some voters have not answered
+	// since the table was taken: they may not know it yet.
+	unmetInterval = 100 * time.Millisecond
+	// renewAgain is the shortest pause between renewals that requests ask for: about
+	// a round trip between regions.
+	renewAgain = 30 * time.Millisecond
+	// storeLimit bounds a call to the store.
+	storeLimit = 1500 * time.Millisecond
+)
+
+// Peer is another node, as the members in the store tell of it.
+type Peer struct {
+	Name    string
+	Address string
+	Zone    string
+}
+
+// Sender sends messages to other nodes; they may get lost.
+type Sender interface {
+	// SendMessage sends a message to the node at an address.
+	SendMessage(address string, m *quorum.Message)
+}
+
+// Config configures a keeper.
+type Config struct {
+	Name string
+	Zone string
+	// Address is where other nodes' messages reach this one.
+	Address string
+	// Life is unique to the process.
+	Life   uint64
+	Store  objectstore.Store
+	Kind   string
+	Sender Sender
+	// Peers returns the other nodes that are known.
+	Peers func() []Peer
+	// Changed is called when a service's view has changed, Voiced when a majority of
+	// voters has become known to take part.
+	Changed func(service string)
+	Voiced  func()
+	Log     *eventlog.Log
+}
+
+// Keeper is a node's part in the agreement. It is safe for concurrent use.
+type Keeper struct {
+	cfg     Config
+	started time.Time
+
+	mu     sync.Mutex
+	voter  *quorum.Voter
+	member *quorum.Member
+	// tableRevision is the store's revision of the table.
+	tableRevision uint64
+	renewedAt     time.Time
+	sequence      uint64
+	rounds        map[uint64]*round
+	// lives are the processes of peers that have answered an inquiry.
+	lives map[string]uint64
+	// fetching is set while the table is read from the store.
+	fetching bool
+	// sealings takes the answers of voters while an era is ended; nil otherwise.
+	sealings chan quorum.Message
+
+	views sync.Map // service to *quorum.View
+	// granted is closed and replaced when leases were granted, or views changed, while
+	// somebody waits.
+	granted chan struct{}
+	waiting int
+	wake    chan struct{}
+}
+
+// New returns a keeper that does nothing before Run.
+func New(cfg Config) *Keeper {
+	now := time.Now()
+	return &Keeper{
+		cfg: cfg, started: now, voter: quorum.NewVoter(cfg.Name, cfg.Life, now),
+		member: quorum.NewMember(cfg.Name, cfg.Life, now), sequence: quorum.FirstSequence(cfg.Life),
+		rounds: map[uint64]*round{}, lives: map[string]uint64{},
+		granted: make(chan struct{}), wake: make(chan struct{}, 1),
+	}
+}
+
+// Run keeps the node's part until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	go k.keepTable(ctx)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-k.wake:
+		}
+		timer.Reset(k.tick(time.Now()))
+	}
+}
+
+// rouse makes the next look come at once.
+func (k *Keeper) rouse() {
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
+// tick renews leases when they are due, and returns the pause until the next look.
+func (k *Keeper) tick(now time.Time) time.Duration {
+	k.mu.Lock()
+	out, busy := k.voter.Tick(now)
+	busy = busy || k.voter.Recovering()
+	due := quorum.RenewInterval
+	switch {
+	case k.voter.Recovering():
+		due = busyInterval
+	case k.member.Table() != nil && k.member.Unmet():
+		due = unmetInterval
+	}
+	if k.member.Table() != nil && now.Sub(k.renewedAt) >= due {
+		k.renewedAt = now
+		out = append(out, k.member.Renewals(now)...)
+	}
+	next := due - now.Sub(k.renewedAt)
+	k.mu.Unlock()
+	k.send(out)
+	if busy {
+		return busyInterval
+	}
+	return max(next, time.Millisecond)
+}
+
+// send delivers messages; those to this node itself do not travel.
+func (k *Keeper) send(out []quorum.Envelope) {
+	for i := range out {
+		if out[i].To == k.cfg.Address {
+			k.Receive(k.cfg.Address, &out[i].Message)
+			continue
+		}
+		k.cfg.Sender.SendMessage(out[i].To, &out[i].Message)
+	}
+}
+
+// Receive takes a message from the node at an address.
+func (k *Keeper) Receive(from string, m *quorum.Message) {
+	now := time.Now()
+	k.mu.Lock()
+	var out []quorum.Envelope
+	var changed []string
+	voiced := false
+	switch {
+	case m.Kind.ForVoter():
+		out = k.voter.Step(now, from, m)
+		if m.Kind == quorum.Prepare {
+			k.rouse()
+		}
+	case m.Kind == quorum.Inquire:
+		out = []quorum.Envelope{{To: from, Message: k.announcement(m.Sequence)}}
+	default:
+		before := k.votable()
+		out, changed = k.member.Step(now, from, m)
+		voiced = !before && k.votable()
+		out = append(out, k.learn(from, m)...)
+		k.recover(now)
+		k.answered(m)
+		k.sealed(m)
+	}
+	changed = k.publish(changed)
+	if k.waiting > 0 {
+		close(k.granted)
+		k.granted = make(chan struct{})
+	}
+	k.mu.Unlock()
+	k.send(out)
+	k.tellChanged(changed)
+	if voiced {
+		k.cfg.Voiced()
+	}
+}
+
+// publish makes the views of services public, and returns the services whose tenure has
+// changed; the lock is held.
+func (k *Keeper) publish(services []string) []string {
+	var changed []string
+	for _, service := range services {
+		before, view := k.View(service), k.member.View(service)
+		k.views.Store(service, view)
+		if before == nil || before.Tenure != view.Tenure || before.Open != view.Open {
+			changed = append(changed, service)
+		}
+	}
+	return changed
+}
+
+func (k *Keeper) tellChanged(changed []string) {
+	for _, service := range changed {
+		view := k.View(service)
+		k.cfg.Log.Write(eventlog.TenureChanged, zap.String("service", service), zap.Uint64("ballot", view.Tenure.Ballot),
+			zap.String("primary", view.Tenure.Primary), zap.Bool("open", view.Open))
+		k.cfg.Changed(service)
+	}
+}
+
+// announcement tells the table; the lock is held.
+func (k *Keeper) announcement(sequence uint64) quorum.Message {
+	m := quorum.Message{Kind: quorum.Announce, From: k.cfg.Name, Life: k.cfg.Life, Sequence: sequence}
+	if table := k.voter.Table(); table != nil {
+		m.Era, m.Table = table.Era, table.WithoutRecords()
+	}
+	return m
+}
+
+// learn takes what a message tells of tables and of its sender; the lock is held.
+func (k *Keeper) learn(from string, m *quorum.Message) []quorum.Envelope {
+	if m.Kind == quorum.Announce {
+		k.lives[m.From] = m.Life
+	}
+	known := k.voter.Table()
+	if m.Table != nil && (known == nil || m.Table.Era > known.Era) {
+		k.adopt(m.Table)
+	}
+	if m.Kind == quorum.Unable && known != nil && m.Era < known.Era {
+		return []quorum.Envelope{{To: from, Message: k.announcement(0)}}
+	}
+	return nil
+}
+
+// adopt takes a newer table that another node has told; the lock is held. A node that
+// begins the era with the table's records needs them from the store.
+func (k *Keeper) adopt(table *quorum.Table) {
+	if seat := table.Seat(k.cfg.Name); seat != nil && seat.Life == k.cfg.Life {
+		k.fetchSoon()
+		return
+	}
+	k.install(time.Now(), table)
+}
+
+// install takes a newer table; the lock is held.
+func (k *Keeper) install(now time.Time, table *quorum.Table) {
+	known := k.voter.Table()
+	if known != nil && table.Era <= known.Era {
+		return
+	}
+	k.voter.Install(now, table)
+	changed := k.publish(k.member.SetTable(now, table))
+	go k.tellChanged(changed)
+	k.renewedAt = time.Time{}
+	k.rouse()
+	k.cfg.Log.Write(eventlog.VotersChanged, zap.Uint64("era", table.Era), zap.Int("voters", len(table.Seats)),
+		zap.Bool("voting", k.voter.Normal()), zap.Int("records", len(table.Records)))
+}
+
+// recover lets this node's voter take part again once it knows enough; the lock is held.
+func (k *Keeper) recover(now time.Time) {
+	if !k.voter.Recovering() {
+		return
+	}
+	table := k.voter.Table()
+	if k.voter.Recover(now, table.Era, k.member.Holdings(k.voter.RecoversAfter())) {
+		k.cfg.Log.Write(eventlog.VoterRecovered, zap.Uint64("era", table.Era), zap.Duration("age", k.voter.Age(now)))
+	}
+}
+
+// sealed gives a voter's answer to the end of an era; the lock is held.
+func (k *Keeper) sealed(m *quorum.Message) {
+	if m.Kind != quorum.Sealed || k.sealings == nil {
+		return
+	}
+	select {
+	case k.sealings <- *m:
+	default:
+		// The question is repeated to whoever seems not to have answered.
+	}
+}
+
+// View returns what is known of a service's tenure, nil if nothing is.
+func (k *Keeper) View(service string) *quorum.View {
+	if found, ok := k.views.Load(service); ok {
+		return found.(*quorum.View)
+	}
+	return nil
+}
+
+// Confirm reports whether a tenure, under which an answer was asked for, was surely the
+// newest when the answer arrived. Where the leases had run out it waits for the voters'
+// word, but not past a deadline.
+func (k *Keeper) Confirm(service string, tenure quorum.Tenure, arrived, deadline time.Time) bool {
+	for {
+		granted := k.awaiting(1)
+		view := k.View(service)
+		settled := view == nil || view.Tenure != tenure
+		covered := !settled && view.Covers(arrived)
+		if settled || covered || !time.Now().Before(deadline) {
+			k.awaiting(-1)
+			return covered
+		}
+		k.Renew(time.Now())
+		timer := time.NewTimer(min(time.Until(deadline), confirmInterval))
+		select {
+		case <-granted:
+		case <-timer.C:
+		}
+		timer.Stop()
+		k.awaiting(-1)
+	}
+}
+
+// AwaitFirst waits, but not past a deadline, until a service has had a tenure in this
+// process's life.
+func (k *Keeper) AwaitFirst(service string, deadline time.Time) {
+	for {
+		granted := k.awaiting(1)
+		view := k.View(service)
+		left := time.Until(deadline)
+		if (view != nil && view.Tenure.Ballot > 0) || left <= 0 {
+			k.awaiting(-1)
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-granted:
+		case <-timer.C:
+		}
+		timer.Stop()
+		k.awaiting(-1)
+	}
+}
+
+// confirmInterval is the pause until a renewal whose answers have not come is repeated.
+const confirmInterval = 60 * time.Millisecond
+
+// awaiting counts those who wait for grants, and returns what is closed at the next one.
+func (k *Keeper) awaiting(count int) chan struct{} {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.waiting += count
+	return k.granted
+}
+
+// Standing returns the lowest ballot of the voters' era, and whether too few voters are
+// known to take part for a candidate to be heard.
+func (k *Keeper) Standing() (leastBallot uint64, voiceless bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if table := k.member.Table(); table != nil {
+		leastBallot = table.LeastBallot()
+	}
+	return leastBallot, !k.votable()
+}
+
+// votable reports whether a majority of voters is known to take part; the lock is held.
+func (k *Keeper) votable() bool {
+	table := k.member.Table()
+	return table != nil && k.member.Whole() >= table.Majority()
+}
+
+// Renew asks for leases at once, unless that has just been done.
+func (k *Keeper) Renew(now time.Time) {
+	k.mu.Lock()
+	var out []quorum.Envelope
+	if k.member.Table() != nil && now.Sub(k.renewedAt) >= renewAgain {
+		k.renewedAt = now
+		out = k.member.Renewals(now)
+	}
+	k.mu.Unlock()
+	k.send(out)
+}
--- a/internal/trace/failover.go
+++ b/internal/trace/failover.go
@@ -12,6 +12,8 @@
 	Node string        `json:"node"`
 	Life string        `json:"life"`
 	Rank time.Duration `json:"rank"`
+	// Agreed is set if the nodes agree on tenures.
+	Agreed bool `json:"agreed,omitempty"`
 }
 
 // FailoverWriter records a failover machine.
@@ -26,9 +28,10 @@
 	name: "failover",
 	events: typesOf[failover.Event](
 		failover.Observed{}, failover.Corroborated{}, failover.LeaseKnown{}, failover.LeaseWritten{}, failover.Surveyed{}, failover.Ordered{},
+		failover.Prepared{}, failover.SteppedDown{}, failover.Held{}, failover.Cleared{}, failover.Led{}, failover.Opened{},
 	),
 	start: func(settings FailoverSettings) stepper[failover.Event, failover.Effect] {
-		return failoverMachine{failover.New(settings.Node, settings.Life, settings.Rank)}
+		return failoverMachine{failover.New(failover.Config{Node: settings.Node, Life: settings.Life, Rank: settings.Rank, Agreed: settings.Agreed})}
 	},
 	note: func(result *Result, effects []failover.Effect) {
 		for _, effect := range effects {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -42,6 +42,8 @@
 	HoldReplication
 	// ResumeReplication lets a replica receive again.
 	ResumeReplication
+	// StepDown makes a primary of a lower term a replica, and asks for its status.
+	StepDown
 )
 
 // Operation is one message to a server.
@@ -62,12 +64,14 @@
 	Value string
 	// Definition is what PrepareStatement prepares.
 	Definition command.PreparedStatement
-	// Term, above all terms known, comes with HoldReplication.
+	// Term, above all terms known, comes with HoldReplication and StepDown.
 	Term uint64
 }
 
 // ReportsStatus tells the operations that a server answers with its status.
-func (k OperationKind) ReportsStatus() bool { return k == ReportStatus || k == HoldReplication }
+func (k OperationKind) ReportsStatus() bool {
+	return k == ReportStatus || k == HoldReplication || k == StepDown
+}
 
 // Outcome is what an answer says about an operation.
 type Outcome uint8
@@ -153,7 +157,7 @@
 	State     TransactionState
 	// Position is the position that the server has applied.
 	Position position.Position
-	// Status is set for ReportStatus and HoldReplication.
+	// Status is set for the operations that report it.
 	Status *Status
 }
 
