--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -59,6 +59,9 @@
 	tried    map[string]bool
 	// held is the tenure under which the primary is asked.
 	held quorum.Tenure
+	// unanswered is set once an attempt was sent whose answer did not come, or was not
+	// believed: it may have run.
+	unanswered bool
 	// fruitless counts attempts on servers that had already failed to run it.
 	fruitless int
 }
@@ -146,7 +149,12 @@
 	}
 }
 
+// refuse ends the statement without a result. That it was not run is said only if no
+// attempt was left without an answer.
 func (r *run) refuse(kind failure.Kind) Reply {
+	if r.unanswered {
+		return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
+	}
 	return r.session.fail(failure.Refuse(kind, comeBack))
 }
 
