Nodes that reach too few voters let go of their callers

Cause: a node that is cut off from the voters can use no primary; its callers stayed and were refused after a wait each, though other nodes would serve them.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -73,6 +73,7 @@
 	VotersRefused         Event = "voters_refused"
 	VoterRecovered        Event = "voter_recovered"
 	StepDown              Event = "step_down"
+	NodeIsolated          Event = "node_isolated"
 	AnswerUnproved        Event = "answer_unproved"
 	MessageLost           Event = "message_lost"
 	RequestServed         Event = "request_served"
@@ -89,7 +90,7 @@
 	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, ServerEntryRefused: Belief,
 	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
-	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, MessageLost: Belief, AnswerUnproved: Failure,
+	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, MessageLost: Belief, AnswerUnproved: Failure,
 	RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
 	LinesDropped: Belief,
 }
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -58,6 +58,7 @@
 		case <-n.nudged:
 		}
 		now := time.Now()
+		n.lookIsolated(now)
 		stoodStill := now.Sub(last) > pauseLimit
 		last = now
 		n.services.Range(func(_, value any) bool {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -145,6 +145,8 @@
 	storeDown    atomic.Bool
 	// refreshingLeases is set while a listing of the leases is due.
 	refreshingLeases atomic.Bool
+	// isolated is set while the node reaches too few voters to use any primary.
+	isolated atomic.Bool
 	// caches hold the objects of the kinds that other nodes may ask for.
 	caches  map[string]*objectstore.Cache
 	members atomic.Pointer[[]Member]
@@ -204,7 +206,7 @@
 // Ready reports whether the node wants new callers.
 func (n *Node) Ready() bool {
 	snapshot := n.catalog.Current()
-	return !n.stopping.Load() && snapshot.Configuration != nil && len(snapshot.Servers) > 0
+	return !n.stopping.Load() && !n.isolated.Load() && snapshot.Configuration != nil && len(snapshot.Servers) > 0
 }
 
 func (n *Node) accept(listener net.Listener) {
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -144,6 +144,9 @@
 func (r *run) onAnyServer() (*server, *upstream.Lease, freshness.Floor) {
 	for r.goesOn() {
 		floor, found := r.floor()
+		if !found && r.session.node.isolated.Load() {
+			break
+		}
 		if !found {
 			r.service.refreshProof(r.deadline)
 			continue
--- a/internal/proxy/tenures.go
+++ b/internal/proxy/tenures.go
@@ -170,6 +170,22 @@
 	return view != nil && view.Tenure == held && view.Covers(arrived)
 }
 
+// lookIsolated notes whether this node is cut off from the voters. It then wants no new
+// callers and lets go of those that it has as soon as nothing of theirs is under way: on
+// other nodes they are served.
+func (n *Node) lookIsolated(now time.Time) {
+	if n.tenures == nil {
+		return
+	}
+	isolated := n.tenures.Isolated(now)
+	if n.isolated.Swap(isolated) != isolated {
+		n.log.Write(eventlog.NodeIsolated, zap.Bool("isolated", isolated), zap.Int64("sessions", n.sessionCount.Load()))
+	}
+	if isolated {
+		n.interruptSessions()
+	}
+}
+
 // deny takes a server's own word that it does not lead.
 func (s *service) deny(server string, now time.Time) bool {
 	if s.node.tenures == nil {
--- a/internal/quorum/member.go
+++ b/internal/quorum/member.go
@@ -305,6 +305,18 @@
 	return silent
 }
 
+// Heard counts the voters that have been heard of within a span, or met for the first
+// time; the member's own counts.
+func (n *Member) Heard(now time.Time, span time.Duration) int {
+	heard := 0
+	for _, of := range n.mirrors {
+		if of.seat.Name == n.name || now.Sub(of.heard) < span {
+			heard++
+		}
+	}
+	return heard
+}
+
 // Unmet reports whether some voters have not answered since the table was taken.
 func (n *Member) Unmet() bool {
 	for _, of := range n.mirrors {
--- a/internal/tenure/keeper.go
+++ b/internal/tenure/keeper.go
@@ -361,6 +361,19 @@
 	return k.granted
 }
 
+// isolatedSpan is how long a majority of voters has to be silent until a node counts as
+// isolated: its leases have run out by then, and a restart of voters is over.
+const isolatedSpan = quorum.LeaseSpan + 600*time.Millisecond
+
+// Isolated reports whether this node has not heard of a majority of voters for long: it
+// cannot use any primary, and other nodes probably can.
+func (k *Keeper) Isolated(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	table := k.member.Table()
+	return table != nil && k.member.Heard(now, isolatedSpan) < table.Majority()
+}
+
 // Standing returns the lowest ballot of the voters' era, and whether too few voters are
 // known to take part for a candidate to be heard.
 func (k *Keeper) Standing() (leastBallot uint64, voiceless bool) {
