A shorter way back after a loss of all nodes

Cause: after a loss of all machines tenures opened 0.9 s to 2.5 s after the processes' start. Voters without memory remember the term of the last primary, not which server it was, and its own word was then taken for that of a replaced one: a needless change of the primary. Nodes looked at a service only once a statement had asked for it, so a lost holder was noticed late. New tables came from the store to each voter; renewals to nodes that did not know the new table yet were repeated after 0.1 s. Connections were opened only when all callers came at once.

Ruled out: the wait of 0.2 s before an era of lost voters may end is needed (the model).

Change: voters without memory take the word of a server that leads in the last known term; a session that waits counts as use; short tables travel whole; renewals every 25 ms while a new table settles; connections are opened ahead while callers wait.

--- a/internal/failover/tenure.go
+++ b/internal/failover/tenure.go
@@ -345,12 +345,14 @@
 }
 
 // leastTerm returns the lowest term in which a server may be the primary now: the
-// newest one known for the primary of the last tenure, a later one for others.
+// newest one known for the primary of the last tenure, a later one for others. If the
+// voters do not remember who that was, it may be any server but one that was ordered.
 func (m *Machine) leastTerm(id string) uint64 {
-	if id == m.campaign.settled {
-		return m.campaign.term
+	c := &m.campaign
+	if id == c.settled || (c.settled == "" && id != c.bound) {
+		return c.term
 	}
-	return m.campaign.term + 1
+	return c.term + 1
 }
 
 // replacedBefore reports whether a server says that it leads though another one has led
--- a/internal/failover/tenure_test.go
+++ b/internal/failover/tenure_test.go
@@ -151,6 +151,18 @@
 	must.Eq(t, "c", effects[0].(Choose).Target)
 }
 
+// TestPrimaryIsOpenedAgainByForgetfulVoters: they know the term in which the last primary
+// led, not which server it was. It leads still, and nothing is ordered.
+func TestPrimaryIsOpenedAgainByForgetfulVoters(t *testing.T) {
+	machine := agreed(t)
+	observation := Observation{Closed: true, Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	machine.Step(at(100), Observed{observation})
+	machine.Step(at(130), Prepared{Agreed: true, Term: 4})
+	all := []Report{report("a", true, 4, 10), report("b", false, 4, 12), report("c", false, 4, 10)}
+	effects := machine.Step(at(160), Surveyed{Reports: all})
+	must.Eq(t, []Effect{Open{Ballot: 3*tokensPerEpoch + 1, Primary: "a", Term: 4}}, effects)
+}
+
 // TestForgottenTargetIsOpened: voters without memory; the lease names the server that was
 // last ordered, and it says that it leads in a later term.
 func TestForgottenTargetIsOpened(t *testing.T) {
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -99,7 +99,7 @@
 		s.seek()
 	}
 	observation := s.observe(leader, down)
-	if observation.Voiceless {
+	if observation.Voiceless && s.holding() {
 		s.warm()
 	}
 	s.submit(failover.Observed{Observation: observation})
--- a/internal/proxy/tenures.go
+++ b/internal/proxy/tenures.go
@@ -80,7 +80,14 @@
 // awaitTenure holds a new session back until its service has a tenure, on a node that has
 // just started. Its statements would be refused, each after a wait.
 func (n *Node) awaitTenure(service string, now time.Time) {
-	if n.tenures != nil {
+	if n.tenures == nil {
+		return
+	}
+	if view := n.tenures.View(service); view == nil || view.Tenure.Ballot == 0 {
+		s := n.service(service)
+		// This node looks at the service from now on: its holder may be lost.
+		s.used(now)
+		s.warm()
 		n.tenures.AwaitFirst(service, now.Add(firstTenureLimit))
 	}
 }
@@ -93,10 +100,10 @@
 	}
 }
 
-// warm opens a connection to each server of a service whose lease this node holds, while
-// it waits for the voters: the survey that follows needs them.
+// warm opens connections to a service's servers, once, while its callers wait for the
+// first tenure. They will all come at once, and an opening takes a server's slot.
 func (s *service) warm() {
-	if !s.holding() || s.warmed.Swap(true) {
+	if s.warmed.Swap(true) {
 		return
 	}
 	for _, entry := range s.node.catalog.Current().ByService[s.name] {
@@ -104,12 +111,30 @@
 		if target == nil || entry.Gone {
 			continue
 		}
-		go func() {
-			if lease, err := target.pool.Reserve(time.Now().Add(stepDownLimit)); err == nil {
-				lease.Return()
-			}
-		}()
+		for range entry.Slots + spareConnections {
+			go s.node.warmOne(target)
+		}
+	}
+}
+
+// spareConnections are opened ahead beside one for each of a server's slots, for
+// transactions whose callers think.
+const spareConnections = 2
+
+// warmTime is how long a connection that was opened ahead is kept from others, so that
+// several are opened.
+const warmTime = 100 * time.Millisecond
+
+// warmOne opens a connection, or the link to the node that owns those to the server.
+func (n *Node) warmOne(target *server) {
+	lease, err := n.lend(target, time.Now().Add(stepDownLimit))
+	if err != nil {
+		return
+	}
+	if !lease.Remote() {
+		time.Sleep(warmTime)
 	}
+	lease.Return()
 }
 
 // hold returns the tenure under which a server is asked for what only the primary may
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -170,8 +170,10 @@
 type Table struct {
 	Era   uint64 `json:"era"`
 	Seats []Seat `json:"seats"`
-	// Records are what the voters begin the era with.
+	// Records are what the voters begin the era with, Count how many there are: nodes
+	// tell each other only short tables whole.
 	Records []Record `json:"records,omitempty"`
+	Count   int      `json:"count,omitempty"`
 }
 
 // Majority is how many voters decide.
@@ -187,6 +189,14 @@
 	return nil
 }
 
-// WithoutRecords returns the table as it is told between nodes; records come from
-// the store.
-func (t *Table) WithoutRecords() *Table { return &Table{Era: t.Era, Seats: t.Seats} }
+// Whole reports whether the table has its records.
+func (t *Table) Whole() bool { return len(t.Records) == t.Count }
+
+// Told returns the table as nodes tell it to each other: without its records if they are
+// many. They come from the store then.
+func (t *Table) Told() *Table {
+	if len(t.Records) <= pageRecords {
+		return t
+	}
+	return &Table{Era: t.Era, Seats: t.Seats, Count: t.Count}
+}
--- a/internal/quorum/voter.go
+++ b/internal/quorum/voter.go
@@ -168,7 +168,7 @@
 	reply := v.message(Unable, m)
 	reply.Age, reply.Normal = v.Age(now), v.standing == normal
 	if v.table != nil && v.table.Era > m.Era {
-		reply.Table = v.table.WithoutRecords()
+		reply.Table = v.table.Told()
 	}
 	return []Envelope{{from, reply}}
 }
--- a/internal/tenure/keeper.go
+++ b/internal/tenure/keeper.go
@@ -26,6 +26,10 @@
 	// unmetInterval is the pause between renewals while some voters have not answered
 	// since the table was taken: they may not know it yet.
 	unmetInterval = 100 * time.Millisecond
+	// settleInterval is the same while too few have told their records, for settleSpan
+	// from then on: nodes learn of a new table within a round trip or two.
+	settleInterval = 25 * time.Millisecond
+	settleSpan     = time.Second
 	// renewAgain is the shortest pause between renewals that requests ask for: about
 	// a round trip between regions.
 	renewAgain = 30 * time.Millisecond
@@ -77,8 +81,10 @@
 	// tableRevision is the store's revision of the table.
 	tableRevision uint64
 	renewedAt     time.Time
-	sequence      uint64
-	rounds        map[uint64]*round
+	// installedAt is when the table was taken.
+	installedAt time.Time
+	sequence    uint64
+	rounds      map[uint64]*round
 	// lives are the processes of peers that have answered an inquiry.
 	lives map[string]uint64
 	// fetching is set while the table is read from the store.
@@ -138,7 +144,10 @@
 	switch {
 	case k.voter.Recovering():
 		due = busyInterval
-	case k.member.Table() != nil && k.member.Unmet():
+	case k.member.Table() == nil:
+	case !k.votable() && now.Sub(k.installedAt) < settleSpan:
+		due = settleInterval
+	case k.member.Unmet():
 		due = unmetInterval
 	}
 	if k.member.Table() != nil && now.Sub(k.renewedAt) >= due {
@@ -229,7 +238,7 @@
 func (k *Keeper) announcement(sequence uint64) quorum.Message {
 	m := quorum.Message{Kind: quorum.Announce, From: k.cfg.Name, Life: k.cfg.Life, Sequence: sequence}
 	if table := k.voter.Table(); table != nil {
-		m.Era, m.Table = table.Era, table.WithoutRecords()
+		m.Era, m.Table = table.Era, table.Told()
 	}
 	return m
 }
@@ -252,7 +261,7 @@
 // adopt takes a newer table that another node has told; the lock is held. A node that
 // begins the era with the table's records needs them from the store.
 func (k *Keeper) adopt(table *quorum.Table) {
-	if seat := table.Seat(k.cfg.Name); seat != nil && seat.Life == k.cfg.Life {
+	if seat := table.Seat(k.cfg.Name); seat != nil && seat.Life == k.cfg.Life && !table.Whole() {
 		k.fetchSoon()
 		return
 	}
@@ -268,7 +277,7 @@
 	k.voter.Install(now, table)
 	changed := k.publish(k.member.SetTable(now, table))
 	go k.tellChanged(changed)
-	k.renewedAt = time.Time{}
+	k.installedAt, k.renewedAt = now, time.Time{}
 	k.rouse()
 	k.cfg.Log.Write(eventlog.VotersChanged, zap.Uint64("era", table.Era), zap.Int("voters", len(table.Seats)),
 		zap.Bool("voting", k.voter.Normal()), zap.Int("records", len(table.Records)))
--- a/internal/tenure/table.go
+++ b/internal/tenure/table.go
@@ -25,6 +25,9 @@
 	createAfter = 2500 * time.Millisecond
 	// reviewInterval is the pause between looks at the voters.
 	reviewInterval = 200 * time.Millisecond
+	// lossInterval is the same while this node's voter has no memory or is sealed: an era may
+	// have to end, and callers wait for it.
+	lossInterval = 15 * time.Millisecond
 	// silentSpan is how long a voter may be silent before another node takes its seat:
 	// longer than a restart or a short cut.
 	silentSpan = 4 * time.Second
@@ -45,7 +48,7 @@
 	inquiredPeers = 12
 	// sealLimit bounds the end of an era, sealInterval is the pause between questions.
 	sealLimit    = time.Second
-	sealInterval = 50 * time.Millisecond
+	sealInterval = 30 * time.Millisecond
 	// fetchRetry is the pause before the table is read again.
 	fetchRetry = 300 * time.Millisecond
 )
@@ -77,7 +80,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.voter.Recovering() || k.voter.Sealed() {
-		return busyInterval
+		return lossInterval
 	}
 	return reviewInterval
 }
@@ -345,7 +348,7 @@
 	if !ended {
 		return
 	}
-	k.write(ctx, &quorum.Table{Era: table.Era + 1, Seats: k.seats(table, living), Records: records}, revision)
+	k.write(ctx, &quorum.Table{Era: table.Era + 1, Seats: k.seats(table, living), Records: records, Count: len(records)}, revision)
 }
 
 // seal ends an era. It reports false if too few voters answered.
