--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -43,9 +43,9 @@
 	// LeaseSpan is how long a lease runs. It bounds the wait for nodes that do not
 	// answer a recall, and must outlast a few lost renewals.
 	LeaseSpan = 1200 * time.Millisecond
-	// RenewInterval is the pause between renewals: a third of the span, so that two
-	// may be lost.
-	RenewInterval = 400 * time.Millisecond
+	// RenewInterval is the pause between renewals. Of five voters' answers two may be lost;
+	// a request that finds its leases run out asks for new ones at once.
+	RenewInterval = 800 * time.Millisecond
 	// clockMargin is kept of a lease for clocks that tick at different rates.
 	clockMargin = 20 * time.Millisecond
 	// CandidateSpan is how long a voter leaves a matter to the candidate to whom it
