Sessions that have waited for a tenure begin one after the other

Cause: after a loss of all machines the sessions that had waited for a tenure began at the same moment; their statements met full servers and were refused until their callers gave up.

Change: they begin over 0.6 s, within the 2 s that callers give a session's start.

--- a/internal/proxy/tenures.go
+++ b/internal/proxy/tenures.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"hash/fnv"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -89,6 +90,22 @@
 		s.used(now)
 		s.warm()
 		n.tenures.AwaitFirst(service, now.Add(firstTenureLimit))
+		n.spread(now)
+	}
+}
+
+const (
+	// startSpread is the span over which sessions that have waited for a tenure begin:
+	// all at once they would meet full servers, and be refused until their callers give up.
+	startSpread = 600 * time.Millisecond
+	// startPatience bounds a session's wait as a whole: callers give its start 2 s.
+	startPatience = 1800 * time.Millisecond
+)
+
+// spread holds a session that has waited since a time back a little longer.
+func (n *Node) spread(since time.Time) {
+	if left := startPatience - time.Since(since); left > 0 {
+		time.Sleep(min(left, rand.N(startSpread)))
 	}
 }
 
