--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -104,17 +104,17 @@
 		{
 			Role: "membership", State: fmt.Sprintf("%d members", size.Nodes), Control: true,
 			Messages: at(GossipMessages, nodes), Bytes: at(GossipBytes, nodes), Core: microsecond * at(GossipCPU, nodes),
-			Mechanism: "one probe a second, news on probes, digests instead of lists (internal/membership)", Basis: "fitted line over hollow fleets, read at the size",
+			Mechanism: "one probe a second, news on probes, digests instead of lists (internal/membership)", Basis: "fitted line over simulated fleets of an earlier step, read at the size",
 		},
 		{
 			Role: "membership changes", State: fmt.Sprintf("%.2f changes/min", 60*churn), Control: true,
 			Bytes: churn * at(ChurnBytes, nodes), Core: microsecond * churn * at(ChurnCPU, nodes),
-			Mechanism: "news on probes, suspicion before death (internal/membership)", Basis: "fitted line over hollow fleets",
+			Mechanism: "news on probes, suspicion before death (internal/membership)", Basis: "fitted line over simulated fleets of an earlier step",
 		},
 		{
 			Role: "configuration", State: fmt.Sprintf("%.0f changes/day, 3 store readers in the fleet", size.ConfigChangesPerDay), Control: true,
 			Bytes: changes * at(ChangeBytes, nodes), Core: microsecond * changes * at(ChangeCPU, nodes), Memory: at(ControlMemory, nodes),
-			Mechanism: "push to 4 peers on first sight, digests on probes (internal/core/control.go)", Basis: "fitted line over hollow fleets with 2 groups a node; memory holds members and configuration",
+			Mechanism: "push to 4 peers on first sight, digests on probes (internal/core/control.go)", Basis: "fitted line over simulated fleets of an earlier step; memory holds members and configuration",
 		},
 	}
 	plan.Lines = append(plan.Lines, recovery(size, owned))
@@ -149,7 +149,7 @@
 	p.add("control memory", memory/megabyte, p.Size.ControlMegabytes, "MB", "fitted")
 	p.add("control traffic", bytes/kilobyte, p.Size.ControlKilobytes, "KB/s", "fitted")
 	p.add("change of primary", p.Size.MeasuredGapSeconds, p.Size.PrimaryChangeSeconds, "s", fmt.Sprintf("measured on the bench with an assumed group's own change of %.1f s", p.Size.ElectionSeconds))
-	p.add("configuration in force", at(ChangeSpread, nodes), p.Size.ConfigurationSeconds, "s", "fitted over hollow fleets, undisturbed")
+	p.add("configuration in force", at(ChangeSpread, nodes), p.Size.ConfigurationSeconds, "s", "fitted over simulated fleets of an earlier step, undisturbed")
 }
 
 func (p *Plan) add(name string, need, limit float64, unit, basis string) {
--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -38,8 +38,7 @@
 
 type measureCommand struct {
 	Out     string `default:"slopes.toml" type:"path" help:"Slopes file to write or renew."`
-	Only    string `default:"all" enum:"all,control,path,callers,status,backend,groups" help:"Part to measure."`
-	Nodes   []int  `default:"50,100,200,410" help:"Sizes of the hollow fleets."`
+	Only    string `default:"all" enum:"all,path,callers,status,backend,groups" help:"Part to measure."`
 	Callers []int  `default:"1000,2000,4000,6830" help:"Numbers of idle callers."`
 }
 
@@ -81,7 +80,6 @@
 		{"callers", func() ([]capacity.Slope, error) { return one(benchmark.IdleCallers(env.ctx, c.Callers, progress)) }},
 		{"status", func() ([]capacity.Slope, error) { return benchmark.StatusQuestions(progress) }},
 		{"path", func() ([]capacity.Slope, error) { return benchmark.Statements(env.ctx, progress) }},
-		{"control", func() ([]capacity.Slope, error) { return benchmark.Control(c.Nodes, progress) }},
 	}
 	var all []capacity.Slope
 	for _, part := range parts {
