The judge notices reads that ran and were refused as not run

Cause: a refusal has to be true for reads as well; the rule had no test.

Change: the judge of simulation and soak notes reads that ran, and counts a promise that contradicts one, before or after, as a violation.

--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -34,6 +34,8 @@
 	staleness time.Duration
 	began     time.Time
 	committed int
+	// ran is set once a server ran the request, a read.
+	ran bool
 	// aside is set once a replaced primary, which went on, committed the request.
 	aside bool
 	// promised is set once the caller was told that nothing is kept.
@@ -117,6 +119,9 @@
 	defer j.mu.Unlock()
 	for _, id := range ids {
 		j.requests[id].promised = true
+		if j.requests[id].ran {
+			j.violate("read %s ran, but its caller was told that it did not", id)
+		}
 		if j.requests[id].committed > 0 || j.requests[id].aside {
 			j.violate("request %s was committed, but its caller was told that nothing is kept", id)
 		}
@@ -133,6 +138,10 @@
 		j.violate("a server ran read %q that no caller sent", id)
 		return
 	}
+	request.ran = true
+	if request.promised {
+		j.violate("read %s ran after its caller was told that it did not", id)
+	}
 	for place, commit := range j.commits {
 		if commit.lost || commit.Acknowledged.IsZero() || has(place) {
 			continue
