--- a/internal/administration/administration.go
+++ b/internal/administration/administration.go
@@ -16,16 +16,16 @@
 	"github.com/pkg/errors"
 
 	"dewknot/internal/configuration"
+	"dewknot/internal/objectapi"
 	"dewknot/internal/pause"
-	"dewknot/internal/platform"
 	"dewknot/internal/policy"
 )
 
 // Store is the part of the platform's object API that changes need.
 type Store interface {
-	Get(ctx context.Context, key string) (platform.Object, error)
-	Put(ctx context.Context, key string, value json.RawMessage, version uint64) (platform.Object, error)
-	Delete(ctx context.Context, key string, version uint64) (platform.Object, error)
+	Get(ctx context.Context, key string) (objectapi.Object, error)
+	Put(ctx context.Context, key string, value json.RawMessage, version uint64) (objectapi.Object, error)
+	Delete(ctx context.Context, key string, version uint64) (objectapi.Object, error)
 }
 
 // Kind tells an operator what can be done about an error.
@@ -83,13 +83,13 @@
 	reviewRequired bool
 	now            func() time.Time
 	// accepted is told of each object that the store has taken.
-	accepted func(platform.Object)
+	accepted func(objectapi.Object)
 	// pause waits between attempts; it reports false when the context has ended.
 	pause func(ctx context.Context, duration time.Duration) bool
 }
 
 // New returns a service. Each object that the store takes is passed to accepted.
-func New(store Store, reviewRequired bool, now func() time.Time, accepted func(platform.Object)) *Service {
+func New(store Store, reviewRequired bool, now func() time.Time, accepted func(objectapi.Object)) *Service {
 	return &Service{store: store, reviewRequired: reviewRequired, now: now, accepted: accepted, pause: pause.For}
 }
 
@@ -108,10 +108,10 @@
 }
 
 // put stores a value, and finds out what became of it when the answer is lost.
-func (s *Service) put(ctx context.Context, key string, value any, change Change) (platform.Object, error) {
+func (s *Service) put(ctx context.Context, key string, value any, change Change) (objectapi.Object, error) {
 	encoded, err := json.Marshal(value)
 	if err != nil {
-		return platform.Object{}, errors.Wrap(err, "encode object")
+		return objectapi.Object{}, errors.Wrap(err, "encode object")
 	}
 	lost := false
 	for attempt := range putAttempts {
@@ -123,39 +123,39 @@
 			s.accepted(object)
 			return object, nil
 		}
-		switch platform.KindOf(err) {
-		case platform.Conflict:
+		switch objectapi.KindOf(err) {
+		case objectapi.Conflict:
 			return s.conflict(ctx, key, change)
-		case platform.AnswerLost:
+		case objectapi.AnswerLost:
 			lost = true
-		case platform.Rejected:
-			return platform.Object{}, &Error{Kind: Invalid, Message: err.Error(), Remedy: "correct the change"}
+		case objectapi.Rejected:
+			return objectapi.Object{}, &Error{Kind: Invalid, Message: err.Error(), Remedy: "correct the change"}
 		}
 	}
 	if lost {
-		return platform.Object{}, &Error{Kind: Uncertain, Message: "the store's answer was lost: the change may have taken effect", Remedy: "send the same operation again: it is not applied twice"}
+		return objectapi.Object{}, &Error{Kind: Uncertain, Message: "the store's answer was lost: the change may have taken effect", Remedy: "send the same operation again: it is not applied twice"}
 	}
-	return platform.Object{}, &Error{Kind: Unavailable, Message: "the store cannot be reached; the change was not made", Remedy: "send the same operation again later"}
+	return objectapi.Object{}, &Error{Kind: Unavailable, Message: "the store cannot be reached; the change was not made", Remedy: "send the same operation again later"}
 }
 
 // lostAnswerPause is the pause before a change is sent again, times the attempt.
 const lostAnswerPause = 100 * time.Millisecond
 
 // conflict finds out whether the conflicting version holds this very operation.
-func (s *Service) conflict(ctx context.Context, key string, change Change) (platform.Object, error) {
+func (s *Service) conflict(ctx context.Context, key string, change Change) (objectapi.Object, error) {
 	current, err := s.store.Get(ctx, key)
 	if err != nil {
-		return platform.Object{}, &Error{Kind: Uncertain, Message: "the object has changed, and the store cannot be read now", Remedy: "send the same operation again: it is not applied twice"}
+		return objectapi.Object{}, &Error{Kind: Uncertain, Message: "the object has changed, and the store cannot be read now", Remedy: "send the same operation again: it is not applied twice"}
 	}
 	winner := recorded{}
 	if err := json.Unmarshal(current.Value, &winner); err != nil {
-		return platform.Object{}, errors.Wrap(err, "decode object")
+		return objectapi.Object{}, errors.Wrap(err, "decode object")
 	}
 	if configuration.HasOperation(winner.Operations, change.Operation) {
 		s.accepted(current)
 		return current, nil
 	}
-	return platform.Object{}, &Error{
+	return objectapi.Object{}, &Error{
 		Kind: Conflict, Message: fmt.Sprintf("version %d was replaced: the object is at version %d by %s", change.Replaces, current.Version, winner.Author),
 		Remedy: "read the new version, compare, and replace it", WinnerVersion: current.Version, WinnerAuthor: winner.Author,
 	}
@@ -165,7 +165,7 @@
 func (s *Service) load(ctx context.Context, key string, value any) (uint64, error) {
 	object, err := s.store.Get(ctx, key)
 	if err != nil {
-		if platform.KindOf(err) == platform.NotFound {
+		if objectapi.KindOf(err) == objectapi.NotFound {
 			return 0, nil
 		}
 		return 0, &Error{Kind: Unavailable, Message: err.Error(), Remedy: "send the same operation again later"}
--- a/internal/administration/administration_test.go
+++ b/internal/administration/administration_test.go
@@ -12,13 +12,13 @@
 	"pgregory.net/rapid"
 
 	"dewknot/internal/configuration"
-	"dewknot/internal/platform"
+	"dewknot/internal/objectapi"
 	_ "dewknot/internal/propertytest" // fixes the seed
 )
 
 // memoryStore is the store with faults on demand.
 type memoryStore struct {
-	objects  map[string]platform.Object
+	objects  map[string]objectapi.Object
 	revision uint64
 	// faults decides for each change: 0 none, 1 answer lost after the change,
 	// 2 request lost before it.
@@ -27,44 +27,44 @@
 }
 
 func newMemoryStore(faults ...int) *memoryStore {
-	return &memoryStore{objects: map[string]platform.Object{}, faults: faults}
+	return &memoryStore{objects: map[string]objectapi.Object{}, faults: faults}
 }
 
-func (s *memoryStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *memoryStore) Get(_ context.Context, key string) (objectapi.Object, error) {
 	object, ok := s.objects[key]
 	if !ok {
-		return object, &platform.Error{Kind: platform.NotFound}
+		return object, &objectapi.Error{Kind: objectapi.NotFound}
 	}
 	return object, nil
 }
 
-func (s *memoryStore) Put(_ context.Context, key string, value json.RawMessage, version uint64) (platform.Object, error) {
+func (s *memoryStore) Put(_ context.Context, key string, value json.RawMessage, version uint64) (objectapi.Object, error) {
 	fault := 0
 	if len(s.faults) > 0 {
 		fault, s.faults = s.faults[0], s.faults[1:]
 	}
 	if fault == 2 {
-		return platform.Object{}, &platform.Error{Kind: platform.AnswerLost}
+		return objectapi.Object{}, &objectapi.Error{Kind: objectapi.AnswerLost}
 	}
 	if current := s.objects[key].Version; current != version {
-		return platform.Object{}, &platform.Error{Kind: platform.Conflict, Current: current}
+		return objectapi.Object{}, &objectapi.Error{Kind: objectapi.Conflict, Current: current}
 	}
 	s.revision++
 	s.puts++
-	object := platform.Object{Key: key, Value: value, Version: s.revision}
+	object := objectapi.Object{Key: key, Value: value, Version: s.revision}
 	s.objects[key] = object
 	if fault == 1 {
-		return platform.Object{}, &platform.Error{Kind: platform.AnswerLost}
+		return objectapi.Object{}, &objectapi.Error{Kind: objectapi.AnswerLost}
 	}
 	return object, nil
 }
 
-func (s *memoryStore) Delete(_ context.Context, key string, version uint64) (platform.Object, error) {
+func (s *memoryStore) Delete(_ context.Context, key string, version uint64) (objectapi.Object, error) {
 	return s.Put(context.Background(), key, nil, version)
 }
 
 func service(store Store, review bool) *Service {
-	created := New(store, review, func() time.Time { return time.Unix(0, 0) }, func(platform.Object) {})
+	created := New(store, review, func() time.Time { return time.Unix(0, 0) }, func(objectapi.Object) {})
 	created.SetPause(func(context.Context, time.Duration) bool { return true })
 	return created
 }
--- a/internal/cli/daemons.go
+++ b/internal/cli/daemons.go
@@ -15,7 +15,7 @@
 	"dewknot/internal/operator"
 	"dewknot/internal/settings"
 	"dewknot/internal/standin/database"
-	"dewknot/internal/standin/platform"
+	"dewknot/internal/standin/objectapi"
 )
 
 // nodeCommand runs a node. Flags override the settings file.
@@ -142,7 +142,7 @@
 
 // Run serves the stand-in until it is told to stop.
 func (c *platformCommand) Run(env *environment) error {
-	store := platform.NewStore(platform.Settings{Readers: c.Readers, ListLag: c.ListLag})
+	store := objectapi.NewStore(objectapi.Settings{Readers: c.Readers, ListLag: c.ListLag})
 	env.printf("stand-in: platform on %s\n", c.Listen)
 	return serveUntilStopped(env, c.Listen, store.Handler())
 }
--- a/internal/configuration/objects.go
+++ b/internal/configuration/objects.go
@@ -7,7 +7,7 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/platform"
+	"dewknot/internal/objectapi"
 	"dewknot/internal/policy"
 )
 
@@ -165,7 +165,7 @@
 
 // Apply updates the typed values for changed objects. An object that cannot be
 // used leaves the last usable value in place and is listed under Faults.
-func (d *Decoded) Apply(changed []platform.Object) {
+func (d *Decoded) Apply(changed []objectapi.Object) {
 	for _, object := range changed {
 		if err := d.applyOne(object); err != nil {
 			d.Faults[object.Key] = err.Error()
@@ -175,7 +175,7 @@
 	}
 }
 
-func (d *Decoded) applyOne(object platform.Object) error {
+func (d *Decoded) applyOne(object objectapi.Object) error {
 	switch {
 	case strings.HasPrefix(object.Key, GroupPrefix):
 		return d.applyGroup(object)
@@ -192,7 +192,7 @@
 	}
 }
 
-func applyValue[T any](target map[string]*T, name string, object platform.Object) error {
+func applyValue[T any](target map[string]*T, name string, object objectapi.Object) error {
 	if object.Deleted {
 		delete(target, name)
 		return nil
@@ -205,7 +205,7 @@
 	return nil
 }
 
-func (d *Decoded) applyGroup(object platform.Object) error {
+func (d *Decoded) applyGroup(object objectapi.Object) error {
 	name := object.Key[len(GroupPrefix):]
 	if object.Deleted {
 		delete(d.Groups, name)
@@ -223,7 +223,7 @@
 	return nil
 }
 
-func (d *Decoded) applyPolicy(object platform.Object) error {
+func (d *Decoded) applyPolicy(object objectapi.Object) error {
 	service := object.Key[len(PolicyPrefix):]
 	if object.Deleted {
 		delete(d.Policies, service)
@@ -240,7 +240,7 @@
 	return nil
 }
 
-func applyMark(target map[string]bool, name string, object platform.Object) error {
+func applyMark(target map[string]bool, name string, object objectapi.Object) error {
 	mark := Mark{}
 	if !object.Deleted {
 		if err := json.Unmarshal(object.Value, &mark); err != nil {
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -13,12 +13,12 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dewknot/internal/platform"
+	"dewknot/internal/objectapi"
 )
 
 // State is a node's knowledge of the configuration.
 type State struct {
-	objects  map[string]platform.Object
+	objects  map[string]objectapi.Object
 	complete uint64
 	hash     uint64
 	// AcceptOlder breaks the rule that versions only grow; only a test of the
@@ -27,7 +27,7 @@
 }
 
 // NewState returns an empty state.
-func NewState() *State { return &State{objects: map[string]platform.Object{}} }
+func NewState() *State { return &State{objects: map[string]objectapi.Object{}} }
 
 // Digest summarizes a state for comparison between peers.
 type Digest struct {
@@ -43,7 +43,7 @@
 func (s *State) Complete() uint64 { return s.complete }
 
 // Get returns an object; deleted objects are not found.
-func (s *State) Get(key string) (platform.Object, bool) {
+func (s *State) Get(key string) (objectapi.Object, bool) {
 	found, ok := s.objects[key]
 	return found, ok && !found.Deleted
 }
@@ -52,7 +52,7 @@
 func (s *State) Len() int { return len(s.objects) }
 
 // Each calls visit for every object that is not deleted, in the order of keys.
-func (s *State) Each(visit func(platform.Object)) {
+func (s *State) Each(visit func(objectapi.Object)) {
 	keys := make([]string, 0, len(s.objects))
 	for key := range s.objects {
 		keys = append(keys, key)
@@ -68,8 +68,8 @@
 // Merge takes in objects, and the revision up to which they complete what lies
 // above this state's own complete revision (0 for single objects). It returns
 // the objects that changed.
-func (s *State) Merge(objects []platform.Object, complete uint64) []platform.Object {
-	var changed []platform.Object
+func (s *State) Merge(objects []objectapi.Object, complete uint64) []objectapi.Object {
+	var changed []objectapi.Object
 	for _, object := range objects {
 		current, known := s.objects[object.Key]
 		if known && object.Version <= current.Version && !s.AcceptOlder {
@@ -86,7 +86,7 @@
 	return changed
 }
 
-func hashOf(object platform.Object) uint64 {
+func hashOf(object objectapi.Object) uint64 {
 	const mixer = 0x9e3779b97f4a7c15
 	hash := xxhash.Sum64String(object.Key) + object.Version*mixer
 	return hash ^ hash>>29*mixer
@@ -94,8 +94,8 @@
 
 // Since returns every object above a revision and the revision up to which that
 // is all of them.
-func (s *State) Since(revision uint64) ([]platform.Object, uint64) {
-	var objects []platform.Object
+func (s *State) Since(revision uint64) ([]objectapi.Object, uint64) {
+	var objects []objectapi.Object
 	for _, object := range s.objects {
 		if object.Version > revision {
 			objects = append(objects, object)
--- a/internal/configuration/state_test.go
+++ b/internal/configuration/state_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/platform"
+	"dewknot/internal/objectapi"
 	_ "dewknot/internal/propertytest" // fixes the seed
 )
 
@@ -27,8 +27,8 @@
 			switch rapid.IntRange(0, 3).Draw(t, "action") {
 			case 0:
 				revision++
-				object := platform.Object{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Version: revision}
-				source.Merge([]platform.Object{object}, revision)
+				object := objectapi.Object{Key: fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), Version: revision}
+				source.Merge([]objectapi.Object{object}, revision)
 			case 1: // a delta from the store
 				peers[to].Merge(source.Since(peers[to].Complete()))
 			case 2: // a delta from a peer, perhaps stale
@@ -48,7 +48,7 @@
 }
 
 func requireForward(t *rapid.T, state *State, held map[string]uint64) {
-	state.Each(func(object platform.Object) {
+	state.Each(func(object objectapi.Object) {
 		if object.Version < held[object.Key] {
 			t.Fatalf("object %s went from version %d back to %d", object.Key, held[object.Key], object.Version)
 		}
--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -13,7 +13,7 @@
 
 	"dewknot/internal/configuration"
 	"dewknot/internal/membership"
-	"dewknot/internal/platform"
+	"dewknot/internal/objectapi"
 )
 
 // Event is an input of the control reducer.
@@ -28,13 +28,13 @@
 	// StoreListing brings objects that complete what lies above revision Since.
 	StoreListing struct {
 		Since    uint64
-		Objects  []platform.Object
+		Objects  []objectapi.Object
 		Complete uint64
 		// AskedAt is when the store was asked.
 		AskedAt time.Duration
 	}
 	// Accepted brings an object that the store accepted from this node.
-	Accepted struct{ Object platform.Object }
+	Accepted struct{ Object objectapi.Object }
 	// SyncAnswer brings a peer's answer to StartSync; Failed if there was none.
 	SyncAnswer struct {
 		Peer   string
@@ -42,7 +42,7 @@
 		Answer SyncState
 	}
 	// MachineList brings the platform's list of machines.
-	MachineList struct{ Machines []platform.Machine }
+	MachineList struct{ Machines []objectapi.Machine }
 	// Drain marks this node as being stopped.
 	Drain struct{}
 )
@@ -59,7 +59,7 @@
 type SyncState struct {
 	// Members is empty when the asker's list has the same digest.
 	Members  []membership.Member `msgpack:"m"`
-	Objects  []platform.Object   `msgpack:"o"`
+	Objects  []objectapi.Object  `msgpack:"o"`
 	Complete uint64              `msgpack:"c"`
 	// Ready is false while the answering node is a newcomer itself.
 	Ready bool `msgpack:"r"`
@@ -187,7 +187,7 @@
 	case StoreListing:
 		c.storeListing(typed)
 	case Accepted:
-		c.merge([]platform.Object{typed.Object}, c.config.Complete(), 0)
+		c.merge([]objectapi.Object{typed.Object}, c.config.Complete(), 0)
 	case SyncAnswer:
 		c.syncAnswer(typed)
 	case MachineList:
@@ -251,7 +251,7 @@
 
 // merge takes in objects and passes on what was new. Passing on only news makes
 // the spread end by itself.
-func (c *Control) merge(objects []platform.Object, base, complete uint64) {
+func (c *Control) merge(objects []objectapi.Object, base, complete uint64) {
 	before := c.config.Complete()
 	changed := c.config.Merge(objects, complete)
 	c.members.SetConfiguration(c.config.Digest())
@@ -269,7 +269,7 @@
 
 // push passes news on. When the complete revision moved, everything above the
 // old one goes along: a receiver at that revision then is complete as well.
-func (c *Control) push(before uint64, changed []platform.Object) {
+func (c *Control) push(before uint64, changed []objectapi.Object) {
 	objects, base, complete := changed, uint64(0), uint64(0)
 	if c.config.Complete() > before {
 		objects, complete = c.config.Since(before)
@@ -281,7 +281,7 @@
 	c.sendAll(c.members.Pushes(objects, base, complete))
 }
 
-func objectsSize(objects []platform.Object) int {
+func objectsSize(objects []objectapi.Object) int {
 	const overhead = 24
 	size := 0
 	for _, object := range objects {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,7 +19,7 @@
 	"dewknot/internal/operator"
 	"dewknot/internal/settings"
 	"dewknot/internal/standin/database"
-	"dewknot/internal/standin/platform"
+	"dewknot/internal/standin/objectapi"
 )
 
 // Key is the fleet key of such deployments; they serve loopback only.
@@ -40,7 +40,7 @@
 
 // Fleet is a running deployment.
 type Fleet struct {
-	Store     *platform.Store
+	Store     *objectapi.Store
 	Databases map[string]*database.Group
 	Nodes     []*Node
 	storeHTTP *http.Server
@@ -105,7 +105,7 @@
 
 func (f *Fleet) startStore() error {
 	const readers = 16
-	f.Store = platform.NewStore(platform.Settings{Readers: readers, ListLag: 10 * time.Second})
+	f.Store = objectapi.NewStore(objectapi.Settings{Readers: readers, ListLag: 10 * time.Second})
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return errors.Wrap(err, "listen for the store")
--- a/internal/membership/machine.go
+++ b/internal/membership/machine.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"dewknot/internal/configuration"
-	"dewknot/internal/platform"
+	"dewknot/internal/objectapi"
 )
 
 // Settings are the intervals of the protocol.
@@ -73,9 +73,9 @@
 	Members       uint64               `msgpack:"m"`
 	Configuration configuration.Digest `msgpack:"c"`
 	// Objects complete what lies between the revisions Base and Complete.
-	Objects  []platform.Object `msgpack:"o"`
-	Base     uint64            `msgpack:"cb"`
-	Complete uint64            `msgpack:"cr"`
+	Objects  []objectapi.Object `msgpack:"o"`
+	Base     uint64             `msgpack:"cb"`
+	Complete uint64             `msgpack:"cr"`
 }
 
 // Effect is an output of the machine.
@@ -246,7 +246,7 @@
 
 // Hint takes the platform's list of machines, which lags: a machine missing from
 // it is suspected rather than believed dead.
-func (m *Machine) Hint(now time.Duration, machines []platform.Machine) {
+func (m *Machine) Hint(now time.Duration, machines []objectapi.Machine) {
 	m.now = now
 	listed := map[string]bool{}
 	for _, machine := range machines {
@@ -385,7 +385,7 @@
 
 // Pushes returns datagrams that carry configuration objects to random members.
 // Without objects they only carry the digest, and receivers synchronize.
-func (m *Machine) Pushes(objects []platform.Object, base, complete uint64) []Effect {
+func (m *Machine) Pushes(objects []objectapi.Object, base, complete uint64) []Effect {
 	m.effects = nil
 	for _, id := range m.RandomPeers(m.settings.Fanout, "") {
 		m.send(m.members[id].Addresses.Gossip, Message{Kind: Push, Objects: objects, Base: base, Complete: complete})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,9 +19,9 @@
 	"dewknot/internal/group"
 	"dewknot/internal/listener"
 	"dewknot/internal/membership"
+	"dewknot/internal/objectapi"
 	"dewknot/internal/owner"
 	"dewknot/internal/peer"
-	"dewknot/internal/platform"
 	"dewknot/internal/settings"
 )
 
@@ -36,7 +36,7 @@
 	wake    *time.Timer
 
 	view      atomic.Pointer[core.View]
-	store     *platform.Client
+	store     *objectapi.Client
 	transport *gossip.Transport
 	peers     *peer.Listener
 	router    *forward.Router
@@ -69,7 +69,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	created := &Node{settings: config, log: log, started: time.Now(), ctx: ctx, cancel: cancel}
-	created.store = platform.NewClient(config.Store, storeTimeout)
+	created.store = objectapi.NewClient(config.Store, storeTimeout)
 	if err := created.open(); err != nil {
 		created.Close()
 		return nil, err
@@ -100,7 +100,7 @@
 	}
 	machine := membership.New(membership.DefaultSettings(), self, n.settings.Seeds, incarnation)
 	n.control = core.NewControl(machine)
-	n.admin = administration.New(n.store, n.settings.ReviewRequired, time.Now, func(object platform.Object) {
+	n.admin = administration.New(n.store, n.settings.ReviewRequired, time.Now, func(object objectapi.Object) {
 		n.step(core.Accepted{Object: object})
 	})
 	n.wake = time.AfterFunc(time.Hour, func() { n.step(core.Tick{}) })
@@ -310,7 +310,7 @@
 func (n *Node) Administration() *administration.Service { return n.admin }
 
 // Object returns a configuration object as this node knows it.
-func (n *Node) Object(key string) (platform.Object, bool) {
+func (n *Node) Object(key string) (objectapi.Object, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.control.Configuration().Get(key)
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -9,8 +9,8 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/core"
+	"dewknot/internal/objectapi"
 	"dewknot/internal/pause"
-	"dewknot/internal/platform"
 )
 
 func unmarshal(data []byte, target any) error { return json.Unmarshal(data, target) }
@@ -53,7 +53,7 @@
 	}
 }
 
-func (n *Node) storeAnswered(since uint64, askedAt time.Duration, listing platform.Listing, err error) {
+func (n *Node) storeAnswered(since uint64, askedAt time.Duration, listing objectapi.Listing, err error) {
 	if err != nil {
 		n.log.Debug("node: the store does not answer", zap.Error(err))
 		return
--- a/internal/platform/api.go
+++ b/internal/objectapi/api.go
@@ -1,9 +1,9 @@
-// Package platform is the client of the platform's object API and machine list.
+// Package objectapi is the client of the platform's object API and machine list.
 //
 // The object API keeps configuration and status as versioned objects with
 // conditional updates and watches (brief, "What the platform gives"). All
 // versions come from one counter of the store, its revision.
-package platform
+package objectapi
 
 import (
 	"context"
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -10,7 +10,7 @@
 	"dewknot/internal/group"
 	"dewknot/internal/history"
 	"dewknot/internal/membership"
-	"dewknot/internal/platform"
+	"dewknot/internal/objectapi"
 )
 
 // node is one simulated node. Its reducers are the real ones.
@@ -384,7 +384,7 @@
 // administer returns the service by which operators change configuration here.
 func (n *node) administer() *administration.Service {
 	run := n.run
-	service := administration.New(n.world.store, false, func() time.Time { return time.Unix(0, int64(n.world.Now())) }, func(object platform.Object) {
+	service := administration.New(n.world.store, false, func() time.Time { return time.Unix(0, int64(n.world.Now())) }, func(object objectapi.Object) {
 		n.do(run, func() { n.step(core.Accepted{Object: object}) })
 	})
 	service.SetPause(func(context.Context, time.Duration) bool { return true })
--- a/internal/sim/store.go
+++ b/internal/sim/store.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"dewknot/internal/configuration"
-	"dewknot/internal/platform"
-	store "dewknot/internal/standin/platform"
+	"dewknot/internal/objectapi"
+	store "dewknot/internal/standin/objectapi"
 )
 
 // objectStore is the platform's store: the stand-in's state without its HTTP.
@@ -54,45 +54,45 @@
 }
 
 // Get implements administration.Store.
-func (s *objectStore) Get(_ context.Context, key string) (platform.Object, error) {
+func (s *objectStore) Get(_ context.Context, key string) (objectapi.Object, error) {
 	if s.down {
-		return platform.Object{}, &platform.Error{Kind: platform.Unavailable, Message: "store is down"}
+		return objectapi.Object{}, &objectapi.Error{Kind: objectapi.Unavailable, Message: "store is down"}
 	}
 	found, ok := s.objects.Get(key)
 	if !ok {
-		return platform.Object{}, &platform.Error{Kind: platform.NotFound}
+		return objectapi.Object{}, &objectapi.Error{Kind: objectapi.NotFound}
 	}
 	return found, nil
 }
 
 // Put implements administration.Store.
-func (s *objectStore) Put(_ context.Context, key string, value json.RawMessage, version uint64) (platform.Object, error) {
+func (s *objectStore) Put(_ context.Context, key string, value json.RawMessage, version uint64) (objectapi.Object, error) {
 	return s.change(key, value, version, false)
 }
 
 // Delete implements administration.Store.
-func (s *objectStore) Delete(_ context.Context, key string, version uint64) (platform.Object, error) {
+func (s *objectStore) Delete(_ context.Context, key string, version uint64) (objectapi.Object, error) {
 	return s.change(key, nil, version, true)
 }
 
-func (s *objectStore) change(key string, value json.RawMessage, version uint64, deleted bool) (platform.Object, error) {
+func (s *objectStore) change(key string, value json.RawMessage, version uint64, deleted bool) (objectapi.Object, error) {
 	if s.down {
-		return platform.Object{}, &platform.Error{Kind: platform.AnswerLost, Message: "store is down"}
+		return objectapi.Object{}, &objectapi.Error{Kind: objectapi.AnswerLost, Message: "store is down"}
 	}
 	stored, current, ok := s.inner.Change(key, value, version, deleted)
 	if !ok {
-		return platform.Object{}, &platform.Error{Kind: platform.Conflict, Current: current}
+		return objectapi.Object{}, &objectapi.Error{Kind: objectapi.Conflict, Current: current}
 	}
-	s.objects.Merge([]platform.Object{stored}, stored.Version)
+	s.objects.Merge([]objectapi.Object{stored}, stored.Version)
 	if s.loseAnswers > 0 {
 		s.loseAnswers--
-		return platform.Object{}, &platform.Error{Kind: platform.AnswerLost, Message: "answer lost"}
+		return objectapi.Object{}, &objectapi.Error{Kind: objectapi.AnswerLost, Message: "answer lost"}
 	}
 	return stored, nil
 }
 
 // since returns the objects above a revision; ok is false while the store is down.
-func (s *objectStore) since(revision uint64) (objects []platform.Object, complete uint64, ok bool) {
+func (s *objectStore) since(revision uint64) (objects []objectapi.Object, complete uint64, ok bool) {
 	if s.down {
 		return nil, 0, false
 	}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/objectapi/store.go
@@ -1,7 +1,7 @@
-// Package platform is the stand-in for the platform's object API and machine
+// Package objectapi is the stand-in for the platform's object API and machine
 // list. It serves HTTP with JSON bodies and can be made slow, unreachable or
 // forgetful of answers.
-package platform
+package objectapi
 
 import (
 	"encoding/json"
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	api "dewknot/internal/platform"
+	api "dewknot/internal/objectapi"
 )
 
 // Settings describe the stand-in.
