--- /dev/null
+++ b/internal/proxy/warm.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// firstTenureLimit bounds the wait of a new session for the first tenure of its service
+// that this process learns of: short of the time that callers give a session's start.
+const firstTenureLimit = 1500 * time.Millisecond
+
+// awaitTenure holds a new session back until its service has a tenure, on a node that has
+// just started. Its statements would be refused, each after a wait.
+func (n *Node) awaitTenure(service string, now time.Time) {
+	if n.tenures == nil {
+		return
+	}
+	if view := n.tenures.View(service); view == nil || view.Tenure.Ballot == 0 {
+		s := n.service(service)
+		// This node looks at the service from now on: its holder may be lost.
+		s.used(now)
+		s.warm()
+		n.tenures.AwaitFirst(service, now.Add(firstTenureLimit))
+		n.spread(now)
+	}
+}
+
+const (
+	// startSpread is the span over which sessions that have waited for a tenure begin:
+	// all at once they would meet full servers, and be refused until their callers give up.
+	startSpread = 600 * time.Millisecond
+	// startPatience bounds a session's wait as a whole: callers give its start 2 s.
+	startPatience = 1800 * time.Millisecond
+)
+
+// spread holds a session that has waited since a time back a little longer.
+func (n *Node) spread(since time.Time) {
+	if left := startPatience - time.Since(since); left > 0 {
+		time.Sleep(min(left, rand.N(startSpread)))
+	}
+}
+
+// warm opens connections to a service's servers, once, while its callers wait for the
+// first tenure. They will all come at once, and an opening takes a server's slot.
+func (s *service) warm() {
+	if s.warmed.Swap(true) {
+		return
+	}
+	for _, entry := range s.node.catalog.Current().ByService[s.name] {
+		target := s.node.server(entry.ID)
+		if target == nil || entry.Gone {
+			continue
+		}
+		for range entry.Slots + spareConnections {
+			go s.node.warmOne(target)
+		}
+	}
+}
+
+// spareConnections are opened ahead beside one for each of a server's slots, for
+// transactions whose callers think.
+const spareConnections = 2
+
+// warmTime is how long a connection that was opened ahead is kept from others, so that
+// several are opened.
+const warmTime = 100 * time.Millisecond
+
+// warmOne opens a connection, or the link to the node that owns those to the server.
+func (n *Node) warmOne(target *server) {
+	lease, err := n.lend(target, time.Now().Add(stepDownLimit))
+	if err != nil {
+		return
+	}
+	if !lease.Remote() {
+		time.Sleep(warmTime)
+	}
+	lease.Return()
+}
--- a/internal/tenure/table.go
+++ b/internal/tenure/table.go
@@ -49,8 +49,6 @@
 	// sealLimit bounds the end of an era, sealInterval is the pause between questions.
 	sealLimit    = time.Second
 	sealInterval = 30 * time.Millisecond
-	// fetchRetry is the pause before the table is read again.
-	fetchRetry = 300 * time.Millisecond
 )
 
 // keepTable learns the table, makes the first one, and looks after it.
