A target that leads is opened after every loss of memory

Change: a server that the lease names has to lead in a later term than before its order, and not in an older one than the voters remember; ordering a server that may lead already leaves the term before its first order in the lease. Two tests that failed first.

--- a/internal/failover/tenure.go
+++ b/internal/failover/tenure.go
@@ -140,6 +140,8 @@
 	// tenure that the voters remember.
 	bound   string
 	settled string
+	// boundLeast is the lowest term in which bound leads by the order that may be on its way.
+	boundLeast uint64
 	// term is the highest term in which a primary is known to have led.
 	term uint64
 	// steppedDown is set once the primary has given up the lead.
@@ -187,11 +189,14 @@
 	}
 	c := &m.campaign
 	c.bound, c.settled, c.term = m.boundTo(now, event), event.Settled, event.Term
+	c.boundLeast = event.Term + 1
 	c.loose, c.looseUntil = event.Loose, now.Add(event.LooseFor)
 	if c.bound == "" && c.settled == "" {
 		// The voters have lost their memory. The target that was last ordered leads, or
 		// its order may be on its way.
 		c.bound = m.boundTo(now, Prepared{Bound: m.lease.Target, BoundBallot: m.lease.Ballot})
+		// The term that the voters remember may be the target's own.
+		c.boundLeast = max(m.lease.Term+1, event.Term)
 		c.term = max(c.term, m.lease.Term)
 	}
 	c.replacing, c.planned = m.replaced(), !m.observation.LeaderDown
@@ -349,10 +354,14 @@
 // voters do not remember who that was, it may be any server but one that was ordered.
 func (m *Machine) leastTerm(id string) uint64 {
 	c := &m.campaign
-	if id == c.settled || (c.settled == "" && id != c.bound) {
+	switch {
+	case id == c.bound:
+		return c.boundLeast
+	case id == c.settled, c.settled == "":
 		return c.term
+	default:
+		return c.term + 1
 	}
-	return c.term + 1
 }
 
 // replacedBefore reports whether a server says that it leads though another one has led
@@ -411,12 +420,24 @@
 	}
 	if m.holding {
 		c.recording = true
-		m.lease.Target, m.lease.Ballot, m.lease.Term = m.target, c.ballot, max(c.term, m.newestTerm())
+		m.noteTarget()
 		return append(effects, WriteLease{Revision: m.revision, Lease: m.newLease(), Brief: true})
 	}
 	return append(effects, m.orderIfReady(now)...)
 }
 
+// noteTarget puts the target into the lease, with the newest term before its order. That
+// of a server which may lead already by an earlier order stays.
+func (m *Machine) noteTarget() {
+	c := &m.campaign
+	report := m.reportOf(m.target)
+	leads := report != nil && report.Primary && report.Term == m.newestTerm()
+	if m.lease.Target != m.target || !leads {
+		m.lease.Term = max(c.term, m.newestTerm())
+	}
+	m.lease.Target, m.lease.Ballot = m.target, c.ballot
+}
+
 // recorded goes on once the target stands in the lease. If the store does not answer,
 // the voters alone remember it.
 func (m *Machine) recorded(now time.Time, event LeaseWritten) []Effect {
--- a/internal/failover/tenure_test.go
+++ b/internal/failover/tenure_test.go
@@ -175,3 +175,28 @@
 	effects := machine.Step(at(160), Surveyed{Reports: []Report{report("b", true, 5, 10), report("c", false, 5, 10)}})
 	must.Eq(t, "b", effects[0].(Open).Primary)
 }
+
+// TestTargetThatLeadsIsOpenedAfterEveryLoss: the lease names the server that was last
+// ordered, and the voters remember the term in which it has led since: its own. It is
+// opened, not ordered again to wait for a later term that never comes.
+func TestTargetThatLeadsIsOpenedAfterEveryLoss(t *testing.T) {
+	machine := New(Config{Node: "n1", Life: "x", Agreed: true})
+	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3, Life: "old", Target: "b", Ballot: 9, Term: 4}})
+	machine.Step(at(20), LeaseWritten{Result: Written, Revision: 8})
+	observation := Observation{Closed: true, Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	machine.Step(at(100), Observed{observation})
+	machine.Step(at(130), Prepared{Agreed: true, Term: 5})
+	effects := machine.Step(at(160), Surveyed{Reports: []Report{report("b", true, 5, 10), report("c", false, 5, 10)}})
+	must.Eq(t, []Effect{Open{Ballot: 4*tokensPerEpoch + 1, Primary: "b", Term: 5, Loose: true}}, effects)
+}
+
+// TestOrderOfAServerThatMayLeadKeepsItsTerm: a server that may lead already is ordered
+// again; the lease goes on naming the term before its first order.
+func TestOrderOfAServerThatMayLeadKeepsItsTerm(t *testing.T) {
+	machine := New(Config{Node: "n1", Life: "x", Agreed: true})
+	machine.Step(at(0), LeaseKnown{Revision: 7, Lease: Lease{Holder: "n1", Epoch: 3, Life: "x", Target: "b", Ballot: 9, Term: 4}})
+	prepareFor(t, machine, Prepared{Agreed: true, Settled: "a", Term: 4})
+	machine.Step(at(1160), Surveyed{Reports: []Report{report("b", true, 5, 12), report("c", false, 5, 10)}})
+	effects := machine.Step(at(1190), Held{Agreed: true})
+	must.Eq(t, 4, effects[len(effects)-1].(WriteLease).Lease.Term)
+}
