--- a/internal/tenure/keeper_test.go
+++ b/internal/tenure/keeper_test.go
@@ -71,6 +71,13 @@
 	go k.Run(ctx)
 }
 
+// setSilent loses all messages to and from a keeper, or lets them pass again.
+func (n *network) setSilent(name string, silent bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[name] = silent
+}
+
 func (n *network) kill(name string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -124,13 +131,13 @@
 			must.True(t, k.Confirm("s", held, time.Now(), time.Now()), must.Sprint(name))
 		}
 		// A node that nobody hears believes nothing once its leases have run out.
-		n.silent["k0"] = true
+		n.setSilent("k0", true)
 		time.Sleep(3 * time.Second)
 		must.True(t, n.keepers["k0"].Isolated(time.Now()))
 		must.False(t, n.keepers["k0"].Confirm("s", held, time.Now(), time.Now().Add(200*time.Millisecond)))
 		// It is heard again: the answer that came meanwhile is confirmed after the fact.
 		arrived := time.Now()
-		n.silent["k0"] = false
+		n.setSilent("k0", false)
 		must.True(t, n.keepers["k0"].Confirm("s", held, arrived, time.Now().Add(time.Second)))
 		// The tenure changes: an answer under the one before is not believed.
 		must.True(t, n.keepers["k1"].Prepare("s", least+2).Agreed)
