The spans of orders have one copy

Cause: package failover repeated two spans that package quorum names.

Change: they are taken from there; the values are the same.

Conclusion: no behaviour changes.

--- a/internal/failover/tenure.go
+++ b/internal/failover/tenure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"dewknot/internal/position"
+	"dewknot/internal/quorum"
 )
 
 // Where the platform checks no fences, a replaced primary goes on accepting work. Then
@@ -113,11 +114,10 @@
 	// closedDelay is how long a tenure may be closed before the holder of the lease
 	// opens one: a change of the voters' table closes all for a round trip or two.
 	closedDelay = 300 * time.Millisecond
-	// boundSpan is how long a target is held to whose order may be on its way: late
-	// orders are carried out within seconds.
-	boundSpan = 6 * time.Second
+	// boundSpan is how long a target is held to whose order may be on its way.
+	boundSpan = quorum.LooseSpan
 	// orderSpan is within which time of the voters' word an order is sent.
-	orderSpan = 700 * time.Millisecond
+	orderSpan = quorum.OrderWindow
 	// busyPause is the pause after another candidate was found at work.
 	busyPause = 700 * time.Millisecond
 	// plannedWait bounds the wait for a primary that steps down as planned.
