Second reading: one survey, one wait, dead code removed

Cause: reading the whole change again showed pieces that stand more than once or that nothing uses.

- tests: killNode was a copy of stopNode, and its comment was not true: it ended a node in the same way. stopNode serves both.
- failover: the survey effect was put together in four places; survey does it.
- tenure: Confirm and AwaitFirst each had the same wait for grants; waitWhile serves both.
Confirm took the keeper's lock twice for each answer, also where the leases cover it: that case is now decided on the view alone. fetchSoon set the limit that fetch sets itself.
- quorum: Sealing.Lives and Voter.Life had no caller.
- proxy: the loop over a step down's answers ended by setting its counter; firstStatus returns instead.

Ruled out: sharing the transaction that probes the primary between accepts and prove. prove takes the time of arrival between the answer and the return of the connection, and gives other meanings to a failed reservation.

--- a/internal/failover/deputy.go
+++ b/internal/failover/deputy.go
@@ -62,7 +62,7 @@
 	// The lease may be told anew before the order; its tokens are others' then.
 	m.deputyTokens = m.lease.Epoch*tokensPerEpoch + uint64(m.deputyRank())*ownTokens + m.firstDeputyToken()
 	m.phase = Surveying
-	return []Effect{Survey{Except: m.downLeader()}}
+	return []Effect{m.survey()}
 }
 
 // nextToken returns a token that was never used: a later one of the holder's part of
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -317,12 +317,17 @@
 	if m.holding {
 		m.phase = Surveying
 		m.renewed, m.confirmedDown = false, ""
-		return []Effect{Survey{Except: m.downLeader(), Hold: m.observation.SynchronousReplicas > 0}}
+		return []Effect{m.survey()}
 	}
 	m.phase = ReadingLease
 	return []Effect{ReadLease{}}
 }
 
+// survey asks the servers for their reports; synchronous replicas stop receiving.
+func (m *Machine) survey() Survey {
+	return Survey{Except: m.downLeader(), Hold: m.observation.SynchronousReplicas > 0}
+}
+
 // downLeader returns the leader if it is not worth asking.
 func (m *Machine) downLeader() string {
 	if m.observation.LeaderDown {
--- a/internal/failover/tenure.go
+++ b/internal/failover/tenure.go
@@ -154,7 +154,6 @@
 	ledTerm uint64
 	// agreedAt is a time before the voters' last word.
 	agreedAt time.Time
-	ordering bool
 	reports  []Report
 	surveyed bool
 	// recording is set while the target is being written to the lease, clear once no
@@ -201,7 +200,7 @@
 	}
 	c.replacing, c.planned = m.replaced(), !m.observation.LeaderDown
 	m.phase = Surveying
-	effects := []Effect{Survey{Except: m.downLeader(), Hold: m.observation.SynchronousReplicas > 0}}
+	effects := []Effect{m.survey()}
 	if c.replacing != "" {
 		c.asked = true
 		effects = append(effects, StepDown{Server: c.replacing})
@@ -280,7 +279,7 @@
 	best := m.furthest(now, c.reports)
 	if best != nil && m.lacksTheRest(best, now) {
 		c.surveyed = false
-		return []Effect{Survey{Except: m.downLeader(), Hold: m.observation.SynchronousReplicas > 0}}
+		return []Effect{m.survey()}
 	}
 	switch {
 	case best != nil && m.holdsAllCommits(best, c.reports):
@@ -321,75 +320,12 @@
 	return m.choose(best.ID, true)
 }
 
-// claims reports whether a server says that it leads, in a term in which no other one is
-// known to have led, and none has reported a newer term.
-func (m *Machine) claims(id string) bool {
-	report := m.reportOf(id)
-	return report != nil && report.Primary && report.Term == m.newestTerm() && report.Term >= m.leastTerm(id)
-}
-
-// reportOf returns a server's own report, nil if it has not reported.
-func (m *Machine) reportOf(id string) *Report {
-	for i := range m.campaign.reports {
-		if report := &m.campaign.reports[i]; report.ID == id && !report.Assumed {
-			return report
-		}
-	}
-	return nil
-}
-
-// newestTerm returns the newest term that a server has reported.
-func (m *Machine) newestTerm() uint64 {
-	newest := uint64(0)
-	for _, report := range m.campaign.reports {
-		if !report.Assumed {
-			newest = max(newest, report.Term)
-		}
-	}
-	return newest
-}
-
-// leastTerm returns the lowest term in which a server may be the primary now: the
-// newest one known for the primary of the last tenure, a later one for others. If the
-// voters do not remember who that was, it may be any server but one that was ordered.
-func (m *Machine) leastTerm(id string) uint64 {
-	c := &m.campaign
-	switch {
-	case id == c.bound:
-		return c.boundLeast
-	case id == c.settled, c.settled == "":
-		return c.term
-	default:
-		return c.term + 1
-	}
-}
-
-// replacedBefore reports whether a server says that it leads though another one has led
-// since: it goes on with a log of its own.
-func (m *Machine) replacedBefore(report *Report) bool {
-	return report.Primary && (report.Term < m.newestTerm() || report.Term < m.leastTerm(report.ID))
-}
-
-// allReported reports whether each server of the service has reported itself.
-func (m *Machine) allReported() bool {
-	for _, server := range m.observation.Servers {
-		found := false
-		for _, report := range m.campaign.reports {
-			found = found || (report.ID == server.ID && !report.Assumed)
-		}
-		if !found {
-			return false
-		}
-	}
-	return true
-}
-
 // openingOnly reports whether a campaign replaces nobody, so that the last primary may be
 // chosen as well.
 func (m *Machine) openingOnly() bool { return m.agreed && m.campaign.replacing == "" }
 
 func (m *Machine) choose(target string, ordering bool) []Effect {
-	m.target, m.campaign.ordering = target, ordering
+	m.target = target
 	if !ordering {
 		if report := m.reportOf(target); report != nil {
 			m.campaign.ledTerm = report.Term
--- a/internal/proxy/campaign.go
+++ b/internal/proxy/campaign.go
@@ -128,19 +128,28 @@
 		go func() { results <- s.node.askToDemote(ctx, &member, id) }()
 	}
 	event := failover.SteppedDown{Server: id}
-	for ; asked > 0 && !event.Done; asked-- {
+	if status := firstStatus(ctx, results, asked); status != nil {
+		event.Done, event.Received = true, status.Received
+	}
+	s.node.log.Write(eventlog.StepDown, zap.String("service", s.name), zap.String("server", id), zap.Bool("done", event.Done),
+		zap.Stringer("received", event.Received), zap.Duration("took", time.Since(began)))
+	return event
+}
+
+// firstStatus returns the first status among so many answers, nil if there is none
+// before ctx ends.
+func firstStatus(ctx context.Context, results <-chan *upstream.Status, asked int) *upstream.Status {
+	for range asked {
 		select {
 		case status := <-results:
 			if status != nil {
-				event.Done, event.Received = true, status.Received
+				return status
 			}
 		case <-ctx.Done():
-			asked = 1
+			return nil
 		}
 	}
-	s.node.log.Write(eventlog.StepDown, zap.String("service", s.name), zap.String("server", id), zap.Bool("done", event.Done),
-		zap.Stringer("received", event.Received), zap.Duration("took", time.Since(began)))
-	return event
+	return nil
 }
 
 // demote makes a server give up the lead; the status tells that it does not lead. It is
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -234,22 +234,9 @@
 	}
 }
 
-// stopNode stops a node as planned; it reports false if the node is stopped already.
+// stopNode ends a node, which gives up what it holds; it reports false if the node has
+// ended already.
 func (f *simulatedFleet) stopNode(i int) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.cancels[i] == nil {
-		return false
-	}
-	f.cancels[i]()
-	f.cancels[i] = nil
-	delete(f.nodes, fmt.Sprintf("node-%d", i))
-	return true
-}
-
-// killNode ends a node without warning, as a kill does: nothing that it still does
-// reaches anybody. It reports false if the node is not running.
-func (f *simulatedFleet) killNode(i int) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.cancels[i] == nil {
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// restartAll ends all nodes at the same moment, without warning, and starts them again.
+// restartAll ends all nodes at the same moment and starts them again.
 func (f *simulatedFleet) restartAll() {
 	if !f.restarting.TryLock() {
 		return
@@ -92,7 +92,7 @@
 	defer f.restarting.Unlock()
 	var killed []int
 	for i := range f.listeners {
-		if f.killNode(i) {
+		if f.stopNode(i) {
 			killed = append(killed, i)
 		}
 	}
--- a/internal/proxy/unfenced_test.go
+++ b/internal/proxy/unfenced_test.go
@@ -107,7 +107,7 @@
 func lostWithoutStore(f *simulatedFleet) {
 	f.store.SetDown(true)
 	f.stopListening(len(f.listeners) - 1)
-	f.killNode(len(f.listeners) - 1)
+	f.stopNode(len(f.listeners) - 1)
 	time.Sleep(2 * time.Second)
 	darkPrimary(f)
 	f.store.SetDown(false)
--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -64,15 +64,6 @@
 	part.revision, part.whole = m.Revision, !m.More
 }
 
-// Lives returns the processes that have answered, by voter.
-func (s *Sealing) Lives() map[string]uint64 {
-	lives := map[string]uint64{}
-	for name, part := range s.parts {
-		lives[name] = part.life
-	}
-	return lives
-}
-
 // Outcome returns the records for the next era and whether the era has ended. If a
 // majority has lost its memory, no tenure is open in them: candidates have to ask the
 // servers again who leads.
--- a/internal/quorum/voter.go
+++ b/internal/quorum/voter.go
@@ -64,9 +64,6 @@
 	return &Voter{name: name, life: life, started: started, matters: map[string]*matter{}, grants: map[string]grant{}}
 }
 
-// Life is unique to the voter's process.
-func (v *Voter) Life() uint64 { return v.life }
-
 // Table returns the newest table known, nil if there is none.
 func (v *Voter) Table() *Table { return v.table }
 
--- a/internal/tenure/keeper.go
+++ b/internal/tenure/keeper.go
@@ -318,44 +318,60 @@
 // newest when the answer arrived. Where the leases had run out it waits for the voters'
 // word, but not past a deadline.
 func (k *Keeper) Confirm(service string, tenure quorum.Tenure, arrived, deadline time.Time) bool {
-	for {
-		granted := k.awaiting(1)
+	if view := k.View(service); view != nil && view.Tenure == tenure && view.Covers(arrived) {
+		// The usual case: nothing is waited for, no lock is taken.
+		return true
+	}
+	covered := false
+	k.waitWhile(func() time.Duration {
 		view := k.View(service)
 		settled := view == nil || view.Tenure != tenure
-		covered := !settled && view.Covers(arrived)
-		if settled || covered || !time.Now().Before(deadline) {
-			k.awaiting(-1)
-			return covered
+		covered = !settled && view.Covers(arrived)
+		left := time.Until(deadline)
+		if settled || covered || left <= 0 {
+			return 0
 		}
 		k.Renew(time.Now())
-		timer := time.NewTimer(min(time.Until(deadline), confirmInterval))
-		select {
-		case <-granted:
-		case <-timer.C:
-		}
-		timer.Stop()
-		k.awaiting(-1)
-	}
+		return min(left, confirmInterval)
+	})
+	return covered
 }
 
 // AwaitFirst waits, but not past a deadline, until a service has had a tenure in this
 // process's life.
 func (k *Keeper) AwaitFirst(service string, deadline time.Time) {
+	k.waitWhile(func() time.Duration {
+		if view := k.View(service); view != nil && view.Tenure.Ballot > 0 {
+			return 0
+		}
+		return time.Until(deadline)
+	})
+}
+
+// waitWhile waits for grants as long as look, which is called before each wait, returns
+// a time to wait for the next one.
+func (k *Keeper) waitWhile(look func() time.Duration) {
 	for {
+		// Whoever waits is counted before the look, so that no grant after it is missed.
 		granted := k.awaiting(1)
-		view := k.View(service)
-		left := time.Until(deadline)
-		if (view != nil && view.Tenure.Ballot > 0) || left <= 0 {
-			k.awaiting(-1)
-			return
-		}
-		timer := time.NewTimer(left)
-		select {
-		case <-granted:
-		case <-timer.C:
+		pause := look()
+		if pause > 0 {
+			waitFor(granted, pause)
 		}
-		timer.Stop()
 		k.awaiting(-1)
+		if pause <= 0 {
+			return
+		}
+	}
+}
+
+// waitFor waits until done is closed, but not longer than a limit.
+func waitFor(done <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
 	}
 }
 
--- a/internal/tenure/table.go
+++ b/internal/tenure/table.go
@@ -89,16 +89,14 @@
 	return k.voter.Table()
 }
 
-// fetchSoon reads the table from the store, until it is known; the lock is held.
+// fetchSoon reads the table from the store, unless that is under way; the lock is held.
 func (k *Keeper) fetchSoon() {
 	if k.fetching {
 		return
 	}
 	k.fetching = true
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), storeLimit)
-		defer cancel()
-		k.fetch(ctx)
+		k.fetch(context.Background())
 		k.mu.Lock()
 		k.fetching = false
 		k.mu.Unlock()
