Transfers are bounded by their progress, compressed and resumed

Cause: a node whose link is full stayed on an old configuration. A transfer had 0.4 s to 1.5 s in all, whatever its size; 260 KB need a second on a link of 2 Mbit/s that nothing else uses.

Change: package stall bounds an operation by its progress; answers of the store and of nodes use it. Objects from 64 KB on are told by name and fetched compressed (s2) in pieces of 32 KB; a node sends three pieces at a time and tells others when to come back; what has arrived is kept for the next source. A patch of a large object has to be smaller than what compressing leaves. A reader's answer is waited for longer after each round in which all have failed. Log lines carry errors as text, without stacks of the build.

Tests that failed first: TestNodesOnSlowLinksKeepUp (links with a rate in the simulated fleets; the code before stays on version 1). Others: stall, pieces (property, fuzz), transfers that fail half of the time, bounded pieces.

Conclusion: the link was full of the node's own repeated transfers.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -57,6 +57,9 @@
 	DetourTaken           Event = "detour_taken"
 	PeerSilent            Event = "peer_silent"
 	MemberRemoved         Event = "member_removed"
+	TransferDone          Event = "transfer_done"
+	TransferInterrupted   Event = "transfer_interrupted"
+	NodeDegraded          Event = "node_degraded"
 	LinkOpened            Event = "link_opened"
 	LinkEnded             Event = "link_ended"
 	PrimaryAnnounced      Event = "primary_announced"
@@ -90,7 +93,8 @@
 	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, ServerEntryRefused: Belief,
 	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
-	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, MessageLost: Belief, AnswerUnproved: Failure,
+	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, NodeDegraded: Belief,
+	TransferDone: Belief, TransferInterrupted: Belief, MessageLost: Belief, AnswerUnproved: Failure,
 	RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
 	LinesDropped: Belief,
 }
@@ -202,7 +206,9 @@
 func (l *Log) enqueue(event Event, now time.Time, fields []zap.Field) {
 	all := make([]zap.Field, 0, len(fields)+1)
 	all = append(all, zap.String("node", l.name))
-	all = append(all, fields...)
+	for i := range fields {
+		all = append(all, asText(&fields[i]))
+	}
 	buffer, err := l.encoder.EncodeEntry(zapcore.Entry{Time: now, Message: string(event)}, all)
 	if err != nil {
 		l.drop(event)
@@ -217,6 +223,14 @@
 	}
 }
 
+// asText makes an error its message alone: with its stack a line is ten times as long.
+func asText(field *zap.Field) zap.Field {
+	if failed, isError := field.Interface.(error); isError && field.Type == zapcore.ErrorType {
+		return zap.String(field.Key, failed.Error())
+	}
+	return *field
+}
+
 func (l *Log) drop(event Event) {
 	l.total.Add(1)
 	l.mutex.Lock()
--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"dewknot/internal/stall"
 )
 
 // Sink receives the objects of one kind, in the order of their revisions.
@@ -12,8 +14,8 @@
 	Reset(objects []Object, revision uint64)
 	// Apply takes changes since the last call, complete up to a revision.
 	Apply(events []Object, revision uint64)
-	// Confirmed tells that the store itself has just answered, so that all changes
-	// up to now are known.
+	// Confirmed tells that the store itself began to answer at a time, so that all
+	// changes up to then are known.
 	Confirmed(now time.Time)
 	// Lost and Regained tell when the store stops and starts to answer.
 	Lost(err error)
@@ -36,8 +38,9 @@
 	// changesPause: in a fleet that starts, all servers enter themselves.
 	startSpan  = 3 * time.Second
 	startPause = 500 * time.Millisecond
-	// answerLimit is how long the store may take for an answer, beyond the wait
-	// that a watch asks for.
+	// answerLimit is how long the store may take for the beginning of an answer, beyond
+	// the wait that a watch asks for, and how long it may be silent after that: an answer
+	// takes as long as its size and the link demand.
 	answerLimit = time.Second
 	// firstListLimit is the same for the first listing where others can be asked:
 	// a node that starts has nothing yet.
@@ -77,7 +80,8 @@
 // FollowConfig configures Follow.
 type FollowConfig struct {
 	Store Source
-	// Others, if not nil, are asked while the store does not answer.
+	// Others, if not nil, are asked while the store does not answer. They bound their
+	// own calls.
 	Others Source
 	// Readers, if not nil, are nodes that watch the store for others. A watch fails
 	// if this node is one of them, or if none of them is up to date.
@@ -165,7 +169,7 @@
 	if f.Others != nil && f.askedOthers.IsZero() {
 		limit = firstListLimit
 	}
-	limited, cancel := context.WithTimeout(ctx, limit)
+	limited, cancel := stall.WithLimit(ctx, limit, answerLimit)
 	defer cancel()
 	objects, revision, err := f.Store.List(limited, f.Kind)
 	if err != nil {
@@ -175,7 +179,7 @@
 	f.succeeded()
 	f.listed, f.revision = true, revision
 	f.Sink.Reset(objects, revision)
-	f.Sink.Confirmed(time.Now())
+	f.Sink.Confirmed(stall.Began(limited))
 }
 
 func (f *follower) watch(ctx context.Context) {
@@ -183,7 +187,7 @@
 	if !f.answering {
 		wait = probeWait
 	}
-	limited, cancel := context.WithTimeout(ctx, wait+answerLimit)
+	limited, cancel := stall.WithLimit(ctx, wait+answerLimit, answerLimit)
 	defer cancel()
 	events, revision, err := f.Store.Watch(limited, f.Kind, f.revision, wait)
 	if err != nil {
@@ -197,7 +201,7 @@
 	f.succeeded()
 	f.revision = revision
 	f.Sink.Apply(events, revision)
-	f.Sink.Confirmed(time.Now())
+	f.Sink.Confirmed(stall.Began(limited))
 	if len(events) > 0 {
 		f.gather(ctx)
 	}
@@ -234,10 +238,8 @@
 		return
 	}
 	f.askedOthers = time.Now()
-	limited, cancel := context.WithTimeout(ctx, answerLimit)
-	defer cancel()
 	if f.listed {
-		events, revision, err := f.Others.Watch(limited, f.Kind, f.revision, 0)
+		events, revision, err := f.Others.Watch(ctx, f.Kind, f.revision, 0)
 		if err == nil && revision > f.revision {
 			f.revision = revision
 			f.Sink.Apply(events, revision)
@@ -246,7 +248,7 @@
 			return
 		}
 	}
-	objects, revision, err := f.Others.List(limited, f.Kind)
+	objects, revision, err := f.Others.List(ctx, f.Kind)
 	if err == nil && revision > f.revision {
 		f.listed, f.revision = true, revision
 		f.Sink.Reset(objects, revision)
--- a/internal/objectstore/patches.go
+++ b/internal/objectstore/patches.go
@@ -29,6 +29,8 @@
 	older map[string][]Object
 	// made holds the patches to the newest version of each object.
 	made map[string]*madePatches
+	// packed holds compressed versions that others fetch, oldest first.
+	packed map[string][]packedVersion
 }
 
 // madePatches are the patches to one version of an object, by the base's revision.
@@ -38,7 +40,7 @@
 }
 
 func newVersions() *versions {
-	return &versions{older: map[string][]Object{}, made: map[string]*madePatches{}}
+	return &versions{older: map[string][]Object{}, made: map[string]*madePatches{}, packed: map[string][]packedVersion{}}
 }
 
 // keep keeps a version that is about to be replaced.
@@ -61,6 +63,7 @@
 	defer v.mutex.Unlock()
 	delete(v.older, name)
 	delete(v.made, name)
+	delete(v.packed, name)
 }
 
 // patch returns the patch to an object for a node that knows all changes up to a
@@ -86,7 +89,16 @@
 		patch = delta.Make(base.Content, target.Content)
 		made.byBase[base.Revision] = patch
 	}
-	return patch, patch.Bytes() < len(target.Content)/2
+	return patch, patch.Bytes() < len(target.Content)/patchShare(target)
+}
+
+// patchShare returns the part of an object that a patch must be smaller than: of a
+// large one, compressing leaves less than an eighth or so.
+func patchShare(target *Object) int {
+	if len(target.Content) < largeFrom {
+		return 2
+	}
+	return 8
 }
 
 // newestUpTo returns the newest kept version up to a revision; the lock is held.
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -86,6 +86,7 @@
 	restarting   sync.Mutex
 	// nodes holds the running nodes by name.
 	nodes map[string]*proxy.Node
+	links *slowLinks
 }
 
 // lockedBuffer keeps a log in memory: a write to a file would not be part of a
@@ -145,6 +146,7 @@
 	fleet := &simulatedFleet{
 		store: managed.NewStore(), check: judge.New(), zones: []string{"a", "b", "c"}, agreed: cfg.unfenced && !cfg.disagreed,
 		broken: cfg.broken, nodes: map[string]*proxy.Node{}, muted: map[string]bool{}, apart: map[string]bool{},
+		links: newSlowLinks(),
 	}
 	if os.Getenv("DEWKNOT_SIMULATED_LOG") != "" {
 		fleet.written = &lockedBuffer{}
@@ -190,7 +192,7 @@
 		Kinds:  proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind, Voters: managed.VoterKind},
 		Agreed: f.agreed, MessageAddress: name,
 	}, proxy.Ports{
-		Store: f.store.Client(name), Promoter: f.promoter, Decoder: managed.Decoder{},
+		Store: &linkedStore{f.store.Client(name), f.links, name}, Promoter: f.promoter, Decoder: managed.Decoder{},
 		Dialer: &breakingDialer{Dialer: &simulatedDialer{f, i}, broken: f.broken},
 		Client: func(connection net.Conn) proxy.Client { return clientPort{connection.(*memoryClient)} },
 		Peers:  memoryPeers{f, name}, Messages: &memoryMessages{f, name},
@@ -339,6 +341,9 @@
 	answer := node.Answer(ctx, question)
 	content, err := msgpack.Marshal(answer)
 	p.fleet.answered.Add(int64(len(content)))
+	if err == nil {
+		err = p.fleet.links.carry(ctx, len(content), address, p.name)
+	}
 	return answer, err
 }
 
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -26,7 +26,7 @@
 		kinds.Configuration: n.options.ConfigurationBound, kinds.Servers: n.options.DrainBound,
 	} {
 		go objectstore.Follow(ctx, objectstore.FollowConfig{
-			Store: n.ports.Store, Others: &otherNodes{n}, Readers: &storeReaders{node: n, bound: bound},
+			Store: n.ports.Store, Others: &otherNodes{n}, Readers: &storeReaders{node: n, bound: bound, patience: memberAnswerLimit},
 			Kind: kind, Wait: func() time.Duration { return n.watchWait(bound) }, Sink: n.caches[kind],
 		})
 	}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -148,8 +148,10 @@
 	// isolated is set while the node reaches too few voters to use any primary.
 	isolated atomic.Bool
 	// caches hold the objects of the kinds that other nodes may ask for.
-	caches  map[string]*objectstore.Cache
-	members atomic.Pointer[[]Member]
+	caches map[string]*objectstore.Cache
+	// transfers fetches large objects from other nodes.
+	transfers *transfers
+	members   atomic.Pointer[[]Member]
 	// membersKnown is closed once members has a value.
 	membersKnown chan struct{}
 	// readerSet is made of the members.
@@ -175,6 +177,7 @@
 		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{node}),
 		options.Kinds.Servers:       objectstore.NewCache(&directorySink{node}),
 	}
+	node.transfers = newTransfers(node)
 	node.links = remote.NewLinks(remote.LinksConfig{Dial: node.dialOwner, OnProof: node.ownerProved})
 	node.owner = remote.NewOwner(node)
 	node.tenures = node.newTenures()
--- a/internal/proxy/readers.go
+++ b/internal/proxy/readers.go
@@ -24,6 +24,8 @@
 	readersAsked = 5
 	// pollShare is the wait of a question to a reader as a part of the bound.
 	pollShare = 0.3
+	// mostPatience bounds the wait for a reader's answer.
+	mostPatience = 1600 * time.Millisecond
 	// readerSlack is how long a reader's watch may take beyond its wait.
 	readerSlack = time.Second
 )
@@ -114,6 +116,9 @@
 	mu sync.Mutex
 	// skip is how many readers this node has given up in its order.
 	skip int
+	// patience is how long a reader's answer is waited for: it doubles whenever all have
+	// failed, since the node's own link may be full.
+	patience time.Duration
 }
 
 var errNoReader = &objectstore.Error{Outcome: objectstore.NotDone, Detail: "no reader of the store is up to date"}
@@ -130,19 +135,34 @@
 	for range set.others {
 		answer, err := s.ask(ctx, s.present(set.others), question)
 		if err == nil && (!answer.Failed || answer.Outcome == objectstore.HistoryGone) {
+			s.succeeded()
 			return answer.Objects, answer.Revision, failureOf(&answer)
 		}
 		s.next()
 		// The next one is asked at once, and what it knows now is enough.
 		question.Wait = 0
 	}
+	s.failed()
 	return nil, 0, errNoReader
 }
 
 func (s *storeReaders) ask(ctx context.Context, reader Member, question relay.Question) (relay.Answer, error) {
-	limited, cancel := context.WithTimeout(ctx, question.Wait+memberAnswerLimit)
-	defer cancel()
-	return s.node.askObjects(limited, reader.Address, question)
+	s.mu.Lock()
+	patience := s.patience
+	s.mu.Unlock()
+	return s.node.askObjects(ctx, reader.Address, question, patience)
+}
+
+func (s *storeReaders) succeeded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.patience = memberAnswerLimit
+}
+
+func (s *storeReaders) failed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.patience = min(2*s.patience, mostPatience)
 }
 
 func (s *storeReaders) present(readers []Member) Member {
--- /dev/null
+++ b/internal/proxy/slowlink_test.go
@@ -0,0 +1,165 @@
+package proxy_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/bubbletest"
+	"dewknot/internal/catalog"
+	"dewknot/internal/objectstore"
+	"dewknot/internal/stall"
+	"dewknot/internal/standin/managed"
+)
+
+// slowLinks are the nodes' links that carry a limited number of bytes a second.
+type slowLinks struct {
+	mutex sync.Mutex
+	// rates are bytes a second by node; a node without one has a link without a limit.
+	rates map[string]int
+	busy  map[string]time.Time
+}
+
+// windowBytes is how much is under way at a time: what was sent uses the link even if
+// nobody waits for it any more.
+const windowBytes = 16 << 10
+
+func newSlowLinks() *slowLinks {
+	return &slowLinks{rates: map[string]int{}, busy: map[string]time.Time{}}
+}
+
+func (l *slowLinks) limit(node string, rate int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.rates[node] = rate
+}
+
+// reserve puts bytes behind all that is on a link and returns when they have passed.
+func (l *slowLinks) reserve(node string, size int) time.Time {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := time.Now()
+	rate := l.rates[node]
+	if rate == 0 {
+		return now
+	}
+	if l.busy[node].Before(now) {
+		l.busy[node] = now
+	}
+	l.busy[node] = l.busy[node].Add(time.Duration(size) * time.Second / time.Duration(rate))
+	return l.busy[node]
+}
+
+// carry brings bytes over the links of some nodes, unless ctx ends before.
+func (l *slowLinks) carry(ctx context.Context, size int, nodes ...string) error {
+	for size > 0 {
+		part := min(size, windowBytes)
+		size -= part
+		var passed time.Time
+		for _, node := range nodes {
+			if until := l.reserve(node, part); until.After(passed) {
+				passed = until
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(passed)):
+		}
+		stall.Received(ctx, part)
+	}
+	return nil
+}
+
+// linkedStore is the store behind a node's link.
+type linkedStore struct {
+	*managed.Client
+	links *slowLinks
+	node  string
+}
+
+// List implements objectstore.Store.
+func (s *linkedStore) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
+	objects, revision, err := s.Client.List(ctx, kind)
+	if err == nil {
+		err = s.links.carry(ctx, contentBytes(objects), s.node)
+	}
+	return objects, revision, err
+}
+
+// Watch implements objectstore.Store.
+func (s *linkedStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objectstore.Object, uint64, error) {
+	objects, revision, err := s.Client.Watch(ctx, kind, after, wait)
+	if err == nil {
+		err = s.links.carry(ctx, contentBytes(objects), s.node)
+	}
+	return objects, revision, err
+}
+
+func contentBytes(objects []objectstore.Object) int {
+	size := 0
+	for i := range objects {
+		size += len(objects[i].Content)
+	}
+	return size
+}
+
+// TestNodesOnSlowLinksKeepUp: the links of some nodes, readers of the store among them,
+// need longer for a large configuration than a peer or the store is waited for. They
+// have each version within its bound all the same, also after a restart and while the
+// store is down.
+func TestNodesOnSlowLinksKeepUp(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const (
+			nodes = 24
+			bound = 4 * time.Second
+			// slow takes some 1.5 s for the configuration of 1,000 routes.
+			slow = 150 << 10
+		)
+		fleet := newFleet(nodes, 0, nothingBroken)
+		time.Sleep(10 * time.Second)
+		for i := range 12 {
+			fleet.links.limit(fleet.name(i), slow)
+		}
+		version := uint64(1)
+		change := func(routes map[string]catalog.Route) {
+			version++
+			fleet.store.Put(managed.ConfigurationKind, "main", catalog.Configuration{
+				Version: version, Routes: routes, TransactionIdle: time.Second,
+				Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24}},
+			})
+		}
+		inForce := func(within time.Duration) {
+			t.Helper()
+			time.Sleep(within)
+			for name, node := range fleet.nodes {
+				must.Eq(t, version, configurationVersion(t, node), must.Sprint(name))
+			}
+		}
+		change(manyRoutes(2))
+		inForce(bound)
+		change(testRoutes)
+		inForce(bound)
+		// Large again, and changed while it is on its way.
+		change(manyRoutes(4))
+		time.Sleep(500 * time.Millisecond)
+		change(manyRoutes(5))
+		inForce(bound)
+		fleet.stopNode(3)
+		time.Sleep(6 * time.Second)
+		fleet.startNode(3)
+		inForce(bound)
+		fleet.stopNode(4)
+		time.Sleep(6 * time.Second)
+		fleet.store.SetDown(true)
+		fleet.startNode(4)
+		inForce(bound)
+		fleet.store.SetDown(false)
+		change(testRoutes)
+		inForce(bound)
+		fleet.end()
+	})
+}
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -10,6 +10,7 @@
 
 	"dewknot/internal/objectstore"
 	"dewknot/internal/relay"
+	"dewknot/internal/stall"
 )
 
 // otherNodes is the source of what other nodes know.
@@ -22,6 +23,9 @@
 	farSources  = 1
 	// memberAnswerLimit bounds the wait for other nodes' answers.
 	memberAnswerLimit = 400 * time.Millisecond
+	// stalledLimit is how long an answer that has begun may stand still: packets wait up
+	// to half a second on a full link, and one that is lost is sent again after 0.2 s or more.
+	stalledLimit = time.Second
 )
 
 // List implements objectstore.Source.
@@ -37,14 +41,12 @@
 // ask asks some nodes how much they know, and the one that knows most for it: an
 // answer may be a whole listing, of which one is enough.
 func (o *otherNodes) ask(ctx context.Context, question relay.Question) ([]objectstore.Object, uint64, error) {
-	limited, cancel := context.WithTimeout(ctx, 2*memberAnswerLimit)
-	defer cancel()
 	o.node.awaitMembers(time.Now().Add(memberAnswerLimit))
-	best, found := o.newest(limited, question.Kind)
+	best, found := o.newest(ctx, question.Kind)
 	if !found || (question.Changes && best.Revision <= question.After) {
 		return nil, 0, &objectstore.Error{Outcome: objectstore.NotDone, Detail: "no other node knows more"}
 	}
-	answer, err := o.node.askObjects(limited, best.from, question)
+	answer, err := o.node.askObjects(ctx, best.from, question, memberAnswerLimit)
 	if err != nil {
 		return nil, 0, &objectstore.Error{Outcome: objectstore.NotDone, Detail: err.Error()}
 	}
@@ -84,22 +86,40 @@
 	return best, found
 }
 
-// askObjects asks another node for objects. Large ones come as patches of what this
-// node has, where it has what the other one believes.
-func (n *Node) askObjects(ctx context.Context, address string, question relay.Question) (relay.Answer, error) {
-	question.Patches = question.Changes
-	answer, err := n.ports.Peers.Ask(ctx, address, question)
-	if err != nil || len(answer.Patched) == 0 {
+// askObjects asks another node for objects; limit bounds the time until its answer
+// begins, beyond the question's wait. Large objects come as patches of what this node
+// has, where it has what the other one believes, or else in pieces.
+func (n *Node) askObjects(ctx context.Context, address string, question relay.Question, limit time.Duration) (relay.Answer, error) {
+	question.Patches, question.Pieces = question.Changes, true
+	answer, err := n.askPeer(ctx, address, question, question.Wait+limit)
+	if err != nil {
 		return answer, err
 	}
 	expanded, err := n.caches[question.Kind].Expand(answer.Patched)
-	if err == nil {
-		answer.Objects = append(answer.Objects, expanded...)
-		slices.SortFunc(answer.Objects, func(a, b objectstore.Object) int { return cmp.Compare(a.Revision, b.Revision) })
-		return answer, nil
+	if err != nil {
+		question.Patches, question.Wait = false, 0
+		if answer, err = n.askPeer(ctx, address, question, limit); err != nil {
+			return answer, err
+		}
+	}
+	answer.Objects = append(answer.Objects, expanded...)
+	for i := range answer.Large {
+		object, err := n.transfers.fetch(ctx, address, question.Kind, &answer.Large[i])
+		if err != nil {
+			return answer, err
+		}
+		answer.Objects = append(answer.Objects, object)
 	}
-	question.Patches, question.Wait = false, 0
-	return n.ports.Peers.Ask(ctx, address, question)
+	slices.SortFunc(answer.Objects, func(a, b objectstore.Object) int { return cmp.Compare(a.Revision, b.Revision) })
+	return answer, nil
+}
+
+// askPeer asks another node, whose answer has to begin within a limit and takes as
+// long as it goes on after that.
+func (n *Node) askPeer(ctx context.Context, address string, question relay.Question, limit time.Duration) (relay.Answer, error) {
+	limited, cancel := stall.WithLimit(ctx, limit, stalledLimit)
+	defer cancel()
+	return n.ports.Peers.Ask(limited, address, question)
 }
 
 // Answer implements relay.Handler.
@@ -144,6 +164,8 @@
 	var answer relay.Answer
 	var err error
 	switch {
+	case question.Piece != nil:
+		answer.Piece, err = cache.Piece(question.Piece.Object, question.Piece.Revision, question.Piece.Offset)
 	case question.Peek:
 		answer.Revision, err = cache.Revision()
 	case question.Changes:
@@ -154,5 +176,8 @@
 	default:
 		answer.Objects, answer.Revision, err = cache.List()
 	}
+	if question.Pieces {
+		answer.Objects, answer.Large = cache.NameLarge(answer.Objects)
+	}
 	return answer, err
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"encoding/binary"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,7 @@
 	"dewknot/internal/codec"
 	"dewknot/internal/objectstore"
 	"dewknot/internal/position"
+	"dewknot/internal/stall"
 )
 
 // Question is what one node asks another.
@@ -36,6 +38,10 @@
 	// Patches, with Changes, allows objects to be told as patches of the versions
 	// that were in force at After.
 	Patches bool `msgpack:"p,omitempty"`
+	// Pieces allows large objects to be named in place of told.
+	Pieces bool `msgpack:"g,omitempty"`
+	// Piece, if set, asks for a part of a large object of the kind.
+	Piece *Piece `msgpack:"q,omitempty"`
 	// Peek asks for the revision only.
 	Peek bool `msgpack:"e,omitempty"`
 	// Server, if set, asks whether the node has lately reached a server.
@@ -51,6 +57,13 @@
 	Link bool `msgpack:"l,omitempty"`
 }
 
+// Piece names the part of a version of an object that begins at an offset.
+type Piece struct {
+	Object   string `msgpack:"o"`
+	Revision uint64 `msgpack:"r"`
+	Offset   int    `msgpack:"f,omitempty"`
+}
+
 // Answer is the answer to a question.
 type Answer struct {
 	// Failed carries the outcome of a question for objects that failed.
@@ -60,6 +73,12 @@
 	Revision uint64               `msgpack:"r,omitempty"`
 	// Patched are further objects, told as patches.
 	Patched []objectstore.PatchedObject `msgpack:"d,omitempty"`
+	// Large names further objects, to be asked for in pieces.
+	Large []objectstore.LargeObject `msgpack:"g,omitempty"`
+	// Piece is the part of an object that was asked for. If Later is set in its place,
+	// the node hands out as many as it may, and is to be asked again after that.
+	Piece []byte        `msgpack:"b,omitempty"`
+	Later time.Duration `msgpack:"z,omitempty"`
 	// Reached answers a question about a server.
 	Reached bool `msgpack:"y,omitempty"`
 	// Received is the end of the log of a server that has stepped down.
@@ -79,16 +98,27 @@
 const (
 	maxMessageBytes = 32 << 20
 	lengthBytes     = 4
-	// serveLimit bounds one exchange, beyond the wait that a question asks for.
+	// serveLimit bounds the reading of a question, and the silence of an asker that
+	// takes an answer.
 	serveLimit = 3 * time.Second
+	// writeBytes is how much is written at a time: an asker on a slow link takes each
+	// such part within serveLimit.
+	writeBytes = 16 << 10
 	// dialLimit bounds the opening of a connection.
 	dialLimit = 400 * time.Millisecond
 	// maxWait bounds the wait that a question may ask for.
 	maxWait = 30 * time.Second
 )
 
+// server answers questions.
+type server struct {
+	handler Handler
+	pieces  pieceGate
+}
+
 // Serve answers questions until the listener is closed.
 func Serve(listener net.Listener, handler Handler) {
+	s := &server{handler: handler, pieces: newPieceGate()}
 	for {
 		connection, err := listener.Accept()
 		if err != nil {
@@ -98,36 +128,49 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go serveOne(connection, handler)
+		go s.serve(connection)
 	}
 }
 
 // acceptPause is the pause after a connection could not be accepted.
 const acceptPause = 20 * time.Millisecond
 
-func serveOne(connection net.Conn, handler Handler) {
+// serve answers the one question of a connection.
+func (s *server) serve(connection net.Conn) {
 	defer func() { _ = connection.Close() }()
-	_ = connection.SetDeadline(time.Now().Add(serveLimit))
+	_ = connection.SetReadDeadline(time.Now().Add(serveLimit))
 	var question Question
 	if receive(connection, &question) != nil {
 		return
 	}
 	question.Wait = min(max(question.Wait, 0), maxWait)
-	_ = connection.SetDeadline(time.Now().Add(question.Wait + serveLimit))
 	ctx, cancel := context.WithTimeout(context.Background(), question.Wait+serveLimit)
 	defer cancel()
-	if question.Tunnel {
-		serveTunnel(ctx, connection, handler, question.Server)
-		return
-	}
-	if question.Link {
+	switch {
+	case question.Tunnel:
+		_ = connection.SetDeadline(time.Now().Add(question.Wait + serveLimit))
+		serveTunnel(ctx, connection, s.handler, question.Server)
+	case question.Link:
 		if send(connection, Answer{Reached: true}) == nil {
 			_ = connection.SetDeadline(time.Time{})
-			handler.ServeLink(connection)
+			s.handler.ServeLink(connection)
 		}
+	case question.Piece != nil:
+		s.servePiece(ctx, connection, question)
+	default:
+		_ = send(connection, s.handler.Answer(ctx, question))
+	}
+}
+
+// servePiece answers with a piece, unless as many as may be are on their way.
+func (s *server) servePiece(ctx context.Context, connection net.Conn, question Question) {
+	began, later := s.pieces.enter()
+	if later > 0 {
+		_ = send(connection, Answer{Later: later})
 		return
 	}
-	_ = send(connection, handler.Answer(ctx, question))
+	defer func() { s.pieces.leave(time.Since(began)) }()
+	_ = send(connection, s.handler.Answer(ctx, question))
 }
 
 // serveTunnel carries bytes between the asking node and a server until either
@@ -202,7 +245,7 @@
 	}
 	defer func() { _ = connection.Close() }()
 	if deadline, set := ctx.Deadline(); set {
-		_ = connection.SetDeadline(deadline)
+		_ = connection.SetReadDeadline(deadline)
 	}
 	// A question whose answer is no longer wanted ends at once.
 	defer context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Now()) })()
@@ -210,21 +253,27 @@
 		return Answer{}, err
 	}
 	var answer Answer
-	err = receive(connection, &answer)
+	err = receive(stall.Reader(ctx, connection), &answer)
 	return answer, err
 }
 
+// send writes a message in parts, each of which the other end has to take in time.
 func send(connection net.Conn, message any) error {
 	content, err := msgpack.Marshal(message)
 	if err != nil {
 		return errors.Wrap(err, "encode a message between nodes")
 	}
 	framed := binary.BigEndian.AppendUint32(make([]byte, 0, len(content)+lengthBytes), uint32(len(content)))
-	_, err = connection.Write(append(framed, content...))
-	return errors.Wrap(err, "send a message to another node")
+	for part := range slices.Chunk(append(framed, content...), writeBytes) {
+		_ = connection.SetWriteDeadline(time.Now().Add(serveLimit))
+		if _, err := connection.Write(part); err != nil {
+			return errors.Wrap(err, "send a message to another node")
+		}
+	}
+	return nil
 }
 
-func receive(connection net.Conn, message any) error {
+func receive(connection io.Reader, message any) error {
 	var length [lengthBytes]byte
 	if _, err := io.ReadFull(connection, length[:]); err != nil {
 		return errors.Wrap(err, "receive a message from another node")
--- /dev/null
+++ b/internal/stall/stall_test.go
@@ -0,0 +1,50 @@
+package stall
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/bubbletest"
+)
+
+// TestProgressKeepsAnOperation: an operation may take as long as it likes while bytes
+// come, and ends a limit after the last ones.
+func TestProgressKeepsAnOperation(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		ctx, cancel := WithLimit(context.Background(), time.Second, 400*time.Millisecond)
+		defer cancel()
+		time.Sleep(900 * time.Millisecond)
+		Received(ctx, 1)
+		began := time.Now()
+		for range 20 {
+			time.Sleep(300 * time.Millisecond)
+			Received(ctx, leastBytes)
+			must.NoError(t, ctx.Err())
+		}
+		must.Eq(t, began, Began(ctx))
+		time.Sleep(401 * time.Millisecond)
+		must.ErrorIs(t, context.Cause(ctx), ErrStalled)
+	})
+}
+
+// TestSilenceEndsAnOperation: neither silence at the beginning nor a trickle counts
+// as progress.
+func TestSilenceEndsAnOperation(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		silent, cancel := WithLimit(context.Background(), time.Second, 400*time.Millisecond)
+		defer cancel()
+		time.Sleep(1001 * time.Millisecond)
+		must.ErrorIs(t, context.Cause(silent), ErrStalled)
+
+		trickle, cancel := WithLimit(context.Background(), time.Second, 400*time.Millisecond)
+		defer cancel()
+		for range 5 {
+			Received(trickle, 1)
+			time.Sleep(100 * time.Millisecond)
+		}
+		must.ErrorIs(t, context.Cause(trickle), ErrStalled)
+	})
+}
