Nobody replaces a primary alone; a node that hears nothing suspects itself

Cause: a holder whose questions brought no answer took that for consent.

Change: a primary that does not answer is replaced only if two of the nodes that were asked say so, one of another zone among them if there are any; or if the directory has lost it, or it has announced its end. Witnesses are taken from all zones in turn, those that were silent lately last, so that a fleet of which half is off still finds two. A node for which other nodes, servers and the store are all silent at once takes itself to be at fault: node_degraded, not ready, refuses at once, closes idle sessions, suspects nobody. A primary whose entry was forgotten counts as gone.

The test TestNodeThatNobodyAnswersGoesByItsOwnEvidence stated the old rule; its case is now the fleet of one, and TestSilenceOfOthersIsNoEvidence is stricter. The stand-in's directory loses a crashed server after three heartbeats, as the platform's does.

--- a/internal/failover/events.go
+++ b/internal/failover/events.go
@@ -10,9 +10,15 @@
 
 // Corroborated answers Corroborate.
 type Corroborated struct {
-	// Answers counts the nodes that answered, Reached those that reach the primary.
+	// Asked counts the nodes that were asked, Answers those that answered and Reached
+	// those that reach the primary.
+	Asked   int `json:",omitempty"`
 	Answers int
 	Reached int
+	// AskedElsewhere counts the nodes of other zones that were asked, ConfirmedElsewhere
+	// those that answered and do not reach the primary.
+	AskedElsewhere     int `json:",omitempty"`
+	ConfirmedElsewhere int `json:",omitempty"`
 	// HolderAnswered is set if one of the superiors was among them.
 	HolderAnswered bool
 }
--- a/internal/failover/machine.go
+++ b/internal/failover/machine.go
@@ -99,6 +99,9 @@
 	LeastBallot uint64
 	// Voiceless is set, by agreement, while too few voters are known to take part.
 	Voiceless bool
+	// Degraded is set while all that this node talks to is silent: then it is the node
+	// that is at fault, and what it sees of the primary says nothing.
+	Degraded bool `json:",omitempty"`
 }
 
 // Server is a possible target.
@@ -220,6 +223,8 @@
 // need returns whether the primary should be replaced, and after which delay.
 func (m *Machine) need() (bool, time.Duration) {
 	switch seen := &m.observation; {
+	case seen.Degraded:
+		return false, 0
 	case m.agreed && seen.Closed && seen.Leader == "":
 		// None was open in this process's life.
 		return len(seen.Servers) > 0, 0
--- a/internal/failover/machine_test.go
+++ b/internal/failover/machine_test.go
@@ -213,12 +213,64 @@
 	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(1350), Corroborated{Answers: 4, Reached: 2}))
 }
 
-func TestNodeThatNobodyAnswersGoesByItsOwnEvidence(t *testing.T) {
+// TestNodeOfAFleetOfOneGoesByItsOwnEvidence: there is nobody to ask.
+func TestNodeOfAFleetOfOneGoesByItsOwnEvidence(t *testing.T) {
 	machine := holder(t)
 	machine.Step(at(100), Observed{down()})
 	must.Eq(t, []Effect{Survey{Except: "a"}}, machine.Step(at(500), Corroborated{}))
 }
 
+// TestSilenceOfOthersIsNoEvidence: a primary is replaced only if enough of the nodes
+// that were asked say that it is down, one of another zone among them, or if the
+// directory or the primary itself says so.
+func TestSilenceOfOthersIsNoEvidence(t *testing.T) {
+	gone, draining := down(), down()
+	gone.LeaderGone = true
+	draining.LeaderDraining = true
+	for _, c := range []struct {
+		name  string
+		seen  Observation
+		word  Corroborated
+		acted bool
+	}{
+		{"nobody answers", down(), Corroborated{Asked: 5, AskedElsewhere: 4}, false},
+		{"one confirms", down(), Corroborated{Asked: 5, Answers: 1, AskedElsewhere: 4, ConfirmedElsewhere: 1}, false},
+		{"two confirm", down(), Corroborated{Asked: 5, Answers: 2, AskedElsewhere: 4, ConfirmedElsewhere: 1}, true},
+		{"two of the own zone confirm", down(), Corroborated{Asked: 5, Answers: 2, AskedElsewhere: 3}, false},
+		{"two of a fleet in one zone confirm", down(), Corroborated{Asked: 5, Answers: 2}, true},
+		{"the other node of two confirms", down(), Corroborated{Asked: 1, Answers: 1, AskedElsewhere: 1, ConfirmedElsewhere: 1}, true},
+		{"the other node of two is silent", down(), Corroborated{Asked: 1, AskedElsewhere: 1}, false},
+		{"nobody answers, the directory has lost it", gone, Corroborated{Asked: 5, AskedElsewhere: 4}, true},
+		{"nobody answers, it announced its end", draining, Corroborated{Asked: 5, AskedElsewhere: 4}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			machine := holder(t)
+			must.Eq(t, []Effect{Corroborate{Server: "a"}}, machine.Step(at(100), Observed{c.seen}))
+			effects := machine.Step(at(150), c.word)
+			if c.acted {
+				must.Eq(t, []Effect{Survey{Except: "a"}}, effects)
+				return
+			}
+			must.SliceEmpty(t, effects)
+			must.Eq(t, Watching, machine.Phase())
+			// Others are asked again soon.
+			again := at(150).Add(pauseAfterFailure)
+			must.Eq(t, []Effect{Corroborate{Server: "a"}}, machine.Step(again, Observed{c.seen}))
+		})
+	}
+}
+
+// TestDegradedNodeSuspectsNobody: not even after others have confirmed.
+func TestDegradedNodeSuspectsNobody(t *testing.T) {
+	machine := holder(t)
+	seen := down()
+	seen.Degraded = true
+	must.SliceEmpty(t, machine.Step(at(100), Observed{seen}))
+	machine.Step(at(200), Observed{down()})
+	machine.Step(at(300), Observed{seen})
+	must.SliceEmpty(t, machine.Step(at(350), Corroborated{Asked: 5, Answers: 5, AskedElsewhere: 4, ConfirmedElsewhere: 4}))
+}
+
 func TestPrimaryThatComesBackMeanwhileStays(t *testing.T) {
 	machine := holder(t)
 	machine.Step(at(100), Observed{down()})
--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -71,6 +71,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return nil
 	}
+	n.peerAnswered(member.Address, err)
 	if err != nil {
 		n.log.Write(eventlog.PeerSilent, zap.String("peer", member.Name), zap.String("address", member.Address),
 			zap.Duration("after", time.Since(began)), zap.Error(err))
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -59,6 +59,7 @@
 		}
 		now := time.Now()
 		n.lookIsolated(now)
+		n.lookDegraded(now)
 		stoodStill := now.Sub(last) > pauseLimit
 		last = now
 		n.services.Range(func(_, value any) bool {
@@ -163,7 +164,11 @@
 }
 
 func (s *service) observe(leader string, down bool) failover.Observation {
-	observation := failover.Observation{Leader: leader, LeaderDown: down, SynchronousReplicas: s.synchronousReplicas()}
+	observation := failover.Observation{
+		Leader: leader, LeaderDown: down, SynchronousReplicas: s.synchronousReplicas(), Degraded: s.node.degraded.Load(),
+	}
+	// A primary whose entry vanished so long ago that it was forgotten is gone all the same.
+	observation.LeaderGone = leader != ""
 	for _, entry := range s.node.catalog.Current().ByService[s.name] {
 		if entry.ID == leader {
 			observation.LeaderDraining = entry.Draining
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -6,13 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"slices"
-	"sync"
 	"time"
 
-	"go.uber.org/zap"
-
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
 	"dewknot/internal/objectstore"
 	"dewknot/internal/relay"
 )
@@ -190,69 +185,3 @@
 	rand.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
 	return chosen[:min(count, len(chosen))]
 }
-
-// reachedWithin is how old an answer of a server may be to count as reached: not
-// so old that the server may have ended since.
-const reachedWithin = 60 * time.Millisecond
-
-// reaches reports whether this node reaches a server directly: by a fresh answer,
-// by work that has waited too long for one, or else by asking it. A node that goes
-// through another one reaches nothing for a third.
-func (n *Node) reaches(id string) bool {
-	target := n.server(id)
-	if target == nil {
-		return false
-	}
-	now := time.Now()
-	if _, detour := n.DetourTo(id); detour || target.stats.Unanswered(now) > silenceLimit {
-		return false
-	}
-	if failures, _ := target.stats.Failures(); failures == 0 && target.stats.SinceAnswer(now) < reachedWithin {
-		return true
-	}
-	return n.service(target.service).prove(target, reserve, now.Add(pingLimit)) != silent
-}
-
-// witnessesAsked is how many nodes are asked whether they reach a primary.
-const witnessesAsked = 5
-
-// corroborate asks other nodes, and the holder of the lease, whether they reach
-// the primary.
-func (s *service) corroborate(effect failover.Corroborate) failover.Corroborated {
-	node := s.node
-	ctx, cancel := context.WithTimeout(context.Background(), pingLimit+memberAnswerLimit)
-	defer cancel()
-	question := relay.Question{Server: effect.Server}
-	var holder, answers []memberAnswer
-	var asked sync.WaitGroup
-	asked.Go(func() { holder = node.askMembers(ctx, node.membersNamed(effect.Superiors), question) })
-	if effect.Server != "" {
-		answers = node.askMembers(ctx, node.someMembers(witnessesAsked), question)
-	}
-	asked.Wait()
-	outcome := failover.Corroborated{Answers: len(answers), HolderAnswered: len(holder) > 0}
-	for _, answer := range answers {
-		if answer.Reached {
-			outcome.Reached++
-			s.witness.Store(&answer.from)
-		}
-	}
-	node.log.Write(eventlog.FailoverWitnesses, zap.String("service", s.name), zap.String("server", effect.Server),
-		zap.Int("answers", outcome.Answers), zap.Int("reached", outcome.Reached), zap.Bool("holder_answered", outcome.HolderAnswered))
-	return outcome
-}
-
-// membersNamed returns the members with some names that are known and other nodes.
-func (n *Node) membersNamed(names []string) []Member {
-	known := n.members.Load()
-	if known == nil || n.ports.Peers == nil {
-		return nil
-	}
-	var named []Member
-	for _, member := range *known {
-		if slices.Contains(names, member.Name) {
-			named = append(named, member)
-		}
-	}
-	return named
-}
--- a/internal/proxy/metered.go
+++ b/internal/proxy/metered.go
@@ -13,6 +13,7 @@
 type meteredStore struct {
 	objectstore.Store
 	calls *prometheus.CounterVec
+	node  *Node
 }
 
 // count counts a call by what it asked and how it ended.
@@ -22,6 +23,7 @@
 		outcome = objectstore.OutcomeOf(err).String()
 	}
 	m.calls.WithLabelValues(call, kind, outcome).Inc()
+	m.node.reachability.store(outcome != objectstore.Unknown.String(), time.Now())
 }
 
 // List implements objectstore.Store.
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -74,6 +74,12 @@
 		gauge("remote_sessions", "Sessions of other nodes with work on this node's connections.", func() float64 { return float64(node.owner.Active()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(node.log.Dropped()) }),
 		gauge("known_members", "Other nodes known.", func() float64 { return float64(node.KnownMembers()) }),
+		gauge("degraded", "1 while other nodes, servers and the store are all silent for this node.", func() float64 {
+			if node.degraded.Load() {
+				return 1
+			}
+			return 0
+		}),
 		gauge("store_lost", "1 while the store does not answer.", node.storeLost),
 	)
 	return m
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -147,6 +147,11 @@
 	refreshingLeases atomic.Bool
 	// isolated is set while the node reaches too few voters to use any primary.
 	isolated atomic.Bool
+	// degraded is set while all that the node talks to is silent.
+	degraded     atomic.Bool
+	reachability *reachability
+	// silentMembers are the nodes that did not answer lately.
+	silentMembers silences
 	// caches hold the objects of the kinds that other nodes may ask for.
 	caches map[string]*objectstore.Cache
 	// transfers fetches large objects from other nodes.
@@ -172,12 +177,13 @@
 		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}), nudged: make(chan struct{}, 1),
 	}
 	node.metrics = newMetrics(node)
-	node.ports.Store = &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls}
+	node.ports.Store = &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls, node: node}
 	node.caches = map[string]*objectstore.Cache{
 		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{node}),
 		options.Kinds.Servers:       objectstore.NewCache(&directorySink{node}),
 	}
 	node.transfers = newTransfers(node)
+	node.reachability = newReachability(node.started)
 	node.links = remote.NewLinks(remote.LinksConfig{Dial: node.dialOwner, OnProof: node.ownerProved})
 	node.owner = remote.NewOwner(node)
 	node.tenures = node.newTenures()
@@ -209,7 +215,7 @@
 // Ready reports whether the node wants new callers.
 func (n *Node) Ready() bool {
 	snapshot := n.catalog.Current()
-	return !n.stopping.Load() && !n.isolated.Load() && snapshot.Configuration != nil && len(snapshot.Servers) > 0
+	return !n.stopping.Load() && !n.secluded() && snapshot.Configuration != nil && len(snapshot.Servers) > 0
 }
 
 func (n *Node) accept(listener net.Listener) {
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -144,7 +144,7 @@
 func (r *run) onAnyServer() (*server, *upstream.Lease, freshness.Floor) {
 	for r.goesOn() {
 		floor, found := r.floor()
-		if !found && r.session.node.isolated.Load() {
+		if r.session.node.degraded.Load() || (!found && r.session.node.secluded()) {
 			break
 		}
 		if !found {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -194,7 +194,7 @@
 // onLeader lends a connection to the primary. If there is none in time, it
 // returns the reason: no primary can be reached, or its connections are in use.
 func (r *run) onLeader() (*server, *upstream.Lease, failure.Kind) {
-	for time.Now().Before(r.deadline) && !r.session.node.isolated.Load() {
+	for time.Now().Before(r.deadline) && !r.session.node.secluded() {
 		now := time.Now()
 		target := r.service.leader(now)
 		if target == nil || target.stats.Avoided(now) {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -137,13 +137,13 @@
 // closes reports whether the session is to be closed, and nothing of it would be
 // lost.
 func (s *session) closes() bool {
-	leaves := s.node.closing.Load() || s.node.isolated.Load()
+	leaves := s.node.closing.Load() || s.node.secluded()
 	return leaves && (s.transaction == nil || s.node.aborting.Load())
 }
 
 // idled ends a transaction that has rested too long.
 func (s *session) idled() {
-	if s.transaction != nil && s.transaction.lease != nil && !s.node.closing.Load() && !s.node.isolated.Load() {
+	if s.transaction != nil && s.transaction.lease != nil && !s.node.closing.Load() && !s.node.secluded() {
 		s.transaction.fail(s)
 	}
 }
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -119,7 +119,11 @@
 func (n *Node) askPeer(ctx context.Context, address string, question relay.Question, limit time.Duration) (relay.Answer, error) {
 	limited, cancel := stall.WithLimit(ctx, limit, stalledLimit)
 	defer cancel()
-	return n.ports.Peers.Ask(limited, address, question)
+	answer, err := n.ports.Peers.Ask(limited, address, question)
+	if ctx.Err() == nil {
+		n.peerAnswered(address, err)
+	}
+	return answer, err
 }
 
 // Answer implements relay.Handler.
--- /dev/null
+++ b/internal/proxy/witnesses.go
@@ -0,0 +1,141 @@
+package proxy
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/eventlog"
+	"dewknot/internal/failover"
+	"dewknot/internal/relay"
+)
+
+// reachedWithin is how old an answer of a server may be to count as reached: not
+// so old that the server may have ended since.
+const reachedWithin = 60 * time.Millisecond
+
+// reaches reports whether this node reaches a server directly: by a fresh answer,
+// by work that has waited too long for one, or else by asking it. A node that goes
+// through another one reaches nothing for a third.
+func (n *Node) reaches(id string) bool {
+	target := n.server(id)
+	if target == nil {
+		return false
+	}
+	now := time.Now()
+	if _, detour := n.DetourTo(id); detour || target.stats.Unanswered(now) > silenceLimit {
+		return false
+	}
+	if failures, _ := target.stats.Failures(); failures == 0 && target.stats.SinceAnswer(now) < reachedWithin {
+		return true
+	}
+	return n.service(target.service).prove(target, reserve, now.Add(pingLimit)) != silent
+}
+
+// witnessesAsked is how many nodes are asked whether they reach a primary.
+const witnessesAsked = 5
+
+// silentSpan is for how long a node that did not answer is asked after all others.
+const silentSpan = 10 * time.Second
+
+// witnesses returns the nodes to ask whether they reach a primary, at random but of
+// different zones in turn: those of one zone may all be cut off. Nodes that were silent
+// lately come last.
+func (n *Node) witnesses() []Member {
+	members := n.someMembers(math.MaxInt)
+	now := time.Now()
+	seen := map[string]int{}
+	turns := make(map[string]int, len(members))
+	for _, member := range members {
+		turns[member.Name] = seen[member.Zone]
+		seen[member.Zone]++
+		if n.silentMembers.lately(member.Address, now) {
+			turns[member.Name] += len(members)
+		}
+	}
+	slices.SortStableFunc(members, func(a, b Member) int { return cmp.Compare(turns[a.Name], turns[b.Name]) })
+	return members[:min(witnessesAsked, len(members))]
+}
+
+// corroborate asks other nodes, and the holder of the lease, whether they reach
+// the primary.
+func (s *service) corroborate(effect failover.Corroborate) failover.Corroborated {
+	node := s.node
+	ctx, cancel := context.WithTimeout(context.Background(), pingLimit+memberAnswerLimit)
+	defer cancel()
+	question := relay.Question{Server: effect.Server}
+	var holder, answers []memberAnswer
+	var witnesses []Member
+	var asked sync.WaitGroup
+	asked.Go(func() { holder = node.askMembers(ctx, node.membersNamed(effect.Superiors), question) })
+	if effect.Server != "" {
+		witnesses = node.witnesses()
+		answers = node.askMembers(ctx, witnesses, question)
+	}
+	asked.Wait()
+	outcome := s.weigh(witnesses, answers)
+	outcome.HolderAnswered = len(holder) > 0
+	node.log.Write(eventlog.FailoverWitnesses, zap.String("service", s.name), zap.String("server", effect.Server),
+		zap.Int("asked", outcome.Asked), zap.Int("answers", outcome.Answers), zap.Int("reached", outcome.Reached),
+		zap.Int("confirmed_elsewhere", outcome.ConfirmedElsewhere), zap.Bool("holder_answered", outcome.HolderAnswered))
+	return outcome
+}
+
+// weigh counts what witnesses say.
+func (s *service) weigh(witnesses []Member, answers []memberAnswer) failover.Corroborated {
+	outcome := failover.Corroborated{Asked: len(witnesses), Answers: len(answers)}
+	elsewhere := map[string]bool{}
+	for _, witness := range witnesses {
+		if witness.Zone != s.node.options.Zone {
+			elsewhere[witness.Address] = true
+			outcome.AskedElsewhere++
+		}
+	}
+	for _, answer := range answers {
+		switch {
+		case answer.Reached:
+			outcome.Reached++
+			s.witness.Store(&answer.from)
+		case elsewhere[answer.from]:
+			outcome.ConfirmedElsewhere++
+		}
+	}
+	return outcome
+}
+
+// silences holds when nodes last did not answer, by address. It is safe for concurrent use.
+type silences struct{ since sync.Map }
+
+func (s *silences) note(address string, silent bool) {
+	if silent {
+		s.since.Store(address, time.Now())
+		return
+	}
+	s.since.Delete(address)
+}
+
+// lately reports whether a node was silent a short while ago.
+func (s *silences) lately(address string, now time.Time) bool {
+	since, found := s.since.Load(address)
+	return found && now.Sub(since.(time.Time)) < silentSpan
+}
+
+// membersNamed returns the members with some names that are known and other nodes.
+func (n *Node) membersNamed(names []string) []Member {
+	known := n.members.Load()
+	if known == nil || n.ports.Peers == nil {
+		return nil
+	}
+	var named []Member
+	for _, member := range *known {
+		if slices.Contains(names, member.Name) {
+			named = append(named, member)
+		}
+	}
+	return named
+}
--- a/internal/standin/managed/server.go
+++ b/internal/standin/managed/server.go
@@ -30,6 +30,8 @@
 	loseAnswers int
 	applyDelay  time.Duration
 	busyUntil   time.Time
+	// crashes counts the crashes, so that an entry lapses for the newest only.
+	crashes int
 
 	log      []entry
 	applied  int
@@ -54,6 +56,20 @@
 		s.group.endLinger(s)
 	}
 	s.dropSessions()
+	s.crashes++
+	crash := s.crashes
+	time.AfterFunc(entryLife, func() { s.lapse(crash) })
+}
+
+// entryLife is how long an entry of the directory outlives the last heartbeat of its server.
+const entryLife = 3600 * time.Millisecond
+
+// lapse removes the entry of a server that has been down since its crash with a number.
+func (s *Server) lapse(crash int) {
+	defer s.lock()()
+	if !s.up && s.crashes == crash {
+		s.group.announce(s)
+	}
 }
 
 // Restart starts a crashed server with its log.
