A session's start is held while a node that starts learns what it serves

Cause: after a loss of all nodes callers come back before the nodes have listed configuration and directory.

--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -157,6 +157,9 @@
 	// transfers fetches large objects from other nodes.
 	transfers *transfers
 	members   atomic.Pointer[[]Member]
+	// informed is closed once the node knows a configuration and a directory.
+	informed     chan struct{}
+	informedOnce sync.Once
 	// membersKnown is closed once members has a value.
 	membersKnown chan struct{}
 	// readerSet is made of the members.
@@ -174,7 +177,7 @@
 func New(options Options, ports Ports, log *eventlog.Log) *Node {
 	node := &Node{
 		options: options, ports: ports, log: log,
-		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}), nudged: make(chan struct{}, 1),
+		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}), informed: make(chan struct{}), nudged: make(chan struct{}, 1),
 	}
 	node.metrics = newMetrics(node)
 	node.ports.Store = &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls, node: node}
@@ -215,7 +218,7 @@
 // Ready reports whether the node wants new callers.
 func (n *Node) Ready() bool {
 	snapshot := n.catalog.Current()
-	return !n.stopping.Load() && !n.secluded() && snapshot.Configuration != nil && len(snapshot.Servers) > 0
+	return !n.stopping.Load() && !n.secluded() && complete(snapshot)
 }
 
 func (n *Node) accept(listener net.Listener) {
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -114,6 +114,9 @@
 	if previous.Configuration != current.Configuration {
 		n.setCeilings()
 	}
+	if complete(current) && !complete(previous) {
+		n.informedOnce.Do(func() { close(n.informed) })
+	}
 	for id, entry := range current.Servers {
 		if previous.Servers[id] == entry {
 			continue
@@ -127,6 +130,11 @@
 	}
 }
 
+// complete reports whether a snapshot suffices to serve callers.
+func complete(snapshot *catalog.Snapshot) bool {
+	return snapshot.Configuration != nil && len(snapshot.Servers) > 0
+}
+
 func (n *Node) serverChanged(entry *catalog.Server) {
 	if found, ok := n.servers.Load(entry.ID); !ok {
 		stats := upstream.NewStats()
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -62,6 +62,7 @@
 		return false
 	}
 	s.database = database
+	s.node.awaitInformed(time.Now())
 	if refusal := s.bind(); refusal != nil {
 		_ = s.client.Refuse(refusal)
 		return false
--- a/internal/proxy/warm.go
+++ b/internal/proxy/warm.go
@@ -25,6 +25,21 @@
 	}
 }
 
+// awaitInformed holds a new session back while a node that has just started learns the
+// configuration and the directory, which takes it a round trip or two. Its caller comes
+// back after a loss of all nodes: to refuse it would use up one of its few attempts.
+func (n *Node) awaitInformed(now time.Time) {
+	if complete(n.catalog.Current()) {
+		return
+	}
+	timer := time.NewTimer(time.Until(now.Add(startPatience)))
+	defer timer.Stop()
+	select {
+	case <-n.informed:
+	case <-timer.C:
+	}
+}
+
 const (
 	// startSpread is the span over which sessions that have waited for a tenure begin:
 	// all at once they would meet full servers, and be refused until their callers give up.
