Nodes learn from those that have listed; a small zone has one reader

Change: a node lists from a reader, two of which are asked for 60 ms each, and lists the store only if neither is up to date; at the first start of a fleet, for which nobody waits, it asks a few times. It watches nothing until its list of members is likely complete. A zone of less than 8 nodes has one reader. Leases are listed for making only by a node that ranks first for one.

Weighed: one reader in any zone (a lost reader's zone would ask other zones), a tree.

Test: TestNodesMakeFewCallsToTheStore (the code before listed and watched on all nodes).

--- a/internal/objectstore/follow.go
+++ b/internal/objectstore/follow.go
@@ -92,8 +92,9 @@
 	Sink Sink
 }
 
-// ReaderSource watches nodes that watch the store.
+// ReaderSource lists and watches what nodes that watch the store know.
 type ReaderSource interface {
+	List(ctx context.Context, kind string) ([]Object, uint64, error)
 	Watch(ctx context.Context, kind string, after uint64) ([]Object, uint64, error)
 }
 
@@ -114,12 +115,31 @@
 func (f *follower) step(ctx context.Context) {
 	switch {
 	case !f.listed:
-		f.list(ctx)
+		if !f.listReaders(ctx) {
+			f.list(ctx)
+		}
 	case !f.watchReaders(ctx):
 		f.watch(ctx)
 	}
 }
 
+// listReaders lists what a reader knows and reports whether one was up to date: nodes
+// that are started again in a running fleet make no calls to the store.
+func (f *follower) listReaders(ctx context.Context) bool {
+	if f.Readers == nil {
+		return false
+	}
+	objects, revision, err := f.Readers.List(ctx, f.Kind)
+	if err != nil || revision < f.revision {
+		return false
+	}
+	f.spare = true
+	f.succeeded()
+	f.listed, f.revision = true, revision
+	f.Sink.Reset(objects, revision)
+	return true
+}
+
 // watchReaders watches a reader and reports whether one was up to date.
 func (f *follower) watchReaders(ctx context.Context) bool {
 	if f.Readers == nil {
--- a/internal/objectstore/follow_test.go
+++ b/internal/objectstore/follow_test.go
@@ -303,6 +303,11 @@
 type reader struct{ cache *Cache }
 
 // Watch implements ReaderSource.
+// List implements ReaderSource.
+func (r reader) List(context.Context, string) ([]Object, uint64, error) {
+	return nil, 0, &Error{Outcome: NotDone, Detail: "no reader lists"}
+}
+
 func (r reader) Watch(ctx context.Context, _ string, after uint64) ([]Object, uint64, error) {
 	events, revision, err := r.cache.Watch(ctx, after, time.Second)
 	if err == nil && r.cache.Age() > 3*time.Second {
--- /dev/null
+++ b/internal/proxy/calls_test.go
@@ -0,0 +1,76 @@
+package proxy_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/bubbletest"
+	"dewknot/internal/proxy"
+)
+
+// callsByName counts a node's calls to the store by what they ask.
+func callsByName(t *testing.T, node *proxy.Node) map[string]int {
+	t.Helper()
+	counted := map[string]int{}
+	families, err := node.Metrics().Gather()
+	must.NoError(t, err)
+	for _, family := range families {
+		if family.GetName() != "dewknot_store_calls_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			for _, label := range metric.GetLabel() {
+				if label.GetName() == "call" {
+					counted[label.GetValue()] += int(metric.GetCounter().GetValue())
+				}
+			}
+		}
+	}
+	return counted
+}
+
+// TestNodesMakeFewCallsToTheStore: of a fleet of 60 that starts, only the six readers list
+// and watch; each node enters itself once, and makes some cheap listings. A node that
+// starts again in the running fleet makes cheap listings only.
+func TestNodesMakeFewCallsToTheStore(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const nodes, readers = 60, 6
+		fleet := newFleet(nodes, 0, nothingBroken)
+		time.Sleep(15 * time.Second)
+		listing, watching, creating := 0, 0, 0
+		for name, node := range fleet.nodes {
+			calls := callsByName(t, node)
+			creating += calls["create"]
+			must.LessEq(t, 6, calls["list_stale"], must.Sprint(name, calls))
+			if calls["list"] > 0 {
+				listing++
+			}
+			if calls["watch"] > 0 {
+				watching++
+			}
+		}
+		// One entry each, and the service's lease, which two nodes may try to make.
+		must.Between(t, nodes+1, creating, nodes+2)
+		must.LessEq(t, readers, listing)
+		must.LessEq(t, readers, watching)
+		again := "node-0"
+		for i := range nodes {
+			if callsByName(t, fleet.nodes[fleet.name(i)])["watch"] == 0 {
+				again = fleet.name(i)
+				fleet.stopNode(i)
+				time.Sleep(7 * time.Second)
+				fleet.startNode(i)
+				break
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		must.True(t, fleet.nodes[again].Ready())
+		time.Sleep(10 * time.Second)
+		calls := callsByName(t, fleet.nodes[again])
+		must.MapLen(t, 1, calls, must.Sprint(calls))
+		must.LessEq(t, 6, calls["list_stale"], must.Sprint(calls))
+		fleet.end()
+	})
+}
--- a/internal/proxy/leases.go
+++ b/internal/proxy/leases.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"dewknot/internal/catalog"
 	"dewknot/internal/eventlog"
 	"dewknot/internal/failover"
 	"dewknot/internal/objectstore"
@@ -92,24 +93,42 @@
 // that starts makes each lease about once. Views that differ cost a conflict.
 func (n *Node) makeLeases(ctx context.Context) bool {
 	configuration := n.catalog.Current().Configuration
+	if configuration == nil {
+		return false
+	}
+	own := n.rankedFirst(configuration)
+	if len(own) == 0 {
+		return true
+	}
 	objects, ok := n.listLeases(ctx)
-	if configuration == nil || !ok {
+	if !ok {
 		return false
 	}
 	made := map[string]bool{}
 	for _, object := range objects {
 		made[object.Name] = true
 	}
+	for _, name := range own {
+		if !made[name] {
+			n.service(name).submit(failover.LeaseKnown{Missing: true})
+		}
+	}
+	return true
+}
+
+// rankedFirst returns the services for which this node ranks first among the members.
+func (n *Node) rankedFirst(configuration *catalog.Configuration) []string {
 	candidates := []placement.Candidate{{ID: n.options.Name}}
 	for _, member := range *n.members.Load() {
 		candidates = append(candidates, placement.Candidate{ID: member.Name})
 	}
+	var first []string
 	for name := range configuration.Services {
-		if !made[name] && placement.Rank(name, "", candidates, 1)[0] == n.options.Name {
-			n.service(name).submit(failover.LeaseKnown{Missing: true})
+		if placement.Rank(name, "", candidates, 1)[0] == n.options.Name {
+			first = append(first, name)
 		}
 	}
-	return true
+	return first
 }
 
 func decodeLease(object objectstore.Object) failover.LeaseKnown {
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -38,6 +38,9 @@
 	firstMemberLook  = 700 * time.Millisecond
 	secondMemberLook = 2 * time.Second
 	memberLook       = 40 * time.Second
+	// settleLimit bounds the wait, from a node's start, for a list of members that is
+	// likely complete.
+	settleLimit = 1500 * time.Millisecond
 	// leasesLook is about the pause until all nodes that start together have made
 	// their leases.
 	leasesLook  = 6 * time.Second
@@ -50,8 +53,10 @@
 	n.findMembers(ctx)
 	n.waitAbout(ctx, firstMemberLook)
 	for ctx.Err() == nil && !n.lookAtMembers(ctx) {
+		n.settled()
 		n.waitAbout(ctx, memberRetry)
 	}
+	n.settled()
 	n.waitAbout(ctx, secondMemberLook)
 	for ctx.Err() == nil && !(n.lookAtMembers(ctx) && n.makeLeases(ctx)) {
 		n.waitAbout(ctx, memberRetry)
@@ -78,6 +83,24 @@
 	}
 }
 
+// settled notes that the list of members is as complete as it will soon be.
+func (n *Node) settled() { n.settledOnce.Do(func() { close(n.membersSettled) }) }
+
+// awaitSettled waits until it is likely known how many other nodes there are: of a large
+// fleet that starts, each would else watch the store for a moment.
+func (n *Node) awaitSettled(ctx context.Context) {
+	if n.ports.Peers == nil {
+		return
+	}
+	timer := time.NewTimer(time.Until(n.started.Add(settleLimit)))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-n.membersSettled:
+	case <-timer.C:
+	}
+}
+
 // lookAtMembers lists the members and enters this node if it is missing.
 func (n *Node) lookAtMembers(ctx context.Context) bool {
 	own, err := n.listMembers(ctx, storeCallLimit)
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -162,6 +162,13 @@
 	informedOnce sync.Once
 	// membersKnown is closed once members has a value.
 	membersKnown chan struct{}
+	// membersSettled is closed once the list of members is likely to be complete: nodes
+	// that start together for the first time enter themselves one after the other.
+	membersSettled chan struct{}
+	// firstStart is set if the first list of members lacked this node: it is new, or the
+	// whole fleet is.
+	firstStart  atomic.Bool
+	settledOnce sync.Once
 	// readerSet is made of the members.
 	readerSet atomic.Pointer[readerSet]
 	// links lead to nodes that own connections, owner serves this node's own.
@@ -177,7 +184,7 @@
 func New(options Options, ports Ports, log *eventlog.Log) *Node {
 	node := &Node{
 		options: options, ports: ports, log: log,
-		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}), informed: make(chan struct{}), nudged: make(chan struct{}, 1),
+		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}), membersSettled: make(chan struct{}), informed: make(chan struct{}), nudged: make(chan struct{}, 1),
 	}
 	node.metrics = newMetrics(node)
 	node.ports.Store = &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls, node: node}
--- a/internal/proxy/readers.go
+++ b/internal/proxy/readers.go
@@ -14,14 +14,27 @@
 	// readersFrom is the size of a fleet from which only some nodes watch the
 	// store; of a smaller one all do, which spares a change one way.
 	readersFrom = 16
-	// zoneReaders is how many nodes of each zone watch the store for the others. A
-	// node asks those of its own zone first, since a change may be large and bytes
-	// between zones are dear.
-	zoneReaders = 2
+	// zoneReaders is how many nodes of each zone watch the store for the others, one in a
+	// zone of less than twoReadersFrom nodes. A node asks those of its own zone first,
+	// since a change may be large and bytes between zones are dear.
+	zoneReaders    = 2
+	twoReadersFrom = 8
 	// readersAsked is how many readers a node asks before it asks the store itself.
 	// Two of them that stand still one after the other leave a change time within
 	// its bound.
 	readersAsked = 5
+	// readersListed is how many readers are asked for a listing before the store is,
+	// readerListLimit how long each may take to begin its answer: some round trips in a
+	// region, so that a node whose readers are dark loses little.
+	readersListed   = 2
+	readerListLimit = 60 * time.Millisecond
+	// firstListRounds is how often they are asked at the first start of a fleet, with about
+	// firstListPause in between.
+	firstListRounds = 4
+	firstListPause  = 200 * time.Millisecond
+	// firstMembersWait is how long a node that starts waits for the list of members, from
+	// which it learns who the readers are: a good store has told it by then.
+	firstMembersWait = 30 * time.Millisecond
 	// pollShare is the wait of a question to a reader as a part of the bound.
 	pollShare = 0.3
 	// mostPatience bounds the wait for a reader's answer.
@@ -66,7 +79,11 @@
 	}
 	tiers := make([][]placement.Candidate, 3)
 	for zone, candidates := range byZone {
-		for _, name := range placement.Rank("store readers", "", candidates, zoneReaders) {
+		count := zoneReaders
+		if len(candidates) < twoReadersFrom {
+			count = 1
+		}
+		for _, name := range placement.Rank("store readers", "", candidates, count) {
 			if name == n.options.Name {
 				set.reads = true
 				continue
@@ -123,9 +140,41 @@
 
 var errNoReader = &objectstore.Error{Outcome: objectstore.NotDone, Detail: "no reader of the store is up to date"}
 
+// List implements objectstore.ReaderSource. Few are asked, and for a short while only: a
+// node that starts after a loss of all finds nobody who knows anything.
+func (s *storeReaders) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
+	s.node.awaitMembers(time.Now().Add(firstMembersWait))
+	rounds := 1
+	if s.node.firstStart.Load() {
+		// Nobody waits for a fleet that starts for the first time, and its readers need a
+		// moment to list.
+		s.node.awaitSettled(ctx)
+		rounds = firstListRounds
+	}
+	set := s.node.readers()
+	if set == nil || set.reads {
+		return nil, 0, errNoReader
+	}
+	question := relay.Question{Kind: kind, Within: s.node.watchWait(s.bound) + readerSlack}
+	for round := range rounds {
+		if round > 0 {
+			s.node.waitAbout(ctx, firstListPause)
+		}
+		for range min(readersListed, len(set.others)) {
+			answer, err := s.node.askObjects(ctx, s.present(set.others).Address, question, readerListLimit)
+			if err == nil && !answer.Failed {
+				return answer.Objects, answer.Revision, nil
+			}
+			s.next()
+		}
+	}
+	return nil, 0, errNoReader
+}
+
 // Watch implements objectstore.ReaderSource: it goes on with the reader that
 // answered last, and asks each of the others once if that one fails.
 func (s *storeReaders) Watch(ctx context.Context, kind string, after uint64) ([]objectstore.Object, uint64, error) {
+	s.node.awaitSettled(ctx)
 	set := s.node.readers()
 	if set == nil || set.reads {
 		return nil, 0, errNoReader
--- a/internal/proxy/seeds.go
+++ b/internal/proxy/seeds.go
@@ -25,10 +25,17 @@
 	limit := firstListLimit
 	for ctx.Err() == nil {
 		if own, err := n.listMembers(ctx, limit); err == nil {
+			if own == nil {
+				n.firstStart.Store(true)
+			} else {
+				// The list is of an earlier life of the fleet.
+				n.settled()
+			}
 			n.ensureEntry(ctx, own)
 			return
 		}
 		if n.askSeeds(ctx) {
+			n.settled()
 			return
 		}
 		limit = storeCallLimit
