Refusals tell when there will be a place, and at once where there is no hope

Cause: every refusal named 200 ms, whatever was in the caller's way; work waited for a fifth of its objective although its place came after the whole of it.

Change: a gate knows the pace at which its server finishes work, and so what new work would wait; a service knows how long it is usually without a primary. A refusal names that, spread by up to a half. Work whose place is expected after its objective is refused at once.

Tried and left out: work that comes back after a refusal counts as queued since its first arrival.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -54,6 +54,7 @@
 	running   int
 	waiting   waitingList
 	decreased time.Time
+	pace      pace
 }
 
 // NewGate returns a gate that begins with a limit and never lets more than
@@ -134,6 +135,7 @@
 		g.running++
 		close(next.admitted)
 	}
+	g.pace.ended(now, g.running >= int(g.limit))
 }
 
 // Load returns how many are running and waiting.
--- /dev/null
+++ b/internal/admission/pace_test.go
@@ -0,0 +1,73 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"dewknot/internal/bubbletest"
+)
+
+// TestExpectedWaitIsTheWait: of work that waits on a server of an even pace, each is let
+// in about when it was told.
+func TestExpectedWaitIsTheWait(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const work = 20 * time.Millisecond
+		gate := NewGate(2, 2)
+		run := func() {
+			time.Sleep(work)
+			gate.Leave(Ran, time.Now())
+		}
+		results := make(chan time.Duration, 100)
+		for i := range 60 {
+			request := Request{Class: Anywhere, Arrived: time.Now()}
+			expected := gate.Wait(request)
+			go func() {
+				began := time.Now()
+				if !gate.Enter(request, began.Add(time.Minute)) {
+					return
+				}
+				if i > 30 {
+					results <- expected - time.Since(began)
+				}
+				run()
+			}()
+			time.Sleep(8 * time.Millisecond)
+		}
+		time.Sleep(time.Minute)
+		close(results)
+		count := 0
+		for off := range results {
+			count++
+			must.Between(t, -2*work, off, 2*work)
+		}
+		must.Eq(t, 29, count)
+	})
+}
+
+// TestExpectedWaitFollowsTheOrder: work of a higher rank waits no longer than other work,
+// more waiting work never makes it shorter, and a free place makes it nothing.
+func TestExpectedWaitFollowsTheOrder(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	must.Zero(t, NewGate(1, 1).Wait(Request{Arrived: now}))
+	rapid.Check(t, func(t *rapid.T) {
+		gate := NewGate(1, 1)
+		gate.pace.interval = 10 * time.Millisecond
+		gate.running = 1
+		previous := time.Duration(0)
+		for range rapid.IntRange(0, 20).Draw(t, "waiting") {
+			gate.waiting.Push(&waiter{rank: now.Add(-time.Duration(rapid.IntRange(-500, 500).Draw(t, "age")) * time.Millisecond)})
+			urgent := gate.Wait(Request{Class: Continuation, Arrived: now})
+			usual := gate.Wait(Request{Class: Anywhere, Arrived: now})
+			if urgent > usual {
+				t.Fatalf("urgent work waits %v, other %v", urgent, usual)
+			}
+			if usual < previous {
+				t.Fatalf("more waiting work made it shorter: %v after %v", usual, previous)
+			}
+			previous = usual
+		}
+	})
+}
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -99,6 +99,7 @@
 	if s.node.tenures == nil && (target == nil || down) {
 		s.seek()
 	}
+	s.outage.note(now, target != nil && !down)
 	observation := s.observe(leader, down)
 	if observation.Voiceless && s.holding() {
 		s.warm()
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -35,8 +35,6 @@
 	// waited if that is longer.
 	silentRead = 400 * time.Millisecond
 	slowFactor = 6
-	// comeBack is the time to come back given with a refusal.
-	comeBack = 200 * time.Millisecond
 	// overloadShare is the part of the latency objective for which new work may
 	// wait for a slot before it is refused: short enough for the caller to come
 	// back within the objective.
@@ -93,6 +91,9 @@
 	}
 	place := admission.Request{Class: class, Priority: r.session.bound.Priority, Arrived: r.arrived}
 	if !lease.Remote() {
+		if class != admission.Continuation && r.hopeless(target.gate.Wait(place)) {
+			return false
+		}
 		return target.gate.Enter(place, deadline)
 	}
 	if session, queues := lease.Connection.(queuer); queues {
@@ -155,7 +156,7 @@
 	if r.unanswered {
 		return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
 	}
-	return r.session.fail(failure.Refuse(kind, comeBack))
+	return r.session.fail(failure.Refuse(kind, r.comeBack(kind)))
 }
 
 // answer turns the result of a statement that ran, or failed for good, into a reply.
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -51,6 +51,7 @@
 	// witness is the address of a node that lately reached the primary.
 	witness atomic.Pointer[string]
 	health  leaderHealth
+	outage  outage
 	// warmed is set once connections for a survey were opened ahead.
 	warmed atomic.Bool
 	// replication holds one token: it keeps surveys, which may hold replicas,
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -42,7 +42,8 @@
 		n.interruptSessions()
 		time.Sleep(stopLook)
 	}
-	n.log.Write(eventlog.NodeStopped, zap.Int64("sessions", n.sessionCount.Load()), zap.Duration("took", time.Since(began)))
+	n.log.Write(eventlog.NodeStopped, zap.Int64("sessions", n.sessionCount.Load()),
+		zap.Int("others_sessions", int(n.owner.Active())), zap.Duration("took", time.Since(began)))
 }
 
 func (n *Node) interruptSessions() {
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -6,7 +6,6 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/admission"
-	"dewknot/internal/catalog"
 	"dewknot/internal/command"
 	"dewknot/internal/eventlog"
 	"dewknot/internal/failure"
@@ -65,7 +64,7 @@
 
 // open begins the transaction on a server. The reply is final if it reports false.
 func (t *transaction) open(r *run) (Reply, bool) {
-	if t.readOnly && r.session.bound.Freshness != catalog.Current {
+	if !r.needsLeader() {
 		return t.openOnReplica(r)
 	}
 	return t.openOnLeader(r)
@@ -194,14 +193,14 @@
 func (t *transaction) lost(r *run) Reply {
 	t.discard()
 	t.failed = true
-	return r.session.fail(failure.Refuse(failure.TransactionLost, comeBack))
+	return r.session.fail(failure.Refuse(failure.TransactionLost, r.comeBack(failure.TransactionLost)))
 }
 
 // refused answers after the server did not run a statement.
 func (t *transaction) refused(r *run) Reply {
 	t.end()
 	t.failed = true
-	return r.session.fail(failure.Refuse(failure.TransactionLost, comeBack))
+	return r.session.fail(failure.Refuse(failure.TransactionLost, r.comeBack(failure.TransactionLost)))
 }
 
 func (s *session) rollback() Reply {
@@ -230,7 +229,7 @@
 	}
 	if t.failed {
 		s.transaction = nil
-		return s.fail(failure.Refuse(failure.TransactionLost, comeBack))
+		return s.fail(failure.Refuse(failure.TransactionLost, spread(leastComeBack)))
 	}
 	r := s.newRun(&command.Statement{RequestID: received.RequestID}, arrived)
 	if t.lease == nil {
