--- a/internal/bubbletest/bubbletest_test.go
+++ b/internal/base/bubbletest/bubbletest_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
+	"dewknot/internal/base/bubbletest"
 )
 
 // TestTimersOfOneInstant fires timers that start goroutines and timers that send
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/base/eventlog/eventlog_test.go
@@ -119,7 +119,7 @@
 	golden, err := os.ReadFile("testdata/vocabulary.txt")
 	must.NoError(t, err)
 	must.Eq(t, strings.TrimSpace(string(golden)), strings.Join(words, "\n"))
-	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	page, err := os.ReadFile("../../../docs/OPERATIONS.md")
 	must.NoError(t, err)
 	for event := range Vocabulary {
 		must.True(t, strings.Contains(string(page), "`"+string(event)+"`"), must.Sprintf("%s is not on the operators' page", event))
--- a/internal/framing/framing.go
+++ b/internal/base/framing/framing.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/codec"
+	"dewknot/internal/base/codec"
 )
 
 const (
--- a/internal/stall/stall_test.go
+++ b/internal/base/stall/stall_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
+	"dewknot/internal/base/bubbletest"
 )
 
 // TestProgressKeepsAnOperation: an operation may take as long as it likes while bytes
--- a/internal/cli/capacity.go
+++ b/internal/cli/capacity.go
@@ -8,8 +8,8 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/benchmark"
-	"dewknot/internal/capacity"
+	"dewknot/internal/lab/benchmark"
+	"dewknot/internal/lab/capacity"
 )
 
 type planCommand struct {
--- a/internal/cli/daemons.go
+++ b/internal/cli/daemons.go
@@ -10,12 +10,12 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/logging"
-	"dewknot/internal/node"
-	"dewknot/internal/operator"
-	"dewknot/internal/settings"
-	"dewknot/internal/standin/database"
-	"dewknot/internal/standin/objectapi"
+	"dewknot/internal/base/logging"
+	"dewknot/internal/base/settings"
+	"dewknot/internal/lab/standin/database"
+	"dewknot/internal/lab/standin/objectapi"
+	"dewknot/internal/postgres/node"
+	"dewknot/internal/postgres/operator"
 )
 
 // nodeCommand runs a node. Flags override the settings file.
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -6,8 +6,8 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dewknot/internal/demo"
-	"dewknot/internal/logging"
+	"dewknot/internal/base/logging"
+	"dewknot/internal/lab/demo"
 )
 
 type demoCommand struct {
--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"dewknot/internal/benchmark"
-	"dewknot/internal/experiment"
+	"dewknot/internal/lab/benchmark"
+	"dewknot/internal/lab/experiment"
 )
 
 type experimentCommand struct {
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -5,7 +5,7 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/explain"
+	"dewknot/internal/lab/explain"
 )
 
 // explainCommand tells a story from event logs.
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -8,11 +8,11 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/check"
-	"dewknot/internal/history"
-	"dewknot/internal/load"
-	"dewknot/internal/measure"
-	"dewknot/internal/standin/database"
+	"dewknot/internal/lab/check"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/lab/load"
+	"dewknot/internal/lab/measure"
+	"dewknot/internal/lab/standin/database"
 )
 
 type loadCommand struct {
--- a/internal/cli/operators.go
+++ b/internal/cli/operators.go
@@ -11,13 +11,13 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/configuration"
-	"dewknot/internal/credential"
-	"dewknot/internal/history"
-	"dewknot/internal/operator"
-	"dewknot/internal/policy"
-	"dewknot/internal/trial"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/lab/trial"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/credential"
+	"dewknot/internal/postgres/operator"
+	"dewknot/internal/postgres/policy"
 )
 
 // remote holds the flags of commands that call a node.
--- a/internal/cli/rounds.go
+++ b/internal/cli/rounds.go
@@ -1,6 +1,6 @@
 package cli
 
-import "dewknot/internal/rounds"
+import "dewknot/internal/lab/rounds"
 
 // roundsCommand shows measured rounds of the journal.
 type roundsCommand struct {
--- a/internal/cli/tools.go
+++ b/internal/cli/tools.go
@@ -12,10 +12,10 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
-	"dewknot/internal/check"
-	"dewknot/internal/history"
-	"dewknot/internal/sim"
-	"dewknot/internal/trace"
+	"dewknot/internal/lab/check"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/lab/sim"
+	"dewknot/internal/lab/trace"
 )
 
 type simCommand struct {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,11 +20,11 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/settings"
 	"dewknot/internal/proxy"
-	"dewknot/internal/relay"
-	"dewknot/internal/settings"
-	"dewknot/internal/upstream"
+	"dewknot/internal/proxy/relay"
+	"dewknot/internal/proxy/upstream"
 	"dewknot/platform"
 )
 
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -10,11 +10,11 @@
 	pkgerrors "github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dewknot/internal/codec"
-	"dewknot/internal/eventlog"
+	"dewknot/internal/base/codec"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/settings"
 	"dewknot/internal/proxy"
-	"dewknot/internal/quorum"
-	"dewknot/internal/settings"
+	"dewknot/internal/proxy/quorum"
 )
 
 // maxMessageBytes bounds a datagram. A table of voters or a page of records takes about
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -4,7 +4,7 @@
 	"context"
 	"net"
 
-	"dewknot/internal/relay"
+	"dewknot/internal/proxy/relay"
 )
 
 // tcpPeers asks other nodes over TCP.
--- a/internal/benchmark/nodes.go
+++ b/internal/lab/benchmark/nodes.go
@@ -8,9 +8,9 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/fleet"
-	"dewknot/internal/standin/database"
+	"dewknot/internal/lab/fleet"
+	"dewknot/internal/lab/standin/database"
+	"dewknot/internal/postgres/administration"
 )
 
 // NodesResult is what real nodes on loopback showed.
--- a/internal/benchmark/path.go
+++ b/internal/lab/benchmark/path.go
@@ -13,13 +13,13 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/backend"
-	"dewknot/internal/capacity"
-	"dewknot/internal/fleet"
-	"dewknot/internal/group"
-	"dewknot/internal/measure"
-	"dewknot/internal/standin/database"
+	"dewknot/internal/lab/capacity"
+	"dewknot/internal/lab/fleet"
+	"dewknot/internal/lab/measure"
+	"dewknot/internal/lab/standin/database"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/group"
 )
 
 // policyForReads lets replicas serve at once, so that only the path is measured.
--- a/internal/check/check.go
+++ b/internal/lab/check/check.go
@@ -9,8 +9,8 @@
 	"sort"
 	"time"
 
-	"dewknot/internal/history"
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
+	"dewknot/internal/lab/history"
 )
 
 // Promise names one of the brief's promises.
--- a/internal/check/linearizable.go
+++ b/internal/lab/check/linearizable.go
@@ -6,7 +6,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"dewknot/internal/history"
+	"dewknot/internal/lab/history"
 )
 
 // registerInput is an operation on one record.
--- a/internal/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -13,14 +13,14 @@
 	"go.uber.org/zap"
 
 	"dewknot/examples"
-	"dewknot/internal/administration"
-	"dewknot/internal/check"
-	"dewknot/internal/fleet"
-	"dewknot/internal/history"
-	"dewknot/internal/load"
-	"dewknot/internal/measure"
-	"dewknot/internal/pause"
-	"dewknot/internal/standin/database"
+	"dewknot/internal/lab/check"
+	"dewknot/internal/lab/fleet"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/lab/load"
+	"dewknot/internal/lab/measure"
+	"dewknot/internal/lab/standin/database"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/pause"
 )
 
 // Settings describe a demo.
--- a/internal/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -8,13 +8,13 @@
 	"io"
 	"time"
 
-	"dewknot/internal/check"
-	"dewknot/internal/fairqueue"
-	"dewknot/internal/group"
-	"dewknot/internal/history"
-	"dewknot/internal/measure"
-	"dewknot/internal/policy"
-	"dewknot/internal/sim"
+	"dewknot/internal/lab/check"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/lab/measure"
+	"dewknot/internal/lab/sim"
+	"dewknot/internal/postgres/fairqueue"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/policy"
 )
 
 // Deployment is one of the brief's deployments in the simulator.
--- a/internal/experiment/plot.go
+++ b/internal/lab/experiment/plot.go
@@ -9,7 +9,7 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	"dewknot/internal/history"
+	"dewknot/internal/lab/history"
 )
 
 // binWidth is the resolution of the plot of acknowledged writes.
--- a/internal/explain/explain.go
+++ b/internal/lab/explain/explain.go
@@ -20,7 +20,7 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/eventlog"
+	"dewknot/internal/base/eventlog"
 )
 
 // Line is one line of a log.
--- a/internal/fleet/callers_test.go
+++ b/internal/lab/fleet/callers_test.go
@@ -14,10 +14,10 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/configuration"
-	"dewknot/internal/credential"
-	"dewknot/internal/standin/database"
+	"dewknot/internal/lab/standin/database"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/credential"
 )
 
 func start(t *testing.T, change func(*Settings)) *Fleet {
--- a/internal/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -13,13 +13,13 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/configuration"
-	"dewknot/internal/node"
-	"dewknot/internal/operator"
-	"dewknot/internal/settings"
-	"dewknot/internal/standin/database"
-	"dewknot/internal/standin/objectapi"
+	"dewknot/internal/base/settings"
+	"dewknot/internal/lab/standin/database"
+	"dewknot/internal/lab/standin/objectapi"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/node"
+	"dewknot/internal/postgres/operator"
 )
 
 // Key is the fleet key of such deployments; they serve loopback only.
--- a/internal/fleet/hostile_test.go
+++ b/internal/lab/fleet/hostile_test.go
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	_ "dewknot/internal/propertytest" // fixes the seed
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 // startup is a startup message for a group.
--- a/internal/fleet/operators_test.go
+++ b/internal/lab/fleet/operators_test.go
@@ -8,8 +8,8 @@
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/operator"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/operator"
 )
 
 // patience bounds waiting for what must come; no verdict depends on how long it takes.
--- a/internal/history/history.go
+++ b/internal/lab/history/history.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 // Outcome is what a caller was told.
--- a/internal/judge/caller.go
+++ b/internal/lab/judge/caller.go
@@ -7,9 +7,9 @@
 	"strings"
 	"time"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/command"
-	"dewknot/internal/upstream"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/upstream"
 )
 
 // Answer is what a caller was told.
--- a/internal/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/catalog"
 )
 
 // Judge compares what callers are told with what servers ran. It implements
--- a/internal/load/collect.go
+++ b/internal/lab/load/collect.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 
-	"dewknot/internal/history"
-	"dewknot/internal/position"
-	"dewknot/internal/standin/database"
+	"dewknot/internal/base/position"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/lab/standin/database"
 )
 
 // CollectCommits turns the logs of a group's servers into records. A statement's
--- a/internal/load/load.go
+++ b/internal/lab/load/load.go
@@ -16,7 +16,7 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/pkg/errors"
 
-	"dewknot/internal/history"
+	"dewknot/internal/lab/history"
 )
 
 // Request is one kind of request of a workload.
--- a/internal/load/session.go
+++ b/internal/lab/load/session.go
@@ -10,8 +10,8 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/pkg/errors"
 
-	"dewknot/internal/failure"
-	"dewknot/internal/history"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/lab/history"
 )
 
 // session is one caller that moves between nodes.
--- a/internal/measure/summary.go
+++ b/internal/lab/measure/summary.go
@@ -12,7 +12,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"dewknot/internal/history"
+	"dewknot/internal/lab/history"
 )
 
 // Row sums up the requests of one kind.
--- a/internal/sim/client.go
+++ b/internal/lab/sim/client.go
@@ -5,11 +5,11 @@
 	"math"
 	"time"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/failure"
-	"dewknot/internal/history"
-	"dewknot/internal/policy"
-	"dewknot/internal/position"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/policy"
 )
 
 // Mix is the share of each kind of operation, in parts of their sum.
--- a/internal/sim/database.go
+++ b/internal/lab/sim/database.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"time"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/history"
-	"dewknot/internal/position"
-	"dewknot/internal/replication"
+	"dewknot/internal/base/position"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/replication"
 )
 
 // recordWrite is one statement of a transaction: a record set by an operation.
--- a/internal/sim/faults.go
+++ b/internal/lab/sim/faults.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"time"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/configuration"
-	"dewknot/internal/group"
-	"dewknot/internal/history"
-	"dewknot/internal/policy"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/policy"
 )
 
 // FaultKind is a kind of fault.
--- a/internal/sim/listener.go
+++ b/internal/lab/sim/listener.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/core"
-	"dewknot/internal/failure"
-	"dewknot/internal/forward"
-	"dewknot/internal/group"
-	"dewknot/internal/policy"
-	"dewknot/internal/position"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/forward"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/policy"
 )
 
 // callerConn is a caller's connection to a node.
--- a/internal/sim/node.go
+++ b/internal/lab/sim/node.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"time"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/core"
-	"dewknot/internal/group"
-	"dewknot/internal/history"
-	"dewknot/internal/membership"
-	"dewknot/internal/objectapi"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/membership"
+	"dewknot/internal/postgres/objectapi"
 )
 
 // node is one simulated node. Its reducers are the real ones.
--- a/internal/sim/owner.go
+++ b/internal/lab/sim/owner.go
@@ -5,11 +5,11 @@
 	"sort"
 	"time"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/failure"
-	"dewknot/internal/group"
-	"dewknot/internal/position"
-	"dewknot/internal/trace"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
+	"dewknot/internal/lab/trace"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/group"
 )
 
 // ownedGroup is a group at a node that serves it: the real machine, with
--- a/internal/sim/sim_test.go
+++ b/internal/lab/sim/sim_test.go
@@ -8,9 +8,9 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/check"
-	"dewknot/internal/history"
-	_ "dewknot/internal/propertytest" // fixes the seed
+	_ "dewknot/internal/base/propertytest" // fixes the seed
+	"dewknot/internal/lab/check"
+	"dewknot/internal/lab/history"
 )
 
 // seedsInCI is how many random runs every test run makes; 'dewknot sim --seeds'
--- a/internal/sim/store.go
+++ b/internal/lab/sim/store.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"time"
 
-	"dewknot/internal/configuration"
-	"dewknot/internal/objectapi"
-	store "dewknot/internal/standin/objectapi"
+	store "dewknot/internal/lab/standin/objectapi"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/objectapi"
 )
 
 // objectStore is the platform's store: the stand-in's state without its HTTP.
--- a/internal/sim/world.go
+++ b/internal/lab/sim/world.go
@@ -13,11 +13,11 @@
 	"math/rand/v2"
 	"time"
 
-	"dewknot/internal/group"
-	"dewknot/internal/history"
-	"dewknot/internal/policy"
-	"dewknot/internal/trace"
-	"dewknot/internal/virtualtime"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/lab/trace"
+	"dewknot/internal/lab/virtualtime"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/policy"
 )
 
 // Settings describe one simulated run.
--- a/internal/standin/database/extended.go
+++ b/internal/lab/standin/database/extended.go
@@ -10,7 +10,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"dewknot/internal/statement"
+	"dewknot/internal/postgres/statement"
 )
 
 // extended handles one message of the extended query protocol.
--- a/internal/standin/database/group.go
+++ b/internal/lab/standin/database/group.go
@@ -9,8 +9,8 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/position"
-	"dewknot/internal/replication"
+	"dewknot/internal/base/position"
+	"dewknot/internal/postgres/replication"
 )
 
 // advanceInterval is how often replication and elections move forward.
--- a/internal/standin/database/session.go
+++ b/internal/lab/standin/database/session.go
@@ -11,7 +11,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"dewknot/internal/statement"
+	"dewknot/internal/postgres/statement"
 )
 
 // StatusQuery is the question by which a group reports terms and positions.
--- a/internal/standin/managed/managed.go
+++ b/internal/lab/standin/managed/managed.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 // Observer sees what the servers run. Its methods are called with the group's
--- a/internal/standin/managed/server.go
+++ b/internal/lab/standin/managed/server.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"dewknot/internal/position"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/upstream"
 )
 
 // Server is one server of a group. Its fields are guarded by the group's lock.
--- a/internal/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/command"
-	"dewknot/internal/position"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/upstream"
 )
 
 // Dialer opens connections to the servers of groups.
--- a/internal/standin/managed/session_test.go
+++ b/internal/lab/standin/managed/session_test.go
@@ -9,10 +9,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/command"
-	"dewknot/internal/position"
-	"dewknot/internal/standin/managed"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/position"
+	"dewknot/internal/lab/standin/managed"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/upstream"
 )
 
 type silentObserver struct{}
--- a/internal/standin/managed/store.go
+++ b/internal/lab/standin/managed/store.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/failover"
-	"dewknot/internal/objectstore"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/objectstore"
 )
 
 // Kinds of objects that the stand-in uses.
--- a/internal/standin/objectapi/store.go
+++ b/internal/lab/standin/objectapi/store.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	api "dewknot/internal/objectapi"
+	api "dewknot/internal/postgres/objectapi"
 )
 
 // Settings describe the stand-in.
--- a/internal/trace/failover.go
+++ b/internal/lab/trace/failover.go
@@ -4,7 +4,7 @@
 	"io"
 	"time"
 
-	"dewknot/internal/failover"
+	"dewknot/internal/proxy/failover"
 )
 
 // FailoverSettings are what a failover machine is made of.
--- a/internal/trace/group.go
+++ b/internal/lab/trace/group.go
@@ -4,7 +4,7 @@
 	"io"
 	"time"
 
-	"dewknot/internal/group"
+	"dewknot/internal/postgres/group"
 )
 
 // GroupWriter records a group's machine.
--- a/internal/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -16,8 +16,8 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/failover"
-	"dewknot/internal/failure"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/failover"
 )
 
 // version is the format's version.
--- a/internal/trial/trial.go
+++ b/internal/lab/trial/trial.go
@@ -5,8 +5,8 @@
 import (
 	"sort"
 
-	"dewknot/internal/history"
-	"dewknot/internal/policy"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/postgres/policy"
 )
 
 // Row sums up one kind of request.
--- a/internal/trial/trial_test.go
+++ b/internal/lab/trial/trial_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/history"
-	"dewknot/internal/policy"
+	"dewknot/internal/lab/history"
+	"dewknot/internal/postgres/policy"
 )
 
 func TestCompare(t *testing.T) {
--- a/internal/administration/administration.go
+++ b/internal/postgres/administration/administration.go
@@ -15,10 +15,10 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/configuration"
-	"dewknot/internal/objectapi"
-	"dewknot/internal/pause"
-	"dewknot/internal/policy"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/objectapi"
+	"dewknot/internal/postgres/pause"
+	"dewknot/internal/postgres/policy"
 )
 
 // Store is the part of the platform's object API that changes need.
--- a/internal/administration/administration_test.go
+++ b/internal/postgres/administration/administration_test.go
@@ -11,9 +11,9 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/configuration"
-	"dewknot/internal/objectapi"
-	_ "dewknot/internal/propertytest" // fixes the seed
+	_ "dewknot/internal/base/propertytest" // fixes the seed
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/objectapi"
 )
 
 // memoryStore is the store with faults on demand.
--- a/internal/backend/conn.go
+++ b/internal/postgres/backend/conn.go
@@ -9,8 +9,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
-	"dewknot/internal/position"
-	"dewknot/internal/replication"
+	"dewknot/internal/base/position"
+	"dewknot/internal/postgres/replication"
 )
 
 // StatusQuery is the question to which a server reports its role, term and log
--- a/internal/configuration/objects.go
+++ b/internal/postgres/configuration/objects.go
@@ -7,8 +7,8 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/objectapi"
-	"dewknot/internal/policy"
+	"dewknot/internal/postgres/objectapi"
+	"dewknot/internal/postgres/policy"
 )
 
 // Prefixes of the keys of configuration objects.
--- a/internal/configuration/state.go
+++ b/internal/postgres/configuration/state.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"dewknot/internal/objectapi"
+	"dewknot/internal/postgres/objectapi"
 )
 
 // State is a node's knowledge of the configuration.
--- a/internal/configuration/state_test.go
+++ b/internal/postgres/configuration/state_test.go
@@ -7,8 +7,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/objectapi"
-	_ "dewknot/internal/propertytest" // fixes the seed
+	_ "dewknot/internal/base/propertytest" // fixes the seed
+	"dewknot/internal/postgres/objectapi"
 )
 
 // Whatever the order, repetition and loss of deliveries, versions never go down,
--- a/internal/core/control.go
+++ b/internal/postgres/core/control.go
@@ -11,9 +11,9 @@
 	"math"
 	"time"
 
-	"dewknot/internal/configuration"
-	"dewknot/internal/membership"
-	"dewknot/internal/objectapi"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/membership"
+	"dewknot/internal/postgres/objectapi"
 )
 
 // Event is an input of the control reducer.
--- a/internal/core/view.go
+++ b/internal/postgres/core/view.go
@@ -3,9 +3,9 @@
 import (
 	"sync"
 
-	"dewknot/internal/configuration"
-	"dewknot/internal/membership"
-	"dewknot/internal/placement"
+	"dewknot/internal/base/placement"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/membership"
 )
 
 // OwnerCount is how many nodes are prepared to serve a group: its owner and one
--- a/internal/forward/decide.go
+++ b/internal/postgres/forward/decide.go
@@ -3,7 +3,7 @@
 package forward
 
 import (
-	"dewknot/internal/failure"
+	"dewknot/internal/base/failure"
 )
 
 // Ending is how an attempt to have a request served ended without a result.
--- a/internal/forward/decide_test.go
+++ b/internal/postgres/forward/decide_test.go
@@ -6,8 +6,8 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/failure"
-	_ "dewknot/internal/propertytest" // fixes the seed
+	"dewknot/internal/base/failure"
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 func TestDecide(t *testing.T) {
--- a/internal/forward/router.go
+++ b/internal/postgres/forward/router.go
@@ -8,12 +8,12 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/core"
-	"dewknot/internal/failure"
-	"dewknot/internal/group"
-	"dewknot/internal/pause"
-	"dewknot/internal/peer"
-	"dewknot/internal/request"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/pause"
+	"dewknot/internal/postgres/peer"
+	"dewknot/internal/postgres/request"
 )
 
 // Router finds the nodes that serve a group and sends requests to them.
--- a/internal/gossip/transport.go
+++ b/internal/postgres/gossip/transport.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/codec"
-	"dewknot/internal/membership"
-	"dewknot/internal/peer"
+	"dewknot/internal/base/codec"
+	"dewknot/internal/postgres/membership"
+	"dewknot/internal/postgres/peer"
 )
 
 // digestBytes is the length of the digest before the message.
--- a/internal/gossip/transport_test.go
+++ b/internal/postgres/gossip/transport_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/membership"
-	"dewknot/internal/peer"
+	"dewknot/internal/postgres/membership"
+	"dewknot/internal/postgres/peer"
 )
 
 // Keys are changed node by node: a node with both keys understands either.
--- a/internal/group/bench_test.go
+++ b/internal/postgres/group/bench_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/policy"
+	"dewknot/internal/postgres/policy"
 )
 
 // BenchmarkRead measures the machine's two steps for a read that a replica may
--- a/internal/group/confirm.go
+++ b/internal/postgres/group/confirm.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"dewknot/internal/failure"
-	"dewknot/internal/position"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
 )
 
 // Acknowledgement. A primary that was replaced may still say that a commit
--- a/internal/group/machine.go
+++ b/internal/postgres/group/machine.go
@@ -3,9 +3,9 @@
 import (
 	"time"
 
-	"dewknot/internal/failure"
-	"dewknot/internal/fairqueue"
-	"dewknot/internal/position"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
+	"dewknot/internal/postgres/fairqueue"
 )
 
 // stage is where a request stands.
--- a/internal/group/machine_test.go
+++ b/internal/postgres/group/machine_test.go
@@ -7,12 +7,12 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/failure"
-	"dewknot/internal/fairqueue"
-	"dewknot/internal/policy"
-	"dewknot/internal/position"
-	_ "dewknot/internal/propertytest" // fixes the seed
-	"dewknot/internal/replication"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
+	_ "dewknot/internal/base/propertytest" // fixes the seed
+	"dewknot/internal/postgres/fairqueue"
+	"dewknot/internal/postgres/policy"
+	"dewknot/internal/postgres/replication"
 )
 
 // harness drives a machine and keeps account of its effects.
--- a/internal/group/reads.go
+++ b/internal/postgres/group/reads.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"dewknot/internal/policy"
-	"dewknot/internal/position"
-	"dewknot/internal/replication"
+	"dewknot/internal/base/position"
+	"dewknot/internal/postgres/policy"
+	"dewknot/internal/postgres/replication"
 )
 
 const roleOfPrimary = replication.Primary
--- a/internal/group/servers.go
+++ b/internal/postgres/group/servers.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"dewknot/internal/failure"
+	"dewknot/internal/base/failure"
 )
 
 // noServer stands for the absence of a server.
--- a/internal/group/sessions.go
+++ b/internal/postgres/group/sessions.go
@@ -1,8 +1,8 @@
 package group
 
 import (
-	"dewknot/internal/failure"
-	"dewknot/internal/fairqueue"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/postgres/fairqueue"
 )
 
 // Ends of sessions and of single requests from outside.
--- a/internal/group/settings.go
+++ b/internal/postgres/group/settings.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dewknot/internal/fairqueue"
+	"dewknot/internal/postgres/fairqueue"
 )
 
 // Settings are the limits and intervals of a machine.
--- a/internal/group/types.go
+++ b/internal/postgres/group/types.go
@@ -13,10 +13,10 @@
 	"fmt"
 	"time"
 
-	"dewknot/internal/failure"
-	"dewknot/internal/policy"
-	"dewknot/internal/position"
-	"dewknot/internal/replication"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
+	"dewknot/internal/postgres/policy"
+	"dewknot/internal/postgres/replication"
 )
 
 // SessionID identifies a caller's connection across the fleet.
--- a/internal/listener/extended.go
+++ b/internal/postgres/listener/extended.go
@@ -7,9 +7,9 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/failure"
-	"dewknot/internal/statement"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/statement"
 )
 
 // preparedStatement is a statement that a caller has prepared. Its back-end name
--- a/internal/listener/parameters.go
+++ b/internal/postgres/listener/parameters.go
@@ -8,9 +8,9 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
-	"dewknot/internal/failure"
-	"dewknot/internal/position"
-	"dewknot/internal/statement"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
+	"dewknot/internal/postgres/statement"
 )
 
 // parameterPrefix starts the names of parameters that the node handles itself.
--- a/internal/listener/server.go
+++ b/internal/postgres/listener/server.go
@@ -14,11 +14,11 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dewknot/internal/core"
-	"dewknot/internal/failure"
-	"dewknot/internal/forward"
-	"dewknot/internal/group"
-	"dewknot/internal/request"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/forward"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/request"
 )
 
 // Router serves requests; forward.Router implements it.
--- a/internal/listener/session.go
+++ b/internal/postgres/listener/session.go
@@ -7,14 +7,14 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/failure"
-	"dewknot/internal/forward"
-	"dewknot/internal/group"
-	"dewknot/internal/policy"
-	"dewknot/internal/position"
-	"dewknot/internal/request"
-	"dewknot/internal/statement"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/forward"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/policy"
+	"dewknot/internal/postgres/request"
+	"dewknot/internal/postgres/statement"
 )
 
 // session is one caller's connection.
--- a/internal/listener/startup.go
+++ b/internal/postgres/listener/startup.go
@@ -6,9 +6,9 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/credential"
-	"dewknot/internal/failure"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/credential"
 )
 
 // startup carries out the protocol up to the first ReadyForQuery; it reports
--- a/internal/membership/machine.go
+++ b/internal/postgres/membership/machine.go
@@ -7,8 +7,8 @@
 	"sort"
 	"time"
 
-	"dewknot/internal/configuration"
-	"dewknot/internal/objectapi"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/objectapi"
 )
 
 // Settings are the intervals of the protocol.
--- a/internal/membership/machine_test.go
+++ b/internal/postgres/membership/machine_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	_ "dewknot/internal/propertytest" // fixes the seed
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 // fleet runs machines on virtual time with a lossless or lossy network.
--- a/internal/node/store.go
+++ b/internal/postgres/node/store.go
@@ -8,9 +8,9 @@
 	"github.com/cenkalti/backoff/v5"
 	"go.uber.org/zap"
 
-	"dewknot/internal/core"
-	"dewknot/internal/objectapi"
-	"dewknot/internal/pause"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/objectapi"
+	"dewknot/internal/postgres/pause"
 )
 
 func unmarshal(data []byte, target any) error { return json.Unmarshal(data, target) }
--- a/internal/operator/client.go
+++ b/internal/postgres/operator/client.go
@@ -10,9 +10,9 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/configuration"
-	"dewknot/internal/node"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/node"
 )
 
 // Client calls a node's operator address.
--- a/internal/operator/metrics.go
+++ b/internal/postgres/operator/metrics.go
@@ -4,7 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
-	"dewknot/internal/node"
+	"dewknot/internal/postgres/node"
 )
 
 // collector reads a node's counters when the metrics page is asked for.
--- a/internal/operator/server.go
+++ b/internal/postgres/operator/server.go
@@ -14,9 +14,9 @@
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"dewknot/internal/administration"
-	"dewknot/internal/configuration"
-	"dewknot/internal/node"
+	"dewknot/internal/postgres/administration"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/node"
 )
 
 // maxBodyBytes bounds a request's body.
--- a/internal/owner/groups.go
+++ b/internal/postgres/owner/groups.go
@@ -9,11 +9,11 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/configuration"
-	"dewknot/internal/core"
-	"dewknot/internal/failure"
-	"dewknot/internal/group"
-	"dewknot/internal/request"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/request"
 )
 
 // Counters count what owners answered; they are read by the metrics page.
--- a/internal/owner/server.go
+++ b/internal/postgres/owner/server.go
@@ -10,11 +10,11 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/configuration"
-	"dewknot/internal/failure"
-	"dewknot/internal/group"
-	"dewknot/internal/request"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/configuration"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/request"
 )
 
 // Limits on what is held in memory for one answer.
--- a/internal/owner/status.go
+++ b/internal/postgres/owner/status.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/group"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/group"
 )
 
 // statusTimeout bounds one status question, dialing included.
--- a/internal/peer/client.go
+++ b/internal/postgres/peer/client.go
@@ -9,10 +9,10 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/core"
-	"dewknot/internal/framing"
-	"dewknot/internal/group"
-	"dewknot/internal/request"
+	"dewknot/internal/base/framing"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/request"
 )
 
 // Times of a link.
--- a/internal/peer/frame.go
+++ b/internal/postgres/peer/frame.go
@@ -13,11 +13,11 @@
 	"crypto/sha256"
 	"encoding/binary"
 
-	"dewknot/internal/codec"
-	"dewknot/internal/core"
-	"dewknot/internal/framing"
-	"dewknot/internal/group"
-	"dewknot/internal/request"
+	"dewknot/internal/base/codec"
+	"dewknot/internal/base/framing"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/request"
 )
 
 // frameKind is the type of a frame.
--- a/internal/peer/peer_test.go
+++ b/internal/postgres/peer/peer_test.go
@@ -14,10 +14,10 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/core"
-	"dewknot/internal/group"
-	"dewknot/internal/request"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/group"
+	"dewknot/internal/postgres/request"
 )
 
 // echoServer answers each request with its own messages, in parts, late and out
--- a/internal/peer/server.go
+++ b/internal/postgres/peer/server.go
@@ -10,9 +10,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dewknot/internal/core"
-	"dewknot/internal/framing"
-	"dewknot/internal/request"
+	"dewknot/internal/base/framing"
+	"dewknot/internal/postgres/core"
+	"dewknot/internal/postgres/request"
 )
 
 // SyncSource answers a peer's question for state.
--- a/internal/replication/group.go
+++ b/internal/postgres/replication/group.go
@@ -11,7 +11,7 @@
 import (
 	"time"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 // Role is what a server believes itself to be.
--- a/internal/replication/group_test.go
+++ b/internal/postgres/replication/group_test.go
@@ -6,7 +6,7 @@
 
 	"pgregory.net/rapid"
 
-	_ "dewknot/internal/propertytest" // fixes the seed
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 // An entry that a majority has received in the primary's term is in the log of
--- a/internal/request/request.go
+++ b/internal/postgres/request/request.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"time"
 
-	"dewknot/internal/backend"
-	"dewknot/internal/failure"
-	"dewknot/internal/group"
-	"dewknot/internal/position"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
+	"dewknot/internal/postgres/backend"
+	"dewknot/internal/postgres/group"
 )
 
 // Request is a caller's batch with what the owner needs to decide on it.
--- a/internal/admission/gate_test.go
+++ b/internal/proxy/admission/gate_test.go
@@ -8,7 +8,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/bubbletest"
+	"dewknot/internal/base/bubbletest"
 )
 
 func TestGateFindsWhatTheServerBears(t *testing.T) {
--- a/internal/admission/pace_test.go
+++ b/internal/proxy/admission/pace_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/bubbletest"
+	"dewknot/internal/base/bubbletest"
 )
 
 // TestExpectedWaitIsTheWait: of work that waits on a server of an even pace, each is let
--- a/internal/proxy/alone_test.go
+++ b/internal/proxy/alone_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/judge"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/judge"
 )
 
 // setUnheard keeps a node from all other nodes, but not from the store.
--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/relay"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/relay"
+	"dewknot/internal/proxy/upstream"
 )
 
 // memberAnswer is an answer and the address of the node that gave it.
--- a/internal/proxy/caller_test.go
+++ b/internal/proxy/caller_test.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/command"
-	"dewknot/internal/failure"
-	"dewknot/internal/judge"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/lab/judge"
 	"dewknot/internal/proxy"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
 )
 
 // memoryClient is the caller's end of a session, in memory.
--- a/internal/proxy/calls_test.go
+++ b/internal/proxy/calls_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
+	"dewknot/internal/base/bubbletest"
 	"dewknot/internal/proxy"
 )
 
--- a/internal/proxy/campaign.go
+++ b/internal/proxy/campaign.go
@@ -6,11 +6,11 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
-	"dewknot/internal/quorum"
-	"dewknot/internal/tenure"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/quorum"
+	"dewknot/internal/proxy/tenure"
+	"dewknot/internal/proxy/upstream"
 )
 
 // performTenure carries out a step of a campaign; it reports false for other effects.
--- a/internal/proxy/comeback.go
+++ b/internal/proxy/comeback.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/catalog"
-	"dewknot/internal/failure"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/catalog"
 )
 
 // When a refused caller may come back follows from what was in its way: the queue and the
--- a/internal/proxy/comeback_test.go
+++ b/internal/proxy/comeback_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/bubbletest"
+	"dewknot/internal/base/bubbletest"
 )
 
 // TestTimeToComeBackFollowsTheOutage: it is what is left of the usual length, and grows
--- a/internal/proxy/degraded.go
+++ b/internal/proxy/degraded.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
+	"dewknot/internal/base/eventlog"
 )
 
 const (
--- a/internal/delta/delta_test.go
+++ b/internal/proxy/delta/delta_test.go
@@ -9,7 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/codec"
+	"dewknot/internal/base/codec"
 )
 
 // TestPatchMakesTheTarget: whatever the texts, the patch of two makes the second of
--- a/internal/delta/fuzz_test.go
+++ b/internal/proxy/delta/fuzz_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"dewknot/internal/codec"
+	"dewknot/internal/base/codec"
 )
 
 // FuzzPatch: whatever another node sends as a patch, applying it ends without a
--- a/internal/proxy/deputy_test.go
+++ b/internal/proxy/deputy_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/failover"
-	"dewknot/internal/standin/managed"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/standin/managed"
+	"dewknot/internal/proxy/failover"
 )
 
 // TestPrimaryIsReplacedWithoutStoreAndHolder: the store is down, the holder of the
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
+	"dewknot/internal/base/eventlog"
 )
 
 // detourSpan is how long new connections to a server go through another node,
--- a/internal/failover/choice.go
+++ b/internal/proxy/failover/choice.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 // Report is one server's answer to a survey.
--- a/internal/failover/machine_test.go
+++ b/internal/proxy/failover/machine_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 var epoch = time.Unix(1_000_000, 0)
--- a/internal/failover/model_test.go
+++ b/internal/proxy/failover/model_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 // The model explores, exhaustively up to a depth, two nodes that both find the
--- a/internal/failover/tenure.go
+++ b/internal/proxy/failover/tenure.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"dewknot/internal/position"
-	"dewknot/internal/quorum"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/quorum"
 )
 
 // Where the platform checks no fences, a replaced primary goes on accepting work. Then
--- a/internal/failover/tenure_test.go
+++ b/internal/proxy/failover/tenure_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 // agreed returns a machine that holds the lease and agrees on tenures with others.
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -6,9 +6,9 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/objectstore"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/objectstore"
 )
 
 // watchShare is the wait of a watch as a part of the bound within which its
--- a/internal/freshness/freshness.go
+++ b/internal/proxy/freshness/freshness.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 // Proof is a primary's position and the time at which the question for it was sent.
--- a/internal/freshness/freshness_test.go
+++ b/internal/proxy/freshness/freshness_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 var epoch = time.Unix(1_000_000, 0)
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -6,8 +6,8 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/failover"
 )
 
 // Times of the look at the services.
--- a/internal/proxy/leases.go
+++ b/internal/proxy/leases.go
@@ -8,11 +8,11 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/placement"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/placement"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/objectstore"
 )
 
 const (
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
-	"dewknot/internal/objectstore"
-	"dewknot/internal/relay"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
 )
 
 // Member is a node's entry in the store, by which others find it.
--- a/internal/proxy/metered.go
+++ b/internal/proxy/metered.go
@@ -6,7 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"dewknot/internal/objectstore"
+	"dewknot/internal/proxy/objectstore"
 )
 
 // meteredStore counts the calls to the store, which are priced.
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -5,9 +5,9 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/command"
-	"dewknot/internal/upstream"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/upstream"
 )
 
 // metrics are the node's counters and histograms.
--- a/internal/proxy/mutation_test.go
+++ b/internal/proxy/mutation_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/position"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/upstream"
 )
 
 // brokenMechanism is a mechanism that is switched off between the runtime and
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -14,15 +14,15 @@
 	"sync/atomic"
 	"time"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/command"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
-	"dewknot/internal/failure"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/remote"
-	"dewknot/internal/tenure"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/remote"
+	"dewknot/internal/proxy/tenure"
+	"dewknot/internal/proxy/upstream"
 )
 
 // Client is the caller's end of a session.
--- a/internal/objectstore/follow.go
+++ b/internal/proxy/objectstore/follow.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"dewknot/internal/stall"
+	"dewknot/internal/base/stall"
 )
 
 // Sink receives the objects of one kind, in the order of their revisions.
--- a/internal/objectstore/follow_test.go
+++ b/internal/proxy/objectstore/follow_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
+	"dewknot/internal/base/bubbletest"
 )
 
 // scriptedStore answers lists and watches; while silent, it swallows calls.
--- a/internal/objectstore/patches.go
+++ b/internal/proxy/objectstore/patches.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"dewknot/internal/delta"
+	"dewknot/internal/proxy/delta"
 )
 
 const (
--- a/internal/proxy/owners.go
+++ b/internal/proxy/owners.go
@@ -7,13 +7,13 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/freshness"
-	"dewknot/internal/placement"
-	"dewknot/internal/position"
-	"dewknot/internal/remote"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/placement"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/remote"
+	"dewknot/internal/proxy/upstream"
 )
 
 const (
--- a/internal/proxy/owners_test.go
+++ b/internal/proxy/owners_test.go
@@ -11,13 +11,13 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/catalog"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/position"
-	"dewknot/internal/relay"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
+	"dewknot/internal/proxy/upstream"
 )
 
 var errTestUnreachable = errors.New("unreachable")
--- a/internal/proxy/prune.go
+++ b/internal/proxy/prune.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/relay"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
 )
 
 // pruneAfter is at how many looks in a row a member must be silent before its entry
--- a/internal/quorum/quorum_test.go
+++ b/internal/proxy/quorum/quorum_test.go
@@ -7,7 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
-	_ "dewknot/internal/propertytest" // fixes the seed
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 var epoch = time.Unix(1_000_000, 0)
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -4,12 +4,12 @@
 	"errors"
 	"time"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/catalog"
-	"dewknot/internal/failure"
-	"dewknot/internal/freshness"
-	"dewknot/internal/routing"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/routing"
+	"dewknot/internal/proxy/upstream"
 )
 
 // readCurrent runs a read that must see every acknowledged commit: in a
--- a/internal/proxy/readers.go
+++ b/internal/proxy/readers.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/objectstore"
-	"dewknot/internal/placement"
-	"dewknot/internal/relay"
+	"dewknot/internal/base/placement"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
 )
 
 const (
--- a/internal/proxy/readers_test.go
+++ b/internal/proxy/readers_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/catalog"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/standin/managed"
 	"dewknot/internal/proxy"
-	"dewknot/internal/standin/managed"
+	"dewknot/internal/proxy/catalog"
 )
 
 // configurationVersion returns the version in force on a node.
--- a/internal/relay/pieces_test.go
+++ b/internal/proxy/relay/pieces_test.go
@@ -9,9 +9,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/stall"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/stall"
+	"dewknot/internal/proxy/objectstore"
 )
 
 // large answers every question with a megabyte.
--- a/internal/relay/relay.go
+++ b/internal/proxy/relay/relay.go
@@ -18,10 +18,10 @@
 	"github.com/pkg/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"dewknot/internal/codec"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/position"
-	"dewknot/internal/stall"
+	"dewknot/internal/base/codec"
+	"dewknot/internal/base/position"
+	"dewknot/internal/base/stall"
+	"dewknot/internal/proxy/objectstore"
 )
 
 // Question is what one node asks another.
--- a/internal/relay/relay_test.go
+++ b/internal/proxy/relay/relay_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/objectstore"
+	"dewknot/internal/proxy/objectstore"
 )
 
 // echo answers with what it was asked.
--- a/internal/remote/host.go
+++ b/internal/proxy/remote/host.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/codec"
-	"dewknot/internal/framing"
-	"dewknot/internal/position"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/codec"
+	"dewknot/internal/base/framing"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/upstream"
 )
 
 // Server is a database server as its owner reaches it.
--- a/internal/remote/link.go
+++ b/internal/proxy/remote/link.go
@@ -8,10 +8,10 @@
 	"sync/atomic"
 	"time"
 
-	"dewknot/internal/codec"
-	"dewknot/internal/framing"
-	"dewknot/internal/position"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/codec"
+	"dewknot/internal/base/framing"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/upstream"
 )
 
 // Times of a link's watch.
--- a/internal/remote/protocol.go
+++ b/internal/proxy/remote/protocol.go
@@ -12,9 +12,9 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/position"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/upstream"
 )
 
 // The kinds of frames.
--- a/internal/remote/remote_test.go
+++ b/internal/proxy/remote/remote_test.go
@@ -10,11 +10,11 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/command"
-	"dewknot/internal/position"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/upstream"
 )
 
 // fakeServer is a server that answers each operation at once, with the operation's
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -5,9 +5,9 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/command"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/freshness"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/freshness"
 )
 
 // account tells how a command was served, for its line in the log.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -4,13 +4,13 @@
 	"errors"
 	"time"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/command"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failure"
-	"dewknot/internal/quorum"
-	"dewknot/internal/remote"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/quorum"
+	"dewknot/internal/proxy/remote"
+	"dewknot/internal/proxy/upstream"
 )
 
 // Times of a statement's way.
--- a/internal/proxy/seeds.go
+++ b/internal/proxy/seeds.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"time"
 
-	"dewknot/internal/objectstore"
-	"dewknot/internal/relay"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
 )
 
 const (
--- a/internal/proxy/seeds_test.go
+++ b/internal/proxy/seeds_test.go
@@ -7,9 +7,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/relay"
-	"dewknot/internal/standin/managed"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/standin/managed"
+	"dewknot/internal/proxy/relay"
 )
 
 // TestNodeStartsWhileTheStoreIsDown: a node that starts while the store refuses
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -9,13 +9,13 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/catalog"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
-	"dewknot/internal/freshness"
-	"dewknot/internal/leadership"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/leadership"
+	"dewknot/internal/proxy/upstream"
 )
 
 // server is the runtime state of a database server.
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -4,11 +4,11 @@
 	"errors"
 	"time"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/command"
-	"dewknot/internal/failure"
-	"dewknot/internal/freshness"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/upstream"
 )
 
 // ErrIdle is returned by Client.ReadCommand when no command began in time.
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -7,10 +7,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/catalog"
-	"dewknot/internal/command"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failure"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
 )
 
 // scriptedClient gives the results of reads in order, then ErrIdle.
--- a/internal/proxy/sicknodes_test.go
+++ b/internal/proxy/sicknodes_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
+	"dewknot/internal/base/bubbletest"
 )
 
 // sickness is a trouble of a single node; all servers are well.
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -12,9 +12,9 @@
 	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/judge"
-	"dewknot/internal/standin/managed"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/judge"
+	"dewknot/internal/lab/standin/managed"
 )
 
 // troubleKinds is how many kinds of trouble a simulated day draws from. Seeds that
--- a/internal/proxy/slowlink_test.go
+++ b/internal/proxy/slowlink_test.go
@@ -8,11 +8,11 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/catalog"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/stall"
-	"dewknot/internal/standin/managed"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/stall"
+	"dewknot/internal/lab/standin/managed"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/objectstore"
 )
 
 // slowLinks are the nodes' links that carry a limited number of bytes a second.
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"dewknot/internal/objectstore"
-	"dewknot/internal/relay"
-	"dewknot/internal/stall"
+	"dewknot/internal/base/stall"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
 )
 
 // otherNodes is the source of what other nodes know.
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/objectstore"
-	"dewknot/internal/relay"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
 )
 
 // knowingPeers answer for nodes that know a kind up to a revision; others are silent.
--- a/internal/proxy/start_test.go
+++ b/internal/proxy/start_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/judge"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/judge"
 )
 
 // TestCallersOfANodeThatStartsAreHeld: a caller that comes back before the node knows a
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
+	"dewknot/internal/base/eventlog"
 )
 
 // Parts of the grace of a planned stop.
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -7,10 +7,10 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
-	"dewknot/internal/freshness"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/upstream"
 )
 
 // surveyLimit bounds the wait for the servers' reports. A status takes a slot,
--- a/internal/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -13,9 +13,9 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/quorum"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/quorum"
 )
 
 // Times of the runtime.
--- a/internal/tenure/keeper_test.go
+++ b/internal/proxy/tenure/keeper_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/quorum"
-	"dewknot/internal/standin/managed"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/lab/standin/managed"
+	"dewknot/internal/proxy/quorum"
 )
 
 // network carries messages between keepers, some milliseconds late.
--- a/internal/tenure/round.go
+++ b/internal/proxy/tenure/round.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"dewknot/internal/quorum"
+	"dewknot/internal/proxy/quorum"
 )
 
 // round is a question to all voters and the answers that have come.
--- a/internal/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -10,10 +10,10 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/placement"
-	"dewknot/internal/quorum"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/placement"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/quorum"
 )
 
 // Times of the table.
--- a/internal/proxy/tenures.go
+++ b/internal/proxy/tenures.go
@@ -6,10 +6,10 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
-	"dewknot/internal/quorum"
-	"dewknot/internal/tenure"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/quorum"
+	"dewknot/internal/proxy/tenure"
 )
 
 // Where the platform checks no fences, an accepted transaction does not prove that the
--- a/internal/proxy/trace_test.go
+++ b/internal/proxy/trace_test.go
@@ -11,10 +11,10 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/failover"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/trace"
 	"dewknot/internal/proxy"
-	"dewknot/internal/trace"
+	"dewknot/internal/proxy/failover"
 )
 
 // traceRecorder keeps the traces of a fleet's failover machines.
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -5,13 +5,13 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/command"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failure"
-	"dewknot/internal/freshness"
-	"dewknot/internal/quorum"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/quorum"
+	"dewknot/internal/proxy/upstream"
 )
 
 // transaction is a caller's open transaction. It takes a connection with its
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -8,9 +8,9 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/relay"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
 )
 
 // transfers fetches large objects from other nodes in pieces. What has arrived of a
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/objectstore"
-	"dewknot/internal/relay"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
 )
 
 // pieceSource answers for nodes that know one version of a large object.
--- a/internal/proxy/unfenced_test.go
+++ b/internal/proxy/unfenced_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/judge"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/judge"
 )
 
 // unfencedScene is a trouble on a platform that checks no tokens, played under callers'
--- a/internal/upstream/batch.go
+++ b/internal/proxy/upstream/batch.go
@@ -5,7 +5,7 @@
 	"os"
 	"time"
 
-	"dewknot/internal/command"
+	"dewknot/internal/proxy/command"
 )
 
 // Batch is the outcome of a run of operations.
--- a/internal/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"dewknot/internal/command"
+	"dewknot/internal/proxy/command"
 )
 
 // Lease is a connection lent to one user, with the session state that the server
--- a/internal/upstream/pool_test.go
+++ b/internal/proxy/upstream/pool_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/shoenig/test/must"
 
-	"dewknot/internal/bubbletest"
-	"dewknot/internal/position"
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/position"
 )
 
 // limitedDialer opens connections up to a limit that the server sets.
--- a/internal/upstream/stats.go
+++ b/internal/proxy/upstream/stats.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
 )
 
 // Weights and times of the estimates.
--- a/internal/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -10,8 +10,8 @@
 
 	"github.com/pkg/errors"
 
-	"dewknot/internal/command"
-	"dewknot/internal/position"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/command"
 )
 
 // OperationKind is what an operation asks a server to do.
--- a/internal/proxy/witnesses.go
+++ b/internal/proxy/witnesses.go
@@ -10,9 +10,9 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failover"
-	"dewknot/internal/relay"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/relay"
 )
 
 // reachedWithin is how old an answer of a server may be to count as reached: not
--- a/internal/proxy/write.go
+++ b/internal/proxy/write.go
@@ -5,11 +5,11 @@
 
 	"go.uber.org/zap"
 
-	"dewknot/internal/admission"
-	"dewknot/internal/eventlog"
-	"dewknot/internal/failure"
-	"dewknot/internal/freshness"
-	"dewknot/internal/upstream"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/upstream"
 )
 
 // write runs a single write on the primary. It is sent again only after an
