dewknot timeline draws a bad minute from the logs of several nodes

One picture: commands by how they ended, over time, with lanes for nodes that start, stop or distrust themselves, lost stores, configurations and replaced primaries. Lines that a node dropped are counted by what it says of them.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -60,6 +60,7 @@
 	Measure    measureCommand    `cmd:"" help:"Measure the slopes that plan needs."`
 	Compare    compareCommand    `cmd:"" help:"Compare the ways through nodes with a direct connection."`
 	Explain    explainCommand    `cmd:"" help:"Tell the story of a request, server or failover from event logs."`
+	Timeline   timelineCommand   `cmd:"" help:"Draw how requests ended over time, with takeovers and outages, from event logs."`
 	Rounds     roundsCommand     `cmd:"" help:"Show measured rounds of the journal."`
 	Version    versionCommand    `cmd:"" help:"Show version and build."`
 }
--- a/internal/lab/explain/explain.go
+++ b/internal/lab/explain/explain.go
@@ -91,6 +91,15 @@
 	return line, true
 }
 
+// Lines returns all lines in the order of their times.
+func (l *Logs) Lines() []Line {
+	merged := l.merge()
+	for i := range merged {
+		merged[i].Time = merged[i].merged
+	}
+	return merged
+}
+
 // merge orders all lines by time, and those of one node as they were written.
 func (l *Logs) merge() []Line {
 	latest := map[string]time.Time{}
