--- a/internal/proxy/readers.go
+++ b/internal/proxy/readers.go
@@ -29,8 +29,9 @@
 	readersListed   = 2
 	readerListLimit = 60 * time.Millisecond
 	// firstListRounds is how often they are asked at the first start of a fleet, with about
-	// firstListPause in between.
-	firstListRounds = 4
+	// firstListPause in between: the readers are chosen a second after the start, and on a
+	// slow machine need some tenths more.
+	firstListRounds = 8
 	firstListPause  = 200 * time.Millisecond
 	// firstMembersWait is how long a node that starts waits for the list of members, from
 	// which it learns who the readers are: a good store has told it by then.
