No lead is taken that another server may have

The primary is cut off with some nodes, without the store. The holder on the other side replaces it. On its own side it says that it does not lead any more, so the nodes there know no primary; as the cut heals, two deputies survey it alone, find nobody else, and promote it again: its commits stand, and what the new primary has acknowledged is rolled back. Deputies' tokens lie above those of the holder of the same epoch.

Change: where no primary is known, an order needs the reports of all servers of the directory, none of them leading and none assumed. Servers that are gone leave the directory, so the wait ends.

Test that failed first: TestReplacedPrimaryIsNotPromotedAgain.

--- a/internal/proxy/failover/choice.go
+++ b/internal/proxy/failover/choice.go
@@ -34,7 +34,7 @@
 	}
 	needed, _ := m.need()
 	best := m.furthest(now, event.Reports)
-	if !needed || best == nil || !m.holdsAllCommits(best, event.Reports) {
+	if !needed || best == nil || !m.leadIsFree(event.Reports) || !m.holdsAllCommits(best, event.Reports) {
 		m.rest(now, pauseAfterFailure)
 		if m.unanswered {
 			return nil
@@ -45,6 +45,31 @@
 	return m.order(best.ID)
 }
 
+// leadIsFree reports whether no server can have the lead, where this node knows no
+// primary. The one that it knew may have been replaced by a server that it does not reach,
+// as on one side of a split; to promote what is left on this side, perhaps the replaced
+// primary itself, would roll back all that the new one has acknowledged. So all servers of
+// the directory have to report, none of them leading. Servers that are gone leave the
+// directory, so the wait ends.
+func (m *Machine) leadIsFree(reports []Report) bool {
+	if m.observation.Leader != "" {
+		return true
+	}
+	reported := map[string]bool{}
+	for i := range reports {
+		if reports[i].Assumed {
+			continue
+		}
+		reported[reports[i].ID] = true
+	}
+	for _, server := range m.observation.Servers {
+		if !reported[server.ID] {
+			return false
+		}
+	}
+	return true
+}
+
 // resume ends what a survey that held the replicas began.
 func (m *Machine) resume() []Effect {
 	if m.observation.SynchronousReplicas == 0 {
--- a/internal/proxy/failover/deputy_test.go
+++ b/internal/proxy/failover/deputy_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"dewknot/internal/base/position"
 )
 
 // leaseOf is a lease of n1 with two deputies.
@@ -131,3 +133,34 @@
 	must.Greater(t, 3*tokensPerEpoch+ownTokens, token)
 	must.Less(t, 3*tokensPerEpoch+2*ownTokens, token)
 }
+
+// TestReplacedPrimaryIsNotPromotedAgain: on one side of a split a deputy reaches only the
+// old primary, which says that it does not lead any more. Another server leads on the other
+// side; to promote the old one would roll back what that has acknowledged.
+func TestReplacedPrimaryIsNotPromotedAgain(t *testing.T) {
+	unknown := healthy()
+	unknown.Leader = ""
+	survey := func(machine *Machine) {
+		machine.Step(at(100), Observed{unknown})
+		must.Eq(t, []Effect{ReadLease{}}, machine.Step(at(4200), Observed{unknown}))
+		must.Eq(t, []Effect{Survey{}}, machine.Step(at(4500), LeaseKnown{Failed: true}))
+	}
+	old := Report{ID: "a", Term: 1, Received: position.Position{Term: 1, Offset: 23}}
+	some := reports(21, 21).Reports
+	for name, reported := range map[string][]Report{
+		"the old primary alone": {old}, "nobody": nil, "one is missing": {old, some[0]}, "the others": some,
+		"one is only assumed": {old, some[0], {ID: "c", Term: 1, Received: some[1].Received, Assumed: true}},
+	} {
+		machine := deputy("n2", "l", leaseOf(3))
+		survey(machine)
+		must.SliceEmpty(t, machine.Step(at(4600), Surveyed{Reports: reported}), must.Sprint(name))
+		must.Eq(t, Watching, machine.Phase())
+	}
+	machine := deputy("n2", "l", leaseOf(3))
+	survey(machine)
+	effects := machine.Step(at(4600), Surveyed{Reports: append([]Report{old}, some...)})
+	must.Len(t, 1, effects)
+	order, ok := effects[0].(Order)
+	must.True(t, ok)
+	must.Eq(t, "a", order.Target)
+}
