--- /dev/null
+++ b/internal/proxy/failover/tenure_events.go
@@ -0,0 +1,103 @@
+package failover
+
+import (
+	"time"
+
+	"dewknot/internal/base/position"
+)
+
+// The effects and events of a change of the primary by agreement (tenure.go).
+
+// Prepare asks the voters to promise a ballot, which closes the present tenure.
+type Prepare struct{ Ballot uint64 }
+
+// Prepared answers Prepare.
+type Prepared struct {
+	Agreed bool
+	// Highest is the highest ballot known, Busy is set if another candidate has been
+	// promised one lately.
+	Highest uint64
+	Busy    bool
+	// Bound is a server whose order, under BoundBallot, may be on its way; "" if none.
+	Bound       string
+	BoundBallot uint64
+	// Settled is the primary of the last tenure that was chosen, if no order is on its
+	// way; "" if the voters do not remember.
+	Settled string
+	// Term is the highest term in which a primary is known to have led.
+	Term uint64
+	// LooseFor is how long an order for the server Loose may still be carried out: no other
+	// server must be ordered before.
+	Loose    string
+	LooseFor time.Duration
+}
+
+// StepDown tells the primary to give up the lead, by any node that reaches it.
+type StepDown struct{ Server string }
+
+// SteppedDown answers StepDown.
+type SteppedDown struct {
+	Server string
+	// Done is set if the server has confirmed that it does not lead any more; Received
+	// is then the end of its log.
+	Done     bool
+	Received position.Position
+}
+
+// Choose asks the voters to hold the target of a ballot.
+type Choose struct {
+	Ballot uint64
+	Target string
+	// Ordering is set if an order to promote the target follows.
+	Ordering bool
+}
+
+// Held answers Choose.
+type Held struct{ Agreed bool }
+
+// AwaitClear waits until no lease of the closed tenure is left.
+type AwaitClear struct{ Ballot uint64 }
+
+// Cleared answers AwaitClear.
+type Cleared struct{ Agreed bool }
+
+// AwaitLead waits until a server that was ordered leads in a term not below Least: in an
+// older one it has been replaced before, and goes on.
+type AwaitLead struct {
+	Target string
+	Least  uint64
+	Limit  time.Duration
+}
+
+// Led answers AwaitLead.
+type Led struct {
+	Leads bool
+	// Term is the term in which the server leads.
+	Term uint64
+}
+
+// Open opens the tenure of a ballot, whose primary leads in a term.
+type Open struct {
+	Ballot  uint64
+	Primary string
+	Term    uint64
+	// Loose is set if an order for it was not answered.
+	Loose bool
+}
+
+// Opened answers Open.
+type Opened struct{ Agreed bool }
+
+func (Prepared) isEvent()    {}
+func (SteppedDown) isEvent() {}
+func (Held) isEvent()        {}
+func (Cleared) isEvent()     {}
+func (Led) isEvent()         {}
+func (Opened) isEvent()      {}
+
+func (Prepare) isEffect()    {}
+func (StepDown) isEffect()   {}
+func (Choose) isEffect()     {}
+func (AwaitClear) isEffect() {}
+func (AwaitLead) isEffect()  {}
+func (Open) isEffect()       {}
