--- a/deploy/days.sh
+++ b/deploy/days.sh
@@ -4,7 +4,9 @@
 #
 #     fleetbench run SITE FOLDER/NAME.toml --why "…"
 #
-# Usage: deploy/days.sh FOLDER [PAIRS SEED]
+# With a site file of a large deployment the days can be played small (--small).
+#
+# Usage: deploy/days.sh FOLDER [PAIRS SEED [SITE]]
 set -euo pipefail
 
 # Each line: where the entry stands, a name, and the entry without its moment.
@@ -106,10 +108,11 @@
 
 # write_day FILE NAME ENTRY…: an entry is "plan AT TEXT" or "faults AT TEXT".
 write_day() {
-	local file=$1 name=$2 entry where at text part
+	local file=$1 name=$2 entry where at text part # small: how the site plays days small
 	shift 2
 	{
 		printf '[[day]]\nname = "%s"\nslot = "trouble"\nseed = 4711\n' "$name"
+		printf '%s' "$small"
 		for part in plan faults; do
 			printf '%s = [\n' "$part"
 			[ "$part" = plan ] && printf '  { at = 9.0, kind = "config_change", how = "timeout" },\n  { at = 21.0, kind = "config_change", how = "idle" },\n'
@@ -125,6 +128,8 @@
 main() {
 	local folder=$1 pairs=${2:-0} where name text first second i
 	RANDOM=${3:-1}
+	small=""
+	[ -z "${4:-}" ] || small=$(grep -m1 '^small = ' "$4")$'\n'
 	mkdir -p "$folder"
 	while read -r where name text; do
 		write_day "$folder/$name.toml" "$name" "$where 4.0 $text" "$where 16.0 $text"
