--- a/internal/base/failure/failure.go
+++ b/internal/base/failure/failure.go
@@ -70,6 +70,10 @@
 	InvalidCommand
 	// TooManyValues: the session keeps as much as a node allows.
 	TooManyValues
+	// UnknownKey: the caller's key is no tenant's, or was taken away.
+	UnknownKey
+	// OverQuota: the tenant has used up what its quota allows.
+	OverQuota
 )
 
 type description struct {
@@ -105,6 +109,8 @@
 	ReadOnlyTransaction: {"read_only_transaction", "25006", "the transaction was opened for reads only", "open a transaction that may write", false},
 	InvalidCommand:      {"invalid_command", "42601", "the command is not known, or not allowed in this state", "check the command; a transaction begins and ends once", false},
 	TooManyValues:       {"too_many_values", "54000", "the session keeps as many values or statements as a node allows", "deallocate what is no longer used, or open another session", false},
+	UnknownKey:          {"unknown_key", "28000", "the key is not known, or was taken away", "use a key that the operator has given to your tenant; operators see its keys in the configuration", true},
+	OverQuota:           {"over_quota", "53400", "request refused: the tenant has used up its quota", "send the request again after the time given in the detail, or ask the operator for a larger quota", false},
 	TooLarge:            {"too_large", "54000", "message exceeds the size limit", "send less in one message, or raise max_message_bytes in the settings", true},
 }
 
--- a/internal/lab/judge/caller.go
+++ b/internal/lab/judge/caller.go
@@ -33,9 +33,11 @@
 
 // CallerConfig configures a Caller.
 type CallerConfig struct {
-	Name  string
-	Seed  *rand.Rand
-	Judge *Judge
+	Name string
+	// Tenant is the one that the caller works for; empty where callers need no key.
+	Tenant string
+	Seed   *rand.Rand
+	Judge  *Judge
 	// Connect opens a session on some node and tells its route; nil if it was
 	// refused.
 	Connect func(r *rand.Rand) (Session, *catalog.Route)
@@ -121,6 +123,10 @@
 
 func (c *Caller) sessionName() string { return fmt.Sprintf("%s.%d", c.Name, c.session) }
 
+func (c *Caller) begin(id string, route *catalog.Route, began time.Time) {
+	c.Judge.Begin(Asked{ID: id, Session: c.sessionName(), Tenant: c.Tenant, Route: route, Began: began})
+}
+
 func (c *Caller) setValue(session Session) bool {
 	name, value := fmt.Sprintf("v%d", c.Seed.IntN(3)), fmt.Sprint(c.Seed.IntN(5))
 	answer, open := session.Ask(command.Command{Kind: command.SetValue, RequestID: c.nextID(), Name: name, Value: value})
@@ -141,7 +147,7 @@
 
 func (c *Caller) single(session Session, route *catalog.Route, writes bool) bool {
 	id := c.nextID()
-	c.Judge.Begin(id, c.sessionName(), route, time.Now())
+	c.begin(id, route, time.Now())
 	answer, open := session.Ask(c.statement(id, writes))
 	if !open {
 		return false
@@ -205,7 +211,7 @@
 	var writes []string
 	for range c.Seed.IntN(maxStatements) {
 		id := c.nextID()
-		c.Judge.Begin(id, c.sessionName(), route, began)
+		c.begin(id, route, began)
 		writing := kind == command.Begin && c.Seed.IntN(2) == 0
 		if writing {
 			writes = append(writes, id)
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dewknot/internal/base/position"
+	"dewknot/internal/lab/standin/managed"
 	"dewknot/internal/proxy/catalog"
 )
 
@@ -17,6 +18,8 @@
 	mu sync.Mutex
 	// requests holds what is known of each request by its id.
 	requests map[string]*request
+	// operations holds what ran of each tenant, in the order in which it ran.
+	operations map[string][]operation
 	// commits holds every commit by its position.
 	commits map[position.Position]*Commit
 	// Violations are the broken promises; read them when all callers are done.
@@ -29,7 +32,9 @@
 }
 
 type request struct {
-	session   string
+	session string
+	// tenant is in whose name the request has to run; empty if any will do.
+	tenant    string
 	freshness catalog.Freshness
 	staleness time.Duration
 	began     time.Time
@@ -53,7 +58,7 @@
 
 // New returns a judge that has seen nothing.
 func New() *Judge {
-	return &Judge{requests: map[string]*request{}, commits: map[position.Position]*Commit{}}
+	return &Judge{requests: map[string]*request{}, operations: map[string][]operation{}, commits: map[position.Position]*Commit{}}
 }
 
 // Violate notes a broken promise.
@@ -67,12 +72,40 @@
 	j.Violations = append(j.Violations, fmt.Sprintf(format, values...))
 }
 
-// Begin notes a request that a caller is about to send. Statements of a
-// transaction are judged from the transaction's beginning.
-func (j *Judge) Begin(id, session string, route *catalog.Route, began time.Time) {
+// Asked is a request that a caller is about to send. Statements of a transaction are
+// judged from the transaction's beginning.
+type Asked struct {
+	ID      string
+	Session string
+	// Tenant is the one that the caller works for; empty where callers need no key.
+	Tenant string
+	Route  *catalog.Route
+	Began  time.Time
+}
+
+// Begin notes a request.
+func (j *Judge) Begin(asked Asked) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.requests[id] = &request{session: session, freshness: route.Freshness, staleness: route.MaxStaleness, began: began}
+	j.requests[asked.ID] = &request{
+		session: asked.Session, tenant: asked.Tenant, freshness: asked.Route.Freshness, staleness: asked.Route.MaxStaleness, began: asked.Began,
+	}
+}
+
+// StatementRan implements managed.Observer.
+func (j *Judge) StatementRan(run managed.Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	request := j.requests[run.RequestID]
+	if request == nil || request.tenant == "" {
+		return
+	}
+	if string(run.Principal) != request.tenant {
+		j.violate("request %s of tenant %q ran in the name of %q", run.RequestID, request.tenant, run.Principal)
+	}
+	if run.First {
+		j.operations[request.tenant] = append(j.operations[request.tenant], operation{began: request.began, ran: run.At})
+	}
 }
 
 // Acknowledged notes that a caller was told of success for the writes of some requests.
--- a/internal/lab/standin/managed/managed.go
+++ b/internal/lab/standin/managed/managed.go
@@ -13,11 +13,25 @@
 	"time"
 
 	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/upstream"
 )
 
+// Run is a caller's statement that a server has begun to run.
+type Run struct {
+	RequestID string
+	// Principal is in whose name the connection was opened.
+	Principal upstream.Principal
+	At        time.Time
+	// First is set unless an earlier statement of the same transaction ran there.
+	First bool
+}
+
 // Observer sees what the servers run. Its methods are called with the group's
 // lock held and must not call back.
 type Observer interface {
+	// StatementRan tells of each statement that a server runs, the end of a transaction
+	// excepted.
+	StatementRan(run Run)
 	// ReadRan tells that a caller's read ran on a log. has reports whether the
 	// log holds a commit that is still part of the service.
 	ReadRan(requestID string, at time.Time, has func(position.Position) bool)
--- a/internal/lab/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -26,8 +26,8 @@
 var errReset = errors.New("connection reset by the server")
 
 // Dial implements upstream.Dialer.
-func (d *Dialer) Dial(ctx context.Context, address, service, id string) (upstream.Connection, position.Position, error) {
-	group := d.Groups[service]
+func (d *Dialer) Dial(ctx context.Context, target upstream.Target) (upstream.Connection, position.Position, error) {
+	group, address := d.Groups[target.Service], target.Address
 	if group == nil {
 		return nil, position.Position{}, errReset
 	}
@@ -46,20 +46,21 @@
 	switch {
 	case !server.up:
 		return nil, position.Position{}, errReset
-	case server.id != id:
+	case server.id != target.Server:
 		return nil, position.Position{}, &upstream.RefusedError{Outcome: upstream.WrongServer}
 	case len(server.sessions) >= group.settings.Connections:
 		return nil, position.Position{}, &upstream.RefusedError{Outcome: upstream.ConnectionLimit}
 	}
-	session := newSession(server, func() bool { return d.Reach == nil || d.Reach(address) })
+	session := newSession(server, target.Principal, func() bool { return d.Reach == nil || d.Reach(address) })
 	server.sessions[session] = struct{}{}
 	return session, server.position(), nil
 }
 
 // Session is a connection to a server; it implements upstream.Connection.
 type Session struct {
-	server *Server
-	reach  func() bool
+	server    *Server
+	principal upstream.Principal
+	reach     func() bool
 
 	requests chan upstream.Operation
 	answers  chan answer
@@ -73,6 +74,8 @@
 	readOnly bool
 	term     uint64
 	writes   []write
+	// ran is set once a statement of the open transaction ran.
+	ran bool
 }
 
 type answer struct {
@@ -83,9 +86,9 @@
 // sessionBacklog bounds the operations sent ahead on a connection.
 const sessionBacklog = 64
 
-func newSession(server *Server, reach func() bool) *Session {
+func newSession(server *Server, principal upstream.Principal, reach func() bool) *Session {
 	session := &Session{
-		server: server, reach: reach,
+		server: server, principal: principal, reach: reach,
 		requests: make(chan upstream.Operation, sessionBacklog), answers: make(chan answer, sessionBacklog),
 		broken: make(chan struct{}), values: map[string]string{}, prepared: map[string]command.PreparedStatement{},
 	}
@@ -304,7 +307,7 @@
 }
 
 func (s *Session) end() {
-	s.state, s.writes = upstream.Idle, nil
+	s.state, s.writes, s.ran = upstream.Idle, nil, false
 }
 
 // leads reports whether a transaction of the primary still runs on it.
@@ -375,12 +378,17 @@
 		s.state = upstream.FailedTransaction
 		return s.result(upstream.NotPrimary)
 	}
+	if !statement.Writes && !s.server.hasApplied(operation.Floor) {
+		return s.result(upstream.Behind)
+	}
+	if statement.Writes && !s.writable(inPlain) {
+		return s.result(upstream.NotPrimary)
+	}
+	s.server.group.observer.StatementRan(Run{RequestID: operation.RequestID, Principal: s.principal, At: time.Now(), First: !s.ran})
+	s.ran = s.state == upstream.InTransaction
 	if statement.Writes {
 		return s.write(write{requestID: operation.RequestID, thing: thing, data: data}, inPlain)
 	}
-	if !s.server.hasApplied(operation.Floor) {
-		return s.result(upstream.Behind)
-	}
 	s.server.group.observer.ReadRan(operation.RequestID, time.Now(), s.server.hasApplied)
 	result := s.result(upstream.Succeeded)
 	result.Rows = [][]byte{[]byte(s.server.value(thing)), []byte(sessionValues(s.values))}
@@ -388,10 +396,12 @@
 	return result
 }
 
+// writable reports whether a write may run.
+func (s *Session) writable(inPlain bool) bool {
+	return s.server.leads() && (s.state != upstream.InTransaction || inPlain)
+}
+
 func (s *Session) write(made write, inPlain bool) upstream.Result {
-	if !s.server.leads() || (s.state == upstream.InTransaction && !inPlain) {
-		return s.result(upstream.NotPrimary)
-	}
 	if inPlain {
 		s.writes = append(s.writes, made)
 	} else {
--- a/internal/lab/standin/managed/session_test.go
+++ b/internal/lab/standin/managed/session_test.go
@@ -17,6 +17,7 @@
 
 type silentObserver struct{}
 
+func (silentObserver) StatementRan(managed.Run)                                {}
 func (silentObserver) ReadRan(string, time.Time, func(position.Position) bool) {}
 func (silentObserver) WritesCommitted([]string, position.Position)             {}
 func (silentObserver) RolledBack(position.Position)                            {}
@@ -31,7 +32,7 @@
 	}, silentObserver{}, func(managed.Entry) {})
 	dialer := &managed.Dialer{Groups: map[string]*managed.Group{"bookings": group}}
 	ask := func(server *managed.Server, operations func(i int) upstream.Operation) upstream.Result {
-		connection, _, err := dialer.Dial(context.Background(), server.ID(), "bookings", server.ID())
+		connection, _, err := dialer.Dial(context.Background(), upstream.Target{Address: server.ID(), Service: "bookings", Server: server.ID()})
 		must.NoError(t, err)
 		defer connection.Close()
 		var last upstream.Result
--- a/internal/proxy/caller_test.go
+++ b/internal/proxy/caller_test.go
@@ -18,6 +18,7 @@
 type memoryClient struct {
 	net.Conn
 	database    string
+	key         string
 	commands    chan command.Command
 	replies     chan proxy.Reply
 	interrupted chan struct{}
@@ -26,14 +27,16 @@
 	accepted    bool
 }
 
-func newMemoryClient(database string) *memoryClient {
+func newMemoryClient(database, key string) *memoryClient {
 	return &memoryClient{
-		database: database, commands: make(chan command.Command), replies: make(chan proxy.Reply, 1),
+		database: database, key: key, commands: make(chan command.Command), replies: make(chan proxy.Reply, 1),
 		interrupted: make(chan struct{}, 1), closed: make(chan struct{}),
 	}
 }
 
-func (c *memoryClient) ReadStart(time.Time) (string, error) { return c.database, nil }
+func (c *memoryClient) ReadStart(time.Time) (proxy.Start, error) {
+	return proxy.Start{Database: c.database, Key: catalog.DigestKey(c.key)}, nil
+}
 
 func (c *memoryClient) Accept() error {
 	c.accepted = true
@@ -156,12 +159,18 @@
 
 // caller returns a caller of the fleet.
 func (f *simulatedFleet) caller(name string, random *rand.Rand) *judge.Caller {
-	return judge.NewCaller(judge.CallerConfig{Name: name, Seed: random, Judge: f.check, Connect: f.connect})
+	tenant := tenantOf(name)
+	return judge.NewCaller(judge.CallerConfig{
+		Name: name, Tenant: tenant, Seed: random, Judge: f.check,
+		Connect: func(random *rand.Rand) (judge.Session, *catalog.Route) {
+			return f.connect(random, testTenants[tenant][0])
+		},
+	})
 }
 
-func (f *simulatedFleet) connect(random *rand.Rand) (judge.Session, *catalog.Route) {
+func (f *simulatedFleet) connect(random *rand.Rand, key string) (judge.Session, *catalog.Route) {
 	listener := f.listener(random)
-	client := newMemoryClient(databases[random.IntN(len(databases))])
+	client := newMemoryClient(databases[random.IntN(len(databases))], key)
 	select {
 	case listener.pending <- client:
 	case <-listener.closed:
--- a/internal/proxy/catalog/catalog.go
+++ b/internal/proxy/catalog/catalog.go
@@ -40,6 +40,8 @@
 	TargetLatency time.Duration
 	// Priority 0 is the highest.
 	Priority int
+	// Public routes serve callers without a key.
+	Public bool
 }
 
 // Service is a group of one primary and its replicas.
@@ -56,6 +58,10 @@
 	Version  uint64
 	Routes   map[string]Route
 	Services map[string]Service
+	// Tenants holds the tenants by name; nil if the deployment has none, so that callers
+	// need no key. Keys holds the tenant of each key.
+	Tenants map[string]Tenant
+	Keys    map[KeyDigest]string
 	// TransactionIdle is how long a transaction may rest before it may be ended.
 	TransactionIdle time.Duration
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -168,10 +168,9 @@
 	}, fleet.check, fleet.store.PublishEntry)
 	groups := map[string]*managed.Group{testService: fleet.group}
 	fleet.promoter = &managed.Promoter{Groups: groups}
-	fleet.store.Put(managed.ConfigurationKind, "main", catalog.Configuration{
-		Version: 1, Routes: testRoutes, TransactionIdle: time.Second,
-		Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24, SynchronousReplicas: synchronousReplicas}},
-	})
+	first := testConfiguration(1, testTenants)
+	first.Services[testService] = catalog.Service{Name: testService, MaxConnections: 24, SynchronousReplicas: synchronousReplicas}
+	fleet.store.Put(managed.ConfigurationKind, "main", first)
 	for range nodes {
 		fleet.listeners = append(fleet.listeners, nil)
 		fleet.cancels = append(fleet.cancels, nil)
@@ -259,18 +258,18 @@
 	node  int
 }
 
-func (d *simulatedDialer) Dial(ctx context.Context, address, service, id string) (upstream.Connection, position.Position, error) {
+func (d *simulatedDialer) Dial(ctx context.Context, target upstream.Target) (upstream.Connection, position.Position, error) {
 	from := d.node
 	d.fleet.mutex.Lock()
 	node := d.fleet.nodes[fmt.Sprintf("node-%d", d.node)]
 	d.fleet.mutex.Unlock()
 	if node != nil {
-		if via, detour := node.DetourTo(id); detour {
+		if via, detour := node.DetourTo(target.Server); detour {
 			_, _ = fmt.Sscanf(via, "node-%d", &from)
 		}
 	}
 	dialer := &managed.Dialer{Groups: d.fleet.promoter.Groups, Reach: func(id string) bool { return d.fleet.reaches(from, id) }}
-	return dialer.Dial(ctx, address, service, id)
+	return dialer.Dial(ctx, target)
 }
 
 // memoryPeers lets the fleet's nodes ask each other.
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -8,6 +8,7 @@
 
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/upstream"
 )
 
 // Times of the look at the services.
@@ -102,7 +103,7 @@
 	s.outage.note(now, target != nil && !down)
 	observation := s.observe(leader, down)
 	if observation.Voiceless && s.holding() {
-		s.warm()
+		s.warm(upstream.Own)
 	}
 	s.submit(failover.Observed{Observation: observation})
 }
@@ -207,7 +208,7 @@
 			if entry.ID == believed || entry.Gone || target == nil || s.belief.Refuted(entry.ID, now) || target.stats.Avoided(now) {
 				continue
 			}
-			if s.prove(target, s.node.lend, time.Now().Add(seekLimit)) == leading {
+			if s.prove(target, s.node.lendOwn, time.Now().Add(seekLimit)) == leading {
 				return
 			}
 		}
--- a/internal/proxy/mutation_test.go
+++ b/internal/proxy/mutation_test.go
@@ -28,6 +28,8 @@
 	valuesNotSet
 	// rollbackIgnored: connections are returned with their transaction open.
 	rollbackIgnored
+	// tenantsMixed opens all connections in the node's own name.
+	tenantsMixed
 )
 
 // breakingDialer switches a mechanism off on all its connections.
@@ -36,8 +38,11 @@
 	broken brokenMechanism
 }
 
-func (d *breakingDialer) Dial(ctx context.Context, address, service, id string) (upstream.Connection, position.Position, error) {
-	opened, at, err := d.Dialer.Dial(ctx, address, service, id)
+func (d *breakingDialer) Dial(ctx context.Context, target upstream.Target) (upstream.Connection, position.Position, error) {
+	if d.broken == tenantsMixed {
+		target.Principal = upstream.Own
+	}
+	opened, at, err := d.Dialer.Dial(ctx, target)
 	if err != nil || d.broken == nothingBroken {
 		return opened, at, err
 	}
@@ -79,7 +84,7 @@
 
 func TestBrokenMechanismsAreNoticed(t *testing.T) {
 	const seeds = 12
-	for broken := floorsIgnored; broken <= rollbackIgnored; broken++ {
+	for broken := floorsIgnored; broken <= tenantsMixed; broken++ {
 		noticed := 0
 		for seed := uint64(1); seed <= seeds && noticed == 0; seed++ {
 			bubbletest.Test(t, func(*testing.T) {
--- /dev/null
+++ b/internal/proxy/newer.go
@@ -0,0 +1,71 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Limits of the search for a newer configuration, before a caller is told that its key is
+// not known.
+const (
+	// surelyRecent is the age up to which what the store or a reader of it has told counts
+	// as the present configuration: a caller whose key was given to it a moment ago comes
+	// back later than that.
+	surelyRecent = time.Second
+	// newerLimit bounds the search as a whole: a caller gives the start of a session 2 s.
+	newerLimit = 800 * time.Millisecond
+	// newerPause is the shortest pause between two searches, so that a flood of unknown
+	// keys costs no flood of questions.
+	newerPause = time.Second
+)
+
+// newerSearch lets sessions with unknown keys share one search for a newer configuration.
+type newerSearch struct {
+	mu      sync.Mutex
+	began   time.Time
+	running chan struct{}
+}
+
+// seekNewer looks whether another node knows a newer configuration than this one, and
+// waits until it is in force here. It does nothing if this node's is recent.
+func (n *Node) seekNewer(now time.Time) {
+	if n.caches[n.options.Kinds.Configuration].Age() < surelyRecent || n.ports.Peers == nil {
+		return
+	}
+	n.newer.mu.Lock()
+	running := n.newer.running
+	if running == nil && now.Sub(n.newer.began) >= newerPause {
+		running = make(chan struct{})
+		n.newer.began, n.newer.running = now, running
+		go n.searchNewer(running)
+	}
+	n.newer.mu.Unlock()
+	if running == nil {
+		return
+	}
+	<-running
+}
+
+// searchNewer takes the newest configuration that a few other nodes know into force.
+func (n *Node) searchNewer(done chan struct{}) {
+	defer func() {
+		n.newer.mu.Lock()
+		n.newer.running = nil
+		n.newer.mu.Unlock()
+		close(done)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), newerLimit)
+	defer cancel()
+	cache := n.caches[n.options.Kinds.Configuration]
+	revision, err := cache.Revision()
+	if err != nil {
+		return
+	}
+	objects, revision, err := (&otherNodes{n}).Watch(ctx, n.options.Kinds.Configuration, revision, 0)
+	if err != nil || len(objects) == 0 {
+		// Nobody asked knows more, or nobody answered in time.
+		return
+	}
+	cache.Apply(objects, revision)
+}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -27,8 +27,8 @@
 
 // Client is the caller's end of a session.
 type Client interface {
-	// ReadStart reads the database that the caller asks for.
-	ReadStart(deadline time.Time) (database string, err error)
+	// ReadStart reads how the caller begins the session.
+	ReadStart(deadline time.Time) (Start, error)
 	// Accept tells the caller that the session is open.
 	Accept() error
 	// Refuse tells the caller why the session is not opened; a close follows.
@@ -44,6 +44,14 @@
 	Close()
 }
 
+// Start is how a caller begins a session.
+type Start struct {
+	// Database names the route.
+	Database string
+	// Key is the digest of the caller's API key.
+	Key catalog.KeyDigest
+}
+
 // Reply is the answer to a command.
 type Reply struct {
 	// Failure is set if the command failed.
@@ -176,6 +184,8 @@
 	owner *remote.Owner
 	// tenures is nil where the platform checks fences.
 	tenures *tenure.Keeper
+	// newer is the search for a configuration that holds an unknown key.
+	newer newerSearch
 	// nudged makes the look at the services come at once.
 	nudged chan struct{}
 }
--- a/internal/proxy/owners.go
+++ b/internal/proxy/owners.go
@@ -44,21 +44,21 @@
 	until   time.Time
 }
 
-// lend lends a connection to a server for callers' work: one of this node's own,
-// or one of the server's owner.
-func (n *Node) lend(target *server, deadline time.Time) (*upstream.Lease, error) {
+// lend lends a principal's connection to a server for callers' work: one of this node's
+// own, or one of the server's owner.
+func (n *Node) lend(target *server, principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
 	if !n.awaitMembers(deadline) {
 		return nil, upstream.ErrNoConnection
 	}
 	owners := n.ownersBefore(target)
 	if len(owners) == 0 {
-		return target.pool.Get(deadline)
+		return target.pool.Get(principal, deadline)
 	}
 	link, address := n.links.Pick(target.notShunned(owners, time.Now()), deadline)
 	if link == nil {
-		return target.pool.Get(deadline)
+		return target.pool.Get(principal, deadline)
 	}
-	return upstream.NewRemoteLease(link.Session(target.id), target.stats, func() { target.shun(address, len(owners)) }), nil
+	return upstream.NewRemoteLease(link.Session(target.id, principal), target.stats, func() { target.shun(address, len(owners)) }), nil
 }
 
 // ownersBefore returns the nodes that this one goes through to a server, best
@@ -174,11 +174,11 @@
 
 // Lend implements remote.Server. The connection is always this node's own, so that
 // operations never pass through two owners.
-func (o *ownedServer) Lend(deadline time.Time) (*upstream.Lease, error) {
+func (o *ownedServer) Lend(principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
 	if !o.service.usable(o.id, time.Now()) {
 		return nil, &upstream.RefusedError{Outcome: upstream.Unreached, Detail: "the server leaves"}
 	}
-	return o.pool.Get(deadline)
+	return o.pool.Get(principal, deadline)
 }
 
 // Silent implements remote.Server.
--- a/internal/proxy/owners_test.go
+++ b/internal/proxy/owners_test.go
@@ -59,7 +59,7 @@
 // countingDialer counts the connections that a node wants of its own.
 type countingDialer struct{ dials atomic.Int64 }
 
-func (d *countingDialer) Dial(context.Context, string, string, string) (upstream.Connection, position.Position, error) {
+func (d *countingDialer) Dial(context.Context, upstream.Target) (upstream.Connection, position.Position, error) {
 	d.dials.Add(1)
 	return nil, position.Position{}, errTestUnreachable
 }
@@ -91,7 +91,7 @@
 		node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, dialer, 40)
 		_, _ = node.listMembers(t.Context(), time.Second)
 		for range 10 {
-			_, err := node.lend(target, time.Now().Add(100*time.Millisecond))
+			_, err := node.lend(target, upstream.Own, time.Now().Add(100*time.Millisecond))
 			must.ErrorIs(t, err, upstream.ErrNoConnection)
 		}
 		must.Eq(t, int64(0), dialer.dials.Load())
@@ -101,7 +101,7 @@
 			time.Sleep(50 * time.Millisecond)
 			_, _ = node.listMembers(context.Background(), time.Second)
 		}()
-		_, err := node.lend(target, time.Now().Add(time.Second))
+		_, err := node.lend(target, upstream.Own, time.Now().Add(time.Second))
 		must.ErrorIs(t, err, errTestUnreachable)
 		must.Positive(t, dialer.dials.Load())
 		node.log.Close()
@@ -114,7 +114,7 @@
 		store, dialer := &memberStore{}, &countingDialer{}
 		node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, dialer, 40)
 		time.Sleep(membersPatience)
-		_, err := node.lend(target, time.Now().Add(time.Second))
+		_, err := node.lend(target, upstream.Own, time.Now().Add(time.Second))
 		must.ErrorIs(t, err, errTestUnreachable)
 		node.log.Close()
 	})
@@ -129,7 +129,7 @@
 		node, target := ownersNode(store, peers, dialer, 20)
 		_, err := node.listMembers(t.Context(), time.Second)
 		must.NoError(t, err)
-		_, err = node.lend(target, time.Now().Add(5*time.Second))
+		_, err = node.lend(target, upstream.Own, time.Now().Add(5*time.Second))
 		must.ErrorIs(t, err, errTestUnreachable, must.Sprint("no owner can be reached, so its own"))
 		close(peers.asked)
 		var asked []string
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -157,7 +157,7 @@
 			r.pause(behindPause)
 			continue
 		}
-		lease, err := r.session.node.lend(target, r.connectionDeadline())
+		lease, err := r.session.node.lend(target, r.session.principal, r.connectionDeadline())
 		if err == nil {
 			return target, lease, floor
 		}
--- a/internal/proxy/readers_test.go
+++ b/internal/proxy/readers_test.go
@@ -28,10 +28,7 @@
 }
 
 func (f *simulatedFleet) configure(version uint64) {
-	f.store.Put(managed.ConfigurationKind, "main", catalog.Configuration{
-		Version: version, Routes: testRoutes, TransactionIdle: time.Second,
-		Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24}},
-	})
+	f.store.Put(managed.ConfigurationKind, "main", testConfiguration(version, testTenants))
 }
 
 // TestFewNodesWatchTheStore: in a fleet of 24 nodes in three zones, six watch the store. Changes are in
@@ -108,10 +105,9 @@
 		version := uint64(1)
 		configure := func() {
 			version++
-			fleet.store.Put(managed.ConfigurationKind, "main", catalog.Configuration{
-				Version: version, Routes: manyRoutes(version), TransactionIdle: time.Second,
-				Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24}},
-			})
+			changed := testConfiguration(version, testTenants)
+			changed.Routes = manyRoutes(version)
+			fleet.store.Put(managed.ConfigurationKind, "main", changed)
 		}
 		inForce := func() {
 			for name, node := range fleet.nodes {
--- a/internal/proxy/remote/host.go
+++ b/internal/proxy/remote/host.go
@@ -19,8 +19,8 @@
 
 // Server is a database server as its owner reaches it.
 type Server interface {
-	// Lend lends a connection.
-	Lend(deadline time.Time) (*upstream.Lease, error)
+	// Lend lends a connection of a principal.
+	Lend(principal upstream.Principal, deadline time.Time) (*upstream.Lease, error)
 	// Silent reports whether the server does not answer this node.
 	Silent() bool
 	// Enter waits for leave to run on the server; Leave ends what was let in.
@@ -258,7 +258,7 @@
 		return s.refused(target, operations, deadline)
 	}
 	if s.lease == nil {
-		lease, err := target.Lend(earlier(deadline, time.Now().Add(lendWait)))
+		lease, err := target.Lend(asked.Principal, earlier(deadline, time.Now().Add(lendWait)))
 		if err != nil {
 			if slot >= 0 {
 				target.Leave(&upstream.Batch{Err: err}, nil)
--- a/internal/proxy/remote/link.go
+++ b/internal/proxy/remote/link.go
@@ -96,12 +96,12 @@
 	})
 }
 
-// Session returns a new session with a server through the owner.
-func (l *Link) Session(server string) *Session {
+// Session returns a new session of a principal with a server through the owner.
+func (l *Link) Session(server string, principal upstream.Principal) *Session {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.next++
-	return &Session{link: l, stream: l.next, server: server}
+	return &Session{link: l, stream: l.next, server: server, principal: principal}
 }
 
 func (l *Link) readLoop() {
@@ -210,6 +210,8 @@
 	link   *Link
 	stream uint64
 	server string
+	// principal is in whose name the session runs.
+	principal upstream.Principal
 
 	ticket  Ticket
 	awaited chan response
@@ -237,7 +239,7 @@
 		s.suspected = nil
 	}
 	err := s.link.w.Send(frameRun, s.stream, &request{
-		Server: s.server, Operations: operations, Budget: deadline.Sub(s.sentAt), Open: s.open, Ticket: s.ticket,
+		Server: s.server, Operations: operations, Budget: deadline.Sub(s.sentAt), Open: s.open, Ticket: s.ticket, Principal: s.principal,
 	})
 	if err != nil {
 		s.cause = ErrLinkLost
--- a/internal/proxy/remote/protocol.go
+++ b/internal/proxy/remote/protocol.go
@@ -56,6 +56,8 @@
 	// Open is set if the asking node believes that a transaction is open.
 	Open   bool
 	Ticket Ticket
+	// Principal is in whose name the operations run.
+	Principal upstream.Principal
 }
 
 // The bounds of a request.
--- a/internal/proxy/remote/remote_test.go
+++ b/internal/proxy/remote/remote_test.go
@@ -35,12 +35,12 @@
 
 func newFakeServer() *fakeServer {
 	s := &fakeServer{}
-	s.pool = upstream.NewPool(s, "address", "service", "s1", 8, upstream.NewStats())
+	s.pool = upstream.NewPool(s, upstream.Target{Address: "address", Service: "service", Server: "s1"}, 8, upstream.NewStats())
 	return s
 }
 
 // Dial implements upstream.Dialer.
-func (s *fakeServer) Dial(context.Context, string, string, string) (upstream.Connection, position.Position, error) {
+func (s *fakeServer) Dial(context.Context, upstream.Target) (upstream.Connection, position.Position, error) {
 	return &fakeConnection{server: s}, position.Position{}, nil
 }
 
@@ -51,8 +51,11 @@
 	return s
 }
 
-func (s *fakeServer) Lend(deadline time.Time) (*upstream.Lease, error) { return s.pool.Get(deadline) }
-func (s *fakeServer) Silent() bool                                     { return s.gone }
+func (s *fakeServer) Lend(principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
+	return s.pool.Get(principal, deadline)
+}
+
+func (s *fakeServer) Silent() bool { return s.gone }
 
 func (s *fakeServer) Enter(admission.Request, time.Time) bool {
 	s.mu.Lock()
@@ -151,7 +154,7 @@
 }
 
 func lease(link *Link, server string) *upstream.Lease {
-	return upstream.NewRemoteLease(link.Session(server), upstream.NewStats(), func() {})
+	return upstream.NewRemoteLease(link.Session(server, upstream.Own), upstream.NewStats(), func() {})
 }
 
 func statement(id string) upstream.Operation {
@@ -261,7 +264,7 @@
 		must.SliceEmpty(t, server.kinds())
 
 		told := false
-		unknown := upstream.NewRemoteLease(link.Session("s2"), upstream.NewStats(), func() { told = true })
+		unknown := upstream.NewRemoteLease(link.Session("s2", upstream.Own), upstream.NewStats(), func() { told = true })
 		batch = unknown.Run([]upstream.Operation{statement("x")}, soon())
 		must.NoError(t, batch.Err)
 		must.Eq(t, upstream.Unreached, batch.Last().Outcome)
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -208,7 +208,7 @@
 			continue
 		}
 		r.held = held
-		lease, err := r.session.node.lend(target, r.connectionDeadline())
+		lease, err := r.session.node.lend(target, r.session.principal, r.connectionDeadline())
 		if err == nil {
 			return target, lease, failure.None
 		}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -141,7 +141,7 @@
 		stats := upstream.NewStats()
 		n.servers.Store(entry.ID, &server{
 			id: entry.ID, service: entry.Service, stats: stats,
-			pool: upstream.NewPool(n.ports.Dialer, entry.Address, entry.Service, entry.ID, n.connectionCeiling(entry.Service), stats),
+			pool: upstream.NewPool(n.ports.Dialer, upstream.Target{Address: entry.Address, Service: entry.Service, Server: entry.ID}, n.connectionCeiling(entry.Service), stats),
 			gate: admission.NewGate(firstStatements, statementCeiling),
 		})
 	} else if entry.Leaving() {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -22,6 +22,9 @@
 	node     *Node
 	client   Client
 	database string
+	key      catalog.KeyDigest
+	// principal is in whose name the session's work runs; it changes with the route.
+	principal upstream.Principal
 	// bound is the route of the session; it changes between transactions only.
 	bound    catalog.Route
 	values   map[string]string
@@ -54,24 +57,29 @@
 }
 
 func (s *session) start() bool {
-	database, err := s.client.ReadStart(time.Now().Add(startLimit))
+	start, err := s.client.ReadStart(time.Now().Add(startLimit))
 	if err != nil {
 		if failed, ok := failure.As(err); ok {
 			_ = s.client.Refuse(failed)
 		}
 		return false
 	}
-	s.database = database
+	s.database, s.key = start.Database, start.Key
 	s.node.awaitInformed(time.Now())
-	if refusal := s.bind(); refusal != nil {
+	refusal := s.bind()
+	if refusal != nil && refusal.Kind == failure.UnknownKey {
+		s.node.seekNewer(time.Now())
+		refusal = s.bind()
+	}
+	if refusal != nil {
 		_ = s.client.Refuse(refusal)
 		return false
 	}
-	s.node.awaitTenure(s.bound.Service, time.Now())
+	s.node.awaitTenure(s.bound.Service, s.principal, time.Now())
 	return s.client.Accept() == nil
 }
 
-// bind looks up the route that is in force now.
+// bind looks up the route that is in force now, and the tenant that the caller works for.
 func (s *session) bind() *failure.Error {
 	configuration := s.node.catalog.Current().Configuration
 	if configuration == nil {
@@ -81,10 +89,22 @@
 	if !found {
 		return failure.New(failure.UnknownService, s.database)
 	}
-	s.bound = route
+	tenant, access := configuration.Identify(&route, s.key)
+	if access == catalog.Denied {
+		return failure.New(failure.UnknownKey, "")
+	}
+	s.bound, s.principal = route, upstream.Principal(tenant)
 	return nil
 }
 
+// revoked reports whether the key that the open transaction began with no longer is the
+// tenant's.
+func (s *session) revoked() bool {
+	configuration := s.node.catalog.Current().Configuration
+	tenant, access := configuration.Identify(&s.bound, s.key)
+	return access == catalog.Denied || upstream.Principal(tenant) != s.principal
+}
+
 // next serves one command and reports whether the session goes on.
 func (s *session) next() bool {
 	received, err := s.client.ReadCommand(s.idleDeadline())
@@ -145,7 +165,7 @@
 // idled ends a transaction that has rested too long.
 func (s *session) idled() {
 	if s.transaction != nil && s.transaction.lease != nil && !s.node.closing.Load() && !s.node.secluded() {
-		s.transaction.fail(s)
+		s.transaction.fail(s, "idle")
 	}
 }
 
@@ -170,11 +190,17 @@
 
 // handle runs a command that arrived at a time and returns its answer.
 func (s *session) handle(received *command.Command, arrived time.Time) Reply {
+	ends := received.Kind == command.Commit || received.Kind == command.Rollback
 	if s.transaction == nil {
 		if refusal := s.bind(); refusal != nil {
 			return s.fail(refusal)
 		}
-	} else if s.transaction.failed && received.Kind != command.Commit && received.Kind != command.Rollback {
+	} else if !s.transaction.failed && s.revoked() {
+		s.transaction.fail(s, "key taken away")
+		if !ends {
+			return s.fail(failure.New(failure.TransactionLost, "the key was taken away"))
+		}
+	} else if s.transaction.failed && !ends {
 		return s.fail(failure.New(failure.FailedTransaction, ""))
 	}
 	switch received.Kind {
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -20,7 +20,7 @@
 	replies int
 }
 
-func (c *scriptedClient) ReadStart(time.Time) (string, error) { return "database", nil }
+func (c *scriptedClient) ReadStart(time.Time) (Start, error) { return Start{Database: "database"}, nil }
 
 func (c *scriptedClient) Accept() error { return nil }
 
--- a/internal/proxy/slowlink_test.go
+++ b/internal/proxy/slowlink_test.go
@@ -127,10 +127,9 @@
 		version := uint64(1)
 		change := func(routes map[string]catalog.Route) {
 			version++
-			fleet.store.Put(managed.ConfigurationKind, "main", catalog.Configuration{
-				Version: version, Routes: routes, TransactionIdle: time.Second,
-				Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24}},
-			})
+			changed := testConfiguration(version, testTenants)
+			changed.Routes = routes
+			fleet.store.Put(managed.ConfigurationKind, "main", changed)
 		}
 		inForce := func(within time.Duration) {
 			t.Helper()
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -144,6 +144,11 @@
 // lender is a way to a connection.
 type lender func(target *server, deadline time.Time) (*upstream.Lease, error)
 
+// lendOwn lends a connection for a question that may go through the server's owner.
+func (n *Node) lendOwn(target *server, deadline time.Time) (*upstream.Lease, error) {
+	return n.lend(target, upstream.Own, deadline)
+}
+
 // reserve lends a connection of this node's own for a question about the server.
 func reserve(target *server, deadline time.Time) (*upstream.Lease, error) {
 	return target.pool.Reserve(deadline)
@@ -245,7 +250,7 @@
 	if deadline.Before(limit) {
 		limit = deadline
 	}
-	if s.prove(target, s.node.lend, limit) != leading {
+	if s.prove(target, s.node.lendOwn, limit) != leading {
 		time.Sleep(leaderPause)
 	}
 }
--- /dev/null
+++ b/internal/proxy/tenants_test.go
@@ -0,0 +1,227 @@
+package proxy_test
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/lab/standin/managed"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
+)
+
+// testTenants are the tenants of all simulated fleets, with their keys.
+var testTenants = map[string][]string{
+	"amber": {"amber-key-7f31"}, "birch": {"birch-key-a0c4", "birch-key-19de"}, "cedar": {"cedar-key-55b2"},
+}
+
+// tenantOf spreads callers over the tenants by their names.
+func tenantOf(caller string) string {
+	names := []string{"amber", "birch", "cedar"}
+	return names[int(caller[len(caller)-1])%len(names)]
+}
+
+// testConfiguration returns a configuration of the fleets with keys by tenant.
+func testConfiguration(version uint64, keys map[string][]string) *catalog.Configuration {
+	configuration := &catalog.Configuration{
+		Version: version, Routes: testRoutes, TransactionIdle: time.Second,
+		Services: map[string]catalog.Service{testService: {Name: testService, MaxConnections: 24}},
+	}
+	var tenants []catalog.Tenant
+	for name, held := range keys {
+		tenant := catalog.Tenant{Name: name}
+		for _, key := range held {
+			tenant.Keys = append(tenant.Keys, catalog.DigestKey(key))
+		}
+		tenants = append(tenants, tenant)
+	}
+	if err := configuration.SetTenants(tenants); err != nil {
+		panic(err)
+	}
+	return configuration
+}
+
+// without returns the test tenants' keys but for those of one, who has none left.
+func without(tenant string) map[string][]string {
+	keys := maps.Clone(testTenants)
+	keys[tenant] = nil
+	return keys
+}
+
+// open opens a session of a database on a node with a key, and returns the failure if it
+// is refused.
+func (f *simulatedFleet) open(t *testing.T, node int, database, key string) (*memoryClient, *failure.Error) {
+	t.Helper()
+	f.mutex.Lock()
+	listener := f.listeners[node]
+	f.mutex.Unlock()
+	client := newMemoryClient(database, key)
+	listener.pending <- client
+	reply := <-client.replies
+	return client, reply.Failure
+}
+
+// ask sends a command and returns the failure of its answer.
+func ask(client *memoryClient, kind command.Kind, id, text string) *failure.Error {
+	client.commands <- command.Command{Kind: kind, RequestID: id, Text: text}
+	return (<-client.replies).Failure
+}
+
+func kindOf(reason *failure.Error) failure.Kind {
+	if reason == nil {
+		return failure.None
+	}
+	return reason.Kind
+}
+
+// TestOnlyKnownKeysAreServed: a session needs a key that some tenant holds.
+func TestOnlyKnownKeysAreServed(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		fleet := newFleet(fewNodes, 0, nothingBroken)
+		time.Sleep(3 * time.Second)
+		for _, key := range testTenants["birch"] {
+			_, refusal := fleet.open(t, 0, "session", key)
+			must.Nil(t, refusal)
+		}
+		for _, key := range []string{"", "birch", "birch-key-a0c", strings.Repeat("k", 64<<10), "birch-key-a0c4 "} {
+			began := time.Now()
+			_, refusal := fleet.open(t, 0, "session", key)
+			must.Eq(t, failure.UnknownKey, kindOf(refusal))
+			must.Less(t, time.Second, time.Since(began))
+		}
+		fleet.end()
+	})
+}
+
+// TestKeyTakenAway takes a tenant's keys away: what it does next is refused, an open
+// transaction is rolled back, and other tenants go on.
+func TestKeyTakenAway(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		fleet := newFleet(fewNodes, 0, nothingBroken)
+		time.Sleep(3 * time.Second)
+		resting, _ := fleet.open(t, 0, "current", "amber-key-7f31")
+		inside, _ := fleet.open(t, 1, "current", "amber-key-7f31")
+		other, _ := fleet.open(t, 1, "current", "cedar-key-55b2")
+		must.Nil(t, ask(inside, command.Begin, "b", "BEGIN"))
+		must.Nil(t, ask(inside, command.Write, "w", "WRITE seat taken"))
+		fleet.store.Put(managed.ConfigurationKind, "main", testConfiguration(2, without("amber")))
+		time.Sleep(time.Second)
+		must.Eq(t, failure.UnknownKey, kindOf(ask(resting, command.Read, "r", "READ seat")))
+		must.Eq(t, failure.TransactionLost, kindOf(ask(inside, command.Commit, "c", "COMMIT")))
+		must.Eq(t, failure.UnknownKey, kindOf(ask(inside, command.Read, "r2", "READ seat")))
+		must.Nil(t, ask(other, command.Read, "r3", "READ seat"))
+		must.Eq(t, 0, fleet.check.Writes, must.Sprint("the transaction of a key that was taken away was committed"))
+		_, refusal := fleet.open(t, 2, "current", "amber-key-7f31")
+		must.Eq(t, failure.UnknownKey, kindOf(refusal))
+		fleet.end()
+	})
+}
+
+// TestKeyTakenAwayWhileTheStoreRefusesSome: a node that the store does not serve learns
+// from the others that a key was taken away, within the configuration's bound.
+func TestKeyTakenAwayWhileTheStoreRefusesSome(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		fleet := newFleet(fewNodes, 0, nothingBroken)
+		time.Sleep(3 * time.Second)
+		fleet.store.SetCut("node-2", true)
+		session, _ := fleet.open(t, 2, "session", "amber-key-7f31")
+		fleet.store.Put(managed.ConfigurationKind, "main", testConfiguration(2, without("amber")))
+		time.Sleep(4 * time.Second)
+		must.Eq(t, failure.UnknownKey, kindOf(ask(session, command.Read, "r", "READ seat")))
+		fleet.end()
+	})
+}
+
+// TestNewKeyIsFoundAtOnce: a caller whose key is new comes to a node that the store does
+// not serve, before that node has heard of the change. It is not told that its key is
+// unknown.
+func TestNewKeyIsFoundAtOnce(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		fleet := newFleet(fewNodes, 0, nothingBroken)
+		time.Sleep(3 * time.Second)
+		fleet.store.SetCut("node-2", true)
+		time.Sleep(1500 * time.Millisecond)
+		keys := maps.Clone(testTenants)
+		keys["amber"] = append([]string{"amber-key-new"}, keys["amber"]...)
+		fleet.store.Put(managed.ConfigurationKind, "main", testConfiguration(2, keys))
+		time.Sleep(50 * time.Millisecond)
+		_, refusal := fleet.open(t, 2, "session", "amber-key-new")
+		must.Nil(t, refusal)
+		fleet.end()
+	})
+}
+
+// TestKeysReachNoLog plays a day with everything logged: neither a key nor its digest is
+// written anywhere.
+func TestKeysReachNoLog(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		fleet := prepareFleet(fleetConfig{nodes: fewNodes})
+		fleet.log.Close()
+		written := &lockedBuffer{}
+		fleet.log = eventlog.New(written, eventlog.Config{Node: "simulation", LinesPerSecond: 1_000_000})
+		fleet.startNodes()
+		time.Sleep(3 * time.Second)
+		_, _ = fleet.open(t, 0, "session", "unknown-key-e77a")
+		fleet.store.Put(managed.ConfigurationKind, "main", testConfiguration(2, without("amber")))
+		result := simulateOn(fleet, 3, 15*time.Second)
+		must.Positive(t, result.served)
+		secrets := []string{"unknown-key-e77a"}
+		for _, keys := range testTenants {
+			secrets = append(secrets, keys...)
+		}
+		for _, secret := range secrets {
+			digest := catalog.DigestKey(secret)
+			text, err := digest.MarshalText()
+			must.NoError(t, err)
+			must.False(t, bytes.Contains(written.Bytes(), []byte(secret)), must.Sprint("a log line holds a key"))
+			must.False(t, bytes.Contains(written.Bytes(), text[:16]), must.Sprint("a log line holds a key's digest"))
+		}
+		must.Positive(t, bytes.Count(written.Bytes(), []byte("\n")))
+	})
+}
+
+// TestManyTenantsShareFewConnections: twelve times as many tenants as a server has
+// connections, all at work on one node at the same time; each is served.
+func TestManyTenantsShareFewConnections(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const tenants = 288
+		fleet := prepareFleet(fleetConfig{nodes: 1})
+		keys := map[string][]string{}
+		for i := range tenants {
+			keys[fmt.Sprintf("tenant-%d", i)] = []string{fmt.Sprintf("key-%d", i)}
+		}
+		fleet.store.Put(managed.ConfigurationKind, "main", testConfiguration(2, keys))
+		fleet.startNodes()
+		time.Sleep(3 * time.Second)
+		clients := make([]*memoryClient, 0, tenants)
+		for i := range tenants {
+			client, refusal := fleet.open(t, 0, "session", fmt.Sprintf("key-%d", i))
+			must.Nil(t, refusal)
+			clients = append(clients, client)
+		}
+		random := rand.New(rand.NewPCG(1, 1))
+		failed, asked := 0, 0
+		for round := range 20 {
+			for i, client := range clients {
+				if random.IntN(tenants) < 24 {
+					id := fmt.Sprintf("%d.%d", round, i)
+					asked++
+					if ask(client, command.Read, id, "READ seat") != nil {
+						failed++
+					}
+				}
+			}
+		}
+		must.Less(t, asked/50+1, failed)
+		fleet.end()
+	})
+}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -38,11 +38,11 @@
 	return s.done()
 }
 
-// fail rolls back; the caller learns of it with its next command.
-func (t *transaction) fail(s *session) {
+// fail rolls back for a reason; the caller learns of it with its next command.
+func (t *transaction) fail(s *session, reason string) {
 	t.end()
 	t.failed = true
-	s.node.log.Write(eventlog.TransactionRolledBack, zap.String("route", s.bound.Name), zap.String("reason", "idle"))
+	s.node.log.Write(eventlog.TransactionRolledBack, zap.String("route", s.bound.Name), zap.String("reason", reason))
 }
 
 // end gives up the connection; what is open on it is rolled back.
@@ -139,7 +139,7 @@
 // run runs a statement of the transaction.
 func (t *transaction) run(r *run) Reply {
 	if t.readOnly && r.statement.Writes {
-		t.fail(r.session)
+		t.fail(r.session, "a write in a transaction opened for reads only")
 		return r.session.fail(failure.New(failure.ReadOnlyTransaction, ""))
 	}
 	if t.lease == nil {
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -8,49 +8,17 @@
 	"dewknot/internal/proxy/command"
 )
 
-// Lease is a connection lent to one user, with the session state that the server
-// keeps for it. It belongs to a pool, or goes through another node.
-type Lease struct {
-	Connection
-	// Values are the session values set on the connection.
-	Values map[string]string
-	// Prepared holds the names prepared on the connection.
-	Prepared map[string]command.PreparedStatement
-
-	stats *Stats
-	// pool is nil for a connection that goes through another node.
-	pool *Pool
-	// unreached is called when that node says that it does not reach the server.
-	unreached func()
-	returned  time.Time
-	// generation is the pool's when the connection was opened.
-	generation int
-}
-
-// NewRemoteLease returns a lease of a connection that goes through another node.
-// unreached is called when that node says that it does not reach the server.
-func NewRemoteLease(connection Connection, stats *Stats, unreached func()) *Lease {
-	return &Lease{
-		Connection: connection, stats: stats, unreached: unreached,
-		Values: map[string]string{}, Prepared: map[string]command.PreparedStatement{},
-	}
-}
-
-// Remote reports whether the connection goes through another node, which then
-// limits the work on the server.
-func (l *Lease) Remote() bool { return l.pool == nil }
-
-// Pool lends connections to one server. It is safe for concurrent use.
+// Pool lends connections to one server, each opened in one principal's name. It is safe
+// for concurrent use.
 type Pool struct {
-	dialer  Dialer
-	address string
-	service string
-	id      string
-	stats   *Stats
+	dialer Dialer
+	target Target
+	stats  *Stats
 
 	mutex sync.Mutex
-	idle  []*Lease
-	open  int
+	// idle holds the connections that nobody uses, the one idle longest first.
+	idle []*Lease
+	open int
 	// limit is the greatest number of connections now; it falls when the server
 	// refuses one for its own limit, and rises again up to ceiling.
 	limit     int
@@ -62,46 +30,25 @@
 	firstUsed time.Time
 	// limited is set while the last change followed a refusal.
 	limited bool
-	waiters []chan given
+	waiting waitingList
 	// generation changes when the way to the server changes; connections of an
 	// earlier one no longer count.
 	generation int
 	// opening counts the connections that are being opened, within open.
-	opening int
+	opening map[Principal]int
 	closed  bool
 }
 
-// Times of the limit's law.
-const (
-	// refusalPause is how long no new connection is tried after the server's
-	// limit was met.
-	refusalPause = 200 * time.Millisecond
-	// raiseInterval is the pause between raises of the limit while connections
-	// are wanted, cautiousInterval the same after the server's limit was met.
-	raiseInterval    = 60 * time.Millisecond
-	cautiousInterval = time.Second
-)
-
-// firstShare is the part of the ceiling that is open to a new pool. After a
-// restart of all nodes, more would meet the server's limit.
-const firstShare = 8
-
-func firstLimit(ceiling int) int { return min(ceiling, max(2, ceiling/firstShare)) }
-
 // dialTimeout bounds the opening of a connection.
 const dialTimeout = 1500 * time.Millisecond
 
-// NewPool returns a pool of at most ceiling connections.
-func NewPool(dialer Dialer, address, service, id string, ceiling int, stats *Stats) *Pool {
-	return &Pool{dialer: dialer, address: address, service: service, id: id, limit: firstLimit(ceiling), ceiling: ceiling, stats: stats}
-}
-
-// SetCeiling changes the greatest number of connections.
-func (p *Pool) SetCeiling(ceiling int) {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.ceiling = ceiling
-	p.limit = min(p.limit, ceiling)
+// NewPool returns a pool of at most ceiling connections to a server. The target's
+// principal is not used.
+func NewPool(dialer Dialer, target Target, ceiling int, stats *Stats) *Pool {
+	return &Pool{
+		dialer: dialer, target: target, limit: firstLimit(ceiling), ceiling: ceiling, stats: stats,
+		waiting: newWaitingList(), opening: map[Principal]int{},
+	}
 }
 
 // Open returns the number of open connections.
@@ -122,32 +69,32 @@
 	return p.firstUsed.IsZero() || now.Sub(p.firstUsed) < warmingSpan
 }
 
-// Get lends a connection, waiting for one until deadline.
-func (p *Pool) Get(deadline time.Time) (*Lease, error) { return p.get(deadline, 0) }
+// Get lends a connection of a principal, waiting for one until deadline. For Own, any
+// connection will do.
+func (p *Pool) Get(principal Principal, deadline time.Time) (*Lease, error) {
+	return p.get(principal, deadline, 0)
+}
 
 // reserved is the number of connections beyond the limit that only Reserve opens.
 const reserved = 1
 
 // Reserve lends a connection for questions about the server itself, which must
 // not wait behind callers' work.
-func (p *Pool) Reserve(deadline time.Time) (*Lease, error) { return p.get(deadline, reserved) }
+func (p *Pool) Reserve(deadline time.Time) (*Lease, error) { return p.get(Own, deadline, reserved) }
 
-func (p *Pool) get(deadline time.Time, beyond int) (*Lease, error) {
+func (p *Pool) get(principal Principal, deadline time.Time, beyond int) (*Lease, error) {
 	for {
-		lease, waiter := p.take(beyond)
+		lease, waiter := p.take(principal, beyond)
 		if lease == nil {
 			if waiter == nil {
 				return nil, ErrNoConnection
 			}
 			given, came := p.await(waiter, deadline)
-			switch {
-			case !came:
+			if !came {
 				return nil, ErrNoConnection
-			case given.err != nil:
+			}
+			if given.err != nil {
 				return nil, given.err
-			case given.lease == nil:
-				// A place became free, not a connection.
-				continue
 			}
 			lease = given.lease
 		}
@@ -158,16 +105,9 @@
 	}
 }
 
-// given is what a waiter gets: a connection, an error of opening one, or neither
-// if a place has become free.
-type given struct {
-	lease *Lease
-	err   error
-}
-
-// take returns an idle connection, or a waiter; it has one opened if a place is
-// free and nobody else's opening will do. It returns neither if the pool is shut.
-func (p *Pool) take(beyond int) (*Lease, chan given) {
+// take returns an idle connection, or a waiter for whom one is being opened if there is
+// room. It returns neither if the pool is shut.
+func (p *Pool) take(principal Principal, beyond int) (*Lease, *waiter) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.closed {
@@ -177,106 +117,89 @@
 	if p.firstUsed.IsZero() {
 		p.firstUsed = now
 	}
-	if last := len(p.idle) - 1; last >= 0 {
-		lease := p.idle[last]
-		p.idle = p.idle[:last]
+	if lease := p.takeIdle(principal); lease != nil {
 		return lease, nil
 	}
-	waiter := make(chan given, 1)
-	p.waiters = append(p.waiters, waiter)
+	waiter := p.waiting.add(principal, beyond, now)
 	p.raise(now)
-	if p.limited && now.Sub(p.changedAt) < refusalPause {
-		// The server has just refused a connection; another would be refused too.
-		beyond = 0
-	}
-	if p.open < p.limit+beyond && p.opening < len(p.waiters) {
-		p.open++
-		p.opening++
-		go p.dial(p.generation)
-	}
+	p.openFor(waiter, now)
 	p.raiseLater()
 	return nil, waiter
 }
 
-// raise lets the limit rise while connections are wanted; the lock is held.
-func (p *Pool) raise(now time.Time) {
-	if p.limit >= p.ceiling || p.open < p.limit {
-		return
-	}
-	if now.Sub(p.changedAt) >= p.raisePause() {
-		p.limit++
-		p.changedAt, p.limited = now, false
+// takeIdle returns the connection of the principal that was used last, so that those no
+// longer needed stay idle; nil if there is none. The lock is held.
+func (p *Pool) takeIdle(principal Principal) *Lease {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if lease := p.idle[i]; principal == Own || lease.principal == principal {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			return lease
+		}
 	}
+	return nil
 }
 
-// raisePause is the pause before the limit may rise again; the lock is held.
-func (p *Pool) raisePause() time.Duration {
-	switch {
-	case p.limit == 0:
-		return refusalPause
-	case p.limited:
-		return cautiousInterval
-	default:
-		return raiseInterval
+// openFor opens a connection for a waiter unless enough are being opened for those of its
+// principal, and reports whether there was room. The lock is held.
+func (p *Pool) openFor(w *waiter, now time.Time) bool {
+	if p.closed || p.opening[w.principal] >= p.waiting.count(w.principal) {
+		return true
+	}
+	beyond := w.beyond
+	if p.limited && now.Sub(p.changedAt) < refusalPause {
+		// The server has just refused a connection; another would be refused too.
+		beyond = 0
+	}
+	var replaced *Lease
+	if p.open >= p.limit+beyond {
+		if len(p.idle) == 0 || p.open > p.limit+beyond {
+			return false
+		}
+		// What is idle is another principal's, and has not been wanted for longest.
+		replaced, p.idle = p.idle[0], p.idle[1:]
+		p.open--
 	}
+	p.startOpening(w.principal, replaced)
+	return true
 }
 
-// raiseLater lets the limit rise for those who wait; the lock is held.
-func (p *Pool) raiseLater() {
-	if p.raising || p.closed || p.limit >= p.ceiling || len(p.waiters) == 0 {
-		return
-	}
-	p.raising = true
-	time.AfterFunc(p.raisePause(), func() {
-		p.mutex.Lock()
-		defer p.mutex.Unlock()
-		p.raising = false
-		p.raise(time.Now())
-		if p.open < p.limit {
-			p.handOver(given{})
+// startOpening opens a connection in the place of another one, if that is not nil; the
+// lock is held.
+func (p *Pool) startOpening(principal Principal, replaced *Lease) {
+	p.open++
+	p.opening[principal]++
+	generation := p.generation
+	go func() {
+		if replaced != nil {
+			replaced.Close()
 		}
-		p.raiseLater()
-	})
+		p.dial(principal, generation)
+	}()
 }
 
-// await waits for what a waiter gets; it reports false if nothing came in time.
-func (p *Pool) await(waiter chan given, deadline time.Time) (given, bool) {
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case came := <-waiter:
-		return came, true
-	case <-timer.C:
-	}
-	p.mutex.Lock()
-	for i, other := range p.waiters {
-		if other == waiter {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			p.mutex.Unlock()
-			return given{}, false
+// openForWaiters opens connections for those who wait, the longest first, as far as there
+// is room; the lock is held.
+func (p *Pool) openForWaiters(now time.Time) {
+	for _, w := range p.waiting.order {
+		if !p.openFor(w, now) {
+			return
 		}
 	}
-	p.mutex.Unlock()
-	// The hand-over was under way already.
-	if late := <-waiter; late.lease != nil {
-		late.lease.Return()
-	} else if late.err == nil {
-		p.wakeOne()
-	}
-	return given{}, false
 }
 
-// dial opens a connection for whoever waits longest. It has its own time limit:
-// a caller that cannot wait so long must not end the opening, or a server that
+// dial opens a connection for whoever of the principal waits longest. It has its own time
+// limit: a caller that cannot wait so long must not end the opening, or a server that
 // is far or slow would never get a connection.
-func (p *Pool) dial(generation int) {
+func (p *Pool) dial(principal Principal, generation int) {
 	began := time.Now()
 	p.stats.Started(began)
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	connection, at, err := p.dialer.Dial(ctx, p.address, p.service, p.id)
+	target := p.target
+	target.Principal = principal
+	connection, at, err := p.dialer.Dial(ctx, target)
 	if err != nil {
-		p.dialFailed(err, generation)
+		p.dialFailed(err, principal, generation)
 		return
 	}
 	now := time.Now()
@@ -284,18 +207,36 @@
 	p.stats.Observe(at)
 	p.stats.dialed(now.Sub(began))
 	lease := &Lease{
-		Connection: connection, stats: p.stats, pool: p, generation: generation,
+		Connection: connection, principal: principal, stats: p.stats, pool: p, generation: generation,
 		Values: map[string]string{}, Prepared: map[string]command.PreparedStatement{},
 	}
+	p.dialed(lease)
+}
+
+// dialed hands a new connection to a waiter of its principal.
+func (p *Pool) dialed(lease *Lease) {
 	p.mutex.Lock()
-	if generation == p.generation {
-		p.opening--
+	if lease.generation == p.generation {
+		p.opened(lease.principal)
+		if w := p.waiting.takeFor(lease.principal); w != nil {
+			p.mutex.Unlock()
+			w.given <- given{lease: lease}
+			return
+		}
 	}
 	p.mutex.Unlock()
 	lease.Return()
 }
 
-func (p *Pool) dialFailed(err error, generation int) {
+// opened notes the end of an opening; the lock is held.
+func (p *Pool) opened(principal Principal) {
+	p.opening[principal]--
+	if p.opening[principal] == 0 {
+		delete(p.opening, principal)
+	}
+}
+
+func (p *Pool) dialFailed(err error, principal Principal, generation int) {
 	refusal, refused := RefusalOf(err)
 	if refused {
 		// The server has said something, if only that it wants no connection.
@@ -309,73 +250,57 @@
 		return
 	}
 	p.open--
-	p.opening--
+	p.opened(principal)
 	if refused && refusal == ConnectionLimit {
 		p.limit = p.open
 		p.changedAt, p.limited = time.Now(), true
 	}
-	p.handOver(given{err: err})
-	p.raiseLater()
-}
-
-// wakeOne lets a waiter try again, since a place has become free.
-func (p *Pool) wakeOne() {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	p.handOver(given{})
-}
-
-// handOver gives the longest waiter something and reports whether there was one;
-// the lock is held.
-func (p *Pool) handOver(what given) bool {
-	if len(p.waiters) == 0 {
-		return false
+	if w := p.waiting.takeFor(principal); w != nil {
+		w.given <- given{err: err}
 	}
-	waiter := p.waiters[0]
-	p.waiters = p.waiters[1:]
-	waiter <- what
-	return true
+	p.raiseLater()
 }
 
-// Return gives a clean connection back: no answer outstanding, no transaction open.
-func (l *Lease) Return() {
-	pool := l.pool
-	if pool == nil {
-		l.Close()
-		return
-	}
-	pool.mutex.Lock()
-	if l.generation != pool.generation {
-		pool.mutex.Unlock()
-		l.Close()
-		return
-	}
-	if pool.closed || pool.open > pool.limit {
-		pool.open--
-		pool.mutex.Unlock()
-		l.Close()
-		return
+// overtakeLimit is how long the one who waits longest may be overtaken by those who want
+// just the connection that has become free: some openings of a connection. After that the
+// connection is closed to make room for it, so that no principal starves.
+const overtakeLimit = 50 * time.Millisecond
+
+// takeBack takes a connection that its user is done with: it goes to a waiter or becomes
+// idle. What it returns is to be closed. The lock is held.
+func (p *Pool) takeBack(lease *Lease, now time.Time) *Lease {
+	lease.returned = now
+	longest := p.waiting.longest()
+	if longest == nil {
+		p.idle = append(p.idle, lease)
+		return nil
+	}
+	if lease.fits(longest) || now.Sub(longest.since) < overtakeLimit {
+		if w := p.waiting.takeFor(lease.principal); w != nil {
+			w.given <- given{lease: lease}
+			return nil
+		}
 	}
-	l.returned = time.Now()
-	if !pool.handOver(given{lease: l}) {
-		pool.idle = append(pool.idle, l)
+	for _, w := range p.waiting.order {
+		if lease.fits(w) {
+			p.waiting.remove(w)
+			w.given <- given{lease: lease}
+			return nil
+		}
+		if p.opening[w.principal] < p.waiting.count(w.principal) {
+			// This one has nothing under way.
+			p.open--
+			p.startOpening(w.principal, nil)
+			return lease
+		}
 	}
-	pool.mutex.Unlock()
+	p.idle = append(p.idle, lease)
+	return nil
 }
 
-// Discard closes a connection that is in doubt.
-func (l *Lease) Discard() {
-	l.Close()
-	pool := l.pool
-	if pool == nil {
-		return
-	}
-	pool.mutex.Lock()
-	if l.generation == pool.generation {
-		pool.open--
-	}
-	pool.mutex.Unlock()
-	pool.wakeOne()
+// fits reports whether a waiter can use the connection.
+func (l *Lease) fits(w *waiter) bool {
+	return w.principal == Own || w.principal == l.principal
 }
 
 // Renew leaves all connections behind, since the server is now reached in another
@@ -385,10 +310,10 @@
 	p.mutex.Lock()
 	p.generation++
 	idle := p.idle
-	p.idle, p.open, p.opening = nil, 0, 0
+	p.idle, p.open, p.opening = nil, 0, map[Principal]int{}
 	p.limited = false
 	p.raiseLater()
-	p.handOver(given{})
+	p.openForWaiters(time.Now())
 	p.mutex.Unlock()
 	for _, lease := range idle {
 		lease.Close()
@@ -418,11 +343,10 @@
 	idle := p.idle
 	p.idle = nil
 	p.open -= len(idle)
-	waiters := p.waiters
-	p.waiters = nil
+	waiting := p.waiting.clear()
 	p.mutex.Unlock()
-	for _, waiter := range waiters {
-		waiter <- given{}
+	for _, waiter := range waiting {
+		waiter.given <- given{err: ErrNoConnection}
 	}
 	for _, lease := range idle {
 		lease.Close()
--- a/internal/proxy/upstream/pool_test.go
+++ b/internal/proxy/upstream/pool_test.go
@@ -23,7 +23,7 @@
 	takes time.Duration
 }
 
-func (d *limitedDialer) Dial(context.Context, string, string, string) (Connection, position.Position, error) {
+func (d *limitedDialer) Dial(context.Context, Target) (Connection, position.Position, error) {
 	time.Sleep(10*time.Millisecond + d.takes)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -63,7 +63,7 @@
 }
 
 func newTestPool(dialer *limitedDialer, ceiling int) *Pool {
-	return NewPool(dialer, "address", "service", "server", ceiling, NewStats())
+	return NewPool(dialer, Target{Address: "address", Service: "service", Server: "server"}, ceiling, NewStats())
 }
 
 // TestServersLimitIsNotStormed: work and questions that find the server full
@@ -80,7 +80,7 @@
 					if i == 0 {
 						_, _ = pool.Reserve(time.Now().Add(100 * time.Millisecond))
 					} else {
-						_, _ = pool.Get(time.Now().Add(100 * time.Millisecond))
+						_, _ = pool.Get(Own, time.Now().Add(100*time.Millisecond))
 					}
 				}
 			})
@@ -98,7 +98,7 @@
 		var working sync.WaitGroup
 		for range 16 {
 			working.Go(func() {
-				lease, err := pool.Get(time.Now().Add(5 * time.Second))
+				lease, err := pool.Get(Own, time.Now().Add(5*time.Second))
 				must.NoError(t, err)
 				time.Sleep(3 * time.Second)
 				lease.Return()
@@ -107,7 +107,7 @@
 		working.Wait()
 		must.LessEq(t, 16, pool.Open())
 		before, _ := dialer.counts()
-		lease, err := pool.Get(time.Now().Add(time.Second))
+		lease, err := pool.Get(Own, time.Now().Add(time.Second))
 		must.NoError(t, err)
 		lease.Return()
 		after, _ := dialer.counts()
@@ -121,11 +121,11 @@
 	bubbletest.Test(t, func(t *testing.T) {
 		dialer := &limitedDialer{limit: 4}
 		pool := newTestPool(dialer, 16)
-		lease, err := pool.Get(time.Now().Add(time.Second))
+		lease, err := pool.Get(Own, time.Now().Add(time.Second))
 		must.NoError(t, err)
 		lease.Connection.(*idleConnection).dead = true
 		lease.Return()
-		lease, err = pool.Get(time.Now().Add(time.Second))
+		lease, err = pool.Get(Own, time.Now().Add(time.Second))
 		must.NoError(t, err)
 		must.True(t, lease.Alive())
 		must.Eq(t, 1, pool.Open())
@@ -136,18 +136,18 @@
 func TestWaiterGetsAReturnedConnectionAndWaitsEnd(t *testing.T) {
 	bubbletest.Test(t, func(t *testing.T) {
 		pool := newTestPool(&limitedDialer{limit: 1}, 1)
-		lease, err := pool.Get(time.Now().Add(time.Second))
+		lease, err := pool.Get(Own, time.Now().Add(time.Second))
 		must.NoError(t, err)
-		_, err = pool.Get(time.Now().Add(100 * time.Millisecond))
+		_, err = pool.Get(Own, time.Now().Add(100*time.Millisecond))
 		must.ErrorIs(t, err, ErrNoConnection)
 		time.AfterFunc(300*time.Millisecond, lease.Return)
 		began := time.Now()
-		again, err := pool.Get(time.Now().Add(time.Second))
+		again, err := pool.Get(Own, time.Now().Add(time.Second))
 		must.NoError(t, err)
 		must.Eq(t, 300*time.Millisecond, time.Since(began))
 		again.Discard()
 		pool.Shut()
-		_, err = pool.Get(time.Now().Add(time.Second))
+		_, err = pool.Get(Own, time.Now().Add(time.Second))
 		must.ErrorIs(t, err, ErrNoConnection)
 	})
 }
@@ -162,7 +162,7 @@
 		err := ErrNoConnection
 		tries := 0
 		for ; err != nil && tries < 10; tries++ {
-			lease, err = pool.Get(time.Now().Add(150 * time.Millisecond))
+			lease, err = pool.Get(Own, time.Now().Add(150*time.Millisecond))
 		}
 		must.NoError(t, err)
 		must.LessEq(t, 4, tries)
@@ -180,12 +180,12 @@
 	bubbletest.Test(t, func(t *testing.T) {
 		dialer := &limitedDialer{limit: 10}
 		pool := newTestPool(dialer, 2)
-		first, err := pool.Get(time.Now().Add(time.Second))
+		first, err := pool.Get(Own, time.Now().Add(time.Second))
 		must.NoError(t, err)
-		second, err := pool.Get(time.Now().Add(time.Second))
+		second, err := pool.Get(Own, time.Now().Add(time.Second))
 		must.NoError(t, err)
 		pool.Renew()
-		third, err := pool.Get(time.Now().Add(100 * time.Millisecond))
+		third, err := pool.Get(Own, time.Now().Add(100*time.Millisecond))
 		must.NoError(t, err)
 		first.Return()
 		second.Discard()
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -180,11 +180,27 @@
 
 // Dialer opens connections.
 type Dialer interface {
-	// Dial connects to a server; the server must be the one named by id. An
+	// Dial connects to a server; the server must be the one that the target names. An
 	// answered refusal is a RefusedError.
-	Dial(ctx context.Context, address, service, id string) (Connection, position.Position, error)
+	Dial(ctx context.Context, target Target) (Connection, position.Position, error)
 }
 
+// Target is what a connection is opened to, and in whose name.
+type Target struct {
+	Address   string
+	Service   string
+	Server    string
+	Principal Principal
+}
+
+// Principal is in whose name a connection to a server is opened: a tenant's, by the
+// tenant's name, or the node's own. A tenant's work runs on connections of its own only.
+type Principal string
+
+// Own is the principal of the node itself: of its questions about a server, which may run
+// on any connection, and of callers who need no key.
+const Own Principal = ""
+
 // RefusedError is a connection that a server refused with an answer.
 type RefusedError struct {
 	Outcome Outcome
--- a/internal/proxy/warm.go
+++ b/internal/proxy/warm.go
@@ -3,6 +3,8 @@
 import (
 	"math/rand/v2"
 	"time"
+
+	"dewknot/internal/proxy/upstream"
 )
 
 // firstTenureLimit bounds the wait of a new session for the first tenure of its service
@@ -11,7 +13,7 @@
 
 // awaitTenure holds a new session back until its service has a tenure, on a node that has
 // just started. Its statements would be refused, each after a wait.
-func (n *Node) awaitTenure(service string, now time.Time) {
+func (n *Node) awaitTenure(service string, principal upstream.Principal, now time.Time) {
 	if n.tenures == nil {
 		return
 	}
@@ -19,7 +21,7 @@
 		s := n.service(service)
 		// This node looks at the service from now on: its holder may be lost.
 		s.used(now)
-		s.warm()
+		s.warm(principal)
 		n.tenures.AwaitFirst(service, now.Add(firstTenureLimit))
 		n.spread(now)
 	}
@@ -55,9 +57,9 @@
 	}
 }
 
-// warm opens connections to a service's servers, once, while its callers wait for the
+// warm opens a principal's connections to a service's servers, once, while its callers wait for the
 // first tenure. They will all come at once, and an opening takes a server's slot.
-func (s *service) warm() {
+func (s *service) warm(principal upstream.Principal) {
 	if s.warmed.Swap(true) {
 		return
 	}
@@ -67,7 +69,7 @@
 			continue
 		}
 		for range entry.Slots + spareConnections {
-			go s.node.warmOne(target)
+			go s.node.warmOne(target, principal)
 		}
 	}
 }
@@ -81,8 +83,8 @@
 const warmTime = 100 * time.Millisecond
 
 // warmOne opens a connection, or the link to the node that owns those to the server.
-func (n *Node) warmOne(target *server) {
-	lease, err := n.lend(target, time.Now().Add(stepDownLimit))
+func (n *Node) warmOne(target *server, principal upstream.Principal) {
+	lease, err := n.lend(target, principal, time.Now().Add(stepDownLimit))
 	if err != nil {
 		return
 	}
