--- a/deploy/days.sh
+++ b/deploy/days.sh
@@ -101,6 +101,13 @@
 faults after-ack-taken kind = "after_ack_kill", count = 2, for_s = 3.0, how = "taken"
 faults clock-ahead kind = "clock_step", share = 0.5, x = 4000.0, for_s = 6.0, how = "ahead"
 faults clock-back kind = "clock_step", share = 0.5, x = 4000.0, for_s = 6.0, how = "back"
+faults hot-tenant kind = "hot_tenant", x = 4.0, count = 1, for_s = 6.0
+faults revoke kind = "revoke", count = 4, gap_s = 0.5
+faults revoke-last kind = "revoke", count = 4, gap_s = 0.5, how = "last"
+plan quota kind = "config_change", how = "quota"
+plan quota-down kind = "config_change", how = "quota down"
+plan tenant kind = "config_change", how = "tenant"
+plan topup kind = "config_change", how = "topup"
 faults hup kind = "hup", share = 0.5, gap_s = 0.5
 faults reset kind = "reset_conns", share = 0.5, x = 0.6
 KINDS
--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -80,6 +80,7 @@
 	AnswerUnproved        Event = "answer_unproved"
 	MessageLost           Event = "message_lost"
 	QuotaShare            Event = "quota_share"
+	SessionRefused        Event = "session_refused"
 	RequestServed         Event = "request_served"
 	RequestFailed         Event = "request_failed"
 	AttemptFailed         Event = "attempt_failed"
@@ -96,7 +97,7 @@
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
 	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, NodeDegraded: Belief,
 	TransferDone: Belief, TransferInterrupted: Belief, MessageLost: Belief, QuotaShare: Belief, AnswerUnproved: Failure,
-	RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
+	SessionRefused: Failure, RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
 	LinesDropped: Belief,
 }
 
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -13,6 +13,7 @@
 	Request  string   `xor:"story" required:"" help:"Tell the story of a request, by its id."`
 	Server   string   `xor:"story" required:"" help:"Tell what nodes believed of a server, by its id."`
 	Failover string   `xor:"story" required:"" help:"Tell the changes of a service's primary."`
+	Tenant   string   `xor:"story" required:"" help:"Tell what a tenant's callers were refused, and what their nodes believed of quotas."`
 	Logs     []string `arg:"" type:"existingfile" help:"Event logs of the nodes."`
 }
 
@@ -29,6 +30,8 @@
 		return logs.Request(env.out, c.Request)
 	case c.Server != "":
 		return logs.Server(env.out, c.Server)
+	case c.Tenant != "":
+		return logs.Tenant(env.out, c.Tenant)
 	default:
 		return logs.Failover(env.out, c.Failover)
 	}
--- a/internal/lab/explain/explain.go
+++ b/internal/lab/explain/explain.go
@@ -179,6 +179,30 @@
 	})
 }
 
+// Tenant writes what a tenant's callers were refused, and what their nodes believed of the
+// quotas and the configuration.
+func (l *Logs) Tenant(out io.Writer, name string) error {
+	nodes := map[string]bool{}
+	for i := range l.lines {
+		if l.lines[i].Text("tenant") == name {
+			nodes[l.lines[i].Node] = true
+		}
+	}
+	if len(nodes) == 0 {
+		return &NotFoundError{"tenant", name}
+	}
+	return write(out, l.merge(), func(line *Line) bool {
+		switch line.Event {
+		case eventlog.RequestFailed, eventlog.TransactionRolledBack:
+			return line.Text("tenant") == name
+		case eventlog.QuotaShare, eventlog.ConfigurationApplied, eventlog.MessageLost:
+			return nodes[line.Node]
+		default:
+			return false
+		}
+	})
+}
+
 // Failover writes the changes of a service's primary.
 func (l *Logs) Failover(out io.Writer, service string) error {
 	return l.all(out, "service", service, func(line *Line) bool {
--- a/internal/lab/explain/explain_test.go
+++ b/internal/lab/explain/explain_test.go
@@ -47,9 +47,24 @@
 	must.Eq(t, 3, strings.Count(out.String(), "\n"))
 }
 
+func TestTenantIsToldWithItsQuotas(t *testing.T) {
+	told := &Logs{}
+	must.NoError(t, told.Read(strings.NewReader(`{"time":"2026-12-02T10:00:00Z","event":"quota_share","node":"n1","nodes":59}
+{"time":"2026-12-02T10:00:00Z","event":"quota_share","node":"n2","nodes":59}
+{"time":"2026-12-02T10:00:01Z","event":"request_failed","node":"n1","request":"r1","tenant":"amber","outcome":"over_quota"}
+{"time":"2026-12-02T10:00:02Z","event":"request_failed","node":"n1","request":"r2","tenant":"birch","outcome":"over_quota"}
+`)))
+	var out strings.Builder
+	must.NoError(t, told.Tenant(&out, "amber"))
+	must.Eq(t, `10:00:00.000 n1                   quota_share nodes=59
+10:00:01.000 n1                   request_failed outcome=over_quota request=r1 tenant=amber
+`, out.String())
+}
+
 func TestUnknownNamesAreTyped(t *testing.T) {
 	var missing *NotFoundError
 	must.True(t, errors.As(read(t).Request(&strings.Builder{}, "r9"), &missing))
 	must.True(t, errors.As(read(t).Server(&strings.Builder{}, "s7"), &missing))
+	must.True(t, errors.As(read(t).Tenant(&strings.Builder{}, "none"), &missing))
 	must.True(t, errors.As(read(t).Failover(&strings.Builder{}, "none"), &missing))
 }
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -4,6 +4,9 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
+	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/failure"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/command"
@@ -72,6 +75,8 @@
 		refusal = s.bind()
 	}
 	if refusal != nil {
+		s.node.log.Write(eventlog.SessionRefused, zap.String("database", s.database), zap.Stringer("outcome", refusal.Kind),
+			zap.String("detail", refusal.FullDetail()), zap.Uint64("configuration", s.node.configurationVersion()))
 		_ = s.client.Refuse(refusal)
 		return false
 	}
