--- a/internal/proxy/quota/bank.go
+++ b/internal/proxy/quota/bank.go
@@ -110,12 +110,11 @@
 			// A datagram that was overtaken.
 			continue
 		}
-		b.change(now, taken.Part, func(p *partition) {
-			if known != nil {
-				p.share -= known.share
-			}
-			p.share += taken.Share
-		})
+		more := taken.Share
+		if known != nil {
+			more -= known.share
+		}
+		b.change(now, taken.Part, more)
 		b.delegations[from] = &delegation{delegator: from, share: taken.Share, asOf: asked.Echo.Clock, until: until}
 		if b.expires.IsZero() || until.Before(b.expires) {
 			b.expires = until
@@ -143,7 +142,7 @@
 	})
 	for _, d := range over {
 		delete(b.delegations, d.delegator)
-		b.change(d.until, d.part, func(p *partition) { p.share -= d.share })
+		b.change(d.until, d.part, -d.share)
 	}
 	for _, p := range b.parts {
 		if !b.delegated(p.part) {
@@ -165,25 +164,24 @@
 // change changes what is delegated of a part at a time. Where it becomes less, tokens
 // beyond the stock of what is left are dropped: a node that takes its share back begins a
 // stock elsewhere.
-func (b *Bank) change(at time.Time, part Part, apply func(*partition)) {
+func (b *Bank) change(at time.Time, part Part, more float64) {
 	p := b.partition(at, part)
-	before := p.share
-	after := *p
-	apply(&after)
-	if after.share < before {
-		for tenant, known := range b.accounts {
-			if part.Covers(tenant) {
-				b.settle(at, tenant, known)
-			}
-		}
+	if more >= 0 {
+		p.advance(at)
+		p.share += more
+		return
 	}
+	b.settleAll(at, part)
 	p.advance(at)
-	p.share = max(0, after.share)
-	if p.share < before {
-		for tenant, known := range b.accounts {
-			if part.Covers(tenant) {
-				b.settle(at, tenant, known)
-			}
+	p.share = max(0, p.share+more)
+	b.settleAll(at, part)
+}
+
+// settleAll settles the tenants of a part.
+func (b *Bank) settleAll(at time.Time, part Part) {
+	for tenant, known := range b.accounts {
+		if part.Covers(tenant) {
+			b.settle(at, tenant, known)
 		}
 	}
 }
