quota, members: one step of the keeper, one description of the own member

Cause: Keeper.try and PutBack repeated what step does; Tick took a time and then let the rest of the step use another. Each question for tokens made a new slice of the regions, and each statement of a tenant worked out the whole limit only to learn whether there is one. Ruled out: regions kept beside the fleet. TestMissingSafeguardsAreNoticed failed on that, since two fields then say the same and can differ. Change: try, PutBack and Tick go through step; Fleet.regions yields the regions; homePart; quotaOf beside limitOf; ownMember.

--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -61,7 +61,7 @@
 		now := time.Now()
 		n.lookIsolated(now)
 		n.lookDegraded(now)
-		n.lookAtQuotas(now)
+		n.lookAtQuotas()
 		stoodStill := now.Sub(last) > pauseLimit
 		last = now
 		n.services.Range(func(_, value any) bool {
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -103,6 +103,14 @@
 	}
 }
 
+// ownMember returns what this node tells others of itself.
+func (n *Node) ownMember() Member {
+	return Member{
+		Name: n.options.Name, Address: n.options.PeerAddress, Zone: n.options.Zone,
+		Messages: n.options.MessageAddress, Tokens: n.options.TokenAddress,
+	}
+}
+
 // lookAtMembers lists the members and enters this node if it is missing.
 func (n *Node) lookAtMembers(ctx context.Context) bool {
 	own, err := n.listMembers(ctx, storeCallLimit)
@@ -115,9 +123,8 @@
 	if n.options.PeerAddress == "" {
 		return true
 	}
-	var entry Member
-	if own != nil && json.Unmarshal(own.Content, &entry) == nil && entry.Address == n.options.PeerAddress &&
-		entry.Zone == n.options.Zone && entry.Messages == n.options.MessageAddress && entry.Tokens == n.options.TokenAddress {
+	entry := Member{Name: n.options.Name}
+	if own != nil && json.Unmarshal(own.Content, &entry) == nil && entry == n.ownMember() {
 		return true
 	}
 	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
@@ -181,7 +188,7 @@
 
 // enter writes this node's entry, in place of an old one if there is one.
 func (n *Node) enter(ctx context.Context, old *objectstore.Object) bool {
-	content, err := json.Marshal(Member{Address: n.options.PeerAddress, Zone: n.options.Zone, Messages: n.options.MessageAddress, Tokens: n.options.TokenAddress})
+	content, err := json.Marshal(n.ownMember())
 	if err != nil {
 		return false
 	}
--- a/internal/proxy/quota/keeper.go
+++ b/internal/proxy/quota/keeper.go
@@ -39,12 +39,11 @@
 func (k *Keeper) Take(tenant string, deadline time.Time) (token Token, after time.Duration, granted bool) {
 	waits := false
 	for {
-		now := time.Now()
-		verdict, changed := k.try(now, tenant, waits)
+		verdict, changed := k.try(tenant, waits)
 		switch {
 		case verdict.Granted:
 			return k.waitFor(Token{tenant: tenant, from: verdict.From, until: verdict.Until}, deadline)
-		case !verdict.Pending && verdict.Young && now.Add(verdict.After).Before(deadline):
+		case !verdict.Pending && verdict.Young && time.Now().Add(verdict.After).Before(deadline):
 			// The fleet has just started: there will be some in a moment.
 			time.Sleep(verdict.After)
 			waits = false
@@ -81,30 +80,23 @@
 }
 
 // try asks the machine once, and returns what is closed when to ask again.
-func (k *Keeper) try(now time.Time, tenant string, waits bool) (Verdict, chan struct{}) {
-	k.mu.Lock()
-	verdict := k.machine.Take(now, tenant, waits)
-	var changed chan struct{}
-	if verdict.Pending {
+func (k *Keeper) try(tenant string, waits bool) (verdict Verdict, changed chan struct{}) {
+	k.step(func(now time.Time) {
+		verdict = k.machine.Take(now, tenant, waits)
+		if !verdict.Pending {
+			return
+		}
 		if changed = k.waiting[tenant]; changed == nil {
 			changed = make(chan struct{})
 			k.waiting[tenant] = changed
 		}
-	}
-	out := k.drain(now)
-	k.wake(now)
-	k.mu.Unlock()
-	k.send(out)
+	})
 	return verdict, changed
 }
 
 // PutBack returns the token of an operation that did not run.
 func (k *Keeper) PutBack(token Token) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := time.Now()
-	k.machine.PutBack(now, token.tenant, token.from, token.until)
-	k.wake(now)
+	k.step(func(now time.Time) { k.machine.PutBack(now, token.tenant, token.from, token.until) })
 }
 
 // Receive takes a message from the node at an address.
@@ -113,9 +105,7 @@
 }
 
 // Tick is to be called some times in a renewInterval.
-func (k *Keeper) Tick(now time.Time) {
-	k.step(func(time.Time) { k.machine.Tick(now) })
-}
+func (k *Keeper) Tick() { k.step(k.machine.Tick) }
 
 // SetFleet takes what is now known of the other nodes.
 func (k *Keeper) SetFleet(fleet Fleet) {
--- a/internal/proxy/quota/machine.go
+++ b/internal/proxy/quota/machine.go
@@ -43,6 +43,18 @@
 	Far  []Region
 }
 
+// regions yields the regions in the order in which they are asked.
+func (f *Fleet) regions(yield func(Region) bool) {
+	if !yield(f.Home) {
+		return
+	}
+	for _, region := range f.Far {
+		if !yield(region) {
+			return
+		}
+	}
+}
+
 // Region is the banks of a region: for each part of the tenants, the addresses of those
 // nodes that may be its bank, best first.
 type Region struct {
@@ -243,7 +255,7 @@
 // bankFor returns the bank to ask for tokens of a tenant: that of the node's own region,
 // or one of another region if that has none.
 func (m *Machine) bankFor(now time.Time, tenant string, w *wallet) (string, bool) {
-	for _, region := range append([]Region{m.fleet.Home}, m.fleet.Far...) {
+	for region := range m.fleet.regions {
 		address, found := m.present(region, tenant)
 		if found && !w.isDry(address, now) {
 			return address, true
@@ -310,7 +322,7 @@
 	}
 	var delegations []Delegation
 	for index, addresses := range m.fleet.Home.Banks {
-		part := Part{Index: uint16(index), Of: uint16(len(m.fleet.Home.Banks))}
+		part := m.homePart(index)
 		if present, found := m.firstAnswering(addresses); !found || present != c.address || m.heldElsewhere(now, part, c.address, c.echo.Life) {
 			continue
 		}
@@ -320,6 +332,11 @@
 	return delegations
 }
 
+// homePart returns the part of the tenants that a bank of the node's region serves.
+func (m *Machine) homePart(index int) Part {
+	return Part{Index: uint16(index), Of: uint16(len(m.fleet.Home.Banks))}
+}
+
 // heldElsewhere reports whether the share of a part, or of one that overlaps it, may still
 // be delegated to another bank.
 func (m *Machine) heldElsewhere(now time.Time, part Part, bank string, life uint64) bool {
@@ -447,7 +464,7 @@
 
 // idle reports whether the node's share of a part could be delegated, and is not.
 func (m *Machine) idle(now time.Time, index int) bool {
-	part := Part{Index: uint16(index), Of: uint16(len(m.fleet.Home.Banks))}
+	part := m.homePart(index)
 	return m.usable(now) && !m.promises[part].until.After(now) && !m.heldElsewhere(now, part, "", 0)
 }
 
@@ -491,7 +508,7 @@
 
 // knows reports whether an address is that of a bank of the fleet.
 func (m *Machine) knows(address string) bool {
-	for _, region := range append([]Region{m.fleet.Home}, m.fleet.Far...) {
+	for region := range m.fleet.regions {
 		for _, addresses := range region.Banks {
 			if slices.Contains(addresses, address) {
 				return true
--- a/internal/proxy/quotas.go
+++ b/internal/proxy/quotas.go
@@ -10,6 +10,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/failure"
 	"dewknot/internal/base/placement"
+	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/upstream"
 )
@@ -38,17 +39,22 @@
 	}, n.ports.Tokens)
 }
 
-// limitOf returns how a tenant's tokens are minted; false if it has no quota.
-func (n *Node) limitOf(tenant string) (quota.Limit, bool) {
+// quotaOf returns a tenant's quota; nil if it has none.
+func (n *Node) quotaOf(tenant string) *catalog.Quota {
 	configuration := n.catalog.Current().Configuration
 	if configuration == nil {
-		return quota.Limit{}, false
+		return nil
 	}
-	known, found := configuration.Tenants[tenant]
-	if !found || known.Quota == nil {
+	return configuration.Tenants[tenant].Quota
+}
+
+// limitOf returns how a tenant's tokens are minted; false if it has no quota.
+func (n *Node) limitOf(tenant string) (quota.Limit, bool) {
+	known := n.quotaOf(tenant)
+	if known == nil {
 		return quota.Limit{}, false
 	}
-	return n.options.Quotas.Limit(*known.Quota), true
+	return n.options.Quotas.Limit(*known), true
 }
 
 // ReceiveTokens takes a message about tokens from the node at an address.
@@ -59,12 +65,12 @@
 }
 
 // lookAtQuotas renews what is delegated, while there are quotas.
-func (n *Node) lookAtQuotas(now time.Time) {
+func (n *Node) lookAtQuotas() {
 	if n.quotas == nil {
 		return
 	}
 	if configuration := n.catalog.Current().Configuration; configuration != nil && configuration.HasQuotas {
-		n.quotas.Tick(now)
+		n.quotas.Tick()
 	}
 }
 
@@ -74,7 +80,7 @@
 	if n.quotas == nil || known == nil {
 		return
 	}
-	own := Member{Name: n.options.Name, Zone: n.options.Zone, Tokens: n.options.TokenAddress}
+	own := n.ownMember()
 	byRegion := map[string][]Member{}
 	for _, member := range append([]Member{own}, *known...) {
 		region := n.options.Regions[member.Zone]
@@ -158,7 +164,7 @@
 		return Reply{}, true
 	}
 	tenant := string(r.session.principal)
-	if _, limited := n.limitOf(tenant); !limited {
+	if n.quotaOf(tenant) == nil {
 		return Reply{}, true
 	}
 	deadline := r.arrived.Add(time.Duration(tokenShare * float64(r.session.bound.TargetLatency)))
--- a/internal/proxy/seeds.go
+++ b/internal/proxy/seeds.go
@@ -78,9 +78,8 @@
 	if known == nil {
 		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
 	}
-	own := Member{Name: n.options.Name, Address: n.options.PeerAddress, Zone: n.options.Zone, Messages: n.options.MessageAddress, Tokens: n.options.TokenAddress}
 	var answer relay.Answer
-	for _, member := range append([]Member{own}, *known...) {
+	for _, member := range append([]Member{n.ownMember()}, *known...) {
 		content, err := json.Marshal(member)
 		if err != nil {
 			continue
