upstream, objectstore: one rule each for principals and for kept versions

Cause: which connection a principal may use was written out three times (the idle ones, a waiter, a lease given back), and the bound of kept versions twice; a change of one copy would let a tenant's work run on another's connection. Change: Principal.accepts; appendVersion.

--- a/internal/proxy/objectstore/patches.go
+++ b/internal/proxy/objectstore/patches.go
@@ -1,6 +1,7 @@
 package objectstore
 
 import (
+	"slices"
 	"sync"
 
 	"dewknot/internal/proxy/delta"
@@ -50,11 +51,17 @@
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	kept := append(v.older[replaced.Name], replaced)
+	v.older[replaced.Name] = appendVersion(v.older[replaced.Name], replaced)
+}
+
+// appendVersion adds a version and drops the oldest beyond keptVersions. What is left is
+// copied, so that the dropped ones don't stay in memory.
+func appendVersion[V any](kept []V, added V) []V {
+	kept = append(kept, added)
 	if len(kept) > keptVersions {
-		kept = append([]Object(nil), kept[len(kept)-keptVersions:]...)
+		kept = slices.Clone(kept[len(kept)-keptVersions:])
 	}
-	v.older[replaced.Name] = kept
+	return kept
 }
 
 // drop forgets an object that is gone.
--- a/internal/proxy/objectstore/pieces.go
+++ b/internal/proxy/objectstore/pieces.go
@@ -83,11 +83,7 @@
 	packed := s2.EncodeBetter(nil, object.Content)
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	kept := append(v.packed[object.Name], packedVersion{object.Revision, packed})
-	if len(kept) > keptVersions {
-		kept = append([]packedVersion(nil), kept[len(kept)-keptVersions:]...)
-	}
-	v.packed[object.Name] = kept
+	v.packed[object.Name] = appendVersion(v.packed[object.Name], packedVersion{object.Revision, packed})
 	return packed
 }
 
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -158,7 +158,7 @@
 // longer needed stay idle; nil if there is none. The lock is held.
 func (p *Pool) takeIdle(principal Principal) *Lease {
 	for i := len(p.idle) - 1; i >= 0; i-- {
-		if lease := p.idle[i]; principal == Own || lease.principal == principal {
+		if lease := p.idle[i]; principal.accepts(lease.principal) {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
 			p.noLongerIdle(lease)
 			return lease
@@ -305,14 +305,14 @@
 		p.rest(lease)
 		return nil
 	}
-	if lease.fits(longest) || now.Sub(longest.since) < overtakeLimit {
+	if longest.principal.accepts(lease.principal) || now.Sub(longest.since) < overtakeLimit {
 		if w := p.waiting.takeFor(lease.principal); w != nil {
 			w.given <- given{lease: lease}
 			return nil
 		}
 	}
 	for _, w := range p.waiting.order {
-		if lease.fits(w) {
+		if w.principal.accepts(lease.principal) {
 			p.waiting.remove(w)
 			w.given <- given{lease: lease}
 			return nil
@@ -351,11 +351,6 @@
 	return p.idleOf[principal] > 0
 }
 
-// fits reports whether a waiter can use the connection.
-func (l *Lease) fits(w *waiter) bool {
-	return w.principal == Own || w.principal == l.principal
-}
-
 // Renew leaves all connections behind, since the server is now reached in another
 // way: idle ones are closed, those in use when their user is done, and none of
 // them counts against the limit.
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -201,6 +201,9 @@
 // on any connection, and of callers who need no key.
 const Own Principal = ""
 
+// accepts reports whether work of the principal may run on a connection of another one.
+func (p Principal) accepts(opened Principal) bool { return p == Own || p == opened }
+
 // RefusedError is a connection that a server refused with an answer.
 type RefusedError struct {
 	Outcome Outcome
--- a/internal/proxy/upstream/waiters.go
+++ b/internal/proxy/upstream/waiters.go
@@ -50,7 +50,7 @@
 // any; nil if nobody does.
 func (l *waitingList) takeFor(principal Principal) *waiter {
 	for _, w := range l.order {
-		if w.principal == principal || w.principal == Own {
+		if w.principal.accepts(principal) {
 			l.remove(w)
 			return w
 		}
