tests: one reading of how many plays a randomized test makes

Cause: three tests read a number from their variable in the same way. Change: propertytest.Plays; the usual numbers and all assertions stay.

--- a/internal/proxy/quorum/model_test.go
+++ b/internal/proxy/quorum/model_test.go
@@ -4,14 +4,14 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"dewknot/internal/base/propertytest"
 )
 
 // The model drives voters, members and candidates of one service against a platform
@@ -565,13 +565,7 @@
 func modelPlays(t *testing.T) uint64 {
 	t.Helper()
 	const usual = 150
-	text, set := os.LookupEnv("DEWKNOT_QUORUM_PLAYS")
-	if !set {
-		return usual
-	}
-	plays, err := strconv.ParseUint(text, 10, 32)
-	must.NoError(t, err)
-	return plays
+	return propertytest.Plays(t, "DEWKNOT_QUORUM_PLAYS", usual)
 }
 
 // TestOnlyThePrimaryIsBelieved plays random troubles.
--- a/internal/proxy/quota/model_test.go
+++ b/internal/proxy/quota/model_test.go
@@ -4,14 +4,13 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"dewknot/internal/base/propertytest"
 	"dewknot/internal/proxy/catalog"
 )
 
@@ -470,13 +469,7 @@
 func modelPlays(t *testing.T) uint64 {
 	t.Helper()
 	const usual = 150
-	text, set := os.LookupEnv("DEWKNOT_QUOTA_PLAYS")
-	if !set {
-		return usual
-	}
-	plays, err := strconv.ParseUint(text, 10, 32)
-	must.NoError(t, err)
-	return plays
+	return propertytest.Plays(t, "DEWKNOT_QUOTA_PLAYS", usual)
 }
 
 // TestNoWindowHoldsMoreThanIsPromised plays fleets in all kinds of trouble.
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/propertytest"
 	"dewknot/internal/lab/judge"
 	"dewknot/internal/lab/standin/managed"
 )
@@ -173,13 +174,7 @@
 func simulatedDays(t *testing.T) int {
 	t.Helper()
 	const usual = 12
-	text, set := os.LookupEnv("DEWKNOT_SIMULATED_DAYS")
-	if !set {
-		return usual
-	}
-	days, err := strconv.Atoi(text)
-	must.NoError(t, err)
-	return days
+	return int(propertytest.Plays(t, "DEWKNOT_SIMULATED_DAYS", usual))
 }
 
 func firstSeed(t *testing.T) uint64 {
