--- a/internal/proxy/comeback.go
+++ b/internal/proxy/comeback.go
@@ -8,6 +8,7 @@
 	"dewknot/internal/base/failure"
 	"dewknot/internal/proxy/admission"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/urgency"
 )
 
 // When a refused caller may come back follows from what was in its way: the queue and the
@@ -78,8 +79,11 @@
 }
 
 // expectedWait returns how long work waits for a slot of the server. Where an owner
-// orders the work, what answers have lately taken stands for that.
+// orders the work, what it tells stands for that, or what answers have lately taken.
 func (t *server) expectedWait(request admission.Request, now time.Time) time.Duration {
+	if wait, known := t.told.Wait(now, urgency.Of(request.Priority)); known {
+		return wait
+	}
 	return max(t.gate.Wait(request), t.stats.Latency(now))
 }
 
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -15,6 +15,7 @@
 	"dewknot/internal/proxy/failover"
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/leadership"
+	"dewknot/internal/proxy/told"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -31,8 +32,10 @@
 	// them that does not reach the server.
 	owners  atomic.Pointer[ranking]
 	shunned atomic.Pointer[shunned]
-	// remote counts this node's work on the server that goes through an owner.
+	// remote counts this node's work on the server that goes through an owner, told is what
+	// that one tells of the work which waits for the server.
 	remote atomic.Int64
+	told   told.View
 }
 
 // service is the runtime state of a service.
