Addresses that processes listen on are a process's own

The fleets of the toolbox take a free port on 127.0.0.1, close it and listen again by number; every process's outgoing connections start on that address too and may take the port in between.

Ruled out: listening on port 0 only: a node's sockets of both kinds share the number.

The failure has not been reproduced at will.

Conclusion: the cause is gone by construction.

--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/settings"
+	"dewknot/internal/lab/loopback"
 	"dewknot/internal/lab/standin/database"
 	"dewknot/internal/lab/standin/objectapi"
 	"dewknot/internal/postgres/administration"
@@ -116,17 +117,6 @@
 	return nil
 }
 
-// freeAddress reserves a loopback port for a moment; both kinds of sockets of a
-// node use the number.
-func freeAddress() (string, error) {
-	socket, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer func() { _ = socket.Close() }()
-	return socket.Addr().String(), nil
-}
-
 // StartNode starts or restarts the node with an index.
 func (f *Fleet) StartNode(index int) error {
 	config := settings.Defaults()
@@ -142,7 +132,7 @@
 		config.Seeds = append(config.Seeds, running.Settings.Gossip)
 	}
 	for _, target := range []*string{&config.Listen, &config.Peer, &config.Gossip, &config.Operator} {
-		address, err := freeAddress()
+		address, err := loopback.Free()
 		if err != nil {
 			return err
 		}
