--- a/internal/lab/standin/managed/server.go
+++ b/internal/lab/standin/managed/server.go
@@ -28,8 +28,13 @@
 	steppedDown bool
 	// loseAnswers makes the next answers get lost after the operation ran.
 	loseAnswers int
-	applyDelay  time.Duration
-	busyUntil   time.Time
+	// slowdown is how many times the usual time a statement takes. One of failOneOf
+	// statements fails; none if it is 0. asked counts them.
+	slowdown   int
+	failOneOf  int
+	asked      int
+	applyDelay time.Duration
+	busyUntil  time.Time
 	// crashes counts the crashes, so that an entry lapses for the newest only.
 	crashes int
 
@@ -118,6 +123,33 @@
 	s.loseAnswers = count
 }
 
+// SetSlowdown makes the server take several times the usual time for each statement.
+func (s *Server) SetSlowdown(times int) {
+	defer s.lock()()
+	s.slowdown = times
+}
+
+// FailOneOf makes one of so many statements fail after it has taken its slot; 0 ends that.
+func (s *Server) FailOneOf(count int) {
+	defer s.lock()()
+	s.failOneOf = count
+}
+
+// fails reports whether the next statement fails; the lock is held.
+func (s *Server) fails() bool {
+	if s.failOneOf == 0 {
+		return false
+	}
+	s.asked++
+	return s.asked%s.failOneOf == 0
+}
+
+// work returns how long a statement takes.
+func (s *Server) work() time.Duration {
+	defer s.lock()()
+	return time.Duration(max(1, s.slowdown)) * s.group.settings.Work
+}
+
 // SetBusy makes the server refuse all that takes a slot until a time.
 func (s *Server) SetBusy(until time.Time) {
 	defer s.lock()()
--- a/internal/lab/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -203,7 +203,7 @@
 		if !s.takeSlot() {
 			return s.refuseBusy(), false
 		}
-		time.Sleep(s.server.group.settings.Work)
+		time.Sleep(s.server.work())
 		defer s.releaseSlot()
 	}
 	defer s.server.lock()()
@@ -384,6 +384,9 @@
 	if statement.Writes && !s.writable(inPlain) {
 		return s.result(upstream.NotPrimary)
 	}
+	if s.server.fails() {
+		return s.result(upstream.Failed)
+	}
 	s.server.group.observer.StatementRan(Run{RequestID: operation.RequestID, Principal: s.principal, At: time.Now(), First: !s.ran})
 	s.ran = s.state == upstream.InTransaction
 	if statement.Writes {
--- a/internal/lab/standin/managed/trouble.go
+++ b/internal/lab/standin/managed/trouble.go
@@ -28,6 +28,12 @@
 	PrimarySevered
 	// OrdersLate makes orders to promote be carried out late and unanswered.
 	OrdersLate
+	// ServerSlow makes a server take several times as long for each statement.
+	ServerSlow
+	// ServerGrey makes a server fail part of the statements, and answer all else well.
+	ServerGrey
+	// ServerFlaps ends a server and starts it again, by turns.
+	ServerFlaps
 )
 
 // The bounds of random troubles.
@@ -35,6 +41,9 @@
 	mostLostAnswers  = 4
 	longestApply     = 1500 // ms
 	longestStoreWait = 400  // ms
+	mostSlowdown     = 10
+	mostFailed       = 4 // one statement of so many fails, or more
+	flap             = 400 * time.Millisecond
 )
 
 // Victims are what troubles strike.
@@ -77,6 +86,28 @@
 		v.Promoter.SetLate(span)
 		time.Sleep(span)
 		v.Promoter.SetLate(0)
+	case ServerSlow:
+		slow := v.anyServer(random)
+		slow.SetSlowdown(2 + random.IntN(mostSlowdown-1))
+		time.Sleep(span)
+		slow.SetSlowdown(1)
+	case ServerGrey:
+		grey := v.anyServer(random)
+		grey.FailOneOf(1 + random.IntN(mostFailed))
+		time.Sleep(span)
+		grey.FailOneOf(0)
+	case ServerFlaps:
+		v.flap(v.anyServer(random), span)
+	}
+}
+
+// flap ends a server and starts it again, by turns.
+func (v *Victims) flap(flapping *Server, span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); {
+		flapping.Crash()
+		time.Sleep(flap)
+		flapping.Restart()
+		time.Sleep(flap)
 	}
 }
 
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -87,7 +87,10 @@
 	apart map[string]bool
 	// moreTroubles adds the troubles that matter where no fences are checked.
 	moreTroubles bool
-	restarting   sync.Mutex
+	// sickServers makes a third of the troubles those of servers that are slow, fail part of
+	// the statements or go down and up by turns.
+	sickServers bool
+	restarting  sync.Mutex
 	// nodes holds the running nodes by name.
 	nodes map[string]*proxy.Node
 	links *slowLinks
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -32,9 +32,17 @@
 	5: managed.StoreDown, 6: managed.StoreSlow, 8: managed.PrimarySevered, 9: managed.OrdersLate,
 }
 
+// serverSicknesses are the troubles of servers that still answer.
+var serverSicknesses = []managed.Trouble{managed.ServerSlow, managed.ServerGrey, managed.ServerFlaps}
+
 // trouble strikes the fleet once; it returns when the trouble has passed.
 func (f *simulatedFleet) trouble(random *rand.Rand) {
 	span := time.Duration(500+random.IntN(4000)) * time.Millisecond
+	if f.sickServers && random.IntN(3) == 0 {
+		victims := managed.Victims{Group: f.group, Store: f.store, Promoter: f.promoter}
+		victims.Strike(serverSicknesses[random.IntN(len(serverSicknesses))], random, span)
+		return
+	}
 	kinds := troubleKinds
 	if f.moreTroubles {
 		kinds += troublesWithoutFences
