internal/proxy: what a node knows of the network has a type of its own

Cause: 34 files of five matters hang on Node. The packages are split along this type and the one of the services; methods move first, within the package.

Change: Network holds members, readers, sources, transfers, caches and the reachability of others; the node's other matters reach it as Duties.

--- a/internal/proxy/ask.go
+++ b/internal/proxy/ask.go
@@ -20,13 +20,13 @@
 
 // askMembers asks other nodes at the same time and returns the answers that
 // came before ctx ended.
-func (n *Node) askMembers(ctx context.Context, members []Member, question relay.Question) []memberAnswer {
+func (n *Network) askMembers(ctx context.Context, members []Member, question relay.Question) []memberAnswer {
 	return n.gather(ctx, members, question, 0)
 }
 
 // gather is askMembers, but with a grace it waits no longer than that after the
 // first answer that did not fail.
-func (n *Node) gather(ctx context.Context, members []Member, question relay.Question, grace time.Duration) []memberAnswer {
+func (n *Network) gather(ctx context.Context, members []Member, question relay.Question, grace time.Duration) []memberAnswer {
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answered := make(chan *memberAnswer, len(members))
@@ -55,7 +55,7 @@
 }
 
 // askToDemote asks another node to make a server give up the lead; nil if it did not.
-func (n *Node) askToDemote(ctx context.Context, member *Member, server string) *upstream.Status {
+func (n *Network) askToDemote(ctx context.Context, member *Member, server string) *upstream.Status {
 	answer := n.askMember(ctx, member, relay.Question{Server: server, StepDown: true})
 	if answer == nil || !answer.Reached {
 		return nil
@@ -65,7 +65,7 @@
 
 // askMember asks one node; nil if it does not answer. That its answer is no longer
 // wanted says nothing of the node, and is not logged.
-func (n *Node) askMember(ctx context.Context, member *Member, question relay.Question) *memberAnswer {
+func (n *Network) askMember(ctx context.Context, member *Member, question relay.Question) *memberAnswer {
 	began := time.Now()
 	answer, err := n.ports.Peers.Ask(ctx, member.Address, question)
 	if errors.Is(ctx.Err(), context.Canceled) {
--- a/internal/proxy/degraded.go
+++ b/internal/proxy/degraded.go
@@ -1,10 +1,6 @@
 package proxy
 
 import (
-	"context"
-	"errors"
-	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,98 +8,6 @@
 	"dewknot/internal/base/eventlog"
 )
 
-const (
-	// degradedAfter is how long all that a node talks to must have been silent until the
-	// node takes itself to be at fault: longer than one lost packet is sent again, shorter
-	// than what a takeover takes.
-	degradedAfter = 1500 * time.Millisecond
-	// degradedPeers is how many other nodes must have been silent in that time, or all
-	// if there are fewer.
-	degradedPeers = 3
-	// storeProbePause is the least pause between two calls by which a node that hears
-	// nothing finds out whether it reaches the store.
-	storeProbePause = time.Second
-)
-
-// reachability is what a node has lately heard of other nodes and of the store. It is
-// safe for concurrent use.
-type reachability struct {
-	mu sync.Mutex
-	// peerHeard is when another node last answered, silentPeers those that have not since.
-	peerHeard   time.Time
-	silentPeers map[string]struct{}
-	// storeHeard is when the store last answered, storeFailed when a call last got no answer.
-	storeHeard  time.Time
-	storeFailed time.Time
-	storeProbed time.Time
-	degraded    bool
-	since       time.Time
-}
-
-func newReachability(now time.Time) *reachability {
-	return &reachability{peerHeard: now, storeHeard: now, silentPeers: map[string]struct{}{}}
-}
-
-// peer notes that a node answered a question or was silent.
-func (r *reachability) peer(address string, heard bool, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if heard {
-		r.peerHeard = now
-		clear(r.silentPeers)
-		return
-	}
-	r.silentPeers[address] = struct{}{}
-}
-
-// store notes that the store answered a call or was silent.
-func (r *reachability) store(heard bool, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if heard {
-		r.storeHeard = now
-		return
-	}
-	r.storeFailed = now
-}
-
-// serverSigns is what a node has lately heard of database servers.
-type serverSigns struct {
-	// silent counts the servers that owe an answer.
-	silent int
-	// heard is when any server last answered.
-	heard time.Time
-}
-
-// look decides whether the node, which knows some others, is degraded. It asks for a
-// call to the store if only the store's word is missing.
-func (r *reachability) look(now time.Time, others int, servers serverSigns) (degraded, changed, probe bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	before := r.degraded
-	if r.degraded {
-		r.degraded = !r.peerHeard.After(r.since) && !r.storeHeard.After(r.since) && !servers.heard.After(r.since)
-	} else {
-		silence := now.Add(-degradedAfter)
-		silent := others > 0 && len(r.silentPeers) >= min(degradedPeers, others) && r.peerHeard.Before(silence) &&
-			servers.silent > 0 && servers.heard.Before(silence) && r.storeHeard.Before(silence)
-		if silent && r.storeFailed.After(r.storeHeard) && r.storeFailed.After(r.peerHeard) {
-			r.degraded, r.since = true, now
-		} else if silent && now.Sub(r.storeProbed) > storeProbePause {
-			r.storeProbed, probe = now, true
-		}
-	}
-	return r.degraded, before != r.degraded, probe
-}
-
-// peerAnswered notes how a question to another node ended. One that refuses the
-// connection has answered as far as this node's link is concerned.
-func (n *Node) peerAnswered(address string, err error) {
-	heard := err == nil || errors.Is(err, syscall.ECONNREFUSED)
-	n.reachability.peer(address, heard, time.Now())
-	n.silentMembers.note(address, err != nil)
-}
-
 // lookDegraded notes whether this node takes itself to be at fault, since other nodes,
 // servers and the store are all silent. It then suspects no primary, wants no new
 // callers, and lets go of those that it has: on other nodes they are served.
@@ -144,13 +48,5 @@
 	return signs
 }
 
-// probeStore makes a cheap call, whose outcome tells whether the store is reached.
-func (n *Node) probeStore() {
-	ctx, cancel := context.WithTimeout(context.Background(), storeProbePause)
-	defer cancel()
-	// The outcome is noted on the way, by meteredStore.
-	_, _ = n.ports.Store.ListStale(ctx, n.options.Kinds.Members)
-}
-
 // secluded reports whether the node is of no use to callers at present.
 func (n *Node) secluded() bool { return n.isolated.Load() || n.degraded.Load() }
--- a/internal/proxy/follow.go
+++ b/internal/proxy/follow.go
@@ -20,7 +20,7 @@
 )
 
 // follow starts the watches on configuration and directory.
-func (n *Node) follow(ctx context.Context) {
+func (n *Network) follow(ctx context.Context) {
 	kinds := n.options.Kinds
 	for kind, bound := range map[string]time.Duration{
 		kinds.Configuration: n.options.ConfigurationBound, kinds.Servers: n.options.DrainBound,
@@ -35,10 +35,10 @@
 		})
 	}
 	go n.keepMembership(ctx)
-	go n.readLeases(ctx)
+	go n.duties.ReadLeases(ctx)
 }
 
-type configurationSink struct{ *Node }
+type configurationSink struct{ *Network }
 
 // Confirmed implements objectstore.Sink.
 func (s *configurationSink) Confirmed(time.Time) {}
@@ -78,7 +78,7 @@
 	s.log.Write(eventlog.StoreRegained, zap.String("watch", "configuration"))
 }
 
-type directorySink struct{ *Node }
+type directorySink struct{ *Network }
 
 // Confirmed implements objectstore.Sink.
 func (s *directorySink) Confirmed(time.Time) {}
--- a/internal/proxy/leases.go
+++ b/internal/proxy/leases.go
@@ -16,9 +16,7 @@
 )
 
 const (
-	// storeCallLimit bounds a call to the store, silentStoreLimit the same while it
-	// does not answer the watches either.
-	storeCallLimit   = 1500 * time.Millisecond
+	// silentStoreLimit bounds a call to the store while it does not answer the watches either.
 	silentStoreLimit = 400 * time.Millisecond
 	// briefStoreLimit bounds the note of an order: some round trips between regions.
 	briefStoreLimit = 150 * time.Millisecond
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -51,7 +51,7 @@
 
 // keepMembership enters this node among the members and looks at them at long
 // intervals. A list that is old costs a few questions that nobody answers.
-func (n *Node) keepMembership(ctx context.Context) {
+func (n *Network) keepMembership(ctx context.Context) {
 	n.findMembers(ctx)
 	n.waitAbout(ctx, firstMemberLook)
 	for ctx.Err() == nil && !n.lookAtMembers(ctx) {
@@ -60,11 +60,11 @@
 	}
 	n.settled()
 	n.waitAbout(ctx, secondMemberLook)
-	for ctx.Err() == nil && !(n.lookAtMembers(ctx) && n.giveShare(false, time.Now()) && n.makeLeases(ctx)) {
+	for ctx.Err() == nil && !(n.lookAtMembers(ctx) && n.duties.TakeShare(false, time.Now()) && n.duties.MakeLeases(ctx)) {
 		n.waitAbout(ctx, memberRetry)
 	}
 	n.waitAbout(ctx, leasesLook)
-	n.lookAtLeases(ctx)
+	n.duties.LookAtLeases(ctx)
 	var watched neighbor
 	for ctx.Err() == nil {
 		n.waitAbout(ctx, memberLook)
@@ -76,7 +76,7 @@
 
 // waitAbout waits for half to one and a half times a span, so that the calls of
 // many nodes are spread.
-func (n *Node) waitAbout(ctx context.Context, span time.Duration) {
+func (n *Network) waitAbout(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span/2 + rand.N(span))
 	defer timer.Stop()
 	select {
@@ -86,11 +86,11 @@
 }
 
 // settled notes that the list of members is as complete as it will soon be.
-func (n *Node) settled() { n.settledOnce.Do(func() { close(n.membersSettled) }) }
+func (n *Network) settled() { n.settledOnce.Do(func() { close(n.membersSettled) }) }
 
 // awaitSettled waits until it is likely known how many other nodes there are: of a large
 // fleet that starts, each would else watch the store for a moment.
-func (n *Node) awaitSettled(ctx context.Context) {
+func (n *Network) awaitSettled(ctx context.Context) {
 	if n.ports.Peers == nil {
 		return
 	}
@@ -104,7 +104,7 @@
 }
 
 // ownMember returns what this node tells others of itself.
-func (n *Node) ownMember() Member {
+func (n *Network) ownMember() Member {
 	return Member{
 		Name: n.options.Name, Address: n.options.PeerAddress, Zone: n.options.Zone,
 		Messages: n.options.MessageAddress, Tokens: n.options.TokenAddress,
@@ -112,14 +112,14 @@
 }
 
 // lookAtMembers lists the members and enters this node if it is missing.
-func (n *Node) lookAtMembers(ctx context.Context) bool {
+func (n *Network) lookAtMembers(ctx context.Context) bool {
 	own, err := n.listMembers(ctx, storeCallLimit)
 	return err == nil && n.ensureEntry(ctx, own)
 }
 
 // ensureEntry enters this node among the members unless its entry, nil if there is
 // none, says what it should.
-func (n *Node) ensureEntry(ctx context.Context, own *objectstore.Object) bool {
+func (n *Network) ensureEntry(ctx context.Context, own *objectstore.Object) bool {
 	if n.options.PeerAddress == "" {
 		return true
 	}
@@ -134,7 +134,7 @@
 
 // listMembers takes the other members from the store and returns this node's own
 // entry, nil if there is none.
-func (n *Node) listMembers(ctx context.Context, limit time.Duration) (*objectstore.Object, error) {
+func (n *Network) listMembers(ctx context.Context, limit time.Duration) (*objectstore.Object, error) {
 	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Members)
@@ -146,7 +146,7 @@
 
 // takeMembers takes the other members from a listing of all, and returns this node's
 // own entry, nil if there is none.
-func (n *Node) takeMembers(objects []objectstore.Object) *objectstore.Object {
+func (n *Network) takeMembers(objects []objectstore.Object) *objectstore.Object {
 	var own *objectstore.Object
 	members := make([]Member, 0, len(objects))
 	for i := range objects {
@@ -161,14 +161,14 @@
 	if n.members.Swap(&members) == nil {
 		close(n.membersKnown)
 	}
-	n.fleetChanged()
+	n.duties.MembersChanged()
 	return own
 }
 
 // awaitMembers waits, but not past a deadline, until a node that has just started
 // knows how many others there are: one that does not know would open connections
 // as if it were alone. It reports whether connections may be opened.
-func (n *Node) awaitMembers(deadline time.Time) bool {
+func (n *Network) awaitMembers(deadline time.Time) bool {
 	if n.members.Load() != nil || n.ports.Peers == nil {
 		return true
 	}
@@ -187,7 +187,7 @@
 const membersPatience = 10 * time.Second
 
 // enter writes this node's entry, in place of an old one if there is one.
-func (n *Node) enter(ctx context.Context, old *objectstore.Object) bool {
+func (n *Network) enter(ctx context.Context, old *objectstore.Object) bool {
 	content, err := json.Marshal(n.ownMember())
 	if err != nil {
 		return false
@@ -201,7 +201,7 @@
 }
 
 // KnownMembers returns how many other nodes this node knows.
-func (n *Node) KnownMembers() int {
+func (n *Network) KnownMembers() int {
 	if known := n.members.Load(); known != nil {
 		return len(*known)
 	}
@@ -209,7 +209,7 @@
 }
 
 // someMembers returns up to count other nodes, chosen at random.
-func (n *Node) someMembers(count int) []Member {
+func (n *Network) someMembers(count int) []Member {
 	known := n.members.Load()
 	if known == nil || n.ports.Peers == nil {
 		return nil
--- a/internal/proxy/metered.go
+++ b/internal/proxy/metered.go
@@ -13,7 +13,7 @@
 type meteredStore struct {
 	objectstore.Store
 	calls *prometheus.CounterVec
-	node  *Node
+	node  *Network
 }
 
 // count counts a call by what it asked and how it ended.
--- /dev/null
+++ b/internal/proxy/network.go
@@ -0,0 +1,115 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/upstream"
+)
+
+// Duties is what the rest of the node does as the network becomes known, and what it
+// answers other nodes.
+type Duties interface {
+	// MembersChanged takes note that the list of members has changed.
+	MembersChanged()
+	// TakeShare gives the node its share of the quotas once; listed is set if it was among
+	// the members before it started. It reports whether the node has one.
+	TakeShare(listed bool, now time.Time) bool
+	// ReadLeases learns, at the start, of the leases that an earlier life of the node holds,
+	// MakeLeases makes those that are missing, and LookAtLeases lists them again.
+	ReadLeases(ctx context.Context)
+	MakeLeases(ctx context.Context) bool
+	LookAtLeases(ctx context.Context)
+	// Reaches reports whether this node reaches a server directly.
+	Reaches(server string) bool
+	// Demote makes a server give up the lead; nil if it did not, or if nodes do not agree on
+	// primaries.
+	Demote(server string) *upstream.Status
+}
+
+// NetworkOptions are the settings of a Network.
+type NetworkOptions struct {
+	Name string
+	Zone string
+	// PeerAddress, MessageAddress and TokenAddress are where other nodes reach this one.
+	PeerAddress    string
+	MessageAddress string
+	TokenAddress   string
+	Seeds          []string
+	Regions        map[string]string
+	// ConfigurationBound and DrainBound are within how long changes of the configuration and
+	// of the directory have to be in force.
+	ConfigurationBound time.Duration
+	DrainBound         time.Duration
+	StrictRevocation   bool
+	RevocationBound    time.Duration
+	Kinds              Kinds
+}
+
+// NetworkPorts are a Network's ways to the outside.
+type NetworkPorts struct {
+	Store   objectstore.Store
+	Decoder Decoder
+	// Peers asks other nodes; nil if there are none.
+	Peers Peers
+}
+
+// Network is what a node knows of the configuration, the servers and the other nodes, and
+// how it learns of them: from the store, or from nodes that watch it.
+type Network struct {
+	options NetworkOptions
+	ports   NetworkPorts
+	duties  Duties
+	log     *eventlog.Log
+	catalog *catalog.Catalog
+	started time.Time
+
+	storeDown    atomic.Bool
+	reachability *reachability
+	// silentMembers are the nodes that did not answer lately.
+	silentMembers silences
+	// caches hold the objects of the kinds that other nodes may ask for.
+	caches map[string]*objectstore.Cache
+	// transfers fetches large objects from other nodes.
+	transfers *transfers
+	members   atomic.Pointer[[]Member]
+	// membersKnown is closed once members has a value.
+	membersKnown chan struct{}
+	// membersSettled is closed once the list of members is likely to be complete: nodes
+	// that start together for the first time enter themselves one after the other.
+	membersSettled chan struct{}
+	settledOnce    sync.Once
+	// firstStart is set if the first list of members lacked this node: it is new, or the
+	// whole fleet is.
+	firstStart atomic.Bool
+	// readerSet is made of the members.
+	readerSet atomic.Pointer[readerSet]
+	// configurationHeard is since when, after the node's start, a newer configuration may
+	// have been missed, in nanoseconds.
+	configurationHeard atomic.Int64
+	// newer is the search for a configuration that holds an unknown key.
+	newer newerSearch
+}
+
+// NewNetwork returns a network of which nothing is known yet.
+func NewNetwork(options NetworkOptions, ports NetworkPorts, duties Duties, cat *catalog.Catalog, started time.Time, log *eventlog.Log) *Network {
+	n := &Network{
+		options: options, ports: ports, duties: duties, log: log, catalog: cat, started: started,
+		membersKnown: make(chan struct{}), membersSettled: make(chan struct{}),
+	}
+	n.reachability = newReachability(started)
+	n.transfers = newTransfers(n)
+	n.caches = map[string]*objectstore.Cache{
+		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{n}),
+		options.Kinds.Servers:       objectstore.NewCache(&directorySink{n}),
+	}
+	return n
+}
+
+// storeCallLimit bounds a call to the store.
+const storeCallLimit = 1500 * time.Millisecond
--- a/internal/proxy/newer.go
+++ b/internal/proxy/newer.go
@@ -29,7 +29,7 @@
 
 // seekNewer looks whether another node knows a newer configuration than this one, and
 // waits until it is in force here. It does nothing if this node's is recent.
-func (n *Node) seekNewer(now time.Time) {
+func (n *Network) seekNewer(now time.Time) {
 	if n.caches[n.options.Kinds.Configuration].Age() < surelyRecent || n.ports.Peers == nil {
 		return
 	}
@@ -48,7 +48,7 @@
 }
 
 // searchNewer takes the newest configuration that a few other nodes know into force.
-func (n *Node) searchNewer(done chan struct{}) {
+func (n *Network) searchNewer(done chan struct{}) {
 	defer func() {
 		n.newer.mu.Lock()
 		n.newer.running = nil
@@ -72,12 +72,12 @@
 
 // heardConfiguration notes that a call for the configuration was answered which began at a
 // time.
-func (n *Node) heardConfiguration(began time.Time) {
+func (n *Network) heardConfiguration(began time.Time) {
 	n.configurationHeard.Store(int64(began.Sub(n.started)))
 }
 
 // keysUncertain reports whether the node has not heard for too long which keys are in force
 // to serve any, where that is asked for.
-func (n *Node) keysUncertain(now time.Time) bool {
+func (n *Network) keysUncertain(now time.Time) bool {
 	return n.options.StrictRevocation && now.Sub(n.started)-time.Duration(n.configurationHeard.Load()) > n.options.RevocationBound
 }
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -148,6 +148,7 @@
 
 // Node is a running node.
 type Node struct {
+	*Network
 	options Options
 	ports   Ports
 	log     *eventlog.Log
@@ -163,35 +164,15 @@
 	stopping     atomic.Bool
 	closing      atomic.Bool
 	aborting     atomic.Bool
-	storeDown    atomic.Bool
 	// refreshingLeases is set while a listing of the leases is due.
 	refreshingLeases atomic.Bool
 	// isolated is set while the node reaches too few voters to use any primary.
 	isolated atomic.Bool
 	// degraded is set while all that the node talks to is silent.
-	degraded     atomic.Bool
-	reachability *reachability
-	// silentMembers are the nodes that did not answer lately.
-	silentMembers silences
-	// caches hold the objects of the kinds that other nodes may ask for.
-	caches map[string]*objectstore.Cache
-	// transfers fetches large objects from other nodes.
-	transfers *transfers
-	members   atomic.Pointer[[]Member]
+	degraded atomic.Bool
 	// informed is closed once the node knows a configuration and a directory.
 	informed     chan struct{}
 	informedOnce sync.Once
-	// membersKnown is closed once members has a value.
-	membersKnown chan struct{}
-	// membersSettled is closed once the list of members is likely to be complete: nodes
-	// that start together for the first time enter themselves one after the other.
-	membersSettled chan struct{}
-	// firstStart is set if the first list of members lacked this node: it is new, or the
-	// whole fleet is.
-	firstStart  atomic.Bool
-	settledOnce sync.Once
-	// readerSet is made of the members.
-	readerSet atomic.Pointer[readerSet]
 	// links lead to nodes that own connections, owner serves this node's own.
 	links *remote.Links
 	owner *remote.Owner
@@ -203,29 +184,23 @@
 	quotas       *quota.Keeper
 	hasShare     bool
 	listedBefore int
-	// configurationHeard is since when, after the node's start, a newer configuration may
-	// have been missed, in nanoseconds.
-	configurationHeard atomic.Int64
-	// newer is the search for a configuration that holds an unknown key.
-	newer newerSearch
 	// nudged makes the look at the services come at once.
 	nudged chan struct{}
 }
 
 // New returns a node that is not running yet.
 func New(options Options, ports Ports, log *eventlog.Log) *Node {
+	started := time.Now()
 	node := &Node{
-		options: options, ports: ports, log: log,
-		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}), membersSettled: make(chan struct{}), informed: make(chan struct{}), nudged: make(chan struct{}, 1),
+		options: options, ports: ports, log: log, catalog: catalog.New(options.DrainBound), started: started,
+		informed: make(chan struct{}), nudged: make(chan struct{}, 1),
 	}
 	node.metrics = newMetrics(node)
-	node.ports.Store = &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls, node: node}
-	node.caches = map[string]*objectstore.Cache{
-		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{node}),
-		options.Kinds.Servers:       objectstore.NewCache(&directorySink{node}),
-	}
-	node.transfers = newTransfers(node)
-	node.reachability = newReachability(node.started)
+	metered := &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls}
+	node.Network = NewNetwork(networkOptions(&options), NetworkPorts{Store: metered, Decoder: ports.Decoder, Peers: ports.Peers},
+		duties{node}, node.catalog, started, log)
+	metered.node = node.Network
+	node.ports.Store = metered
 	node.links = remote.NewLinks(remote.LinksConfig{Dial: node.dialOwner, OnProof: node.ownerProved})
 	node.owner = remote.NewOwner(node)
 	node.tenures = node.newTenures()
@@ -234,6 +209,16 @@
 	return node
 }
 
+func networkOptions(options *Options) NetworkOptions {
+	return NetworkOptions{
+		Name: options.Name, Zone: options.Zone, PeerAddress: options.PeerAddress,
+		MessageAddress: options.MessageAddress, TokenAddress: options.TokenAddress,
+		Seeds: options.Seeds, Regions: options.Regions,
+		ConfigurationBound: options.ConfigurationBound, DrainBound: options.DrainBound,
+		StrictRevocation: options.StrictRevocation, RevocationBound: options.RevocationBound, Kinds: options.Kinds,
+	}
+}
+
 // Run serves until ctx ends; the node then stops as planned.
 func (n *Node) Run(ctx context.Context, listener net.Listener) error {
 	background, cancel := context.WithCancel(context.Background())
--- a/internal/proxy/prune.go
+++ b/internal/proxy/prune.go
@@ -27,7 +27,7 @@
 // that one is gone for good, so that owners and readers are not chosen among nodes
 // that were replaced long ago. Each node looks after one, whatever the size of the
 // fleet. A member that lives and was only cut off enters itself again.
-func (n *Node) checkNeighbor(ctx context.Context, watched *neighbor) {
+func (n *Network) checkNeighbor(ctx context.Context, watched *neighbor) {
 	next, found := n.nextMember()
 	if !found {
 		return
@@ -56,7 +56,7 @@
 
 // nextMember returns the member after this node in the order of names, which is
 // a ring.
-func (n *Node) nextMember() (Member, bool) {
+func (n *Network) nextMember() (Member, bool) {
 	known := n.members.Load()
 	if known == nil || len(*known) == 0 || n.ports.Peers == nil {
 		return Member{}, false
@@ -71,9 +71,9 @@
 }
 
 // forgetMember drops a member until the next listing.
-func (n *Node) forgetMember(name string) {
+func (n *Network) forgetMember(name string) {
 	known := n.members.Load()
 	kept := slices.DeleteFunc(slices.Clone(*known), func(member Member) bool { return member.Name == name })
 	n.members.CompareAndSwap(known, &kept)
-	n.fleetChanged()
+	n.duties.MembersChanged()
 }
--- a/internal/proxy/readers.go
+++ b/internal/proxy/readers.go
@@ -54,7 +54,7 @@
 }
 
 // readers returns the present readers; nil if all nodes watch the store.
-func (n *Node) readers() *readerSet {
+func (n *Network) readers() *readerSet {
 	members := n.members.Load()
 	if members == nil || n.ports.Peers == nil || len(*members)+1 < readersFrom {
 		return nil
@@ -70,7 +70,7 @@
 // chooseReaders ranks the nodes of each zone, and puts the readers in the order in
 // which this node asks them: its own zone's, its region's, the rest, each shuffled
 // by its name so that the nodes of a zone are spread over its readers.
-func (n *Node) chooseReaders(members *[]Member) *readerSet {
+func (n *Network) chooseReaders(members *[]Member) *readerSet {
 	set := &readerSet{members: members}
 	byZone := map[string][]placement.Candidate{n.options.Zone: {{ID: n.options.Name}}}
 	byName := map[string]Member{}
@@ -104,7 +104,7 @@
 }
 
 // zoneDistance is 0 for the same zone, 1 for another of its region, 2 for the rest.
-func (n *Node) zoneDistance(from, to string) int {
+func (n *Network) zoneDistance(from, to string) int {
 	switch {
 	case from == to:
 		return 0
@@ -117,7 +117,7 @@
 
 // watchWait is how long a watch of the store waits. A reader's changes have a
 // second way to go, so it waits for less.
-func (n *Node) watchWait(bound time.Duration) time.Duration {
+func (n *Network) watchWait(bound time.Duration) time.Duration {
 	share := watchShare
 	if n.readers() != nil {
 		share = readerShare
@@ -128,7 +128,7 @@
 // storeReaders asks readers for changes of one kind. It implements
 // objectstore.ReaderSource.
 type storeReaders struct {
-	node  *Node
+	node  *Network
 	bound time.Duration
 
 	mu sync.Mutex
--- a/internal/proxy/seeds.go
+++ b/internal/proxy/seeds.go
@@ -21,15 +21,15 @@
 
 // findMembers waits until a node that starts knows the other members: from the store,
 // or while that does not answer from the nodes that the settings name.
-func (n *Node) findMembers(ctx context.Context) {
+func (n *Network) findMembers(ctx context.Context) {
 	limit := firstListLimit
 	for ctx.Err() == nil {
 		if own, err := n.listMembers(ctx, limit); err == nil {
 			if own == nil {
 				n.firstStart.Store(true)
-				n.giveShare(false, time.Now())
+				n.duties.TakeShare(false, time.Now())
 			} else {
-				n.giveShare(true, time.Now())
+				n.duties.TakeShare(true, time.Now())
 				// The list is of an earlier life of the fleet.
 				n.settled()
 			}
@@ -47,7 +47,7 @@
 
 // askSeeds takes the members from the seed that knows most of them. It reports false
 // if none answers that knows any.
-func (n *Node) askSeeds(ctx context.Context) bool {
+func (n *Network) askSeeds(ctx context.Context) bool {
 	if n.ports.Peers == nil {
 		return false
 	}
@@ -68,12 +68,12 @@
 	if len(most) == 0 {
 		return false
 	}
-	n.giveShare(n.takeMembers(most) != nil, time.Now())
+	n.duties.TakeShare(n.takeMembers(most) != nil, time.Now())
 	return true
 }
 
 // memberList answers a question for the members, this node among them.
-func (n *Node) memberList() relay.Answer {
+func (n *Network) memberList() relay.Answer {
 	known := n.members.Load()
 	if known == nil {
 		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -14,7 +14,7 @@
 )
 
 // otherNodes is the source of what other nodes know.
-type otherNodes struct{ node *Node }
+type otherNodes struct{ node *Network }
 
 const (
 	// nearSources is how many of the nearest nodes are asked for what they know, and
@@ -55,7 +55,7 @@
 
 // sources returns the nodes to ask, nearest first: listings are large, and bytes
 // between regions are dear.
-func (n *Node) sources() []Member {
+func (n *Network) sources() []Member {
 	members := n.someMembers(math.MaxInt)
 	slices.SortStableFunc(members, func(a, b Member) int {
 		return cmp.Compare(n.zoneDistance(n.options.Zone, a.Zone), n.zoneDistance(n.options.Zone, b.Zone))
@@ -89,7 +89,7 @@
 // askObjects asks another node for objects; limit bounds the time until its answer
 // begins, beyond the question's wait. Large objects come as patches of what this node
 // has, where it has what the other one believes, or else in pieces.
-func (n *Node) askObjects(ctx context.Context, address string, question relay.Question, limit time.Duration) (relay.Answer, error) {
+func (n *Network) askObjects(ctx context.Context, address string, question relay.Question, limit time.Duration) (relay.Answer, error) {
 	question.Patches, question.Pieces = question.Changes, true
 	answer, err := n.askPeer(ctx, address, question, question.Wait+limit)
 	if err != nil {
@@ -116,7 +116,7 @@
 
 // askPeer asks another node, whose answer has to begin within a limit and takes as
 // long as it goes on after that.
-func (n *Node) askPeer(ctx context.Context, address string, question relay.Question, limit time.Duration) (relay.Answer, error) {
+func (n *Network) askPeer(ctx context.Context, address string, question relay.Question, limit time.Duration) (relay.Answer, error) {
 	limited, cancel := stall.WithLimit(ctx, limit, stalledLimit)
 	defer cancel()
 	answer, err := n.ports.Peers.Ask(limited, address, question)
@@ -127,12 +127,12 @@
 }
 
 // Answer implements relay.Handler.
-func (n *Node) Answer(ctx context.Context, question relay.Question) relay.Answer {
+func (n *Network) Answer(ctx context.Context, question relay.Question) relay.Answer {
 	if question.Server != "" && question.StepDown {
 		return n.demotedFor(question.Server)
 	}
 	if question.Server != "" {
-		return relay.Answer{Reached: n.reaches(question.Server)}
+		return relay.Answer{Reached: n.duties.Reaches(question.Server)}
 	}
 	if question.Kind != "" && question.Kind == n.options.Kinds.Members {
 		return n.memberList()
@@ -152,11 +152,8 @@
 }
 
 // demotedFor makes a server give up the lead for another node.
-func (n *Node) demotedFor(server string) relay.Answer {
-	if n.tenures == nil {
-		return relay.Answer{}
-	}
-	status := n.demote(server)
+func (n *Network) demotedFor(server string) relay.Answer {
+	status := n.duties.Demote(server)
 	if status == nil {
 		return relay.Answer{}
 	}
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -57,7 +57,7 @@
 	node, _ := ownersNode(store, peers, nil, 24)
 	_, err := node.listMembers(t.Context(), time.Second)
 	must.NoError(t, err)
-	return (&otherNodes{node}).List(t.Context(), "kind")
+	return (&otherNodes{node.Network}).List(t.Context(), "kind")
 }
 
 // TestNearestSourceIsAsked: of nodes that know as much, one of the own zone tells
--- a/internal/proxy/transfer.go
+++ b/internal/proxy/transfer.go
@@ -17,7 +17,7 @@
 // version is kept until all of it has, so that another node goes on where one failed.
 // Each kind has one follower, so one transfer of a kind runs at a time.
 type transfers struct {
-	node *Node
+	node *Network
 
 	mu      sync.Mutex
 	partial map[string]*partialObject // by kind
@@ -38,7 +38,7 @@
 	pieceAnswerLimit = time.Second
 )
 
-func newTransfers(node *Node) *transfers {
+func newTransfers(node *Network) *transfers {
 	return &transfers{node: node, partial: map[string]*partialObject{}}
 }
 
