internal/proxy: services, servers and failover hang on a type of their own

Ruled out: leaving the look at the node itself (isolated, degraded, quotas) with the services: it is called at the beginning of each look instead.

Change: Backends holds services, servers, links to owners, the agreement and failover's effects; Node keeps sessions, a request's way and quotas. Bodies do not change.

--- /dev/null
+++ b/internal/proxy/backend_metrics.go
@@ -0,0 +1,33 @@
+package proxy
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// backendMetrics are the counters and histograms of the services.
+type backendMetrics struct {
+	failovers *prometheus.CounterVec
+	// rounds are the times of questions to the voters, unproved the answers that came
+	// without a lease and were not confirmed.
+	rounds   *prometheus.HistogramVec
+	unproved prometheus.Counter
+}
+
+func newBackendMetrics() *backendMetrics {
+	return &backendMetrics{
+		failovers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "failover_phases_total", Help: "Phases entered by the failover machines.",
+		}, []string{"service", "phase"}),
+		rounds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: metricsNamespace, Name: "tenure_round_seconds", Buckets: durationBuckets,
+			Help: "Time of a candidate's question to the voters, by step.",
+		}, []string{"step", "outcome"}),
+		unproved: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "answers_unproved_total",
+			Help: "Answers of a primary that were not believed, since its tenure may have ended.",
+		}),
+	}
+}
+
+// Collectors returns what tells of the services and their servers.
+func (n *Backends) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{n.metrics.failovers, n.metrics.rounds, n.metrics.unproved, newServerCollector(n)}
+}
--- a/internal/proxy/campaign.go
+++ b/internal/proxy/campaign.go
@@ -154,7 +154,7 @@
 
 // demote makes a server give up the lead; the status tells that it does not lead. It is
 // nil if the server did not answer.
-func (n *Node) demote(id string) *upstream.Status {
+func (n *Backends) demote(id string) *upstream.Status {
 	target := n.server(id)
 	if target == nil {
 		return nil
--- a/internal/proxy/degraded.go
+++ b/internal/proxy/degraded.go
@@ -50,3 +50,19 @@
 
 // secluded reports whether the node is of no use to callers at present.
 func (n *Node) secluded() bool { return n.isolated.Load() || n.degraded.Load() }
+
+// lookIsolated notes whether this node is cut off from the voters. It then wants no new
+// callers and lets go of those that it has as soon as nothing of theirs is under way: on
+// other nodes they are served.
+func (n *Node) lookIsolated(now time.Time) {
+	if n.tenures == nil {
+		return
+	}
+	isolated := n.tenures.Isolated(now)
+	if n.isolated.Swap(isolated) != isolated {
+		n.log.Write(eventlog.NodeIsolated, zap.Bool("isolated", isolated), zap.Int64("sessions", n.sessionCount.Load()))
+	}
+	if isolated {
+		n.interruptSessions()
+	}
+}
--- a/internal/proxy/detour.go
+++ b/internal/proxy/detour.go
@@ -35,7 +35,7 @@
 
 // DetourTo returns the address of the node through which a server is reached,
 // and whether there is one.
-func (n *Node) DetourTo(id string) (string, bool) {
+func (n *Backends) DetourTo(id string) (string, bool) {
 	target := n.server(id)
 	if target == nil {
 		return "", false
@@ -52,7 +52,7 @@
 
 // Connect implements relay.Handler: it opens a tunnel's connection to a server of
 // the directory, directly, so that tunnels never pass through two nodes.
-func (n *Node) Connect(ctx context.Context, id string) (net.Conn, error) {
+func (n *Backends) Connect(ctx context.Context, id string) (net.Conn, error) {
 	entry := n.catalog.Current().Servers[id]
 	if entry == nil || entry.Gone || n.ports.Connect == nil {
 		return nil, errUnknownServer
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -47,7 +47,7 @@
 }
 
 // watchServices looks at all services at regular times.
-func (n *Node) watchServices(ctx context.Context) {
+func (n *Backends) watchServices(ctx context.Context) {
 	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
 	last, trimmed := time.Now(), time.Now()
@@ -59,9 +59,7 @@
 		case <-n.nudged:
 		}
 		now := time.Now()
-		n.lookIsolated(now)
-		n.lookDegraded(now)
-		n.lookAtQuotas()
+		n.look(now)
 		stoodStill := now.Sub(last) > pauseLimit
 		last = now
 		n.services.Range(func(_, value any) bool {
@@ -78,7 +76,7 @@
 	}
 }
 
-func (n *Node) trim(now time.Time) {
+func (n *Backends) trim(now time.Time) {
 	n.servers.Range(func(_, value any) bool {
 		value.(*server).pool.Trim(now.Add(-trimAge))
 		return true
--- a/internal/proxy/leases.go
+++ b/internal/proxy/leases.go
@@ -24,7 +24,7 @@
 
 // readLeases learns, at the start, of leases that an earlier life of this node
 // holds. Leases that are missing are made once the members are known.
-func (n *Node) readLeases(ctx context.Context) {
+func (n *Backends) readLeases(ctx context.Context) {
 	for ctx.Err() == nil {
 		objects, ok := n.listLeases(ctx)
 		if !ok {
@@ -40,7 +40,7 @@
 }
 
 // leasesKnown tells the failover machines who holds the leases.
-func (n *Node) leasesKnown(objects []objectstore.Object) {
+func (n *Backends) leasesKnown(objects []objectstore.Object) {
 	for _, object := range objects {
 		n.service(object.Name).submit(decodeLease(object))
 	}
@@ -52,7 +52,7 @@
 
 // refreshLeases lists the leases soon; the calls of many nodes are spread, and changes
 // in a row make one call.
-func (n *Node) refreshLeases() {
+func (n *Backends) refreshLeases() {
 	if !n.refreshingLeases.CompareAndSwap(false, true) {
 		return
 	}
@@ -66,7 +66,7 @@
 }
 
 // lookAtLeases learns who holds the leases and who the deputies are.
-func (n *Node) lookAtLeases(ctx context.Context) {
+func (n *Backends) lookAtLeases(ctx context.Context) {
 	if objects, ok := n.listLeases(ctx); ok {
 		n.leasesKnown(objects)
 	}
@@ -79,7 +79,7 @@
 // leaseRetry is the pause before leases are listed again.
 const leaseRetry = time.Second
 
-func (n *Node) listLeases(ctx context.Context) ([]objectstore.Object, bool) {
+func (n *Backends) listLeases(ctx context.Context) ([]objectstore.Object, bool) {
 	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
 	defer cancel()
 	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Leases)
@@ -89,7 +89,7 @@
 // makeLeases makes the missing leases of the services for which this node ranks
 // first among the members, so that holders are spread over the nodes and a fleet
 // that starts makes each lease about once. Views that differ cost a conflict.
-func (n *Node) makeLeases(ctx context.Context) bool {
+func (n *Backends) makeLeases(ctx context.Context) bool {
 	configuration := n.catalog.Current().Configuration
 	if configuration == nil {
 		return false
@@ -115,7 +115,7 @@
 }
 
 // rankedFirst returns the services for which this node ranks first among the members.
-func (n *Node) rankedFirst(configuration *catalog.Configuration) []string {
+func (n *Backends) rankedFirst(configuration *catalog.Configuration) []string {
 	candidates := []placement.Candidate{{ID: n.options.Name}}
 	for _, member := range *n.members.Load() {
 		candidates = append(candidates, placement.Candidate{ID: member.Name})
@@ -140,7 +140,7 @@
 
 // deputies returns the nodes that may act for this one while the store is silent: the
 // first of other zones, since a zone may be lost as a whole, then any.
-func (n *Node) deputies(service string) []string {
+func (n *Backends) deputies(service string) []string {
 	known := n.members.Load()
 	if known == nil {
 		return nil
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -19,14 +19,9 @@
 	reads     *prometheus.CounterVec
 	floorAges *prometheus.HistogramVec
 	refusals  *prometheus.CounterVec
-	failovers *prometheus.CounterVec
 	// storeCalls are the calls to the store.
 	storeCalls *prometheus.CounterVec
-	// rounds are the times of questions to the voters, unproved the answers that came
-	// without a lease and were not confirmed.
-	rounds   *prometheus.HistogramVec
-	unproved prometheus.Counter
-	tenants  *tenantCollector
+	tenants    *tenantCollector
 }
 
 const metricsNamespace = "dewknot"
@@ -56,23 +51,14 @@
 		reads:      counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
 		refusals:   counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
 		storeCalls: counter("store_calls_total", "Calls to the store.", "call", "kind", "outcome"),
-		rounds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: metricsNamespace, Name: "tenure_round_seconds", Buckets: durationBuckets,
-			Help: "Time of a candidate's question to the voters, by step.",
-		}, []string{"step", "outcome"}),
-		unproved: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "answers_unproved_total",
-			Help: "Answers of a primary that were not believed, since its tenure may have ended.",
-		}),
-		failovers: counter("failover_phases_total", "Phases entered by the failover machines.", "service", "phase"),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.failovers, m.storeCalls, m.rounds, m.unproved,
+	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.storeCalls,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
-		newServerCollector(node), m.tenants,
+		m.tenants,
 		gauge("remote_sessions", "Sessions of other nodes with work on this node's connections.", func() float64 { return float64(node.owner.Active()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(node.log.Dropped()) }),
 		gauge("known_members", "Other nodes known.", func() float64 { return float64(node.KnownMembers()) }),
@@ -87,6 +73,11 @@
 	return m
 }
 
+// register adds the collectors of the node's parts.
+func (m *metrics) register(collectors ...prometheus.Collector) {
+	m.registry.MustRegister(collectors...)
+}
+
 // Metrics returns the node's metrics for its metrics address.
 func (n *Node) Metrics() prometheus.Gatherer { return n.metrics.registry }
 
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -21,7 +21,6 @@
 	"dewknot/internal/proxy/failover"
 	"dewknot/internal/proxy/objectstore"
 	"dewknot/internal/proxy/quota"
-	"dewknot/internal/proxy/remote"
 	"dewknot/internal/proxy/tenure"
 	"dewknot/internal/proxy/upstream"
 )
@@ -148,7 +147,7 @@
 
 // Node is a running node.
 type Node struct {
-	*Network
+	*Backends
 	options Options
 	ports   Ports
 	log     *eventlog.Log
@@ -156,56 +155,33 @@
 	metrics *metrics
 	started time.Time
 
-	servers  sync.Map // server ID to *server
-	services sync.Map // service name to *service
-
 	sessions     sync.Map // *session to struct{}
 	sessionCount atomic.Int64
-	stopping     atomic.Bool
 	closing      atomic.Bool
 	aborting     atomic.Bool
-	// refreshingLeases is set while a listing of the leases is due.
-	refreshingLeases atomic.Bool
-	// isolated is set while the node reaches too few voters to use any primary.
-	isolated atomic.Bool
-	// degraded is set while all that the node talks to is silent.
-	degraded atomic.Bool
-	// informed is closed once the node knows a configuration and a directory.
-	informed     chan struct{}
-	informedOnce sync.Once
-	// links lead to nodes that own connections, owner serves this node's own.
-	links *remote.Links
-	owner *remote.Owner
-	// tenures is nil where the platform checks fences.
-	tenures *tenure.Keeper
 	// quotas is nil where there are none. hasShare is set once the node has its share,
 	// listedBefore is how many members the last list had; both belong to the goroutine
 	// that looks at the members.
 	quotas       *quota.Keeper
 	hasShare     bool
 	listedBefore int
-	// nudged makes the look at the services come at once.
-	nudged chan struct{}
 }
 
 // New returns a node that is not running yet.
 func New(options Options, ports Ports, log *eventlog.Log) *Node {
-	started := time.Now()
 	node := &Node{
-		options: options, ports: ports, log: log, catalog: catalog.New(options.DrainBound), started: started,
-		informed: make(chan struct{}), nudged: make(chan struct{}, 1),
+		options: options, ports: ports, log: log, catalog: catalog.New(options.DrainBound), started: time.Now(),
 	}
 	node.metrics = newMetrics(node)
 	metered := &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls}
-	node.Network = NewNetwork(networkOptions(&options), NetworkPorts{Store: metered, Decoder: ports.Decoder, Peers: ports.Peers},
-		duties{node}, node.catalog, started, log)
-	metered.node = node.Network
-	node.ports.Store = metered
-	node.links = remote.NewLinks(remote.LinksConfig{Dial: node.dialOwner, OnProof: node.ownerProved})
-	node.owner = remote.NewOwner(node)
-	node.tenures = node.newTenures()
+	ways := NetworkPorts{Store: metered, Decoder: ports.Decoder, Peers: ports.Peers}
+	metered.node = NewNetwork(networkOptions(&options), ways, duties{node}, node.catalog, node.started, log)
+	node.Backends = NewBackends(backendOptions(&options), BackendPorts{
+		NetworkPorts: ways, Dialer: ports.Dialer, Promoter: ports.Promoter, Messages: ports.Messages,
+		Connect: ports.Connect, Trace: ports.Trace,
+	}, metered.node, node.lookAtOneself)
+	node.metrics.register(node.Collectors()...)
 	node.quotas = node.newQuotas()
-	node.catalog.OnChange(node.catalogChanged)
 	return node
 }
 
@@ -219,24 +195,30 @@
 	}
 }
 
+func backendOptions(options *Options) BackendOptions {
+	return BackendOptions{
+		Name: options.Name, Zone: options.Zone, Life: options.Life, Regions: options.Regions, DrainBound: options.DrainBound,
+		Agreed: options.Agreed, MessageAddress: options.MessageAddress, Kinds: options.Kinds,
+	}
+}
+
+// lookAtOneself is what the node looks at before it looks at the services.
+func (n *Node) lookAtOneself(now time.Time) {
+	n.lookIsolated(now)
+	n.lookDegraded(now)
+	n.lookAtQuotas()
+}
+
 // Run serves until ctx ends; the node then stops as planned.
 func (n *Node) Run(ctx context.Context, listener net.Listener) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	n.follow(background)
-	go n.watchServices(background)
-	if n.tenures != nil {
-		go n.tenures.Run(background)
-	}
+	n.run(background)
 	go n.accept(listener)
 	<-ctx.Done()
 	n.stop(listener)
-	n.links.Close()
-	n.owner.Close()
-	n.servers.Range(func(_, value any) bool {
-		value.(*server).pool.Shut()
-		return true
-	})
+	n.close()
 	return nil
 }
 
--- a/internal/proxy/owners.go
+++ b/internal/proxy/owners.go
@@ -46,7 +46,7 @@
 
 // lend lends a principal's connection to a server for callers' work: one of this node's
 // own, or one of the server's owner.
-func (n *Node) lend(target *server, principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
+func (n *Backends) lend(target *server, principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
 	if !n.awaitMembers(deadline) {
 		return nil, upstream.ErrNoConnection
 	}
@@ -63,7 +63,7 @@
 
 // ownersBefore returns the nodes that this one goes through to a server, best
 // first; none if it has connections of its own.
-func (n *Node) ownersBefore(target *server) []string {
+func (n *Backends) ownersBefore(target *server) []string {
 	members := n.members.Load()
 	if members == nil || n.ports.Peers == nil || n.sharesConnections(target.service, len(*members)+1) {
 		return nil
@@ -77,13 +77,13 @@
 }
 
 // sharesConnections reports whether a service's connections suffice for all nodes.
-func (n *Node) sharesConnections(service string, nodes int) bool {
+func (n *Backends) sharesConnections(service string, nodes int) bool {
 	return n.connectionCeiling(service) >= directShare*nodes
 }
 
 // rankOwners ranks nodes in the server's zone first, then those in its region:
 // whoever owns the connections, the way to the server is hardly longer.
-func (n *Node) rankOwners(id string, members []Member) []string {
+func (n *Backends) rankOwners(id string, members []Member) []string {
 	zone := ""
 	if entry := n.catalog.Current().Servers[id]; entry != nil {
 		zone = entry.Zone
@@ -137,26 +137,26 @@
 const unreachedPause = 100 * time.Millisecond
 
 // ownerProved takes what an owner tells of a primary.
-func (n *Node) ownerProved(id string, at time.Time, covers position.Position) {
+func (n *Backends) ownerProved(id string, at time.Time, covers position.Position) {
 	if target := n.server(id); target != nil {
 		n.service(target.service).proofs.Add(freshness.Proof{At: at, Position: covers})
 	}
 }
 
 // ServeLink implements relay.Handler: it serves operations on this node's connections.
-func (n *Node) ServeLink(conn net.Conn) {
+func (n *Backends) ServeLink(conn net.Conn) {
 	n.log.Write(eventlog.LinkOpened, zap.Stringer("from", conn.RemoteAddr()))
 	n.owner.Serve(conn)
 	n.log.Write(eventlog.LinkEnded, zap.Stringer("from", conn.RemoteAddr()))
 }
 
 // dialOwner opens the connection of a link to an owner.
-func (n *Node) dialOwner(ctx context.Context, address string) (net.Conn, error) {
+func (n *Backends) dialOwner(ctx context.Context, address string) (net.Conn, error) {
 	return n.ports.Peers.Link(ctx, address)
 }
 
 // Owned implements remote.Host.
-func (n *Node) Owned(id string) remote.Server {
+func (n *Backends) Owned(id string) remote.Server {
 	target := n.server(id)
 	if target == nil {
 		return nil
--- a/internal/proxy/server_metrics.go
+++ b/internal/proxy/server_metrics.go
@@ -9,7 +9,7 @@
 // serverCollector tells what this node has in use of each server. The servers come
 // and go, so they are counted when the metrics are asked for.
 type serverCollector struct {
-	node        *Node
+	node        *Backends
 	connections *prometheus.Desc
 	running     *prometheus.Desc
 	waiting     *prometheus.Desc
@@ -19,7 +19,7 @@
 	proofAge    *prometheus.Desc
 }
 
-func newServerCollector(node *Node) *serverCollector {
+func newServerCollector(node *Backends) *serverCollector {
 	desc := func(name, help string) *prometheus.Desc {
 		return prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "server", name), help, []string{"service", "server"}, nil)
 	}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -40,7 +40,7 @@
 
 // service is the runtime state of a service.
 type service struct {
-	node   *Node
+	node   *Backends
 	name   string
 	belief *leadership.Belief
 	proofs freshness.Proofs
@@ -68,7 +68,7 @@
 	lastSeen failover.Phase
 }
 
-func (n *Node) service(name string) *service {
+func (n *Backends) service(name string) *service {
 	if found, ok := n.services.Load(name); ok {
 		return found.(*service)
 	}
@@ -107,14 +107,14 @@
 	takeoverStep  = 250 * time.Millisecond
 )
 
-func (n *Node) takeoverRank(service string) time.Duration {
+func (n *Backends) takeoverRank(service string) time.Duration {
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(n.options.Name + "/" + service))
 	return time.Duration(hash.Sum32()%takeoverSteps) * takeoverStep
 }
 
 // catalogChanged brings the runtime in line with a new snapshot.
-func (n *Node) catalogChanged(previous, current *catalog.Snapshot) {
+func (n *Backends) catalogChanged(previous, current *catalog.Snapshot) {
 	if previous.Configuration != current.Configuration {
 		n.setCeilings()
 	}
@@ -139,7 +139,7 @@
 	return snapshot.Configuration != nil && len(snapshot.Servers) > 0
 }
 
-func (n *Node) serverChanged(entry *catalog.Server) {
+func (n *Backends) serverChanged(entry *catalog.Server) {
 	if found, ok := n.servers.Load(entry.ID); !ok {
 		stats := upstream.NewStats()
 		created := &server{
@@ -201,7 +201,7 @@
 }
 
 // connectionCeiling returns the most connections this node opens to one server.
-func (n *Node) connectionCeiling(service string) int {
+func (n *Backends) connectionCeiling(service string) int {
 	configuration := n.catalog.Current().Configuration
 	if configuration == nil {
 		return defaultConnections
@@ -213,7 +213,7 @@
 	return max(1, int(connectionShare*float64(known.MaxConnections)))
 }
 
-func (n *Node) setCeilings() {
+func (n *Backends) setCeilings() {
 	n.servers.Range(func(_, value any) bool {
 		known := value.(*server)
 		known.pool.SetCeiling(n.connectionCeiling(known.service))
@@ -221,13 +221,13 @@
 	})
 }
 
-func (n *Node) forgetServer(id string) {
+func (n *Backends) forgetServer(id string) {
 	if found, ok := n.servers.LoadAndDelete(id); ok {
 		found.(*server).pool.Shut()
 	}
 }
 
-func (n *Node) server(id string) *server {
+func (n *Backends) server(id string) *server {
 	if found, ok := n.servers.Load(id); ok {
 		return found.(*server)
 	}
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -145,7 +145,7 @@
 type lender func(target *server, deadline time.Time) (*upstream.Lease, error)
 
 // lendOwn lends a connection for a question that may go through the server's owner.
-func (n *Node) lendOwn(target *server, deadline time.Time) (*upstream.Lease, error) {
+func (n *Backends) lendOwn(target *server, deadline time.Time) (*upstream.Lease, error) {
 	return n.lend(target, upstream.Own, deadline)
 }
 
--- a/internal/proxy/tenures.go
+++ b/internal/proxy/tenures.go
@@ -18,7 +18,7 @@
 // covered by this node's leases when the answer came.
 
 // newTenures returns the node's part in the agreement; nil if the platform checks fences.
-func (n *Node) newTenures() *tenure.Keeper {
+func (n *Backends) newTenures() *tenure.Keeper {
 	if !n.options.Agreed || n.ports.Messages == nil {
 		return nil
 	}
@@ -37,7 +37,7 @@
 }
 
 // votingPeers returns the other nodes that take messages.
-func (n *Node) votingPeers() []tenure.Peer {
+func (n *Backends) votingPeers() []tenure.Peer {
 	known := n.members.Load()
 	if known == nil {
 		return nil
@@ -52,14 +52,14 @@
 }
 
 // ReceiveMessage takes a message from the node at an address.
-func (n *Node) ReceiveMessage(from string, m *quorum.Message) {
+func (n *Backends) ReceiveMessage(from string, m *quorum.Message) {
 	if n.tenures != nil {
 		n.tenures.Receive(from, m)
 	}
 }
 
 // tenureChanged leads callers' work to the primary of a service's open tenure.
-func (n *Node) tenureChanged(name string) {
+func (n *Backends) tenureChanged(name string) {
 	s := n.service(name)
 	primary := ""
 	if view := n.tenures.View(name); view.Open {
@@ -72,7 +72,7 @@
 }
 
 // lookSoon makes the next look at the services come at once.
-func (n *Node) lookSoon() {
+func (n *Backends) lookSoon() {
 	select {
 	case n.nudged <- struct{}{}:
 	default:
@@ -137,22 +137,6 @@
 	return view != nil && view.Tenure == held && view.Covers(arrived)
 }
 
-// lookIsolated notes whether this node is cut off from the voters. It then wants no new
-// callers and lets go of those that it has as soon as nothing of theirs is under way: on
-// other nodes they are served.
-func (n *Node) lookIsolated(now time.Time) {
-	if n.tenures == nil {
-		return
-	}
-	isolated := n.tenures.Isolated(now)
-	if n.isolated.Swap(isolated) != isolated {
-		n.log.Write(eventlog.NodeIsolated, zap.Bool("isolated", isolated), zap.Int64("sessions", n.sessionCount.Load()))
-	}
-	if isolated {
-		n.interruptSessions()
-	}
-}
-
 // deny takes a server's own word that it does not lead.
 func (s *service) deny(server string, now time.Time) bool {
 	if s.node.tenures == nil {
--- a/internal/proxy/witnesses.go
+++ b/internal/proxy/witnesses.go
@@ -22,7 +22,7 @@
 // reaches reports whether this node reaches a server directly: by a fresh answer,
 // by work that has waited too long for one, or else by asking it. A node that goes
 // through another one reaches nothing for a third.
-func (n *Node) reaches(id string) bool {
+func (n *Backends) reaches(id string) bool {
 	target := n.server(id)
 	if target == nil {
 		return false
@@ -46,7 +46,7 @@
 // witnesses returns the nodes to ask whether they reach a primary, at random but of
 // different zones in turn: those of one zone may all be cut off. Nodes that were silent
 // lately come last.
-func (n *Node) witnesses() []Member {
+func (n *Backends) witnesses() []Member {
 	members := n.someMembers(math.MaxInt)
 	now := time.Now()
 	seen := map[string]int{}
@@ -126,7 +126,7 @@
 }
 
 // membersNamed returns the members with some names that are known and other nodes.
-func (n *Node) membersNamed(names []string) []Member {
+func (n *Backends) membersNamed(names []string) []Member {
 	known := n.members.Load()
 	if known == nil || n.ports.Peers == nil {
 		return nil
