internal/proxy: the types of Network and Backends have their own tests and constants

Ruled out: exporting constants for one user each.

Change: moves only; owners', sources' and transfers' tests build the part that they test in place of a whole node.

--- a/internal/proxy/backend_metrics.go
+++ b/internal/proxy/backend_metrics.go
@@ -2,6 +2,12 @@
 
 import "github.com/prometheus/client_golang/prometheus"
 
+// metricsNamespace begins the names of all metrics.
+const metricsNamespace = "dewknot"
+
+// durationBuckets are seconds; latency objectives lie between them.
+var durationBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 2, 4}
+
 // backendMetrics are the counters and histograms of the services.
 type backendMetrics struct {
 	failovers *prometheus.CounterVec
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -9,11 +9,24 @@
 
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/failover"
 	"dewknot/internal/proxy/remote"
 	"dewknot/internal/proxy/tenure"
 	"dewknot/internal/proxy/upstream"
 )
 
+// Promoter orders promotions.
+type Promoter interface {
+	// Promote makes a server the primary of its service.
+	Promote(ctx context.Context, service, server, holder string, token uint64) failover.PromotionOutcome
+}
+
+// FailoverTrace records what a failover machine was told and what it decided.
+type FailoverTrace interface {
+	// Step records one step, at a time since the node's start.
+	Step(at time.Duration, event failover.Event, effects []failover.Effect)
+}
+
 // BackendOptions are the settings of Backends.
 type BackendOptions struct {
 	Name string
--- a/internal/proxy/comeback.go
+++ b/internal/proxy/comeback.go
@@ -7,7 +7,6 @@
 	"dewknot/internal/base/failure"
 	"dewknot/internal/proxy/admission"
 	"dewknot/internal/proxy/catalog"
-	"dewknot/internal/proxy/urgency"
 )
 
 // When a refused caller may come back follows from what was in its way: the queue and the
@@ -70,15 +69,6 @@
 	return shortest
 }
 
-// expectedWait returns how long work waits for a slot of the server. Where an owner
-// orders the work, what it tells stands for that, or what answers have lately taken.
-func (t *server) expectedWait(request admission.Request, now time.Time) time.Duration {
-	if wait, known := t.told.Wait(now, urgency.Of(request.Priority)); known {
-		return wait
-	}
-	return max(t.gate.Wait(request), t.stats.Latency(now))
-}
-
 // hopeless reports whether work that would have to wait so long for a slot cannot be
 // answered within its objective: it is told at once.
 func (r *run) hopeless(wait time.Duration) bool {
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -24,11 +24,6 @@
 	tenants    *tenantCollector
 }
 
-const metricsNamespace = "dewknot"
-
-// durationBuckets are seconds; latency objectives lie between them.
-var durationBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 2, 4}
-
 var freshnessNames = map[catalog.Freshness]string{
 	catalog.Current: "current", catalog.BoundedStaleness: "bounded_staleness", catalog.ReadYourWrites: "read_your_writes",
 }
--- a/internal/proxy/network.go
+++ b/internal/proxy/network.go
@@ -32,6 +32,22 @@
 	Demote(server string) *upstream.Status
 }
 
+// Decoder reads the platform's objects into the product's own.
+type Decoder interface {
+	Configuration(content []byte) (*catalog.Configuration, error)
+	Server(object objectstore.Object) (catalog.Server, error)
+}
+
+// Kinds names the kinds of objects in the store.
+type Kinds struct {
+	Configuration string
+	Servers       string
+	Leases        string
+	Members       string
+	// Voters names the table of the nodes that agree on tenures.
+	Voters string
+}
+
 // NetworkOptions are the settings of a Network.
 type NetworkOptions struct {
 	Name string
--- /dev/null
+++ b/internal/proxy/network_test.go
@@ -0,0 +1,31 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/objectstore"
+)
+
+// unburdened has no other duties.
+type unburdened struct{ Duties }
+
+func (unburdened) MembersChanged() {}
+
+// listedNetwork returns the network of a node in zone a that has listed some members,
+// whose zones are the first letters of their names.
+func listedNetwork(names []string, peers Peers) *Network {
+	n := NewNetwork(NetworkOptions{
+		Name: "a0", Zone: "a", PeerAddress: "a0", DrainBound: time.Second, Regions: map[string]string{"a": "r1", "b": "r2", "c": "r2"},
+	}, NetworkPorts{Peers: peers}, unburdened{}, catalog.New(time.Second), time.Now(),
+		eventlog.New(io.Discard, eventlog.Config{Node: "a0", LinesPerSecond: 1}))
+	var objects []objectstore.Object
+	for _, name := range names {
+		objects = append(objects, objectstore.Object{Name: name, Content: fmt.Appendf(nil, `{"address":%q,"zone":%q}`, name, name[:1])})
+	}
+	n.takeMembers(objects)
+	return n
+}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -18,7 +18,6 @@
 	"dewknot/internal/base/failure"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/command"
-	"dewknot/internal/proxy/failover"
 	"dewknot/internal/proxy/objectstore"
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/tenure"
@@ -61,34 +60,6 @@
 	State     upstream.TransactionState
 }
 
-// Promoter orders promotions.
-type Promoter interface {
-	// Promote makes a server the primary of its service.
-	Promote(ctx context.Context, service, server, holder string, token uint64) failover.PromotionOutcome
-}
-
-// FailoverTrace records what a failover machine was told and what it decided.
-type FailoverTrace interface {
-	// Step records one step, at a time since the node's start.
-	Step(at time.Duration, event failover.Event, effects []failover.Effect)
-}
-
-// Decoder reads the platform's objects into the product's own.
-type Decoder interface {
-	Configuration(content []byte) (*catalog.Configuration, error)
-	Server(object objectstore.Object) (catalog.Server, error)
-}
-
-// Kinds names the kinds of objects in the store.
-type Kinds struct {
-	Configuration string
-	Servers       string
-	Leases        string
-	Members       string
-	// Voters names the table of the nodes that agree on tenures.
-	Voters string
-}
-
 // Options are the node's settings.
 type Options struct {
 	Name string
--- a/internal/proxy/owners.go
+++ b/internal/proxy/owners.go
@@ -26,6 +26,8 @@
 	// shunSpan is how long another owner is tried after one said that it does
 	// not reach the server.
 	shunSpan = time.Second
+	// connectionWait bounds the wait for a connection to one of several servers.
+	connectionWait = 150 * time.Millisecond
 	// proofAge is the age from which an owner refreshes what it knows of the
 	// primary, since others depend on it.
 	proofAge = 300 * time.Millisecond
@@ -214,3 +216,17 @@
 	}
 	return newest.At, newest.Position
 }
+
+// endOf tells a gate how admitted work ended.
+func endOf(batch *upstream.Batch, result *upstream.Result) admission.Result {
+	switch {
+	case batch.Err != nil || result == nil:
+		return admission.Other
+	case result.Outcome == upstream.Busy:
+		return admission.Refused
+	case result.Outcome == upstream.Succeeded:
+		return admission.Ran
+	default:
+		return admission.Other
+	}
+}
--- a/internal/proxy/owners_test.go
+++ b/internal/proxy/owners_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -66,11 +67,13 @@
 
 // ownersNode returns a node of zone a that knows one server in zone b, of a service
 // with some connections.
-func ownersNode(store *memberStore, peers Peers, dialer upstream.Dialer, connections int) (*Node, *server) {
-	node := New(Options{
-		Name: "a0", Zone: "a", PeerAddress: "a0", DrainBound: time.Second,
-		Regions: map[string]string{"a": "r1", "b": "r2", "c": "r2"},
-	}, Ports{Store: store, Peers: peers, Dialer: dialer}, eventlog.New(discard{}, eventlog.Config{Node: "a0", LinesPerSecond: 1}))
+func ownersNode(store *memberStore, peers Peers, dialer upstream.Dialer, connections int) (*Backends, *server) {
+	regions := map[string]string{"a": "r1", "b": "r2", "c": "r2"}
+	ways := NetworkPorts{Store: store, Peers: peers}
+	network := NewNetwork(NetworkOptions{Name: "a0", Zone: "a", PeerAddress: "a0", DrainBound: time.Second, Regions: regions},
+		ways, idle{}, catalog.New(time.Second), time.Now(), eventlog.New(io.Discard, eventlog.Config{Node: "a0", LinesPerSecond: 1}))
+	node := NewBackends(BackendOptions{Name: "a0", Zone: "a", DrainBound: time.Second, Regions: regions},
+		BackendPorts{NetworkPorts: ways, Dialer: dialer}, network, func(time.Time) {})
 	node.catalog.ApplyConfiguration(&catalog.Configuration{
 		Version: 1, Services: map[string]catalog.Service{"bookings": {Name: "bookings", MaxConnections: connections}},
 	})
@@ -78,9 +81,10 @@
 	return node, node.server("s1")
 }
 
-type discard struct{}
+// idle has no other duties.
+type idle struct{ Duties }
 
-func (discard) Write(content []byte) (int, error) { return len(content), nil }
+func (idle) MembersChanged() {}
 
 // TestNodeThatKnowsNoMembersOpensNoConnections: the store is down at a node's
 // start, so it does not know how many others there are.
--- a/internal/proxy/reachability.go
+++ b/internal/proxy/reachability.go
@@ -107,3 +107,23 @@
 	// The outcome is noted on the way, by meteredStore.
 	_, _ = n.ports.Store.ListStale(ctx, n.options.Kinds.Members)
 }
+
+// silentSpan is for how long a node that did not answer is asked after all others.
+const silentSpan = 10 * time.Second
+
+// silences holds when nodes last did not answer, by address. It is safe for concurrent use.
+type silences struct{ since sync.Map }
+
+func (s *silences) note(address string, silent bool) {
+	if silent {
+		s.since.Store(address, time.Now())
+		return
+	}
+	s.since.Delete(address)
+}
+
+// lately reports whether a node was silent a short while ago.
+func (s *silences) lately(address string, now time.Time) bool {
+	since, found := s.since.Load(address)
+	return found && now.Sub(since.(time.Time)) < silentSpan
+}
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -242,9 +242,3 @@
 	}
 	return servers[chosen]
 }
-
-// load returns the work of this node that a server has or that waits for it.
-func (t *server) load() int {
-	running, waiting := t.gate.Load()
-	return running + waiting + int(t.remote.Load())
-}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -18,19 +18,12 @@
 const (
 	// answerMargin is kept of a statement's time-out for the answer's way back.
 	answerMargin = 30 * time.Millisecond
-	// busyPause is the pause before a server that refused for want of a slot is
-	// asked again, busyLife how long other requests avoid it.
-	busyPause = 15 * time.Millisecond
-	busyLife  = 25 * time.Millisecond
+	// busyLife is how long other requests avoid a server that refused for want of a slot.
+	busyLife = 25 * time.Millisecond
 	// behindPause is the first pause before servers that could not run a read
 	// are asked again; it doubles up to longestPause.
 	behindPause  = 10 * time.Millisecond
 	longestPause = 100 * time.Millisecond
-	// leaderPause is the longest wait for a change of the primary before
-	// another look.
-	leaderPause = 50 * time.Millisecond
-	// connectionWait bounds the wait for a connection to one of several servers.
-	connectionWait = 150 * time.Millisecond
 	// silentRead is the shortest time after which a read whose answer has not
 	// come is asked of another server; slowFactor times the expected latency is
 	// waited if that is longer.
@@ -141,20 +134,6 @@
 	target.gate.Leave(endOf(batch, result), time.Now())
 }
 
-// endOf tells a gate how admitted work ended.
-func endOf(batch *upstream.Batch, result *upstream.Result) admission.Result {
-	switch {
-	case batch.Err != nil || result == nil:
-		return admission.Other
-	case result.Outcome == upstream.Busy:
-		return admission.Refused
-	case result.Outcome == upstream.Succeeded:
-		return admission.Ran
-	default:
-		return admission.Other
-	}
-}
-
 // starved reports whether new work has waited for a connection of the server's
 // owner as long as it may.
 func (r *run) starved(target *server, result *upstream.Result) bool {
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -17,6 +17,7 @@
 	"dewknot/internal/proxy/leadership"
 	"dewknot/internal/proxy/told"
 	"dewknot/internal/proxy/upstream"
+	"dewknot/internal/proxy/urgency"
 )
 
 // server is the runtime state of a database server.
@@ -327,3 +328,18 @@
 		zap.String("target", effect.Target), zap.Uint64("token", effect.Token), zap.Stringer("outcome", outcome))
 	s.submit(failover.Ordered{Outcome: outcome})
 }
+
+// load returns the work of this node that a server has or that waits for it.
+func (t *server) load() int {
+	running, waiting := t.gate.Load()
+	return running + waiting + int(t.remote.Load())
+}
+
+// expectedWait returns how long work waits for a slot of the server. Where an owner
+// orders the work, what it tells stands for that, or what answers have lately taken.
+func (t *server) expectedWait(request admission.Request, now time.Time) time.Duration {
+	if wait, known := t.told.Wait(now, urgency.Of(request.Priority)); known {
+		return wait
+	}
+	return max(t.gate.Wait(request), t.stats.Latency(now))
+}
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/sources_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -48,16 +47,14 @@
 // listFrom lets a node of zone a, in a fleet of zones a, b and c, list from others.
 func listFrom(t *testing.T, peers *knowingPeers) ([]objectstore.Object, uint64, error) {
 	t.Helper()
-	store := &memberStore{}
+	var names []string
 	for _, zone := range []string{"a", "b", "c"} {
 		for i := range 5 {
-			store.members = append(store.members, fmt.Sprintf("%s%d", zone, i+1))
+			names = append(names, fmt.Sprintf("%s%d", zone, i+1))
 		}
 	}
-	node, _ := ownersNode(store, peers, nil, 24)
-	_, err := node.listMembers(t.Context(), time.Second)
-	must.NoError(t, err)
-	return (&otherNodes{node.Network}).List(t.Context(), "kind")
+	node := listedNetwork(names, peers)
+	return (&otherNodes{node}).List(t.Context(), "kind")
 }
 
 // TestNearestSourceIsAsked: of nodes that know as much, one of the own zone tells
--- a/internal/proxy/survey.go
+++ b/internal/proxy/survey.go
@@ -13,6 +13,13 @@
 	"dewknot/internal/proxy/upstream"
 )
 
+const (
+	// busyPause is the pause before a server that refused for want of a slot is asked again.
+	busyPause = 15 * time.Millisecond
+	// leaderPause is the longest wait for a change of the primary before another look.
+	leaderPause = 50 * time.Millisecond
+)
+
 // surveyLimit bounds the wait for the servers' reports. A status takes a slot,
 // so a server with a full queue answers late; one that is left out may be the
 // one that has received most.
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/transfer_test.go
@@ -81,7 +81,7 @@
 				}
 				return nil
 			}
-			node, _ := ownersNode(&memberStore{}, source, nil, 24)
+			node := listedNetwork(nil, source)
 			defer node.log.Close()
 			var fetched objectstore.Object
 			err := net.ErrClosed
@@ -101,7 +101,7 @@
 func TestTransferComesBackLater(t *testing.T) {
 	bubbletest.Test(t, func(t *testing.T) {
 		source, wanted := newPieceSource(incompressible(4))
-		node, _ := ownersNode(&memberStore{}, source, nil, 24)
+		node := listedNetwork(nil, source)
 		defer node.log.Close()
 		source.turned = map[int]bool{2: true, 3: true}
 		began := time.Now()
@@ -121,7 +121,7 @@
 	bubbletest.Test(t, func(t *testing.T) {
 		object := incompressible(4)
 		source, wanted := newPieceSource(object)
-		node, _ := ownersNode(&memberStore{}, source, nil, 24)
+		node := listedNetwork(nil, source)
 		defer node.log.Close()
 		source.fails = func(question int) error {
 			if question == 3 {
--- a/internal/proxy/witnesses.go
+++ b/internal/proxy/witnesses.go
@@ -40,9 +40,6 @@
 // witnessesAsked is how many nodes are asked whether they reach a primary.
 const witnessesAsked = 5
 
-// silentSpan is for how long a node that did not answer is asked after all others.
-const silentSpan = 10 * time.Second
-
 // witnesses returns the nodes to ask whether they reach a primary, at random but of
 // different zones in turn: those of one zone may all be cut off. Nodes that were silent
 // lately come last.
@@ -108,23 +105,6 @@
 	return outcome
 }
 
-// silences holds when nodes last did not answer, by address. It is safe for concurrent use.
-type silences struct{ since sync.Map }
-
-func (s *silences) note(address string, silent bool) {
-	if silent {
-		s.since.Store(address, time.Now())
-		return
-	}
-	s.since.Delete(address)
-}
-
-// lately reports whether a node was silent a short while ago.
-func (s *silences) lately(address string, now time.Time) bool {
-	since, found := s.since.Load(address)
-	return found && now.Sub(since.(time.Time)) < silentSpan
-}
-
 // membersNamed returns the members with some names that are known and other nodes.
 func (n *Backends) membersNamed(names []string) []Member {
 	known := n.members.Load()
