quorum, tenure: one question a voter under way, records in a window

Cause: 102 nodes on links of 2 Mbit/s serve nothing, calm. By count of messages at the voters: recalls of ten services to 102 members each 80 ms (360 kB/s a voter), then renewals each 25 ms whose answers carry all records (1.3 MB/s) and come after eight more questions, when they are no longer taken. Rounds of 200 ms find no room, every retry closes and recalls again, eras end.

Ruled out: processors (same at 0.8 of a core), the store, traffic of callers (it fails 12 s before it begins).

Change: a member has one question a voter under way and repeats it after the measured round trip, doubling; a voter has 16 kB of records under way, one message a member with all that it does not know, acknowledged by revision; candidates are answered before members are told; members that are no voters get records without candidates; voters share the announcement of a table in a large fleet; seals and eras that fail back off. A node that has opened a tenure waits for the voters' word of it instead of opening it again.

Tests: replies come before recalls now, so tests of the order name the new one; the group's renewals hand the member's answers back, as a network does.

--- a/internal/proxy/failover/choice.go
+++ b/internal/proxy/failover/choice.go
@@ -32,7 +32,7 @@
 			return append(m.resume(), LeaderFound{ID: report.ID})
 		}
 	}
-	needed, _ := m.need()
+	needed, _ := m.need(now)
 	best := m.furthest(now, event.Reports)
 	if !needed || best == nil || !m.leadIsFree(event.Reports) || !m.holdsAllCommits(best, event.Reports) {
 		m.rest(now, pauseAfterFailure)
--- a/internal/proxy/failover/machine.go
+++ b/internal/proxy/failover/machine.go
@@ -159,6 +159,9 @@
 	campaign campaign
 	// highest is the highest ballot known.
 	highest uint64
+	// openedBallot is that of the tenure which this node has opened last, at openedAt.
+	openedBallot uint64
+	openedAt     time.Time
 	// refusedBallot is that of an order which the platform has surely refused.
 	refusedBallot uint64
 	// boundTarget is the server that campaigns are bound to since boundSince.
@@ -221,10 +224,12 @@
 }
 
 // need returns whether the primary should be replaced, and after which delay.
-func (m *Machine) need() (bool, time.Duration) {
+func (m *Machine) need(now time.Time) (bool, time.Duration) {
 	switch seen := &m.observation; {
 	case seen.Degraded:
 		return false, 0
+	case m.agreed && seen.Closed && m.learning(now):
+		return false, 0
 	case m.agreed && seen.Closed && seen.Leader == "":
 		// None was open in this process's life.
 		return len(seen.Servers) > 0, 0
@@ -258,7 +263,7 @@
 		if now.Before(m.settleUntil) {
 			return nil
 		}
-		if again := m.repeat(); again != nil {
+		if again := m.repeat(now); again != nil {
 			return again
 		}
 		m.rest(now, 0)
@@ -272,7 +277,7 @@
 	if m.phase != Watching {
 		return nil
 	}
-	needed, delay := m.need()
+	needed, delay := m.need(now)
 	if !needed {
 		m.needSince, m.holderLives = time.Time{}, false
 		return m.withdraw()
--- a/internal/proxy/failover/order.go
+++ b/internal/proxy/failover/order.go
@@ -40,8 +40,8 @@
 }
 
 // repeat gives the last order again, if it was not answered and is still needed.
-func (m *Machine) repeat() []Effect {
-	needed, _ := m.need()
+func (m *Machine) repeat(now time.Time) []Effect {
+	needed, _ := m.need(now)
 	if m.repeats == 0 || !needed {
 		return nil
 	}
--- a/internal/proxy/failover/tenure.go
+++ b/internal/proxy/failover/tenure.go
@@ -31,6 +31,10 @@
 	// catchUpWait bounds the wait, from its beginning, of a planned change for the target
 	// to receive the rest of the log.
 	catchUpWait = 1200 * time.Millisecond
+	// learnSpan is how long the node that has opened a tenure leaves the voters time to tell
+	// it so: a lost message costs a renewal's interval. Opening it again would close it for
+	// all nodes.
+	learnSpan = quorum.LeaseSpan
 	// unreportedDelay is how long a service may be without a tenure before a server is
 	// ordered to lead though others have not reported.
 	unreportedDelay = 1500 * time.Millisecond
@@ -403,9 +407,18 @@
 	m.needSince = time.Time{}
 	m.unanswered = false
 	m.boundTarget = ""
+	m.openedAt, m.openedBallot = now, m.campaign.ballot
 	return m.resume()
 }
 
+// learning reports whether the tenure that this node has just opened may seem closed only
+// because the voters' word of it has not come. A higher ballot or a new era closes it.
+func (m *Machine) learning(now time.Time) bool {
+	seen := &m.observation
+	down := seen.LeaderDown && seen.Leader == m.target
+	return !down && now.Sub(m.openedAt) < learnSpan && seen.Highest <= m.openedBallot && seen.LeastBallot <= m.openedBallot
+}
+
 // giveUp ends a campaign that has failed; the next one learns what it left.
 func (m *Machine) giveUp(now time.Time) []Effect {
 	m.rest(now, pauseAfterFailure)
--- a/internal/proxy/failover/tenure_test.go
+++ b/internal/proxy/failover/tenure_test.go
@@ -59,6 +59,46 @@
 	must.Eq(t, Watching, machine.Phase())
 }
 
+// TestOpenedTenureIsLearned: the node that has opened a tenure does not open it again before
+// the voters can have told it so, unless something has ended it since.
+func TestOpenedTenureIsLearned(t *testing.T) {
+	for name, test := range map[string]struct {
+		observe func(*Observation)
+		again   bool
+	}{
+		"the voters' word is on its way":   {func(*Observation) {}, false},
+		"the last primary is still down":   {func(o *Observation) { o.LeaderDown = true }, false},
+		"a higher ballot has closed it":    {func(o *Observation) { o.Highest = 3 << 40 }, true},
+		"the era has ended":                {func(o *Observation) { o.LeastBallot = 2 << 40 }, true},
+		"the new primary has gone as well": {func(o *Observation) { o.Leader, o.LeaderDown = "c", true }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			machine := agreed(t)
+			prepareFor(t, machine, Prepared{Agreed: true, Settled: "a", Term: 4})
+			machine.Step(at(1160), Surveyed{Reports: []Report{report("b", false, 4, 10), report("c", true, 5, 12)}})
+			machine.Step(at(1190), Held{Agreed: true})
+			machine.Step(at(1200), LeaseWritten{Result: Written, Revision: 8})
+			machine.Step(at(1300), SteppedDown{Server: "a", Done: true})
+			machine.Step(at(1310), Ordered{Accepted})
+			machine.Step(at(1700), Led{Leads: true, Term: 5})
+			machine.Step(at(1730), Opened{Agreed: true})
+			must.Eq(t, Watching, machine.Phase())
+			observation := down()
+			observation.LeaderDown, observation.Closed = false, true
+			observation.Highest, observation.LeastBallot = machine.openedBallot, 1<<40
+			test.observe(&observation)
+			acts := func(from time.Time) bool {
+				effects := machine.Step(from, Observed{observation})
+				return len(append(effects, machine.Step(from.Add(closedDelay), Observed{observation})...)) > 0
+			}
+			must.Eq(t, test.again, acts(at(1740)))
+			if !test.again {
+				must.True(t, acts(at(1730).Add(learnSpan)))
+			}
+		})
+	}
+}
+
 // TestStepDownEndsTheWait: a primary that has confirmed that it leads no more makes the
 // leases needless.
 func TestStepDownEndsTheWait(t *testing.T) {
--- a/internal/proxy/failover/witness.go
+++ b/internal/proxy/failover/witness.go
@@ -54,7 +54,7 @@
 		return nil
 	}
 	m.phase = Watching
-	needed, _ := m.need()
+	needed, _ := m.need(now)
 	if !needed {
 		return nil
 	}
--- a/internal/proxy/quorum/member.go
+++ b/internal/proxy/quorum/member.go
@@ -61,6 +61,8 @@
 	records map[string]Record
 	lease   *Lease
 	sent    []renewal
+	// pacer decides when the voter is asked again.
+	pacer
 	// heard is when the voter was last heard of; until it was, when the table was taken.
 	heard time.Time
 	met   bool
@@ -102,10 +104,17 @@
 	if n.table != nil && table.Era <= n.table.Era {
 		return nil
 	}
+	// The way to a voter stays as long as it was.
+	trips := map[string]roundTrip{}
+	for _, of := range n.mirrors {
+		trips[of.seat.Name] = of.trip
+	}
 	n.table = table
 	n.mirrors = nil
 	for _, seat := range table.Seats {
-		n.mirrors = append(n.mirrors, &mirror{seat: seat, records: map[string]Record{}, lease: &Lease{}, heard: now})
+		of := &mirror{seat: seat, records: map[string]Record{}, lease: &Lease{}, heard: now}
+		of.trip = trips[seat.Name]
+		n.mirrors = append(n.mirrors, of)
 	}
 	var changed []string
 	for service := range n.services {
@@ -118,17 +127,26 @@
 // View returns what is known of a service, nil if nothing is.
 func (n *Member) View(service string) *View { return n.services[service] }
 
-// Renewals asks all voters for leases.
-func (n *Member) Renewals(now time.Time) []Envelope {
-	out := make([]Envelope, 0, len(n.mirrors))
+// Due asks the voters that are to be asked for leases now, and returns when the next one is.
+func (n *Member) Due(now time.Time, haste Haste) ([]Envelope, time.Time) {
+	var out []Envelope
+	next := now.Add(RenewInterval)
 	for _, of := range n.mirrors {
-		out = append(out, n.renewal(now, of))
+		due := of.due(haste)
+		if !due.After(now) {
+			out = append(out, n.renewal(now, of))
+			due = of.due(haste)
+		}
+		if due.Before(next) {
+			next = due
+		}
 	}
-	return out
+	return out, next
 }
 
 func (n *Member) renewal(now time.Time, of *mirror) Envelope {
 	n.sequence++
+	of.ask(now)
 	of.sent = append(of.sent, renewal{n.sequence, now, of.revision, of.life})
 	if len(of.sent) > renewalsKept {
 		of.sent = of.sent[1:]
@@ -156,11 +174,14 @@
 	}
 	switch m.Kind {
 	case Granted:
-		return n.granted(now, of, m)
+		return n.granted(now, from, of, m)
 	case Push:
 		return n.pushed(from, of, m)
 	case Unable:
 		of.heard, of.met = now, true
+		if asked := of.answered(m.Sequence); asked != nil {
+			of.answer(now, asked.sentAt, false)
+		}
 		if !m.Normal {
 			of.lost = m.Age
 		}
@@ -179,12 +200,16 @@
 	of.lost = 0
 }
 
-func (n *Member) granted(now time.Time, of *mirror, m *Message) ([]Envelope, []string) {
+func (n *Member) granted(now time.Time, from string, of *mirror, m *Message) ([]Envelope, []string) {
 	of.heard, of.met = now, true
 	asked := of.answered(m.Sequence)
 	if asked == nil {
 		return nil, nil
 	}
+	// An answer that brings neither news nor the lease of which one has run out was not
+	// worth its question.
+	ranOut := of.lease.until.Load() <= int64(now.Sub(n.base))
+	of.answer(now, asked.sentAt, ranOut || len(m.Records) > 0)
 	of.meet(m.Life)
 	if asked.knownLife == m.Life && asked.known > of.revision {
 		// The answer leaves out what was known then, and is not any more.
@@ -198,9 +223,21 @@
 	of.wholeAt = asked.sentAt
 	until := int64(asked.sentAt.Add(LeaseSpan - clockMargin).Sub(n.base))
 	of.lease.until.Store(max(of.lease.until.Load(), until))
+	if m.Recall {
+		return []Envelope{{from, n.release(of, m, 0)}}, changed
+	}
 	return nil, changed
 }
 
+// release tells a voter up to which revision its records are known, and that no tenure that
+// they close is used any more.
+func (n *Member) release(of *mirror, m *Message, sequence uint64) Message {
+	return Message{
+		Kind: Released, From: n.name, Life: n.life, Era: m.Era, Sequence: sequence, Service: m.Service, Ballot: m.Ballot,
+		Revision: of.revision, KnownLife: of.life,
+	}
+}
+
 // answered returns the renewal that an answer belongs to, nil if it is none of this
 // process's, or a very old one.
 func (of *mirror) answered(sequence uint64) *renewal {
@@ -212,16 +249,19 @@
 	return nil
 }
 
-// pushed takes a changed record. The revision up to which all records are known
-// stays: others may have changed before.
+// pushed takes changed records. They are all that have changed after the revision Known:
+// if this one is not known, others may have changed before, and the revision up to which all
+// are known stays. The answer tells it.
 func (n *Member) pushed(from string, of *mirror, m *Message) ([]Envelope, []string) {
 	of.meet(m.Life)
 	changed := n.take(of, m.Records)
+	if m.Known <= of.revision {
+		of.revision = max(of.revision, m.Revision)
+	}
 	if !m.Recall {
 		return nil, changed
 	}
-	reply := Message{Kind: Released, From: n.name, Life: n.life, Era: m.Era, Service: m.Service, Ballot: m.Ballot}
-	return []Envelope{{from, reply}}, changed
+	return []Envelope{{from, n.release(of, m, m.Sequence)}}, changed
 }
 
 // take notes a voter's records and returns the services whose views have changed.
@@ -264,6 +304,9 @@
 	n.services[service] = view
 }
 
+// Settled reports whether the records of all voters are known whole.
+func (n *Member) Settled() bool { return n.Whole() == len(n.mirrors) }
+
 // Whole counts the voters whose records are known whole.
 func (n *Member) Whole() int {
 	whole := 0
@@ -317,16 +360,6 @@
 	return heard
 }
 
-// Unmet reports whether some voters have not answered since the table was taken.
-func (n *Member) Unmet() bool {
-	for _, of := range n.mirrors {
-		if !of.met {
-			return true
-		}
-	}
-	return false
-}
-
 // Lost counts the other voters that have no memory; each has to have been heard of
 // within a span.
 func (n *Member) Lost(now time.Time, span time.Duration) int {
--- a/internal/proxy/quorum/model_test.go
+++ b/internal/proxy/quorum/model_test.go
@@ -540,7 +540,7 @@
 		if step%8 == 0 {
 			for _, name := range w.names() {
 				if w.runs(name) {
-					w.send(name, w.members[name].Renewals(w.now))
+					w.send(name, w.renewals(name))
 				}
 			}
 		}
@@ -557,6 +557,16 @@
 	return ""
 }
 
+// renewals are a member's questions: those that are due, or one to each voter, as if earlier
+// ones had been sent at another time.
+func (w *modelWorld) renewals(name string) []Envelope {
+	if w.between(0, 1) == 0 {
+		return w.members[name].Renewals(w.now)
+	}
+	out, _ := w.members[name].Due(w.now, Haste(w.between(int(Calm), int(Urgent))))
+	return out
+}
+
 // modelSteps is how long a play is: about half a minute of its time.
 const modelSteps = 1000
 
--- a/internal/proxy/quorum/quorum.go
+++ b/internal/proxy/quorum/quorum.go
@@ -53,7 +53,7 @@
 	// quorum; the rest is for the order's way.
 	CandidateSpan = 1500 * time.Millisecond
 	OrderWindow   = 700 * time.Millisecond
-	// RecallInterval is the pause until a recall that was not answered is repeated.
+	// RecallInterval is the shortest pause until a recall that was not answered is repeated.
 	RecallInterval = 80 * time.Millisecond
 	// CountSpan is how long a candidate counts the answers to one question. A voter that
 	// has lost its memory takes the others' records from that age on: what its earlier
@@ -192,10 +192,10 @@
 // Whole reports whether the table has its records.
 func (t *Table) Whole() bool { return len(t.Records) == t.Count }
 
-// Told returns the table as nodes tell it to each other: without its records if they are
-// many. They come from the store then.
-func (t *Table) Told() *Table {
-	if len(t.Records) <= pageRecords {
+// Told returns the table as a node is told it: with its records only if they are few, and
+// the node is a voter, who begins the era with them. They come from the store else.
+func (t *Table) Told(name string) *Table {
+	if len(t.Records) == 0 || (len(t.Records) <= pageRecords && t.Seat(name) != nil) {
 		return t
 	}
 	return &Table{Era: t.Era, Seats: t.Seats, Count: t.Count}
--- a/internal/proxy/quorum/quorum_test.go
+++ b/internal/proxy/quorum/quorum_test.go
@@ -38,12 +38,25 @@
 	return g
 }
 
+// Renewals asks all voters, whatever is due.
+func (n *Member) Renewals(now time.Time) []Envelope {
+	out := make([]Envelope, 0, len(n.mirrors))
+	for _, of := range n.mirrors {
+		out = append(out, n.renewal(now, of))
+	}
+	return out
+}
+
 // renew lets the member renew its leases with some voters, at a time.
-func (g *group) renew(now int, voters ...int) {
+func (g *group) renew(t *testing.T, now int, voters ...int) {
+	t.Helper()
 	renewals := g.member.Renewals(at(now))
 	for _, i := range voters {
 		for _, reply := range g.voters[i].Step(at(now), "m", &renewals[i].Message) {
-			g.member.Step(at(now), groupNames[i], &reply.Message)
+			answers, _ := g.member.Step(at(now), groupNames[i], &reply.Message)
+			for _, answer := range answers {
+				must.SliceEmpty(t, g.voters[i].Step(at(now), "m", &answer.Message))
+			}
 		}
 	}
 }
@@ -70,9 +83,9 @@
 // lease ends a span after the question was sent.
 func TestLeasesCoverWhatAMajorityGranted(t *testing.T) {
 	g := newGroup(openRecord())
-	g.renew(2000, 0)
+	g.renew(t, 2000, 0)
 	must.False(t, g.member.View("s").Covers(at(2000)))
-	g.renew(2100, 0, 1)
+	g.renew(t, 2100, 0, 1)
 	view := g.member.View("s")
 	must.Eq(t, Tenure{1, "a"}, view.Tenure)
 	must.True(t, view.Covers(at(2100)))
@@ -80,7 +93,7 @@
 	must.True(t, view.Covers(at(last-1)))
 	must.False(t, view.Covers(at(last)))
 	// The third voter makes a majority with either of the others.
-	g.renew(3000, 1, 2)
+	g.renew(t, 3000, 1, 2)
 	must.True(t, g.member.View("s").Covers(at(last)))
 }
 
@@ -88,11 +101,11 @@
 // up its lease, or the lease has run out.
 func TestCandidateWaitsForLeases(t *testing.T) {
 	g := newGroup(openRecord())
-	g.renew(2000, 0, 1, 2)
+	g.renew(t, 2000, 0, 1, 2)
 	out := g.ask(0, 2100, Prepare, "x", 2, "")
-	must.Eq(t, []Kind{Push, Promised}, kinds(out))
-	must.False(t, out[1].Message.Clear)
-	replies, _ := g.member.Step(at(2101), "v0", &out[0].Message)
+	must.Eq(t, []Kind{Promised, Push}, kinds(out))
+	must.False(t, out[0].Message.Clear)
+	replies, _ := g.member.Step(at(2101), "v0", &out[1].Message)
 	must.Eq(t, []Kind{Released}, kinds(replies))
 	cleared := g.voters[0].Step(at(2102), "m", &replies[0].Message)
 	must.Eq(t, []Kind{Cleared}, kinds(cleared))
@@ -100,7 +113,8 @@
 
 	// Another voter's recall is lost; it is repeated, and the lease runs out.
 	out = g.ask(1, 2100, Prepare, "x", 2, "")
-	must.False(t, out[1].Message.Clear)
+	must.Eq(t, []Kind{Promised, Push}, kinds(out))
+	must.False(t, out[0].Message.Clear)
 	again, waiting := g.voters[1].Tick(at(2200))
 	must.True(t, waiting)
 	must.Eq(t, []Kind{Push}, kinds(again))
@@ -112,16 +126,17 @@
 // believed, though the leases would run on.
 func TestRecallEndsTheLease(t *testing.T) {
 	g := newGroup(openRecord())
-	g.renew(2000, 0, 1, 2)
+	g.renew(t, 2000, 0, 1, 2)
 	view := g.member.View("s")
 	for i := range 2 {
 		must.True(t, g.member.View("s").Covers(at(2100)))
 		out := g.ask(i, 2100, Prepare, "x", 2, "")
-		g.member.Step(at(2101), groupNames[i], &out[0].Message)
+		must.Eq(t, Push, out[1].Message.Kind)
+		g.member.Step(at(2101), groupNames[i], &out[1].Message)
 	}
 	must.False(t, g.member.View("s").Covers(at(2101)))
 	// A grant that was on its way does not bring the lease back.
-	g.renew(2102, 0, 1)
+	g.renew(t, 2102, 0, 1)
 	must.False(t, g.member.View("s").Covers(at(2102)))
 	must.Eq(t, view.Tenure, g.member.View("s").Tenure)
 }
@@ -130,18 +145,19 @@
 // the lease of a later tenure.
 func TestReleaseOfAnEarlierTenureIsNoRelease(t *testing.T) {
 	g := newGroup(openRecord())
-	g.renew(2000, 0)
+	g.renew(t, 2000, 0)
 	out := g.ask(0, 2100, Prepare, "x", 2, "")
-	released, _ := g.member.Step(at(2101), "v0", &out[0].Message)
+	released, _ := g.member.Step(at(2101), "v0", &out[1].Message)
 	g.voters[0].Step(at(2102), "m", &released[0].Message)
 	g.ask(0, 2103, Choose, "x", 2, "b")
-	must.Eq(t, []Kind{Push, Opened}, kinds(g.ask(0, 2104, Open, "x", 2, "b")))
-	g.renew(2200, 0)
+	must.Eq(t, []Kind{Opened, Push}, kinds(g.ask(0, 2104, Open, "x", 2, "b")))
+	g.renew(t, 2200, 0)
 	out = g.ask(0, 2300, Prepare, "x", 3, "")
-	must.False(t, out[len(out)-1].Message.Clear)
+	must.False(t, out[0].Message.Clear)
 	must.SliceEmpty(t, g.voters[0].Step(at(2301), "m", &released[0].Message))
 	out = g.ask(0, 2302, Prepare, "x", 3, "")
-	must.False(t, out[len(out)-1].Message.Clear)
+	must.Eq(t, Promised, out[0].Message.Kind)
+	must.False(t, out[0].Message.Clear)
 }
 
 // TestBallotHasOneCandidate: neither another node, nor a later process of the same one,
@@ -183,7 +199,7 @@
 // does not know.
 func TestAnswersToAnEarlierProcessAreIgnored(t *testing.T) {
 	g := newGroup(openRecord())
-	g.renew(2000, 0, 1)
+	g.renew(t, 2000, 0, 1)
 	late := g.member.Renewals(at(2100))[0]
 	reply := g.voters[0].Step(at(2101), "m", &late.Message)
 	restarted := NewMember("m", 10, at(2000))
@@ -208,7 +224,8 @@
 		for pages := 1; ; pages++ {
 			reply := g.voters[i].Step(at(2000), "m", &question.Message)
 			out, _ := g.member.Step(at(2000), groupNames[i], &reply[0].Message)
-			if len(out) == 0 {
+			must.Len(t, 1, out)
+			if out[0].Message.Kind == Released {
 				must.Eq(t, 4, pages)
 				break
 			}
--- a/internal/proxy/quorum/voter.go
+++ b/internal/proxy/quorum/voter.go
@@ -20,12 +20,6 @@
 	sealed
 )
 
-// grant is a lease of all open tenures that a member may still hold.
-type grant struct {
-	address string
-	until   time.Time
-}
-
 // matter is a voter's record of a service and what it knows besides.
 type matter struct {
 	Record
@@ -33,11 +27,11 @@
 	busyUntil time.Time
 	// candidateAddress is where the candidate is told that leases have ended.
 	candidateAddress string
-	// closing is the ballot that closed the last open tenure; owing are the members
-	// that may still hold leases of it.
+	// closing is the ballot that closed the last open tenure, closedAt the revision of the
+	// record then; owing are the members that may still hold leases of it, and until when.
 	closing  uint64
-	owing    map[string]grant
-	recalled time.Time
+	closedAt uint64
+	owing    map[string]time.Time
 	told     bool
 	// looseUntil is until when an order that was not answered may be carried out.
 	looseUntil time.Time
@@ -54,14 +48,15 @@
 	table    *Table
 	matters  map[string]*matter
 	revision uint64
-	grants   map[string]grant
+	grants   map[string]*grant
+	spread   spread
 	// unknownUntil is until when leases may run that this voter does not know of.
 	unknownUntil time.Time
 }
 
 // NewVoter returns a voter that is in no table yet. life is unique to the process.
 func NewVoter(name string, life uint64, started time.Time) *Voter {
-	return &Voter{name: name, life: life, started: started, matters: map[string]*matter{}, grants: map[string]grant{}}
+	return &Voter{name: name, life: life, started: started, matters: map[string]*matter{}, grants: map[string]*grant{}}
 }
 
 // Table returns the newest table known, nil if there is none.
@@ -86,7 +81,7 @@
 		return
 	}
 	v.table = table
-	v.matters, v.grants = map[string]*matter{}, map[string]grant{}
+	v.matters, v.grants, v.spread = map[string]*matter{}, map[string]*grant{}, spread{trip: v.spread.trip}
 	seat := table.Seat(v.name)
 	switch {
 	case seat == nil:
@@ -165,30 +160,34 @@
 	reply := v.message(Unable, m)
 	reply.Age, reply.Normal = v.Age(now), v.standing == normal
 	if v.table != nil && v.table.Era > m.Era {
-		reply.Table = v.table.Told()
+		reply.Table = v.table.Told(m.From)
 	}
 	return []Envelope{{from, reply}}
 }
 
-// renew grants leases of all open tenures, once the member knows the records as
-// they are now.
+// renew grants leases of all open tenures, once the member knows the records as they are
+// now. An answer with records waits for its place among the news; other voters, who may need
+// the records to recover, get it at once.
 func (v *Voter) renew(now time.Time, from string, m *Message) []Envelope {
-	reply := v.message(Granted, m)
-	reply.Normal = true
-	reply.Records, reply.Revision, reply.More = v.page(m)
-	if !reply.More {
-		v.grants[m.From] = grant{from, now.Add(LeaseSpan)}
+	g, out := v.asked(now, from, m)
+	if g.askedFrom < v.revision && v.table.Seat(m.From) == nil {
+		v.enqueue(m.From, g)
+		return append(out, v.pushes(now)...)
 	}
-	return []Envelope{{from, reply}}
+	return append([]Envelope{v.grant(now, m.From, g)}, out...)
 }
 
-// page returns the oldest records that a member does not know, the revision up to
-// which it then knows them, and whether there are more.
+// page returns the oldest records that a sealed voter has not told, the revision up to
+// which they are known then, and whether there are more.
 func (v *Voter) page(m *Message) ([]Record, uint64, bool) {
 	known := m.Known
 	if m.KnownLife != v.life {
 		known = 0
 	}
+	return v.pageAfter(known)
+}
+
+func (v *Voter) pageAfter(known uint64) ([]Record, uint64, bool) {
 	if known >= v.revision {
 		return nil, v.revision, false
 	}
@@ -234,15 +233,15 @@
 	if (m.Ballot <= held.Promised && !again) || taken {
 		return v.denied(from, m, held)
 	}
-	var out []Envelope
 	if !again {
-		if held.Open {
-			held.closing, held.owing = m.Ballot, v.running(now)
-		}
+		closes := held.Open
 		held.Promised, held.Candidate, held.Open = m.Ballot, m.candidate(), false
 		held.told = false
 		v.changed(held)
-		out = v.recall(now, held)
+		if closes {
+			held.closing, held.closedAt, held.owing = m.Ballot, held.Revision, v.running(now)
+			v.tell(now, true)
+		}
 	}
 	held.busyUntil, held.candidateAddress = now.Add(CandidateSpan), from
 	reply := v.message(Promised, m)
@@ -251,29 +250,19 @@
 	if held.Loose != "" {
 		reply.LooseFor = max(0, held.looseUntil.Sub(now))
 	}
-	return append(out, Envelope{from, reply})
-}
-
-// running returns the leases that may still be held.
-func (v *Voter) running(now time.Time) map[string]grant {
-	maps.DeleteFunc(v.grants, func(_ string, g grant) bool { return !now.Before(g.until) })
-	return maps.Clone(v.grants)
+	// The candidate waits for the answer, and counts it for a short time only.
+	return append([]Envelope{{from, reply}}, v.pushes(now)...)
 }
 
-// recall asks the members that may hold leases of a closed tenure to give them up.
-func (v *Voter) recall(now time.Time, held *matter) []Envelope {
-	held.recalled = now
-	return v.push(held, held.owing, true)
-}
-
-func (v *Voter) push(held *matter, to map[string]grant, recall bool) []Envelope {
-	var out []Envelope
-	for _, name := range slices.Sorted(maps.Keys(to)) {
-		m := v.message(Push, &Message{Service: held.Service, Ballot: held.Promised})
-		m.Records, m.Recall = []Record{held.Record}, recall
-		out = append(out, Envelope{to[name].address, m})
+// running returns until when leases may still be held, by member.
+func (v *Voter) running(now time.Time) map[string]time.Time {
+	running := map[string]time.Time{}
+	for name, g := range v.grants {
+		if g.running(now) {
+			running[name] = g.until
+		}
 	}
-	return out
+	return running
 }
 
 // clear reports whether no lease of a closed tenure is left.
@@ -281,18 +270,19 @@
 	if now.Before(v.unknownUntil) {
 		return false
 	}
-	maps.DeleteFunc(held.owing, func(_ string, g grant) bool { return !now.Before(g.until) })
+	maps.DeleteFunc(held.owing, func(_ string, until time.Time) bool { return !now.Before(until) })
 	return len(held.owing) == 0
 }
 
-// released takes a member's word that it uses no tenure below a ballot any more.
+// released takes a member's word that it uses no tenure below a ballot any more, and up to
+// which revision it knows the records.
 func (v *Voter) released(now time.Time, m *Message) []Envelope {
-	held := v.matters[m.Service]
-	if held == nil || m.Ballot < held.closing {
-		return nil
+	var out []Envelope
+	if held := v.matters[m.Service]; held != nil && m.Ballot >= held.closing {
+		delete(held.owing, m.From)
+		out = v.tellClear(now, held)
 	}
-	delete(held.owing, m.From)
-	return v.tellClear(now, held)
+	return append(out, v.heard(now, m)...)
 }
 
 // tellClear tells the candidate once that no lease is left.
@@ -304,14 +294,14 @@
 	return []Envelope{{held.candidateAddress, v.message(Cleared, &Message{Service: held.Service, Ballot: held.Promised})}}
 }
 
-// Tick repeats recalls that were not answered and tells candidates of leases that
-// have run out. It reports whether it needs to be called again soon.
+// Tick repeats what was not answered and tells candidates of leases that have run out. It
+// reports whether it needs to be called again soon.
 func (v *Voter) Tick(now time.Time) ([]Envelope, bool) {
 	if v.standing != normal {
 		return nil, false
 	}
-	var out []Envelope
-	waiting := false
+	out := v.repeats(now)
+	waiting := v.spread.busy()
 	for _, service := range slices.Sorted(maps.Keys(v.matters)) {
 		held := v.matters[service]
 		if held.Open || held.told || held.candidateAddress == "" {
@@ -319,9 +309,6 @@
 		}
 		waiting = true
 		out = append(out, v.tellClear(now, held)...)
-		if len(held.owing) > 0 && now.Sub(held.recalled) >= RecallInterval {
-			out = append(out, v.recall(now, held)...)
-		}
 	}
 	return out, waiting
 }
@@ -354,7 +341,6 @@
 	}
 	// Candidates do not alternate at short intervals, also not after a success.
 	held.busyUntil = now.Add(CandidateSpan)
-	var out []Envelope
 	if !held.Open {
 		held.Chosen, held.Open, held.Ordering = tenure, true, false
 		held.Term = max(held.Term, m.Term)
@@ -362,9 +348,9 @@
 			held.Loose, held.looseUntil = m.Primary, now.Add(LooseSpan)
 		}
 		v.changed(held)
-		out = v.push(held, v.running(now), false)
+		v.tell(now, false)
 	}
-	return append(out, Envelope{from, v.message(Opened, m)})
+	return append([]Envelope{{from, v.message(Opened, m)}}, v.pushes(now)...)
 }
 
 // seal ends the voter's part in the era.
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -23,16 +23,8 @@
 	// busyInterval is the pause between looks while this node's voter waits for
 	// leases to end or has no memory.
 	busyInterval = 40 * time.Millisecond
-	// unmetInterval is the pause between renewals while some voters have not answered
-	// since the table was taken: they may not know it yet.
-	unmetInterval = 100 * time.Millisecond
-	// settleInterval is the same while too few have told their records, for settleSpan
-	// from then on: nodes learn of a new table within a round trip or two.
-	settleInterval = 25 * time.Millisecond
-	settleSpan     = time.Second
-	// renewAgain is the shortest pause between renewals that requests ask for: about
-	// a round trip between regions.
-	renewAgain = 30 * time.Millisecond
+	// eagerSpan is how long after a request has asked for leases voters are asked eagerly.
+	eagerSpan = 100 * time.Millisecond
 	// storeLimit bounds a call to the store.
 	storeLimit = 1500 * time.Millisecond
 )
@@ -80,11 +72,10 @@
 	member *quorum.Member
 	// tableRevision is the store's revision of the table.
 	tableRevision uint64
-	renewedAt     time.Time
-	// installedAt is when the table was taken.
-	installedAt time.Time
-	sequence    uint64
-	rounds      map[uint64]*round
+	// wantedAt is when a request last asked for leases.
+	wantedAt time.Time
+	sequence uint64
+	rounds   map[uint64]*round
 	// lives are the processes of peers that have answered an inquiry.
 	lives map[string]uint64
 	// fetching is set while the table is read from the store.
@@ -135,32 +126,30 @@
 	}
 }
 
-// tick renews leases when they are due, and returns the pause until the next look.
+// tick asks for leases that are due, and returns the pause until the next look.
 func (k *Keeper) tick(now time.Time) time.Duration {
 	k.mu.Lock()
 	out, busy := k.voter.Tick(now)
-	busy = busy || k.voter.Recovering()
-	due := quorum.RenewInterval
-	switch {
-	case k.voter.Recovering():
-		due = busyInterval
-	case k.member.Table() == nil:
-	case !k.votable() && now.Sub(k.installedAt) < settleSpan:
-		due = settleInterval
-	case k.member.Unmet():
-		due = unmetInterval
-	}
-	if k.member.Table() != nil && now.Sub(k.renewedAt) >= due {
-		k.renewedAt = now
-		out = append(out, k.member.Renewals(now)...)
-	}
-	next := due - now.Sub(k.renewedAt)
+	questions, next := k.due(now)
 	k.mu.Unlock()
-	k.send(out)
+	k.send(append(out, questions...))
+	pause := max(next.Sub(now), time.Millisecond)
 	if busy {
-		return busyInterval
+		return min(pause, busyInterval)
+	}
+	return pause
+}
+
+// due asks the voters that are to be asked now; the lock is held.
+func (k *Keeper) due(now time.Time) ([]quorum.Envelope, time.Time) {
+	haste := quorum.Calm
+	switch {
+	case k.voter.Recovering():
+		haste = quorum.Urgent
+	case now.Sub(k.wantedAt) < eagerSpan:
+		haste = quorum.Eager
 	}
-	return max(next, time.Millisecond)
+	return k.member.Due(now, haste)
 }
 
 // send delivers messages; those to this node itself do not travel.
@@ -184,17 +173,21 @@
 	switch {
 	case m.Kind.ForVoter():
 		out = k.voter.Step(now, from, m)
-		if m.Kind == quorum.Prepare {
+		if m.Kind == quorum.Prepare || m.Kind == quorum.Open {
 			k.rouse()
 		}
 	case m.Kind == quorum.Inquire:
-		out = []quorum.Envelope{{To: from, Message: k.announcement(m.Sequence)}}
+		out = []quorum.Envelope{{To: from, Message: k.announcement(m.From, m.Sequence)}}
 	default:
 		before := k.votable()
 		out, changed = k.member.Step(now, from, m)
 		voiced = !before && k.votable()
 		out = append(out, k.learn(from, m)...)
 		k.recover(now)
+		if !k.member.Settled() {
+			// Whoever has answered may be asked again sooner than whoever has not.
+			k.rouse()
+		}
 		k.answered(m)
 		k.sealed(m)
 	}
@@ -234,11 +227,11 @@
 	}
 }
 
-// announcement tells the table; the lock is held.
-func (k *Keeper) announcement(sequence uint64) quorum.Message {
+// announcement tells a node the table; the lock is held.
+func (k *Keeper) announcement(name string, sequence uint64) quorum.Message {
 	m := quorum.Message{Kind: quorum.Announce, From: k.cfg.Name, Life: k.cfg.Life, Sequence: sequence}
 	if table := k.voter.Table(); table != nil {
-		m.Era, m.Table = table.Era, table.Told()
+		m.Era, m.Table = table.Era, table.Told(name)
 	}
 	return m
 }
@@ -253,7 +246,7 @@
 		k.adopt(m.Table)
 	}
 	if m.Kind == quorum.Unable && known != nil && m.Era < known.Era {
-		return []quorum.Envelope{{To: from, Message: k.announcement(0)}}
+		return []quorum.Envelope{{To: from, Message: k.announcement(m.From, 0)}}
 	}
 	return nil
 }
@@ -266,6 +259,7 @@
 		return
 	}
 	k.install(time.Now(), table)
+	go k.announce(table, false)
 }
 
 // install takes a newer table; the lock is held.
@@ -277,7 +271,6 @@
 	k.voter.Install(now, table)
 	changed := k.publish(k.member.SetTable(now, table))
 	go k.tellChanged(changed)
-	k.installedAt, k.renewedAt = now, time.Time{}
 	k.rouse()
 	k.cfg.Log.Write(eventlog.VotersChanged, zap.Uint64("era", table.Era), zap.Int("voters", len(table.Seats)),
 		zap.Bool("voting", k.voter.Normal()), zap.Int("records", len(table.Records)))
@@ -416,14 +409,11 @@
 	return table != nil && k.member.Whole() >= table.Majority()
 }
 
-// Renew asks for leases at once, unless that has just been done.
+// Renew asks for leases as soon as voters may be asked again.
 func (k *Keeper) Renew(now time.Time) {
 	k.mu.Lock()
-	var out []quorum.Envelope
-	if k.member.Table() != nil && now.Sub(k.renewedAt) >= renewAgain {
-		k.renewedAt = now
-		out = k.member.Renewals(now)
-	}
+	k.wantedAt = now
+	out, _ := k.due(now)
 	k.mu.Unlock()
 	k.send(out)
 }
--- a/internal/proxy/tenure/keeper_test.go
+++ b/internal/proxy/tenure/keeper_test.go
@@ -25,6 +25,8 @@
 	store   *managed.Store
 	log     *eventlog.Log
 	lives   uint64
+	// links limit what nodes send; nil if they do not.
+	links *links
 }
 
 // end is one keeper's end of the network.
@@ -35,8 +37,17 @@
 
 // SendMessage implements Sender.
 func (e *end) SendMessage(address string, m *quorum.Message) {
-	sent := *m
-	time.AfterFunc(2*time.Millisecond, func() {
+	sent, delay := *m, time.Duration(0)
+	if e.links != nil {
+		e.mu.Lock()
+		took, arrives := e.links.carry(e.name, address, m)
+		e.mu.Unlock()
+		if !arrives {
+			return
+		}
+		delay = took
+	}
+	time.AfterFunc(delay+2*time.Millisecond, func() {
 		e.mu.Lock()
 		receiver := e.keepers[address]
 		lost := e.silent[address] || e.silent[e.name]
--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -46,17 +46,27 @@
 	inquiryLook = 10 * time.Millisecond
 	// inquiredPeers is how many peers are asked for the table, or whether they live.
 	inquiredPeers = 12
-	// sealLimit bounds the end of an era, sealInterval is the pause between questions.
+	// sealLimit bounds the end of an era. sealInterval is the pause between questions, which
+	// doubles: what is late for want of room on a link is not hastened by more of it.
 	sealLimit    = time.Second
 	sealInterval = 30 * time.Millisecond
+	// firstEraPause is the pause after an era that could not be ended or begun, which
+	// doubles up to longestEraPause: each attempt seals voters and asks many nodes.
+	firstEraPause   = 25 * time.Millisecond
+	longestEraPause = 400 * time.Millisecond
+	// toldDirectly is how many nodes at most are told of a new table by the one that has
+	// written it; if there are more, each voter tells its share of them. A table takes
+	// some 300 bytes.
+	toldDirectly = 48
 )
 
 // keepTable learns the table, makes the first one, and looks after it.
 func (k *Keeper) keepTable(ctx context.Context) {
 	k.fetch(ctx)
 	var grown time.Time
+	var pause time.Duration
 	for ctx.Err() == nil {
-		timer := time.NewTimer(k.reviewPause())
+		timer := time.NewTimer(max(pause, k.reviewPause()))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -67,7 +77,13 @@
 		case k.table() == nil:
 			k.seek(ctx, now)
 		case k.inCharge(now) && k.lacking(now, &grown):
+			era := k.table().Era
 			k.change(ctx)
+			if k.table().Era > era {
+				pause = 0
+			} else {
+				pause = min(max(firstEraPause, 2*pause), longestEraPause)
+			}
 		}
 	}
 }
@@ -95,11 +111,16 @@
 		return
 	}
 	k.fetching = true
+	known := k.voter.Table()
 	go func() {
 		k.fetch(context.Background())
 		k.mu.Lock()
 		k.fetching = false
+		table := k.voter.Table()
 		k.mu.Unlock()
+		if table != known {
+			k.announce(table, false)
+		}
 	}()
 }
 
@@ -272,10 +293,51 @@
 	k.mu.Lock()
 	k.tableRevision = object.Revision
 	k.install(time.Now(), table)
-	announcement := k.announcement(0)
 	k.mu.Unlock()
+	k.announce(table, true)
+}
+
+// announce tells other nodes of a table that has just been taken: voters first and whole, since
+// they need its records. In a large fleet the one that has written it tells the other voters,
+// and each voter a share of the rest. Whoever is missed learns of it with its next question to a
+// voter.
+func (k *Keeper) announce(table *quorum.Table, written bool) {
+	var voters, others []Peer
 	for _, peer := range k.cfg.Peers() {
-		k.cfg.Sender.SendMessage(peer.Address, &announcement)
+		if table.Seat(peer.Name) != nil {
+			voters = append(voters, peer)
+		} else {
+			others = append(others, peer)
+		}
+	}
+	if written {
+		k.tellTable(voters, table)
+	}
+	if len(others) > toldDirectly {
+		seat := slices.IndexFunc(table.Seats, func(seat quorum.Seat) bool { return seat.Name == k.cfg.Name })
+		others = shareOf(others, seat, len(table.Seats))
+	} else if !written {
+		return
+	}
+	k.tellTable(others, table)
+}
+
+// shareOf returns the peers that are a voter's to tell; none if it is no voter.
+func shareOf(peers []Peer, seat, seats int) []Peer {
+	slices.SortFunc(peers, func(a, b Peer) int { return cmp.Compare(a.Name, b.Name) })
+	var share []Peer
+	for i, peer := range peers {
+		if i%seats == seat {
+			share = append(share, peer)
+		}
+	}
+	return share
+}
+
+func (k *Keeper) tellTable(peers []Peer, table *quorum.Table) {
+	for _, peer := range peers {
+		m := quorum.Message{Kind: quorum.Announce, From: k.cfg.Name, Life: k.cfg.Life, Era: table.Era, Table: table.Told(peer.Name)}
+		k.cfg.Sender.SendMessage(peer.Address, &m)
 	}
 }
 
@@ -363,9 +425,9 @@
 	}()
 	limited, cancel := context.WithTimeout(ctx, sealLimit)
 	defer cancel()
-	for limited.Err() == nil {
+	for pause := sealInterval; limited.Err() == nil; pause *= 2 {
 		k.send(sealing.Questions(k.cfg.Name, k.cfg.Life, sequence))
-		timer := time.NewTimer(sealInterval)
+		timer := time.NewTimer(pause)
 		for waiting := true; waiting; {
 			select {
 			case m := <-answers:
