quota: allocators and balances in place of banks and wallets

Cause: bank and wallet are metaphors; the field calls what hands out tokens an allocator, and what a node has left of them a balance. Ruled out: lender, which lends against the word for tokens that are sure. Change: names only. The key by which nodes rank allocators stays as it was, since nodes of the earlier version rank by it.

--- a/internal/proxy/quota/bank.go
+++ b/internal/proxy/quota/allocator.go
@@ -11,20 +11,20 @@
 const delegationSpan = 500 * time.Millisecond
 
 const (
-	// aheadShare is the part of its stock that a bank keeps for operations that wait:
+	// aheadShare is the part of its stock that an allocator keeps for operations that wait:
 	// tokens ahead of need are handed out beyond it only.
 	aheadShare = 0.5
-	// leastDry and mostDry bound the time after which a bank that has no token is asked
+	// leastDry and mostDry bound the time after which an allocator that has no token is asked
 	// again.
 	leastDry = 10 * time.Millisecond
 	mostDry  = time.Second
-	// youngSpan is how long after its start a bank has less than usual, since those that
+	// youngSpan is how long after its start an allocator has less than usual, since those that
 	// have started with it let their shares rest. It is asked again after youngDry.
 	youngSpan = 1500 * time.Millisecond
 	youngDry  = 50 * time.Millisecond
 	// mostDelay bounds how long tokens that are still to be minted are waited for: with the
 	// statement itself it is within a usual objective. It takes the place of a refusal
-	// after a loss of all nodes, when no bank has any tokens: 8.1% of a day with two such
+	// after a loss of all nodes, when no allocator has any tokens: 8.1% of a day with two such
 	// losses are refused in place of 10.5% (one play, 59 nodes, 72 tenants).
 	mostDelay = 400 * time.Millisecond
 )
@@ -32,9 +32,9 @@
 // Limits tells how a tenant's tokens are minted; false if it has no quota.
 type Limits func(tenant string) (Limit, bool)
 
-// Bank hands out what the shares that are delegated to it mint. It is pure, and used by one
+// Allocator hands out what the shares that are delegated to it mint. It is pure, and used by one
 // goroutine at a time.
-type Bank struct {
+type Allocator struct {
 	life    uint64
 	started time.Time
 	limits  Limits
@@ -56,7 +56,7 @@
 type delegation struct {
 	delegator
 	share float64
-	// asOf is the moment, by the bank's clock, from which it holds for a span.
+	// asOf is the moment, by the allocator's clock, from which it holds for a span.
 	asOf  time.Duration
 	until time.Time
 }
@@ -78,16 +78,16 @@
 	volume float64
 }
 
-// NewBank returns a bank without any tokens.
-func NewBank(life uint64, started time.Time, limits Limits) *Bank {
-	return &Bank{
+// NewAllocator returns an allocator without any tokens.
+func NewAllocator(life uint64, started time.Time, limits Limits) *Allocator {
+	return &Allocator{
 		life: life, started: started, limits: limits,
 		delegations: map[delegator]*delegation{}, accounts: map[string]*account{},
 	}
 }
 
 // Handle serves a request.
-func (b *Bank) Handle(now time.Time, asked *Request) *Reply {
+func (b *Allocator) Handle(now time.Time, asked *Request) *Reply {
 	b.expire(now)
 	b.delegate(now, asked)
 	reply := &Reply{Sequence: asked.Sequence, Clock: Echo{Life: b.life, Clock: now.Sub(b.started)}, Leaving: b.leaving}
@@ -99,7 +99,7 @@
 
 // delegate takes the delegations of a request, unless what it echoes is too old, or of
 // another process.
-func (b *Bank) delegate(now time.Time, asked *Request) {
+func (b *Allocator) delegate(now time.Time, asked *Request) {
 	until := b.started.Add(asked.Echo.Clock + delegationSpan)
 	if asked.Echo.Life != b.life || asked.Echo.Clock > now.Sub(b.started) || !until.After(now) {
 		return
@@ -124,7 +124,7 @@
 }
 
 // expire ends the delegations whose time is over, each at its time.
-func (b *Bank) expire(now time.Time) {
+func (b *Allocator) expire(now time.Time) {
 	if b.expires.IsZero() || b.expires.After(now) {
 		return
 	}
@@ -153,7 +153,7 @@
 	}
 }
 
-func (b *Bank) delegated(part Part) bool {
+func (b *Allocator) delegated(part Part) bool {
 	for from := range b.delegations {
 		if from.part == part {
 			return true
@@ -165,7 +165,7 @@
 // change changes what is delegated of a part at a time. Where it becomes less, tokens
 // beyond the stock of what is left are dropped: a node that takes its share back begins a
 // stock elsewhere.
-func (b *Bank) change(at time.Time, part Part, more float64) {
+func (b *Allocator) change(at time.Time, part Part, more float64) {
 	p := b.partition(at, part)
 	if more >= 0 {
 		p.advance(at)
@@ -179,7 +179,7 @@
 }
 
 // settleAll settles the tenants of a part.
-func (b *Bank) settleAll(at time.Time, part Part) {
+func (b *Allocator) settleAll(at time.Time, part Part) {
 	for tenant, known := range b.accounts {
 		if part.Covers(tenant) {
 			b.settle(at, tenant, known)
@@ -188,7 +188,7 @@
 }
 
 // partition returns what is delegated of a part.
-func (b *Bank) partition(at time.Time, part Part) *partition {
+func (b *Allocator) partition(at time.Time, part Part) *partition {
 	for _, p := range b.parts {
 		if p.part == part {
 			return p
@@ -208,7 +208,7 @@
 }
 
 // settle mints a tenant's tokens up to a time and returns the share that mints them.
-func (b *Bank) settle(now time.Time, tenant string, a *account) float64 {
+func (b *Allocator) settle(now time.Time, tenant string, a *account) float64 {
 	volume, share := 0.0, 0.0
 	for _, p := range b.parts {
 		if p.part.Covers(tenant) {
@@ -223,7 +223,7 @@
 }
 
 // grant hands out tokens of a tenant.
-func (b *Bank) grant(now time.Time, want *Want) Grant {
+func (b *Allocator) grant(now time.Time, want *Want) Grant {
 	limit, limited := b.limits(want.Tenant)
 	if !limited {
 		// A configuration that the asker does not know has lifted the quota, or this node
@@ -264,7 +264,7 @@
 
 // grantLater hands out tokens that the present delegations are sure to mint soon: until a
 // delegation ends, its share mints here and nowhere else.
-func (b *Bank) grantLater(now time.Time, a *account, need uint32, share float64, granted *Grant) {
+func (b *Allocator) grantLater(now time.Time, a *account, need uint32, share float64, granted *Grant) {
 	pace := a.limit.Rate * share
 	if pace <= 0 {
 		return
@@ -281,7 +281,7 @@
 
 // ahead returns the share of a tenant's part that is delegated, summed over the time until
 // each delegation ends, in seconds.
-func (b *Bank) ahead(now time.Time, tenant string) float64 {
+func (b *Allocator) ahead(now time.Time, tenant string) float64 {
 	volume := 0.0
 	for _, d := range b.delegations {
 		if d.part.Covers(tenant) {
@@ -302,7 +302,7 @@
 }
 
 // Forget drops the accounts of tenants that have no quota any more.
-func (b *Bank) Forget() {
+func (b *Allocator) Forget() {
 	for tenant := range b.accounts {
 		if _, limited := b.limits(tenant); !limited {
 			delete(b.accounts, tenant)
--- a/internal/proxy/quota/wallet.go
+++ b/internal/proxy/quota/balance.go
@@ -12,17 +12,17 @@
 	until time.Time
 }
 
-// wallet is what a node has of a tenant's tokens, and who waits for some.
-type wallet struct {
+// balance is what a node has of a tenant's tokens, and who waits for some.
+type balance struct {
 	lots []lot
 	// waiting counts the operations that wait for a token.
 	waiting uint32
-	// asked is the bank that is asked for some; empty if none is.
+	// asked is the allocator that is asked for some; empty if none is.
 	asked string
-	// dry holds the banks that have none, and until when.
+	// dry holds the allocators that have none, and until when.
 	dry  map[string]time.Time
 	pace pace
-	// young is set if the bank that was asked last had only just started.
+	// young is set if the allocator that was asked last had only just started.
 	young bool
 	// used is when a token was last wanted.
 	used time.Time
@@ -30,7 +30,7 @@
 
 // held drops the tokens that are no longer good and returns how many there are, those
 // included that are only good later.
-func (w *wallet) held(now time.Time) uint32 {
+func (w *balance) held(now time.Time) uint32 {
 	kept, held := 0, uint32(0)
 	for _, l := range w.lots {
 		if l.count > 0 && l.until.After(now) {
@@ -43,8 +43,8 @@
 	return held
 }
 
-// take takes the token that is good for the shortest time; the wallet has some.
-func (w *wallet) take() lot {
+// take takes the token that is good for the shortest time; the balance has some.
+func (w *balance) take() lot {
 	first := 0
 	for i := range w.lots {
 		if w.lots[i].until.Before(w.lots[first].until) {
@@ -55,11 +55,11 @@
 	return lot{count: 1, from: w.lots[first].from, until: w.lots[first].until}
 }
 
-// isDry reports whether a bank has said that it has no token now.
-func (w *wallet) isDry(bank string, now time.Time) bool { return w.dry[bank].After(now) }
+// isDry reports whether an allocator has said that it has no token now.
+func (w *balance) isDry(allocator string, now time.Time) bool { return w.dry[allocator].After(now) }
 
 // lack returns how many operations wait beyond the tokens that are held.
-func (w *wallet) lack(now time.Time) uint32 {
+func (w *balance) lack(now time.Time) uint32 {
 	held := w.held(now)
 	if held >= w.waiting {
 		return 0
--- a/internal/proxy/quota/keeper.go
+++ b/internal/proxy/quota/keeper.go
@@ -117,7 +117,7 @@
 	k.step(func(time.Time) { k.machine.SetShare(from) })
 }
 
-// Leave makes the node's bank tell its askers to turn to others.
+// Leave makes the node's allocator tell its askers to turn to others.
 func (k *Keeper) Leave() {
 	k.step(func(time.Time) { k.machine.Leave() })
 }
--- a/internal/proxy/quota/machine.go
+++ b/internal/proxy/quota/machine.go
@@ -5,22 +5,22 @@
 	"time"
 )
 
-// Times of the exchange with banks.
+// Times of the exchange with allocators.
 const (
-	// renewInterval is the pause between a node's delegations to its bank.
+	// renewInterval is the pause between a node's delegations to its allocator.
 	renewInterval = 150 * time.Millisecond
-	// answerLimit is how long a bank's answer is waited for: some round trips between
-	// regions. After missesToSilent in a row the bank counts as silent.
+	// answerLimit is how long an allocator's answer is waited for: some round trips between
+	// regions. After missesToSilent in a row the allocator counts as silent.
 	answerLimit    = 200 * time.Millisecond
 	missesToSilent = 2
-	// firstRetry is the pause until a silent bank is asked again; it doubles up to
+	// firstRetry is the pause until a silent allocator is asked again; it doubles up to
 	// lastRetry.
 	firstRetry = 500 * time.Millisecond
 	lastRetry  = 4 * time.Second
-	// unreachedPause is when to come back while no bank can be asked.
+	// unreachedPause is when to come back while no allocator can be asked.
 	unreachedPause = 300 * time.Millisecond
-	// walletLife is how long the wallet of a tenant without callers is kept.
-	walletLife = 10 * time.Second
+	// balanceLife is how long the balance of a tenant without callers is kept.
+	balanceLife = 10 * time.Second
 )
 
 // Config configures a Machine.
@@ -55,17 +55,17 @@
 	}
 }
 
-// Region is the banks of a region: for each part of the tenants, the addresses of those
-// nodes that may be its bank, best first.
+// Region is the allocators of a region: for each part of the tenants, the addresses of those
+// nodes that may be its allocator, best first.
 type Region struct {
-	Banks [][]string
+	Allocators [][]string
 }
 
-// Machine is one node's part: the tokens of its callers, its share and its bank. It is
+// Machine is one node's part: the tokens of its callers, its share and its allocator. It is
 // pure, and used by one goroutine at a time.
 type Machine struct {
-	cfg  Config
-	bank *Bank
+	cfg       Config
+	allocator *Allocator
 
 	fleet Fleet
 	// nodes is the most that were seen to share the quotas.
@@ -73,27 +73,27 @@
 	// shareFrom is when the node's share may first be used; zero while it has none.
 	shareFrom time.Time
 	// promises are the delegations that may still hold, by part.
-	promises map[Part]promise
-	banks    map[string]*correspondent
-	// order holds the addresses of banks in the order in which they became known, so that
+	promises   map[Part]promise
+	allocators map[string]*correspondent
+	// order holds the addresses of allocators in the order in which they became known, so that
 	// the same events have the same effects.
 	order    []string
-	wallets  map[string]*wallet
+	balances map[string]*balance
 	sequence uint64
 	swept    time.Time
 	out      []Envelope
 }
 
 // promise is to whom a share is delegated, and until when at the latest. Another process
-// at the same address is another bank: the last one may have handed out what the share was
+// at the same address is another allocator: the last one may have handed out what the share was
 // sure to mint.
 type promise struct {
-	bank  string
-	life  uint64
-	until time.Time
+	allocator string
+	life      uint64
+	until     time.Time
 }
 
-// correspondent is another node as a bank.
+// correspondent is another node as an allocator.
 type correspondent struct {
 	address string
 	echo    Echo
@@ -122,8 +122,8 @@
 // NewMachine returns a machine that knows of no other node and has no share.
 func NewMachine(cfg Config) *Machine {
 	return &Machine{
-		cfg: cfg, bank: NewBank(cfg.Life, cfg.Started, cfg.Limits),
-		promises: map[Part]promise{}, banks: map[string]*correspondent{}, wallets: map[string]*wallet{},
+		cfg: cfg, allocator: NewAllocator(cfg.Life, cfg.Started, cfg.Limits),
+		promises: map[Part]promise{}, allocators: map[string]*correspondent{}, balances: map[string]*balance{},
 	}
 }
 
@@ -152,8 +152,8 @@
 	}
 }
 
-// Leave makes the node's bank tell its askers to turn to others.
-func (m *Machine) Leave() { m.bank.leaving = true }
+// Leave makes the node's allocator tell its askers to turn to others.
+func (m *Machine) Leave() { m.allocator.leaving = true }
 
 // Verdict is whether an operation may run.
 type Verdict struct {
@@ -162,21 +162,21 @@
 	// a moment.
 	From  time.Time
 	Until time.Time
-	// Pending is set if a bank is being asked: the operation is to ask again once
+	// Pending is set if an allocator is being asked: the operation is to ask again once
 	// something has come, and counts as waiting until then.
 	Pending bool
 	// After is when a refused operation may have a chance. Young is set if that is soon,
-	// since the banks have only just started.
+	// since the allocators have only just started.
 	After time.Duration
 	Young bool
 }
 
 // Take asks for a token for an operation. waits is set if the operation waits already.
 func (m *Machine) Take(now time.Time, tenant string, waits bool) Verdict {
-	w := m.wallets[tenant]
+	w := m.balances[tenant]
 	if w == nil {
-		w = &wallet{dry: map[string]time.Time{}}
-		m.wallets[tenant] = w
+		w = &balance{dry: map[string]time.Time{}}
+		m.balances[tenant] = w
 	}
 	w.used = now
 	if waits {
@@ -198,20 +198,20 @@
 
 // Abandon ends the wait of an operation.
 func (m *Machine) Abandon(tenant string) {
-	if w := m.wallets[tenant]; w != nil && w.waiting > 0 {
+	if w := m.balances[tenant]; w != nil && w.waiting > 0 {
 		w.waiting--
 	}
 }
 
 // PutBack returns the token of an operation that did not run.
 func (m *Machine) PutBack(now time.Time, tenant string, from, until time.Time) {
-	if w := m.wallets[tenant]; w != nil && until.After(now) {
+	if w := m.balances[tenant]; w != nil && until.After(now) {
 		w.lots = append(w.lots, lot{count: 1, from: from, until: until})
 	}
 }
 
-// comeBack returns when one of the banks will have a token.
-func (m *Machine) comeBack(now time.Time, w *wallet) time.Duration {
+// comeBack returns when one of the allocators will have a token.
+func (m *Machine) comeBack(now time.Time, w *balance) time.Duration {
 	first := time.Duration(0)
 	for _, until := range w.dry {
 		if left := until.Sub(now); left > 0 && (first == 0 || left < first) {
@@ -226,7 +226,7 @@
 
 // askAhead asks for tokens before they are wanted, for a tenant whose callers use several
 // while one is good.
-func (m *Machine) askAhead(now time.Time, tenant string, w *wallet) {
+func (m *Machine) askAhead(now time.Time, tenant string, w *balance) {
 	limit, limited := m.cfg.Limits(tenant)
 	if !limited || w.asked != "" {
 		return
@@ -236,10 +236,10 @@
 	}
 }
 
-// ask asks the first bank for tokens of a tenant that may have some; it reports false if
+// ask asks the first allocator for tokens of a tenant that may have some; it reports false if
 // there is none.
-func (m *Machine) ask(now time.Time, tenant string, w *wallet) bool {
-	address, found := m.bankFor(now, tenant, w)
+func (m *Machine) ask(now time.Time, tenant string, w *balance) bool {
+	address, found := m.allocatorFor(now, tenant, w)
 	if !found {
 		return false
 	}
@@ -252,9 +252,9 @@
 	return true
 }
 
-// bankFor returns the bank to ask for tokens of a tenant: that of the node's own region,
+// allocatorFor returns the allocator to ask for tokens of a tenant: that of the node's own region,
 // or one of another region if that has none.
-func (m *Machine) bankFor(now time.Time, tenant string, w *wallet) (string, bool) {
+func (m *Machine) allocatorFor(now time.Time, tenant string, w *balance) (string, bool) {
 	for region := range m.fleet.regions {
 		address, found := m.present(region, tenant)
 		if found && !w.isDry(address, now) {
@@ -264,17 +264,17 @@
 	return "", false
 }
 
-// present returns the bank of a region for a tenant's part: the first that answers.
+// present returns the allocator of a region for a tenant's part: the first that answers.
 func (m *Machine) present(region Region, tenant string) (string, bool) {
-	if len(region.Banks) == 0 {
+	if len(region.Allocators) == 0 {
 		return "", false
 	}
-	return m.firstAnswering(region.Banks[PartOf(tenant, len(region.Banks)).Index])
+	return m.firstAnswering(region.Allocators[PartOf(tenant, len(region.Allocators)).Index])
 }
 
 func (m *Machine) firstAnswering(addresses []string) (string, bool) {
 	for _, address := range addresses {
-		if c := m.banks[address]; c == nil || !c.silent {
+		if c := m.allocators[address]; c == nil || !c.silent {
 			return address, true
 		}
 	}
@@ -282,16 +282,16 @@
 }
 
 func (m *Machine) correspondent(address string) *correspondent {
-	c := m.banks[address]
+	c := m.allocators[address]
 	if c == nil {
 		c = &correspondent{address: address}
-		m.banks[address] = c
+		m.allocators[address] = c
 		m.order = append(m.order, address)
 	}
 	return c
 }
 
-// request sends a bank what is to be told and asked.
+// request sends an allocator what is to be told and asked.
 func (m *Machine) request(now time.Time, c *correspondent) {
 	m.sequence++
 	asked := &Request{Node: m.cfg.Node, Sequence: m.sequence, Echo: c.echo, Delegations: m.promise(now, c)}
@@ -300,7 +300,7 @@
 		c.wanted, c.queued = c.wanted[:maxWants], c.wanted[maxWants:]
 	}
 	for _, tenant := range c.wanted {
-		if w := m.wallets[tenant]; w != nil {
+		if w := m.balances[tenant]; w != nil {
 			asked.Wants = append(asked.Wants, m.want(now, tenant, w))
 		}
 	}
@@ -308,44 +308,44 @@
 	m.out = append(m.out, Envelope{To: c.address, Message: Message{Request: asked}})
 }
 
-func (m *Machine) want(now time.Time, tenant string, w *wallet) Want {
+func (m *Machine) want(now time.Time, tenant string, w *balance) Want {
 	limit, _ := m.cfg.Limits(tenant)
 	return Want{Tenant: tenant, Need: min(w.lack(now), maxCount), More: min(w.pace.ahead(now, limit.Life), maxCount)}
 }
 
-// promise returns the delegations that a request to a bank carries: the parts whose bank
-// it is, unless the node has no share yet, the share may still be at another bank, or the
-// bank's clock is not known well enough for the delegation to hold for a while.
+// promise returns the delegations that a request to an allocator carries: the parts whose allocator
+// it is, unless the node has no share yet, the share may still be at another allocator, or the
+// allocator's clock is not known well enough for the delegation to hold for a while.
 func (m *Machine) promise(now time.Time, c *correspondent) []Delegation {
 	if !m.usable(now) || c.echo.Life == 0 || now.Sub(c.heard) >= delegationSpan/2 {
 		return nil
 	}
 	var delegations []Delegation
-	for index, addresses := range m.fleet.Home.Banks {
+	for index, addresses := range m.fleet.Home.Allocators {
 		part := m.homePart(index)
 		if present, found := m.firstAnswering(addresses); !found || present != c.address || m.heldElsewhere(now, part, c.address, c.echo.Life) {
 			continue
 		}
-		m.promises[part] = promise{bank: c.address, life: c.echo.Life, until: now.Add(delegationSpan)}
+		m.promises[part] = promise{allocator: c.address, life: c.echo.Life, until: now.Add(delegationSpan)}
 		delegations = append(delegations, Delegation{Part: part, Share: 1 / float64(m.nodes)})
 	}
 	return delegations
 }
 
-// homePart returns the part of the tenants that a bank of the node's region serves.
+// homePart returns the part of the tenants that an allocator of the node's region serves.
 func (m *Machine) homePart(index int) Part {
-	return Part{Index: uint16(index), Of: uint16(len(m.fleet.Home.Banks))}
+	return Part{Index: uint16(index), Of: uint16(len(m.fleet.Home.Allocators))}
 }
 
 // heldElsewhere reports whether the share of a part, or of one that overlaps it, may still
-// be delegated to another bank.
-func (m *Machine) heldElsewhere(now time.Time, part Part, bank string, life uint64) bool {
+// be delegated to another allocator.
+func (m *Machine) heldElsewhere(now time.Time, part Part, allocator string, life uint64) bool {
 	for other, known := range m.promises {
 		if !known.until.After(now) {
 			delete(m.promises, other)
 			continue
 		}
-		if other != part && other.Of != part.Of || other == part && (known.bank != bank || known.life != life) {
+		if other != part && other.Of != part.Of || other == part && (known.allocator != allocator || known.life != life) {
 			return true
 		}
 	}
@@ -356,15 +356,15 @@
 func (m *Machine) Receive(now time.Time, from string, message *Message) {
 	switch {
 	case message.Request != nil && message.Request.acceptable():
-		m.out = append(m.out, Envelope{To: from, Message: Message{Reply: m.bank.Handle(now, message.Request)}})
+		m.out = append(m.out, Envelope{To: from, Message: Message{Reply: m.allocator.Handle(now, message.Request)}})
 	case message.Reply != nil:
 		m.answered(now, from, message.Reply)
 	}
 }
 
-// answered takes a bank's answer. One that comes late, or again, brings nothing.
+// answered takes an allocator's answer. One that comes late, or again, brings nothing.
 func (m *Machine) answered(now time.Time, from string, reply *Reply) {
-	c := m.banks[from]
+	c := m.allocators[from]
 	if c == nil || reply.Sequence != c.awaited {
 		return
 	}
@@ -389,14 +389,14 @@
 
 // granted takes tokens, which are good from when they were asked for.
 func (m *Machine) granted(now time.Time, c *correspondent, granted *Grant) {
-	w := m.wallets[granted.Tenant]
+	w := m.balances[granted.Tenant]
 	if w == nil {
 		return
 	}
 	if until := c.sent.Add(granted.Life); granted.Count > 0 && until.After(now) {
 		w.lots = append(w.lots, lot{count: granted.Count, from: now, until: until})
 	}
-	// The bank counts from a moment between the question and its answer.
+	// The allocator counts from a moment between the question and its answer.
 	for i := range min(granted.Later, maxWants) {
 		delay := granted.First + time.Duration(i)*granted.Pace
 		w.lots = append(w.lots, lot{count: 1, from: now.Add(delay), until: c.sent.Add(delay + granted.Life)})
@@ -407,9 +407,9 @@
 	}
 }
 
-// settled goes on to the next bank if operations still wait for tokens of a tenant.
+// settled goes on to the next allocator if operations still wait for tokens of a tenant.
 func (m *Machine) settled(now time.Time, tenant string, c *correspondent) {
-	w := m.wallets[tenant]
+	w := m.balances[tenant]
 	if w == nil || w.asked != c.address {
 		return
 	}
@@ -419,9 +419,9 @@
 	}
 }
 
-// isHome reports whether a node is a bank to which this one delegates.
+// isHome reports whether a node is an allocator to which this one delegates.
 func (m *Machine) isHome(address string) bool {
-	for _, addresses := range m.fleet.Home.Banks {
+	for _, addresses := range m.fleet.Home.Allocators {
 		if present, found := m.firstAnswering(addresses); found && present == address {
 			return true
 		}
@@ -433,7 +433,7 @@
 // times in a renewInterval.
 func (m *Machine) Tick(now time.Time) {
 	for _, address := range m.order {
-		c := m.banks[address]
+		c := m.allocators[address]
 		if c.awaited != 0 && now.Sub(c.sent) >= answerLimit {
 			m.miss(now, c)
 		}
@@ -443,14 +443,14 @@
 		}
 	}
 	m.renew(now)
-	if now.Sub(m.swept) >= walletLife {
+	if now.Sub(m.swept) >= balanceLife {
 		m.sweep(now)
 	}
 }
 
-// renew tells the banks of this node's region that its share is still theirs.
+// renew tells the allocators of this node's region that its share is still theirs.
 func (m *Machine) renew(now time.Time) {
-	for index, addresses := range m.fleet.Home.Banks {
+	for index, addresses := range m.fleet.Home.Allocators {
 		address, found := m.firstAnswering(addresses)
 		if !found {
 			continue
@@ -473,7 +473,7 @@
 	return !m.shareFrom.IsZero() && !now.Before(m.shareFrom) && m.nodes > 0
 }
 
-// miss takes note that a bank has not answered. What was asked of it is asked again, of
+// miss takes note that an allocator has not answered. What was asked of it is asked again, of
 // another one if it counts as silent.
 func (m *Machine) miss(now time.Time, c *correspondent) {
 	wanted := append(c.wanted, c.queued...)
@@ -492,24 +492,24 @@
 // sweep forgets what is no longer used.
 func (m *Machine) sweep(now time.Time) {
 	m.swept = now
-	for tenant, w := range m.wallets {
-		if now.Sub(w.used) >= walletLife && w.waiting == 0 && w.asked == "" {
-			delete(m.wallets, tenant)
+	for tenant, w := range m.balances {
+		if now.Sub(w.used) >= balanceLife && w.waiting == 0 && w.asked == "" {
+			delete(m.balances, tenant)
 		}
 	}
-	for address, c := range m.banks {
+	for address, c := range m.allocators {
 		if c.awaited == 0 && len(c.queued) == 0 && !m.knows(address) {
-			delete(m.banks, address)
+			delete(m.allocators, address)
 		}
 	}
-	m.order = slices.DeleteFunc(m.order, func(address string) bool { return m.banks[address] == nil })
-	m.bank.Forget()
+	m.order = slices.DeleteFunc(m.order, func(address string) bool { return m.allocators[address] == nil })
+	m.allocator.Forget()
 }
 
-// knows reports whether an address is that of a bank of the fleet.
+// knows reports whether an address is that of an allocator of the fleet.
 func (m *Machine) knows(address string) bool {
 	for region := range m.fleet.regions {
-		for _, addresses := range region.Banks {
+		for _, addresses := range region.Allocators {
 			if slices.Contains(addresses, address) {
 				return true
 			}
@@ -520,6 +520,6 @@
 
 // Ready reports whether an operation that waits for a token of a tenant should ask again.
 func (m *Machine) Ready(now time.Time, tenant string) bool {
-	w := m.wallets[tenant]
+	w := m.balances[tenant]
 	return w == nil || w.asked == "" || w.held(now) > 0
 }
--- a/internal/proxy/quota/machine_test.go
+++ b/internal/proxy/quota/machine_test.go
@@ -42,12 +42,12 @@
 // delegation holds, or that an earlier one has overtaken, delegates nothing; nor does one
 // that echoes another process.
 func TestLateDelegationIsNotTaken(t *testing.T) {
-	bank := NewBank(7, testStart, unitLimits)
+	allocator := NewAllocator(7, testStart, unitLimits)
 	part := PartOf("t", 1)
 	delegate := func(now, echo time.Duration, life uint64, share float64) {
-		bank.Handle(at(now), &Request{Node: "n", Echo: Echo{Life: life, Clock: echo}, Delegations: []Delegation{{Part: part, Share: share}}})
+		allocator.Handle(at(now), &Request{Node: "n", Echo: Echo{Life: life, Clock: echo}, Delegations: []Delegation{{Part: part, Share: share}}})
 	}
-	share := func() float64 { return bank.partition(at(0), part).share }
+	share := func() float64 { return allocator.partition(at(0), part).share }
 	delegate(time.Second, 900*time.Millisecond, 8, 0.5)
 	must.Zero(t, share(), must.Sprint("it echoes another process"))
 	delegate(2*time.Second, time.Second, 7, 0.5)
@@ -66,7 +66,7 @@
 // answer to a request that was given up is dropped.
 func TestLateAnswerBringsNothing(t *testing.T) {
 	m := NewMachine(Config{Node: "n", Address: "n", Life: 1, Started: testStart, Limits: unitLimits})
-	m.SetFleet(Fleet{Nodes: 2, Home: Region{Banks: [][]string{{"bank"}}}})
+	m.SetFleet(Fleet{Nodes: 2, Home: Region{Allocators: [][]string{{"allocator"}}}})
 	must.True(t, m.Take(at(0), "t", false).Pending)
 	asked := m.Drain()[0].Message.Request
 	must.Eq(t, []Want{{Tenant: "t", Need: 1}}, asked.Wants)
@@ -74,26 +74,26 @@
 		return &Message{Reply: &Reply{Sequence: asked.Sequence, Grants: []Grant{{Tenant: "t", Count: 5, Life: life}}}}
 	}
 	m.Tick(at(answerLimit))
-	m.Receive(at(answerLimit+time.Millisecond), "bank", answer(time.Second))
-	must.Zero(t, m.wallets["t"].held(at(answerLimit+time.Millisecond)), must.Sprint("the request was given up"))
+	m.Receive(at(answerLimit+time.Millisecond), "allocator", answer(time.Second))
+	must.Zero(t, m.balances["t"].held(at(answerLimit+time.Millisecond)), must.Sprint("the request was given up"))
 
 	asked = m.Drain()[0].Message.Request
-	m.Receive(at(answerLimit+60*time.Millisecond), "bank", answer(50*time.Millisecond))
-	must.Zero(t, m.wallets["t"].held(at(answerLimit+60*time.Millisecond)), must.Sprint("the tokens had run out"))
+	m.Receive(at(answerLimit+60*time.Millisecond), "allocator", answer(50*time.Millisecond))
+	must.Zero(t, m.balances["t"].held(at(answerLimit+60*time.Millisecond)), must.Sprint("the tokens had run out"))
 }
 
-// TestBanksAreAskedInTurn: home first, then other regions, and once all have none the
+// TestAllocatorsAreAskedInTurn: home first, then other regions, and once all have none the
 // operation is refused with the time at which the first will have one.
-func TestBanksAreAskedInTurn(t *testing.T) {
+func TestAllocatorsAreAskedInTurn(t *testing.T) {
 	m := NewMachine(Config{Node: "n", Address: "n", Life: 1, Started: testStart, Limits: unitLimits})
-	m.SetFleet(Fleet{Nodes: 3, Home: Region{Banks: [][]string{{"home"}}}, Far: []Region{{Banks: [][]string{{"far"}}}}})
+	m.SetFleet(Fleet{Nodes: 3, Home: Region{Allocators: [][]string{{"home"}}}, Far: []Region{{Allocators: [][]string{{"far"}}}}})
 	must.True(t, m.Take(at(0), "t", false).Pending)
-	for i, bank := range []string{"home", "far"} {
+	for i, allocator := range []string{"home", "far"} {
 		sent := slices.DeleteFunc(m.Drain(), func(e Envelope) bool { return len(e.Message.Request.Wants) == 0 })
 		must.Len(t, 1, sent)
-		must.Eq(t, bank, sent[0].To)
+		must.Eq(t, allocator, sent[0].To)
 		dry := []time.Duration{300 * time.Millisecond, 200 * time.Millisecond}[i]
-		m.Receive(at(0), bank, &Message{Reply: &Reply{
+		m.Receive(at(0), allocator, &Message{Reply: &Reply{
 			Sequence: sent[0].Message.Request.Sequence, Grants: []Grant{{Tenant: "t", Dry: dry}},
 		}})
 	}
@@ -101,40 +101,40 @@
 	verdict := m.Take(at(0), "t", true)
 	must.False(t, verdict.Pending)
 	must.Eq(t, 200*time.Millisecond, verdict.After)
-	must.Eq(t, uint32(0), m.wallets["t"].waiting)
-	must.True(t, m.Take(at(250*time.Millisecond), "t", false).Pending, must.Sprint("the far bank has one again"))
+	must.Eq(t, uint32(0), m.balances["t"].waiting)
+	must.True(t, m.Take(at(250*time.Millisecond), "t", false).Pending, must.Sprint("the far allocator has one again"))
 }
 
-// TestSilentBankIsReplacedAndComesBack: after two answers that did not come, the next bank
+// TestSilentAllocatorIsReplacedAndComesBack: after two answers that did not come, the next allocator
 // is asked and the share is delegated to it once the old delegation has run out; the first
 // one is taken again once it answers.
-func TestSilentBankIsReplacedAndComesBack(t *testing.T) {
+func TestSilentAllocatorIsReplacedAndComesBack(t *testing.T) {
 	nodes := map[string]*Machine{}
 	for i, name := range []string{"n", "a", "b"} {
 		nodes[name] = NewMachine(Config{Node: name, Address: name, Life: uint64(i + 1), Started: testStart, Limits: unitLimits})
 	}
 	n := nodes["n"]
 	n.SetShare(testStart)
-	n.SetFleet(Fleet{Nodes: 1, Home: Region{Banks: [][]string{{"a", "b"}}}})
+	n.SetFleet(Fleet{Nodes: 1, Home: Region{Allocators: [][]string{{"a", "b"}}}})
 	dark := map[string]bool{}
-	share := func(name string) float64 { return nodes[name].bank.partition(testStart, PartOf("t", 1)).share }
+	share := func(name string) float64 { return nodes[name].allocator.partition(testStart, PartOf("t", 1)).share }
 	run := func(from, to time.Duration) {
 		for now := from; now < to; now += 100 * time.Millisecond {
 			n.Tick(at(now))
 			for out := n.Drain(); len(out) > 0; out = n.Drain() {
 				for _, sent := range out {
-					bank := nodes[sent.To]
+					allocator := nodes[sent.To]
 					if dark[sent.To] {
 						continue
 					}
-					bank.Receive(at(now), "n", &sent.Message)
-					for _, reply := range bank.Drain() {
+					allocator.Receive(at(now), "n", &sent.Message)
+					for _, reply := range allocator.Drain() {
 						n.Receive(at(now), sent.To, &reply.Message)
 					}
 				}
 			}
-			for _, bank := range nodes {
-				bank.bank.expire(at(now))
+			for _, allocator := range nodes {
+				allocator.allocator.expire(at(now))
 			}
 			must.LessEq(t, 1.0, share("a")+share("b"))
 		}
@@ -151,16 +151,16 @@
 	must.Eq(t, 1.0, share("a"))
 	nodes["a"].Leave()
 	run(12*time.Second, 15*time.Second)
-	must.Eq(t, 1.0, share("b"), must.Sprint("the first bank is about to stop"))
+	must.Eq(t, 1.0, share("b"), must.Sprint("the first allocator is about to stop"))
 }
 
 // BenchmarkTake takes a token that is held: 250 ns and no allocation, which an operation
 // costs besides since there are quotas.
 func BenchmarkTake(b *testing.B) {
 	k := NewKeeper(Config{Node: "n", Address: "n", Life: 1, Started: testStart, Limits: unitLimits}, nil)
-	w := &wallet{dry: map[string]time.Time{}, lots: []lot{{count: 1 << 31, until: time.Now().Add(time.Hour)}}}
+	w := &balance{dry: map[string]time.Time{}, lots: []lot{{count: 1 << 31, until: time.Now().Add(time.Hour)}}}
 	for i := range 1000 {
-		k.machine.wallets[fmt.Sprint(i)] = w
+		k.machine.balances[fmt.Sprint(i)] = w
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/proxy/quota/model_test.go
+++ b/internal/proxy/quota/model_test.go
@@ -22,22 +22,22 @@
 type mutation string
 
 const (
-	// grantForgotten: a bank does not take what it hands out from what it has.
-	grantForgotten mutation = "a bank forgets what it has handed out"
+	// grantForgotten: an allocator does not take what it hands out from what it has.
+	grantForgotten mutation = "an allocator forgets what it has handed out"
 	// shareAtOnce: a process that starts delegates at once what its last life has delegated.
 	shareAtOnce mutation = "a process that starts uses its share at once"
-	// stockAtStart: a bank that starts has a full stock.
-	stockAtStart mutation = "a bank starts with a full stock"
+	// stockAtStart: an allocator that starts has a full stock.
+	stockAtStart mutation = "an allocator starts with a full stock"
 	// tokensStay: tokens are good for ever.
 	tokensStay mutation = "tokens are good for ever"
-	// promisesForgotten: a share is delegated to a second bank while the first one has it.
-	promisesForgotten mutation = "a share is delegated to two banks"
+	// promisesForgotten: a share is delegated to a second allocator while the first one has it.
+	promisesForgotten mutation = "a share is delegated to two allocators"
 	// delegationsStay: delegations do not end.
 	delegationsStay mutation = "delegations do not end"
 	// wholeShares: each node's share is the whole.
 	wholeShares mutation = "the shares are more than the whole"
-	// stockUnbounded: a bank keeps all that was minted while nobody wanted any.
-	stockUnbounded mutation = "a bank's stock is not bounded"
+	// stockUnbounded: an allocator keeps all that was minted while nobody wanted any.
+	stockUnbounded mutation = "an allocator's stock is not bounded"
 )
 
 // mutations holds, with each, the troubles in which it matters.
@@ -119,8 +119,8 @@
 	quota  catalog.Quota
 	// troubles are the kinds that strike in this play.
 	troubles troubles
-	// filled holds the banks whose stock a mutation has filled.
-	filled map[*Bank]bool
+	// filled holds the allocators whose stock a mutation has filled.
+	filled map[*Allocator]bool
 	// stormUntil is until when processes start anew all the time.
 	stormUntil time.Time
 	// ran holds when operations took a token.
@@ -140,7 +140,7 @@
 func newModelWorld(cfg modelConfig) *modelWorld {
 	start := time.Unix(1_000_000, 0)
 	w := &modelWorld{
-		random: rand.New(rand.NewPCG(cfg.seed, 7)), broken: cfg.broken, troubles: cfg.troubles, start: start, now: start, cut: map[[2]string]time.Time{}, filled: map[*Bank]bool{},
+		random: rand.New(rand.NewPCG(cfg.seed, 7)), broken: cfg.broken, troubles: cfg.troubles, start: start, now: start, cut: map[[2]string]time.Time{}, filled: map[*Allocator]bool{},
 	}
 	rate := float64(1 + w.random.IntN(300))
 	w.quota = catalog.Quota{PerSecond: rate, Burst: rate * float64(w.random.IntN(5)) / 2}
@@ -168,7 +168,7 @@
 		Node: node.address, Address: node.address, Life: 1 + w.random.Uint64N(1<<40), Started: w.now, Limits: w.limits,
 	})
 	if w.broken == stockUnbounded {
-		node.machine.bank.limits = func(tenant string) (Limit, bool) {
+		node.machine.allocator.limits = func(tenant string) (Limit, bool) {
 			limit, _ := w.limits(tenant)
 			limit.Stock *= 1000
 			return limit, true
@@ -184,21 +184,21 @@
 	}
 }
 
-// view gives a node a view of the fleet: always as many nodes, but banks in some order.
+// view gives a node a view of the fleet: always as many nodes, but allocators in some order.
 func (w *modelWorld) view(node *modelNode) {
 	region := func() Region {
 		var region Region
 		for range 1 + w.random.IntN(2)*w.random.IntN(3) {
-			var banks []string
+			var allocators []string
 			for _, i := range w.random.Perm(len(w.nodes)) {
-				banks = append(banks, w.nodes[i].address)
+				allocators = append(allocators, w.nodes[i].address)
 			}
-			region.Banks = append(region.Banks, append(banks, node.address))
+			region.Allocators = append(region.Allocators, append(allocators, node.address))
 		}
 		return region
 	}
 	// Usually all nodes agree.
-	fleet := Fleet{Nodes: len(w.nodes), Home: Region{Banks: [][]string{{w.nodes[0].address, node.address}}}}
+	fleet := Fleet{Nodes: len(w.nodes), Home: Region{Allocators: [][]string{{w.nodes[0].address, node.address}}}}
 	if w.troubles.views && w.random.IntN(4) == 0 {
 		fleet.Home = region()
 	}
@@ -272,7 +272,7 @@
 	}
 	if w.chance(w.troubles.crowds, 100) {
 		// Many operations wait, and will have given up before they get a token.
-		if held := node.machine.wallets[modelTenant]; held != nil {
+		if held := node.machine.balances[modelTenant]; held != nil {
 			held.waiting = crowd
 		}
 	}
@@ -292,8 +292,8 @@
 	w.storm()
 }
 
-// storm makes processes start anew, again and again: the usual bank, or all but two, each
-// with one of the two as its bank; or these change their bank without starting anew.
+// storm makes processes start anew, again and again: the usual allocator, or all but two, each
+// with one of the two as its allocator; or these change their allocator without starting anew.
 func (w *modelWorld) storm() {
 	if w.chance(w.troubles.storms, 400) {
 		w.stormUntil = w.now.Add(5 * time.Second)
@@ -314,8 +314,8 @@
 		if !w.troubles.views {
 			w.restart(each)
 		}
-		bank := w.nodes[w.random.IntN(2)].address
-		each.machine.SetFleet(Fleet{Nodes: len(w.nodes), Home: Region{Banks: [][]string{{bank, each.address}}}})
+		allocator := w.nodes[w.random.IntN(2)].address
+		each.machine.SetFleet(Fleet{Nodes: len(w.nodes), Home: Region{Allocators: [][]string{{allocator, each.address}}}})
 	}
 }
 
@@ -328,7 +328,7 @@
 	node.frozen = time.Time{}
 	w.startNode(node)
 	node.machine.cfg.Started = node.down
-	node.machine.bank.started = node.down
+	node.machine.allocator.started = node.down
 	node.machine.shareFrom = node.down.Add(delegationSpan)
 	if w.broken == shareAtOnce {
 		node.machine.shareFrom = node.down
@@ -355,18 +355,18 @@
 	message := due.message
 	if message.Request != nil {
 		if w.broken == delegationsStay {
-			to.machine.bank.expires = time.Time{}
+			to.machine.allocator.expires = time.Time{}
 		}
 	}
-	if w.broken == stockAtStart && len(to.machine.bank.delegations) > 0 {
-		w.fill(to.machine.bank)
+	if w.broken == stockAtStart && len(to.machine.allocator.delegations) > 0 {
+		w.fill(to.machine.allocator)
 	}
-	before := to.machine.bank.tokens()
+	before := to.machine.allocator.tokens()
 	to.machine.Receive(w.now, due.from, &message)
-	if a := to.machine.bank.accounts[modelTenant]; a != nil && w.broken == grantForgotten {
+	if a := to.machine.allocator.accounts[modelTenant]; a != nil && w.broken == grantForgotten {
 		a.tokens = max(a.tokens, before)
 	}
-	if held := to.machine.wallets[modelTenant]; held != nil && w.broken == tokensStay {
+	if held := to.machine.balances[modelTenant]; held != nil && w.broken == tokensStay {
 		for i := range held.lots {
 			held.lots[i].until = w.now.Add(time.Hour)
 		}
@@ -374,24 +374,24 @@
 	w.drain(to)
 }
 
-// tokens returns what a bank has of the model's tenant.
-func (b *Bank) tokens() float64 {
+// tokens returns what an allocator has of the model's tenant.
+func (b *Allocator) tokens() float64 {
 	if account := b.accounts[modelTenant]; account != nil {
 		return account.tokens
 	}
 	return 0
 }
 
-// fill gives a bank that has just started its stock, once.
-func (w *modelWorld) fill(bank *Bank) {
-	if w.filled[bank] {
+// fill gives an allocator that has just started its stock, once.
+func (w *modelWorld) fill(allocator *Allocator) {
+	if w.filled[allocator] {
 		return
 	}
-	w.filled[bank] = true
-	a := bank.accounts[modelTenant]
+	w.filled[allocator] = true
+	a := allocator.accounts[modelTenant]
 	if a == nil {
 		a = &account{limit: w.bounds.Limit(w.quota)}
-		bank.accounts[modelTenant] = a
+		allocator.accounts[modelTenant] = a
 	}
 	a.tokens = a.limit.Stock
 }
@@ -429,13 +429,13 @@
 			w.ran = append(w.ran, at)
 		case verdict.Pending:
 			// The model's operations come back by themselves; some stay in the count of
-			// those that wait, so that banks are asked for many.
+			// those that wait, so that allocators are asked for many.
 			if w.random.IntN(3) == 0 {
 				m.Abandon(modelTenant)
 			}
 		}
-		if m.wallets[modelTenant].waiting > crowd {
-			m.wallets[modelTenant].waiting = 0
+		if m.balances[modelTenant].waiting > crowd {
+			m.balances[modelTenant].waiting = 0
 		}
 	}
 	w.drain(node)
--- a/internal/proxy/quota/quota.go
+++ b/internal/proxy/quota/quota.go
@@ -1,9 +1,9 @@
 // Package quota bounds what tenants' callers may do over all nodes.
 //
-// Each node has a share of every quota. It delegates its share for a moment to a bank, a
+// Each node has a share of every quota. It delegates its share for a moment to an allocator, a
 // node near it, which hands tokens out to the nodes that ask; an operation takes one. A
 // share is at one place at a time, so the sum over all nodes holds whoever is cut off,
-// stands still, starts anew or believes to be a bank (docs/design/tenants-and-quotas.md).
+// stands still, starts anew or believes to be an allocator (docs/design/tenants-and-quotas.md).
 //
 // Machine is pure: it has no clock and sends nothing itself. Keeper runs it.
 package quota
@@ -54,7 +54,7 @@
 	// of tokens, the rest on stock.
 	rateShare = 0.4
 	lifeShare = 0.5
-	// leastStock is the stock that comes before both, in tokens: a few at each of some banks.
+	// leastStock is the stock that comes before both, in tokens: a few at each of some allocators.
 	leastStock = 8
 )
 
@@ -72,7 +72,7 @@
 		limit.Rate = most / (window + 2*leastLife.Seconds())
 		spare = most - limit.Rate*window
 	}
-	// A small tenant's stock comes first: parts of it lie at the banks of several regions.
+	// A small tenant's stock comes first: parts of it lie at the allocators of several regions.
 	stock := min(leastStock, spare-limit.Rate*leastLife.Seconds())
 	spare -= stock
 	faster := limit.Rate + rateShare*(spare-limit.Rate*leastLife.Seconds())/window
@@ -84,7 +84,7 @@
 	return limit
 }
 
-// Part is the tenants that one of several banks serves: those whose hash leaves Index when
+// Part is the tenants that one of several allocators serves: those whose hash leaves Index when
 // divided by Of.
 type Part struct {
 	Index uint16
@@ -108,14 +108,14 @@
 	Reply   *Reply
 }
 
-// Echo is a bank's clock, as an asker has last heard it.
+// Echo is an allocator's clock, as an asker has last heard it.
 type Echo struct {
-	// Life names the bank's process, Clock is the time since its start.
+	// Life names the allocator's process, Clock is the time since its start.
 	Life  uint64
 	Clock time.Duration
 }
 
-// Request asks a bank for tokens, and delegates shares to it.
+// Request asks an allocator for tokens, and delegates shares to it.
 type Request struct {
 	// Node names the asker, Sequence counts its requests.
 	Node        string
@@ -144,7 +144,7 @@
 	Sequence uint64
 	Clock    Echo
 	Grants   []Grant
-	// Leaving is set by a bank whose process is about to end.
+	// Leaving is set by an allocator whose process is about to end.
 	Leaving bool
 }
 
@@ -159,7 +159,7 @@
 	// Life is how long a token is good: from when it was asked for, or will be minted.
 	Life time.Duration
 	// Dry is when there will be a token, if these are fewer than were needed. Young is set if
-	// the bank has only just started.
+	// the allocator has only just started.
 	Dry   time.Duration
 	Young bool
 }
--- a/internal/proxy/quotas.go
+++ b/internal/proxy/quotas.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// nodesPerBank is about how many nodes of a region share a bank: each sends some
+	// nodesPerAllocator is about how many nodes of a region share an allocator: each sends some
 	// datagrams a second.
-	nodesPerBank = 24
-	// banksRanked is how many nodes may stand in for a bank.
-	banksRanked = 3
+	nodesPerAllocator = 24
+	// allocatorsRanked is how many nodes may stand in for an allocator.
+	allocatorsRanked = 3
 	// joinPause is how long a node that is new to the fleet has no share of its own: by
 	// then all others have looked at the members again, and count it.
 	joinPause = 3 * memberLook / 2
@@ -87,11 +87,11 @@
 		byRegion[region] = append(byRegion[region], member)
 	}
 	home := n.options.Regions[n.options.Zone]
-	fleet := quota.Fleet{Nodes: len(*known) + 1, Home: banksOf(byRegion[home])}
-	// What no other bank of the region answers for, the node does itself.
-	for i := range fleet.Home.Banks {
-		if !slices.Contains(fleet.Home.Banks[i], own.Tokens) {
-			fleet.Home.Banks[i] = append(fleet.Home.Banks[i], own.Tokens)
+	fleet := quota.Fleet{Nodes: len(*known) + 1, Home: allocatorsOf(byRegion[home])}
+	// What no other allocator of the region answers for, the node does itself.
+	for i := range fleet.Home.Allocators {
+		if !slices.Contains(fleet.Home.Allocators[i], own.Tokens) {
+			fleet.Home.Allocators[i] = append(fleet.Home.Allocators[i], own.Tokens)
 		}
 	}
 	var others []placement.Candidate
@@ -101,13 +101,13 @@
 		}
 	}
 	for _, region := range placement.Rank(n.options.Name, "", others, len(others)) {
-		fleet.Far = append(fleet.Far, banksOf(byRegion[region]))
+		fleet.Far = append(fleet.Far, allocatorsOf(byRegion[region]))
 	}
 	n.quotas.SetFleet(fleet)
 }
 
-// banksOf ranks the nodes of a region that may be its banks, by part of the tenants.
-func banksOf(members []Member) quota.Region {
+// allocatorsOf ranks the nodes of a region that may be its allocators, by part of the tenants.
+func allocatorsOf(members []Member) quota.Region {
 	addresses := map[string]string{}
 	var candidates []placement.Candidate
 	for _, member := range members {
@@ -119,17 +119,18 @@
 	if len(candidates) == 0 {
 		return quota.Region{}
 	}
-	parts := int(math.Ceil(float64(len(candidates)) / nodesPerBank))
-	region := quota.Region{Banks: make([][]string, parts)}
+	parts := int(math.Ceil(float64(len(candidates)) / nodesPerAllocator))
+	region := quota.Region{Allocators: make([][]string, parts)}
 	for i := range parts {
-		for _, name := range placement.Rank(quotaKey(i), "", candidates, banksRanked) {
-			region.Banks[i] = append(region.Banks[i], addresses[name])
+		for _, name := range placement.Rank(quotaKey(i), "", candidates, allocatorsRanked) {
+			region.Allocators[i] = append(region.Allocators[i], addresses[name])
 		}
 	}
 	return region
 }
 
-// quotaKey ranks the banks of a part of the tenants.
+// quotaKey ranks the allocators of a part of the tenants.
+// Nodes of earlier versions rank by the same key.
 func quotaKey(part int) string { return "quota bank " + string(rune('a'+part)) }
 
 // giveShare gives the node its share of the quotas, once, and reports whether it has one.
