quota: the machine in files by concern

Cause: machine.go held the exchange with allocators, the delegation of the share and the callers' tokens in 525 lines. Ruled out: packages of their own, which would export what only the machine may see. Change: moves only.

--- a/internal/proxy/quota/machine.go
+++ b/internal/proxy/quota/machine.go
@@ -84,41 +84,6 @@
 	out      []Envelope
 }
 
-// promise is to whom a share is delegated, and until when at the latest. Another process
-// at the same address is another allocator: the last one may have handed out what the share was
-// sure to mint.
-type promise struct {
-	allocator string
-	life      uint64
-	until     time.Time
-}
-
-// correspondent is another node as an allocator.
-type correspondent struct {
-	address string
-	echo    Echo
-	// heard is when it last answered, sent when it was last asked.
-	heard time.Time
-	sent  time.Time
-	// awaited is the sequence of the request that it has not answered yet; 0 if none.
-	awaited uint64
-	// wanted are the tenants of that request, queued those to ask for next.
-	wanted []string
-	queued []string
-	missed int
-	// silent is set once it has missed too many, or has said that its process ends; it is
-	// looked at again at retryAt.
-	silent  bool
-	retryAt time.Time
-	backoff time.Duration
-}
-
-// Envelope is a message to the node at an address.
-type Envelope struct {
-	To      string
-	Message Message
-}
-
 // NewMachine returns a machine that knows of no other node and has no share.
 func NewMachine(cfg Config) *Machine {
 	return &Machine{
@@ -141,17 +106,6 @@
 	m.nodes = max(m.nodes, fleet.Nodes)
 }
 
-// SetShare gives the node its share from a time on. What an earlier life of the process
-// has delegated has run out by then if that is delegationSpan after the process began.
-func (m *Machine) SetShare(from time.Time) {
-	if earliest := m.cfg.Started.Add(delegationSpan); from.Before(earliest) {
-		from = earliest
-	}
-	if m.shareFrom.IsZero() || from.Before(m.shareFrom) {
-		m.shareFrom = from
-	}
-}
-
 // Leave makes the node's allocator tell its askers to turn to others.
 func (m *Machine) Leave() { m.allocator.leaving = true }
 
@@ -171,187 +125,6 @@
 	Young bool
 }
 
-// Take asks for a token for an operation. waits is set if the operation waits already.
-func (m *Machine) Take(now time.Time, tenant string, waits bool) Verdict {
-	w := m.balances[tenant]
-	if w == nil {
-		w = &balance{dry: map[string]time.Time{}}
-		m.balances[tenant] = w
-	}
-	w.used = now
-	if waits {
-		w.waiting--
-	}
-	if w.held(now) > 0 {
-		taken := w.take()
-		w.pace.used(now)
-		m.askAhead(now, tenant, w)
-		return Verdict{Granted: true, From: taken.from, Until: taken.until}
-	}
-	w.waiting++
-	if w.asked != "" || m.ask(now, tenant, w) {
-		return Verdict{Pending: true}
-	}
-	w.waiting--
-	return Verdict{After: m.comeBack(now, w), Young: w.young}
-}
-
-// Abandon ends the wait of an operation.
-func (m *Machine) Abandon(tenant string) {
-	if w := m.balances[tenant]; w != nil && w.waiting > 0 {
-		w.waiting--
-	}
-}
-
-// PutBack returns the token of an operation that did not run.
-func (m *Machine) PutBack(now time.Time, tenant string, from, until time.Time) {
-	if w := m.balances[tenant]; w != nil && until.After(now) {
-		w.lots = append(w.lots, lot{count: 1, from: from, until: until})
-	}
-}
-
-// comeBack returns when one of the allocators will have a token.
-func (m *Machine) comeBack(now time.Time, w *balance) time.Duration {
-	first := time.Duration(0)
-	for _, until := range w.dry {
-		if left := until.Sub(now); left > 0 && (first == 0 || left < first) {
-			first = left
-		}
-	}
-	if first == 0 {
-		return unreachedPause
-	}
-	return first
-}
-
-// askAhead asks for tokens before they are wanted, for a tenant whose callers use several
-// while one is good.
-func (m *Machine) askAhead(now time.Time, tenant string, w *balance) {
-	limit, limited := m.cfg.Limits(tenant)
-	if !limited || w.asked != "" {
-		return
-	}
-	if more := w.pace.ahead(now, limit.Life); more > 0 && w.held(now) <= more/2 {
-		m.ask(now, tenant, w)
-	}
-}
-
-// ask asks the first allocator for tokens of a tenant that may have some; it reports false if
-// there is none.
-func (m *Machine) ask(now time.Time, tenant string, w *balance) bool {
-	address, found := m.allocatorFor(now, tenant, w)
-	if !found {
-		return false
-	}
-	w.asked = address
-	c := m.correspondent(address)
-	c.queued = append(c.queued, tenant)
-	if c.awaited == 0 {
-		m.request(now, c)
-	}
-	return true
-}
-
-// allocatorFor returns the allocator to ask for tokens of a tenant: that of the node's own region,
-// or one of another region if that has none.
-func (m *Machine) allocatorFor(now time.Time, tenant string, w *balance) (string, bool) {
-	for region := range m.fleet.regions {
-		address, found := m.present(region, tenant)
-		if found && !w.isDry(address, now) {
-			return address, true
-		}
-	}
-	return "", false
-}
-
-// present returns the allocator of a region for a tenant's part: the first that answers.
-func (m *Machine) present(region Region, tenant string) (string, bool) {
-	if len(region.Allocators) == 0 {
-		return "", false
-	}
-	return m.firstAnswering(region.Allocators[PartOf(tenant, len(region.Allocators)).Index])
-}
-
-func (m *Machine) firstAnswering(addresses []string) (string, bool) {
-	for _, address := range addresses {
-		if c := m.allocators[address]; c == nil || !c.silent {
-			return address, true
-		}
-	}
-	return "", false
-}
-
-func (m *Machine) correspondent(address string) *correspondent {
-	c := m.allocators[address]
-	if c == nil {
-		c = &correspondent{address: address}
-		m.allocators[address] = c
-		m.order = append(m.order, address)
-	}
-	return c
-}
-
-// request sends an allocator what is to be told and asked.
-func (m *Machine) request(now time.Time, c *correspondent) {
-	m.sequence++
-	asked := &Request{Node: m.cfg.Node, Sequence: m.sequence, Echo: c.echo, Delegations: m.promise(now, c)}
-	c.wanted, c.queued = c.queued, nil
-	if len(c.wanted) > maxWants {
-		c.wanted, c.queued = c.wanted[:maxWants], c.wanted[maxWants:]
-	}
-	for _, tenant := range c.wanted {
-		if w := m.balances[tenant]; w != nil {
-			asked.Wants = append(asked.Wants, m.want(now, tenant, w))
-		}
-	}
-	c.awaited, c.sent = m.sequence, now
-	m.out = append(m.out, Envelope{To: c.address, Message: Message{Request: asked}})
-}
-
-func (m *Machine) want(now time.Time, tenant string, w *balance) Want {
-	limit, _ := m.cfg.Limits(tenant)
-	return Want{Tenant: tenant, Need: min(w.lack(now), maxCount), More: min(w.pace.ahead(now, limit.Life), maxCount)}
-}
-
-// promise returns the delegations that a request to an allocator carries: the parts whose allocator
-// it is, unless the node has no share yet, the share may still be at another allocator, or the
-// allocator's clock is not known well enough for the delegation to hold for a while.
-func (m *Machine) promise(now time.Time, c *correspondent) []Delegation {
-	if !m.usable(now) || c.echo.Life == 0 || now.Sub(c.heard) >= delegationSpan/2 {
-		return nil
-	}
-	var delegations []Delegation
-	for index, addresses := range m.fleet.Home.Allocators {
-		part := m.homePart(index)
-		if present, found := m.firstAnswering(addresses); !found || present != c.address || m.heldElsewhere(now, part, c.address, c.echo.Life) {
-			continue
-		}
-		m.promises[part] = promise{allocator: c.address, life: c.echo.Life, until: now.Add(delegationSpan)}
-		delegations = append(delegations, Delegation{Part: part, Share: 1 / float64(m.nodes)})
-	}
-	return delegations
-}
-
-// homePart returns the part of the tenants that an allocator of the node's region serves.
-func (m *Machine) homePart(index int) Part {
-	return Part{Index: uint16(index), Of: uint16(len(m.fleet.Home.Allocators))}
-}
-
-// heldElsewhere reports whether the share of a part, or of one that overlaps it, may still
-// be delegated to another allocator.
-func (m *Machine) heldElsewhere(now time.Time, part Part, allocator string, life uint64) bool {
-	for other, known := range m.promises {
-		if !known.until.After(now) {
-			delete(m.promises, other)
-			continue
-		}
-		if other != part && other.Of != part.Of || other == part && (known.allocator != allocator || known.life != life) {
-			return true
-		}
-	}
-	return false
-}
-
 // Receive takes a message from the node at an address.
 func (m *Machine) Receive(now time.Time, from string, message *Message) {
 	switch {
@@ -362,73 +135,6 @@
 	}
 }
 
-// answered takes an allocator's answer. One that comes late, or again, brings nothing.
-func (m *Machine) answered(now time.Time, from string, reply *Reply) {
-	c := m.allocators[from]
-	if c == nil || reply.Sequence != c.awaited {
-		return
-	}
-	fresh := c.echo.Life != reply.Clock.Life || now.Sub(c.heard) >= delegationSpan/2
-	c.echo, c.heard = reply.Clock, now
-	c.awaited, c.missed, c.silent, c.backoff = 0, 0, reply.Leaving, 0
-	if reply.Leaving {
-		c.retryAt = now.Add(firstRetry)
-	}
-	wanted := c.wanted
-	c.wanted = nil
-	for i := range reply.Grants {
-		m.granted(now, c, &reply.Grants[i])
-	}
-	for _, tenant := range wanted {
-		m.settled(now, tenant, c)
-	}
-	if c.awaited == 0 && (len(c.queued) > 0 || fresh && m.isHome(c.address)) {
-		m.request(now, c)
-	}
-}
-
-// granted takes tokens, which are good from when they were asked for.
-func (m *Machine) granted(now time.Time, c *correspondent, granted *Grant) {
-	w := m.balances[granted.Tenant]
-	if w == nil {
-		return
-	}
-	if until := c.sent.Add(granted.Life); granted.Count > 0 && until.After(now) {
-		w.lots = append(w.lots, lot{count: granted.Count, from: now, until: until})
-	}
-	// The allocator counts from a moment between the question and its answer.
-	for i := range min(granted.Later, maxWants) {
-		delay := granted.First + time.Duration(i)*granted.Pace
-		w.lots = append(w.lots, lot{count: 1, from: now.Add(delay), until: c.sent.Add(delay + granted.Life)})
-	}
-	w.young = granted.Young
-	if granted.Dry > 0 {
-		w.dry[c.address] = now.Add(min(granted.Dry, mostDry))
-	}
-}
-
-// settled goes on to the next allocator if operations still wait for tokens of a tenant.
-func (m *Machine) settled(now time.Time, tenant string, c *correspondent) {
-	w := m.balances[tenant]
-	if w == nil || w.asked != c.address {
-		return
-	}
-	w.asked = ""
-	if w.lack(now) > 0 {
-		m.ask(now, tenant, w)
-	}
-}
-
-// isHome reports whether a node is an allocator to which this one delegates.
-func (m *Machine) isHome(address string) bool {
-	for _, addresses := range m.fleet.Home.Allocators {
-		if present, found := m.firstAnswering(addresses); found && present == address {
-			return true
-		}
-	}
-	return false
-}
-
 // Tick looks for answers that have not come and renews the delegations. It is called some
 // times in a renewInterval.
 func (m *Machine) Tick(now time.Time) {
@@ -448,47 +154,6 @@
 	}
 }
 
-// renew tells the allocators of this node's region that its share is still theirs.
-func (m *Machine) renew(now time.Time) {
-	for index, addresses := range m.fleet.Home.Allocators {
-		address, found := m.firstAnswering(addresses)
-		if !found {
-			continue
-		}
-		c := m.correspondent(address)
-		if c.awaited == 0 && (now.Sub(c.sent) >= renewInterval || m.idle(now, index) && now.Sub(c.heard) < delegationSpan/2) {
-			m.request(now, c)
-		}
-	}
-}
-
-// idle reports whether the node's share of a part could be delegated, and is not.
-func (m *Machine) idle(now time.Time, index int) bool {
-	part := m.homePart(index)
-	return m.usable(now) && !m.promises[part].until.After(now) && !m.heldElsewhere(now, part, "", 0)
-}
-
-// usable reports whether the node has a share that it may delegate.
-func (m *Machine) usable(now time.Time) bool {
-	return !m.shareFrom.IsZero() && !now.Before(m.shareFrom) && m.nodes > 0
-}
-
-// miss takes note that an allocator has not answered. What was asked of it is asked again, of
-// another one if it counts as silent.
-func (m *Machine) miss(now time.Time, c *correspondent) {
-	wanted := append(c.wanted, c.queued...)
-	c.awaited, c.wanted, c.queued = 0, nil, nil
-	c.missed++
-	if c.missed >= missesToSilent || c.silent {
-		c.silent = true
-		c.backoff = min(max(2*c.backoff, firstRetry), lastRetry)
-		c.retryAt = now.Add(c.backoff)
-	}
-	for _, tenant := range wanted {
-		m.settled(now, tenant, c)
-	}
-}
-
 // sweep forgets what is no longer used.
 func (m *Machine) sweep(now time.Time) {
 	m.swept = now
@@ -517,9 +182,3 @@
 	}
 	return false
 }
-
-// Ready reports whether an operation that waits for a token of a tenant should ask again.
-func (m *Machine) Ready(now time.Time, tenant string) bool {
-	w := m.balances[tenant]
-	return w == nil || w.asked == "" || w.held(now) > 0
-}
