quota: a tenant's short tokens go to what is most urgent

Cause: allocators handed tokens out by arrival, so of a tenant that sends several times its rate what waits the shortest got the fewest: one urgent operation in six, one in three of the others. Change: wants say what each level needs. An allocator remembers what each level lately asked and, while more is asked for than is minted, keeps a reserve for more urgent work, lends what is still to be minted to the most urgent level that asks, and leaves a tenth of what is minted to each less urgent one (share.go, pure). Grants and times to come back are by level; nodes keep tokens for the level that they came for, and give others to the most urgent operation that waits. What travels is behind the message: earlier nodes read it.

--- a/internal/proxy/quota/allocator.go
+++ b/internal/proxy/quota/allocator.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"dewknot/internal/proxy/urgency"
 )
 
 // delegationSpan is how long a delegation holds: some renewals and lost datagrams. A
@@ -46,6 +48,9 @@
 	accounts map[string]*account
 	// expires is when the first delegation ends; zero if there is none.
 	expires time.Time
+	// held is what is held back of tenants' work, changes what began or ended of it.
+	held    map[string]*holding
+	changes []HeldBack
 }
 
 type delegator struct {
@@ -76,13 +81,14 @@
 	limit  Limit
 	// volume is that of the tenant's parts when the account was last settled.
 	volume float64
+	claims claims
 }
 
 // NewAllocator returns an allocator without any tokens.
 func NewAllocator(life uint64, started time.Time, limits Limits) *Allocator {
 	return &Allocator{
 		life: life, started: started, limits: limits,
-		delegations: map[delegator]*delegation{}, accounts: map[string]*account{},
+		delegations: map[delegator]*delegation{}, accounts: map[string]*account{}, held: map[string]*holding{},
 	}
 }
 
@@ -240,43 +246,94 @@
 		a.limit = limit
 		a.tokens = min(a.tokens, limit.Stock*share)
 	}
-	count := min(want.Need, whole(a.tokens))
-	a.tokens -= float64(count)
 	granted := Grant{Tenant: want.Tenant, Life: limit.Life}
-	if count < want.Need {
-		b.grantLater(now, a, want.Need-count, share, &granted)
-	}
-	if ahead := whole(a.tokens - aheadShare*limit.Stock*share); count == want.Need && ahead > 0 {
-		more := min(want.More, ahead)
-		a.tokens -= float64(more)
-		count += more
-	}
-	granted.Count = count
-	if count+granted.Later < want.Need || whole(a.tokens) == 0 && want.Need == 0 {
-		granted.Young = now.Sub(b.started) < youngSpan
-		granted.Dry = a.dry(share)
-		if granted.Young {
-			granted.Dry = min(granted.Dry, youngDry)
-		}
-	}
+	b.share(now, a, want, share, &granted)
 	return granted
 }
 
-// grantLater hands out tokens that the present delegations are sure to mint soon: until a
-// delegation ends, its share mints here and nowhere else.
-func (b *Allocator) grantLater(now time.Time, a *account, need uint32, share float64, granted *Grant) {
-	pace := a.limit.Rate * share
-	if pace <= 0 {
+// share hands a tenant's tokens out to the levels of a want, the most urgent first.
+func (b *Allocator) share(now time.Time, a *account, want *Want, share float64, granted *Grant) {
+	s := b.supply(now, a, want.Tenant, share)
+	needs, known := a.claims.levels(now, want)
+	a.claims.ask(now, &needs, known, s)
+	var given Needs
+	for level, need := range needs {
+		given[level] = b.grantLevel(now, a, level, need, share, granted)
+	}
+	missing := want.Need - granted.Count - granted.Later
+	if missing == 0 {
+		b.grantMore(now, a, want, share, granted)
+	}
+	if len(want.Levels) > 0 {
+		granted.Levels = given.told()
+	}
+	if missing == 0 && (whole(a.tokens) > 0 || want.Need > 0) {
 		return
 	}
-	sure := a.tokens + a.limit.Rate*b.ahead(now, granted.Tenant)
-	granted.Later = min(need, whole(sure))
+	granted.Young = now.Sub(b.started) < youngSpan
+	s = b.supply(now, a, want.Tenant, share)
+	granted.Dry = b.dry(now, a, int(urgency.Least), s)
+	if len(want.Levels) > 0 {
+		granted.LevelsDry = make([]time.Duration, urgency.Levels)
+	}
+	for level := urgency.Levels - 1; level >= 0; level-- {
+		if given[level] == needs[level] {
+			continue
+		}
+		if a.claims.moreUrgent(now, level, s) > 0 {
+			b.holdBack(now, want.Tenant, a, level, needs[level]-given[level], s)
+		}
+		granted.Dry = b.dry(now, a, level, s)
+		if len(want.Levels) > 0 {
+			granted.LevelsDry[level] = granted.Dry
+		}
+	}
+}
+
+func (b *Allocator) supply(now time.Time, a *account, tenant string, share float64) supply {
+	return supply{
+		tokens: a.tokens, sure: a.tokens + a.limit.Rate*b.ahead(now, tenant),
+		pace: a.limit.Rate * share, stock: a.limit.Stock * share,
+	}
+}
+
+// grantLevel hands out what a level needs and may have: tokens on hand, and once there are
+// none, those that the present delegations are sure to mint soon: until a delegation ends,
+// its share mints here and nowhere else.
+func (b *Allocator) grantLevel(now time.Time, a *account, level int, need uint32, share float64, granted *Grant) uint32 {
+	if need == 0 {
+		return 0
+	}
+	count := min(need, a.claims.atOnce(now, level, b.supply(now, a, granted.Tenant, share)))
+	a.tokens -= float64(count)
+	a.claims.take(level, count)
+	granted.Count += count
+	s := b.supply(now, a, granted.Tenant, share)
+	if count == need || whole(s.tokens) > 0 || s.pace <= 0 {
+		return count
+	}
+	later := min(need-count, a.claims.ahead(now, level, s))
+	if later == 0 {
+		return count
+	}
 	if granted.Later == 0 {
-		return
+		granted.First = max(0, time.Duration((1-s.tokens)/s.pace*float64(time.Second)))
+		granted.Pace = time.Duration(float64(time.Second) / s.pace)
 	}
-	granted.First = max(0, time.Duration((1-a.tokens)/pace*float64(time.Second)))
-	granted.Pace = time.Duration(float64(time.Second) / pace)
-	a.tokens -= float64(granted.Later)
+	a.tokens -= float64(later)
+	a.claims.take(level, later)
+	granted.Later += later
+	return count + later
+}
+
+// grantMore hands out tokens ahead of need, of what is neither kept for operations that wait
+// nor for more urgent work.
+func (b *Allocator) grantMore(now time.Time, a *account, want *Want, share float64, granted *Grant) {
+	s := b.supply(now, a, want.Tenant, share)
+	kept := max(aheadShare*s.stock, a.claims.reserve(now, int(urgency.Least), s))
+	more := min(want.More, whole(s.tokens-kept))
+	a.tokens -= float64(more)
+	granted.Count += more
 }
 
 // ahead returns the share of a tenant's part that is delegated, summed over the time until
@@ -291,14 +348,17 @@
 	return volume
 }
 
-// dry returns the time until the account has a token.
-func (a *account) dry(share float64) time.Duration {
-	pace := a.limit.Rate * share
-	if pace <= 0 || a.limit.Stock*share < 1 {
-		return mostDry
-	}
-	wait := time.Duration((1 - a.tokens) / pace * float64(time.Second))
-	return min(max(wait, leastDry), mostDry)
+// dry returns the time after which a level has a chance of a token.
+func (b *Allocator) dry(now time.Time, a *account, level int, s supply) time.Duration {
+	wait, known := a.claims.next(now, level, s)
+	if !known {
+		wait = mostDry
+	}
+	wait = min(max(wait, leastDry), mostDry)
+	if now.Sub(b.started) < youngSpan {
+		wait = min(wait, youngDry)
+	}
+	return wait
 }
 
 // Forget drops the accounts of tenants that have no quota any more.
--- a/internal/proxy/quota/exchange.go
+++ b/internal/proxy/quota/exchange.go
@@ -1,6 +1,10 @@
 package quota
 
-import "time"
+import (
+	"time"
+
+	"dewknot/internal/proxy/urgency"
+)
 
 // correspondent is another node as an allocator.
 type correspondent struct {
@@ -28,12 +32,12 @@
 	Message Message
 }
 
-// ask asks the first allocator for tokens of a tenant that may have some; it reports false if
-// there is none.
-func (m *Machine) ask(now time.Time, tenant string, w *balance) bool {
-	address, found := m.allocatorFor(now, tenant, w)
+// ask asks for the tokens of a tenant that are lacking: the first allocator that may have some
+// for the most urgent operations that wait, or the first of all if none waits.
+func (m *Machine) ask(now time.Time, tenant string, w *balance) {
+	address, found := m.toAsk(now, tenant, w)
 	if !found {
-		return false
+		return
 	}
 	w.asked = address
 	c := m.correspondent(address)
@@ -41,15 +45,30 @@
 	if c.awaited == 0 {
 		m.request(now, c)
 	}
-	return true
 }
 
-// allocatorFor returns the allocator to ask for tokens of a tenant: that of the node's own region,
-// or one of another region if that has none.
-func (m *Machine) allocatorFor(now time.Time, tenant string, w *balance) (string, bool) {
+func (m *Machine) toAsk(now time.Time, tenant string, w *balance) (string, bool) {
+	lack := w.lack(now)
+	if lack == (Needs{}) {
+		return m.allocatorFor(now, tenant, w, int(urgency.Least))
+	}
+	for level, count := range lack {
+		if count == 0 {
+			continue
+		}
+		if address, found := m.allocatorFor(now, tenant, w, level); found {
+			return address, true
+		}
+	}
+	return "", false
+}
+
+// allocatorFor returns the allocator to ask for tokens of a tenant for a level: that of the
+// node's own region, or one of another region if that has none.
+func (m *Machine) allocatorFor(now time.Time, tenant string, w *balance, level int) (string, bool) {
 	for region := range m.fleet.regions {
 		address, found := m.present(region, tenant)
-		if found && !w.isDry(address, now) {
+		if found && !w.isDry(address, level, now) {
 			return address, true
 		}
 	}
@@ -93,16 +112,26 @@
 	}
 	for _, tenant := range c.wanted {
 		if w := m.balances[tenant]; w != nil {
-			asked.Wants = append(asked.Wants, m.want(now, tenant, w))
+			asked.Wants = append(asked.Wants, m.want(now, tenant, w, c.address))
 		}
 	}
 	c.awaited, c.sent = m.sequence, now
 	m.out = append(m.out, Envelope{To: c.address, Message: Message{Request: asked}})
 }
 
-func (m *Machine) want(now time.Time, tenant string, w *balance) Want {
+// want returns what to ask an allocator for: what is lacking at the levels for which it may
+// have some.
+func (m *Machine) want(now time.Time, tenant string, w *balance, allocator string) Want {
 	limit, _ := m.cfg.Limits(tenant)
-	return Want{Tenant: tenant, Need: min(w.lack(now), maxCount), More: min(w.pace.ahead(now, limit.Life), maxCount)}
+	needs := w.lack(now)
+	for level := range needs {
+		if w.isDry(allocator, level, now) {
+			needs[level] = 0
+		}
+		needs[level] = min(needs[level], maxCount/urgency.Levels)
+	}
+	w.wanted = needs
+	return Want{Tenant: tenant, Need: needs.sum(), More: min(w.pace.ahead(now, limit.Life), maxCount), Levels: needs.told()}
 }
 
 // answered takes an allocator's answer. One that comes late, or again, brings nothing.
@@ -136,17 +165,43 @@
 	if w == nil {
 		return
 	}
-	if until := c.sent.Add(granted.Life); granted.Count > 0 && until.After(now) {
-		w.lots = append(w.lots, lot{count: granted.Count, from: now, until: until})
+	levels := needsOf(granted.Levels)
+	if until := c.sent.Add(granted.Life); until.After(now) {
+		w.add(granted.Count, &levels, now, until)
 	}
 	// The allocator counts from a moment between the question and its answer.
 	for i := range min(granted.Later, maxWants) {
 		delay := granted.First + time.Duration(i)*granted.Pace
-		w.lots = append(w.lots, lot{count: 1, from: now.Add(delay), until: c.sent.Add(delay + granted.Life)})
+		w.add(1, &levels, now.Add(delay), c.sent.Add(delay+granted.Life))
 	}
 	w.young = granted.Young
-	if granted.Dry > 0 {
-		w.dry[c.address] = now.Add(min(granted.Dry, mostDry))
+	if granted.Dry <= 0 {
+		return
+	}
+	w.aheadFrom = now.Add(min(granted.Dry, mostDry))
+	for level, wanted := range w.wanted {
+		dry := granted.Dry
+		if len(granted.LevelsDry) == urgency.Levels {
+			dry = granted.LevelsDry[level]
+		}
+		if wanted > 0 && dry > 0 {
+			w.setDry(c.address, level, now.Add(min(dry, mostDry)))
+		}
+	}
+}
+
+// add adds tokens, and takes them off what each level is still to be given of a grant.
+func (w *balance) add(count uint32, levels *Needs, from, until time.Time) {
+	for level := range levels {
+		given := min(count, levels[level])
+		levels[level] -= given
+		count -= given
+		if given > 0 {
+			w.lots = append(w.lots, lot{count: given, level: level, from: from, until: until})
+		}
+	}
+	if count > 0 {
+		w.lots = append(w.lots, lot{count: count, level: anybody, from: from, until: until})
 	}
 }
 
@@ -157,7 +212,7 @@
 		return
 	}
 	w.asked = ""
-	if w.lack(now) > 0 {
+	if w.lack(now) != (Needs{}) {
 		m.ask(now, tenant, w)
 	}
 }
--- a/internal/proxy/quota/keeper.go
+++ b/internal/proxy/quota/keeper.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"dewknot/internal/proxy/urgency"
 )
 
 // Sender sends messages to other nodes; they may get lost.
@@ -15,34 +17,42 @@
 type Keeper struct {
 	address string
 	sender  Sender
+	notify  func(HeldBack)
 
 	mu      sync.Mutex
 	machine *Machine
-	// waiting holds, by tenant, the channel that is closed when operations that wait for
-	// a token should ask again.
-	waiting map[string]chan struct{}
+	// waiting holds the channels that are closed when operations that wait for a token
+	// should ask again.
+	waiting map[waiters]chan struct{}
+}
+
+// waiters are the operations of a tenant and a level.
+type waiters struct {
+	tenant string
+	level  urgency.Level
 }
 
 // NewKeeper returns a keeper of a node without a share.
 func NewKeeper(cfg Config, sender Sender) *Keeper {
-	return &Keeper{address: cfg.Address, sender: sender, machine: NewMachine(cfg), waiting: map[string]chan struct{}{}}
+	return &Keeper{address: cfg.Address, sender: sender, notify: cfg.OnHeldBack, machine: NewMachine(cfg), waiting: map[waiters]chan struct{}{}}
 }
 
 // Token is what an operation takes, to be put back if it did not run.
 type Token struct {
 	tenant      string
+	level       urgency.Level
 	from, until time.Time
 }
 
-// Take takes a token for an operation of a tenant, waiting for one until a deadline. If
+// Take takes a token for an operation of a tenant and a level, waiting for one until a deadline. If
 // there is none, it returns when to come back.
-func (k *Keeper) Take(tenant string, deadline time.Time) (token Token, after time.Duration, granted bool) {
+func (k *Keeper) Take(tenant string, level urgency.Level, deadline time.Time) (token Token, after time.Duration, granted bool) {
 	waits := false
 	for {
-		verdict, changed := k.try(tenant, waits)
+		verdict, changed := k.try(waiters{tenant, level}, waits)
 		switch {
 		case verdict.Granted:
-			return k.waitFor(Token{tenant: tenant, from: verdict.From, until: verdict.Until}, deadline)
+			return k.waitFor(Token{tenant: tenant, level: level, from: verdict.From, until: verdict.Until}, deadline)
 		case !verdict.Pending && verdict.Young && time.Now().Add(verdict.After).Before(deadline):
 			// The fleet has just started: there will be some in a moment.
 			time.Sleep(verdict.After)
@@ -57,9 +67,7 @@
 		case <-changed:
 			timer.Stop()
 		case <-timer.C:
-			k.mu.Lock()
-			k.machine.Abandon(tenant)
-			k.mu.Unlock()
+			k.step(func(time.Time) { k.machine.Abandon(tenant, level) })
 			return Token{}, unreachedPause, false
 		}
 	}
@@ -80,15 +88,15 @@
 }
 
 // try asks the machine once, and returns what is closed when to ask again.
-func (k *Keeper) try(tenant string, waits bool) (verdict Verdict, changed chan struct{}) {
+func (k *Keeper) try(who waiters, waits bool) (verdict Verdict, changed chan struct{}) {
 	k.step(func(now time.Time) {
-		verdict = k.machine.Take(now, tenant, waits)
+		verdict = k.machine.Take(now, who.tenant, who.level, waits)
 		if !verdict.Pending {
 			return
 		}
-		if changed = k.waiting[tenant]; changed == nil {
+		if changed = k.waiting[who]; changed == nil {
 			changed = make(chan struct{})
-			k.waiting[tenant] = changed
+			k.waiting[who] = changed
 		}
 	})
 	return verdict, changed
@@ -96,7 +104,7 @@
 
 // PutBack returns the token of an operation that did not run.
 func (k *Keeper) PutBack(token Token) {
-	k.step(func(now time.Time) { k.machine.PutBack(now, token.tenant, token.from, token.until) })
+	k.step(func(now time.Time) { k.machine.PutBack(now, token.tenant, token.level, token.from, token.until) })
 }
 
 // Receive takes a message from the node at an address.
@@ -129,8 +137,15 @@
 	change(now)
 	out := k.drain(now)
 	k.wake(now)
+	changes := k.machine.Changes()
 	k.mu.Unlock()
 	k.send(out)
+	if k.notify == nil {
+		return
+	}
+	for _, change := range changes {
+		k.notify(change)
+	}
 }
 
 // drain returns the messages to other nodes; those to this one are taken at once. The lock
@@ -151,10 +166,10 @@
 
 // wake makes operations ask again for whose tenants something has come; the lock is held.
 func (k *Keeper) wake(now time.Time) {
-	for tenant, changed := range k.waiting {
-		if k.machine.Ready(now, tenant) {
+	for who, changed := range k.waiting {
+		if k.machine.Ready(now, who.tenant, who.level) {
 			close(changed)
-			delete(k.waiting, tenant)
+			delete(k.waiting, who)
 		}
 	}
 }
--- a/internal/proxy/quota/machine.go
+++ b/internal/proxy/quota/machine.go
@@ -32,6 +32,8 @@
 	Life    uint64
 	Started time.Time
 	Limits  Limits
+	// OnHeldBack is called by a Keeper with what Machine.Changes returns; it may be nil.
+	OnHeldBack func(HeldBack)
 }
 
 // Fleet is what a node knows of the others.
@@ -109,22 +111,6 @@
 // Leave makes the node's allocator tell its askers to turn to others.
 func (m *Machine) Leave() { m.allocator.leaving = true }
 
-// Verdict is whether an operation may run.
-type Verdict struct {
-	Granted bool
-	// From and Until are when the token of a granted operation is good: it may have to wait
-	// a moment.
-	From  time.Time
-	Until time.Time
-	// Pending is set if an allocator is being asked: the operation is to ask again once
-	// something has come, and counts as waiting until then.
-	Pending bool
-	// After is when a refused operation may have a chance. Young is set if that is soon,
-	// since the allocators have only just started.
-	After time.Duration
-	Young bool
-}
-
 // Receive takes a message from the node at an address.
 func (m *Machine) Receive(now time.Time, from string, message *Message) {
 	switch {
@@ -149,6 +135,7 @@
 		}
 	}
 	m.renew(now)
+	m.allocator.endHoldings(now)
 	if now.Sub(m.swept) >= balanceLife {
 		m.sweep(now)
 	}
@@ -158,7 +145,7 @@
 func (m *Machine) sweep(now time.Time) {
 	m.swept = now
 	for tenant, w := range m.balances {
-		if now.Sub(w.used) >= balanceLife && w.waiting == 0 && w.asked == "" {
+		if now.Sub(w.used) >= balanceLife && w.waiting == (Needs{}) && w.asked == "" {
 			delete(m.balances, tenant)
 		}
 	}
--- a/internal/proxy/quota/machine_test.go
+++ b/internal/proxy/quota/machine_test.go
@@ -67,9 +67,9 @@
 func TestLateAnswerBringsNothing(t *testing.T) {
 	m := NewMachine(Config{Node: "n", Address: "n", Life: 1, Started: testStart, Limits: unitLimits})
 	m.SetFleet(Fleet{Nodes: 2, Home: Region{Allocators: [][]string{{"allocator"}}}})
-	must.True(t, m.Take(at(0), "t", false).Pending)
+	must.True(t, m.Take(at(0), "t", 0, false).Pending)
 	asked := m.Drain()[0].Message.Request
-	must.Eq(t, []Want{{Tenant: "t", Need: 1}}, asked.Wants)
+	must.Eq(t, []Want{{Tenant: "t", Need: 1, Levels: []uint32{1}}}, asked.Wants)
 	answer := func(life time.Duration) *Message {
 		return &Message{Reply: &Reply{Sequence: asked.Sequence, Grants: []Grant{{Tenant: "t", Count: 5, Life: life}}}}
 	}
@@ -87,7 +87,7 @@
 func TestAllocatorsAreAskedInTurn(t *testing.T) {
 	m := NewMachine(Config{Node: "n", Address: "n", Life: 1, Started: testStart, Limits: unitLimits})
 	m.SetFleet(Fleet{Nodes: 3, Home: Region{Allocators: [][]string{{"home"}}}, Far: []Region{{Allocators: [][]string{{"far"}}}}})
-	must.True(t, m.Take(at(0), "t", false).Pending)
+	must.True(t, m.Take(at(0), "t", 0, false).Pending)
 	for i, allocator := range []string{"home", "far"} {
 		sent := slices.DeleteFunc(m.Drain(), func(e Envelope) bool { return len(e.Message.Request.Wants) == 0 })
 		must.Len(t, 1, sent)
@@ -97,12 +97,12 @@
 			Sequence: sent[0].Message.Request.Sequence, Grants: []Grant{{Tenant: "t", Dry: dry}},
 		}})
 	}
-	must.True(t, m.Ready(at(0), "t"))
-	verdict := m.Take(at(0), "t", true)
+	must.True(t, m.Ready(at(0), "t", 0))
+	verdict := m.Take(at(0), "t", 0, true)
 	must.False(t, verdict.Pending)
 	must.Eq(t, 200*time.Millisecond, verdict.After)
-	must.Eq(t, uint32(0), m.balances["t"].waiting)
-	must.True(t, m.Take(at(250*time.Millisecond), "t", false).Pending, must.Sprint("the far allocator has one again"))
+	must.Eq(t, Needs{}, m.balances["t"].waiting)
+	must.True(t, m.Take(at(250*time.Millisecond), "t", 0, false).Pending, must.Sprint("the far allocator has one again"))
 }
 
 // TestSilentAllocatorIsReplacedAndComesBack: after two answers that did not come, the next allocator
@@ -158,13 +158,13 @@
 // costs besides since there are quotas.
 func BenchmarkTake(b *testing.B) {
 	k := NewKeeper(Config{Node: "n", Address: "n", Life: 1, Started: testStart, Limits: unitLimits}, nil)
-	w := &balance{dry: map[string]time.Time{}, lots: []lot{{count: 1 << 31, until: time.Now().Add(time.Hour)}}}
+	w := &balance{lots: []lot{{count: 1 << 31, until: time.Now().Add(time.Hour)}}}
 	for i := range 1000 {
 		k.machine.balances[fmt.Sprint(i)] = w
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, _, granted := k.Take("500", time.Time{}); !granted {
+		if _, _, granted := k.Take("500", 0, time.Time{}); !granted {
 			b.Fatal("not granted")
 		}
 	}
--- a/internal/proxy/quota/model_test.go
+++ b/internal/proxy/quota/model_test.go
@@ -12,6 +12,7 @@
 
 	"dewknot/internal/base/propertytest"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/urgency"
 )
 
 // The model plays a fleet whose callers want more than they may have, with datagrams that
@@ -38,6 +39,12 @@
 	wholeShares mutation = "the shares are more than the whole"
 	// stockUnbounded: an allocator keeps all that was minted while nobody wanted any.
 	stockUnbounded mutation = "an allocator's stock is not bounded"
+	// lessUrgentForgotten: what less urgent work is given is not taken off.
+	lessUrgentForgotten mutation = "an allocator forgets what it has handed out to less urgent work"
+	// floorMinted: the floor of less urgent work is handed out besides what is minted.
+	floorMinted mutation = "the floor of less urgent work is minted"
+	// levelsTwice: tokens that were handed out for a level are anybody's besides.
+	levelsTwice mutation = "tokens of a level are anybody's besides"
 )
 
 // mutations holds, with each, the troubles in which it matters.
@@ -50,6 +57,10 @@
 	delegationsStay:   {storms: true, views: true},
 	wholeShares:       {},
 	stockUnbounded:    {crowds: true},
+
+	lessUrgentForgotten: {},
+	floorMinted:         {},
+	levelsTwice:         {},
 }
 
 const (
@@ -119,6 +130,8 @@
 	quota  catalog.Quota
 	// troubles are the kinds that strike in this play.
 	troubles troubles
+	// levels is how many levels operations have; 0 if all have the same.
+	levels int
 	// filled holds the allocators whose stock a mutation has filled.
 	filled map[*Allocator]bool
 	// stormUntil is until when processes start anew all the time.
@@ -142,6 +155,7 @@
 	w := &modelWorld{
 		random: rand.New(rand.NewPCG(cfg.seed, 7)), broken: cfg.broken, troubles: cfg.troubles, start: start, now: start, cut: map[[2]string]time.Time{}, filled: map[*Allocator]bool{},
 	}
+	w.levels = int(cfg.seed/3%3) * 2
 	rate := float64(1 + w.random.IntN(300))
 	w.quota = catalog.Quota{PerSecond: rate, Burst: rate * float64(w.random.IntN(5)) / 2}
 	w.bounds = Bounds{Window: 5 * time.Second, Overage: 0.1 * float64(w.random.IntN(3)), Slack: float64(w.random.IntN(30))}
@@ -273,7 +287,7 @@
 	if w.chance(w.troubles.crowds, 100) {
 		// Many operations wait, and will have given up before they get a token.
 		if held := node.machine.balances[modelTenant]; held != nil {
-			held.waiting = crowd
+			held.waiting[w.level()] = crowd
 		}
 	}
 	if w.chance(w.troubles.crowds, 300) {
@@ -362,7 +376,13 @@
 		w.fill(to.machine.allocator)
 	}
 	before := to.machine.allocator.tokens()
+	if a := to.machine.allocator.accounts[modelTenant]; a != nil && w.broken == floorMinted {
+		for _, owed := range a.claims.owed {
+			a.tokens += owed
+		}
+	}
 	to.machine.Receive(w.now, due.from, &message)
+	w.breakLevels(to, &message)
 	if a := to.machine.allocator.accounts[modelTenant]; a != nil && w.broken == grantForgotten {
 		a.tokens = max(a.tokens, before)
 	}
@@ -374,6 +394,30 @@
 	w.drain(to)
 }
 
+// breakLevels plays the mutations that concern levels, after a message was taken.
+func (w *modelWorld) breakLevels(to *modelNode, message *Message) {
+	switch {
+	case message.Request != nil && w.broken == lessUrgentForgotten:
+		reply := to.machine.out[len(to.machine.out)-1].Message.Reply
+		for _, granted := range reply.Grants {
+			for level, count := range granted.Levels {
+				if level > 0 {
+					to.machine.allocator.accounts[modelTenant].tokens += float64(count)
+				}
+			}
+		}
+	case message.Reply != nil && w.broken == levelsTwice:
+		if held := to.machine.balances[modelTenant]; held != nil {
+			for _, l := range held.lots {
+				if l.level != anybody {
+					l.level = anybody
+					held.lots = append(held.lots, l)
+				}
+			}
+		}
+	}
+}
+
 // tokens returns what an allocator has of the model's tenant.
 func (b *Allocator) tokens() float64 {
 	if account := b.accounts[modelTenant]; account != nil {
@@ -419,7 +463,8 @@
 		wanted++
 	}
 	for range wanted {
-		verdict := m.Take(w.now, modelTenant, false)
+		level := w.level()
+		verdict := m.Take(w.now, modelTenant, level, false)
 		switch {
 		case verdict.Granted:
 			at := w.now
@@ -431,16 +476,24 @@
 			// The model's operations come back by themselves; some stay in the count of
 			// those that wait, so that allocators are asked for many.
 			if w.random.IntN(3) == 0 {
-				m.Abandon(modelTenant)
+				m.Abandon(modelTenant, level)
 			}
 		}
-		if m.balances[modelTenant].waiting > crowd {
-			m.balances[modelTenant].waiting = 0
+		if waiting := &m.balances[modelTenant].waiting; waiting.sum() > crowd {
+			*waiting = Needs{}
 		}
 	}
 	w.drain(node)
 }
 
+// level draws the level of an operation: in a third of the plays all have the same.
+func (w *modelWorld) level() urgency.Level {
+	if w.levels == 0 {
+		return 0
+	}
+	return urgency.Level(w.random.IntN(w.levels))
+}
+
 // drain puts a node's messages on their way.
 func (w *modelWorld) drain(node *modelNode) {
 	for _, envelope := range node.machine.Drain() {
--- a/internal/proxy/quota/quota.go
+++ b/internal/proxy/quota/quota.go
@@ -137,6 +137,9 @@
 	Tenant string
 	Need   uint32
 	More   uint32
+	// Levels are the parts of Need by level, the most urgent first; those that are left out
+	// need none. An earlier version's want has none at all.
+	Levels []uint32 `msgpack:"-"`
 }
 
 // Reply answers a request.
@@ -162,6 +165,11 @@
 	// the allocator has only just started.
 	Dry   time.Duration
 	Young bool
+	// Levels are the tokens by the level for which they are handed out: the first of them all
+	// for the most urgent level, and so on; what is left is anybody's. LevelsDry is Dry by
+	// level, zero for a level that was given what it needed. Both answer a want with levels.
+	Levels    []uint32        `msgpack:"-"`
+	LevelsDry []time.Duration `msgpack:"-"`
 }
 
 // Bounds of a request.
@@ -169,6 +177,8 @@
 	maxDelegations = 64
 	maxWants       = 256
 	maxCount       = 1 << 16
+	// maxLevels is how many levels a later version may know.
+	maxLevels = 16
 )
 
 // acceptable reports whether a request may be served.
@@ -182,7 +192,7 @@
 		}
 	}
 	for _, w := range r.Wants {
-		if w.Need > maxCount || w.More > maxCount {
+		if w.Need > maxCount || w.More > maxCount || len(w.Levels) > maxLevels {
 			return false
 		}
 	}
--- a/internal/proxy/quotas.go
+++ b/internal/proxy/quotas.go
@@ -172,7 +172,7 @@
 	if r.deadline.Before(deadline) {
 		deadline = r.deadline
 	}
-	token, after, granted := n.quotas.Take(tenant, deadline)
+	token, after, granted := n.quotas.Take(tenant, r.work.Level, deadline)
 	if !granted {
 		return r.session.fail(failure.Refuse(failure.OverQuota, spread(after))), false
 	}
@@ -185,7 +185,7 @@
 	if !r.charged {
 		return true
 	}
-	token, _, granted := r.session.node.quotas.Take(string(r.session.principal), time.Now())
+	token, _, granted := r.session.node.quotas.Take(string(r.session.principal), r.work.Level, time.Now())
 	if granted {
 		r.token = token
 	}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -12,6 +12,7 @@
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/remote"
 	"dewknot/internal/proxy/upstream"
+	"dewknot/internal/proxy/urgency"
 )
 
 // Times of a statement's way.
@@ -52,6 +53,8 @@
 	statement *command.Statement
 	arrived   time.Time
 	deadline  time.Time
+	// work says how urgent the statement is.
+	work urgency.Work
 	// overload is when new work that waits for a slot is refused; it is zero
 	// until the work first waits for one.
 	overload time.Time
@@ -73,9 +76,12 @@
 func (s *session) newRun(statement *command.Statement, arrived time.Time) *run {
 	service := s.node.service(s.bound.Service)
 	service.used(arrived)
+	deadline := arrived.Add(s.bound.StatementTimeout - answerMargin)
 	return &run{
-		session: s, service: service, statement: statement,
-		arrived: arrived, deadline: arrived.Add(s.bound.StatementTimeout - answerMargin),
+		session: s, service: service, statement: statement, arrived: arrived, deadline: deadline,
+		work: urgency.Work{
+			Level: urgency.Of(s.bound.Priority), Arrived: arrived, Objective: arrived.Add(s.bound.TargetLatency), Deadline: deadline,
+		},
 	}
 }
 
