quota: operators see by level who got tokens, and when work is held back

Cause: an operator whose tenant is over its quota could not tell whether its urgent operations are among those that are refused, nor that others are refused for them. Ruled out: levels by tenant, whose series would be four times as many.

--- a/internal/lab/explain/explain.go
+++ b/internal/lab/explain/explain.go
@@ -179,7 +179,8 @@
 	})
 }
 
-// Tenant writes what a tenant's callers were refused, and what their nodes believed of the
+// Tenant writes what a tenant's callers were refused, when its less urgent work was held back
+// for more urgent work, and what their nodes believed of the
 // quotas and the configuration.
 func (l *Logs) Tenant(out io.Writer, name string) error {
 	nodes := map[string]bool{}
@@ -193,7 +194,7 @@
 	}
 	return write(out, l.merge(), func(line *Line) bool {
 		switch line.Event {
-		case eventlog.RequestFailed, eventlog.TransactionRolledBack:
+		case eventlog.RequestFailed, eventlog.TransactionRolledBack, eventlog.QuotaHeldBack:
 			return line.Text("tenant") == name
 		case eventlog.QuotaShare, eventlog.ConfigurationApplied, eventlog.MessageLost:
 			return nodes[line.Node]
--- a/internal/lab/explain/explain_test.go
+++ b/internal/lab/explain/explain_test.go
@@ -51,12 +51,15 @@
 	told := &Logs{}
 	must.NoError(t, told.Read(strings.NewReader(`{"time":"2026-12-02T10:00:00Z","event":"quota_share","node":"n1","nodes":59}
 {"time":"2026-12-02T10:00:00Z","event":"quota_share","node":"n2","nodes":59}
+{"time":"2026-12-02T10:00:00.5Z","event":"quota_held_back","node":"n3","tenant":"amber","level":"1","began":true}
+{"time":"2026-12-02T10:00:00.6Z","event":"quota_held_back","node":"n3","tenant":"birch","level":"1","began":true}
 {"time":"2026-12-02T10:00:01Z","event":"request_failed","node":"n1","request":"r1","tenant":"amber","outcome":"over_quota"}
 {"time":"2026-12-02T10:00:02Z","event":"request_failed","node":"n1","request":"r2","tenant":"birch","outcome":"over_quota"}
 `)))
 	var out strings.Builder
 	must.NoError(t, told.Tenant(&out, "amber"))
 	must.Eq(t, `10:00:00.000 n1                   quota_share nodes=59
+10:00:00.500 n3                   quota_held_back began=true level=1 tenant=amber
 10:00:01.000 n1                   request_failed outcome=over_quota request=r1 tenant=amber
 `, out.String())
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -27,6 +27,8 @@
 	rounds   *prometheus.HistogramVec
 	unproved prometheus.Counter
 	tenants  *tenantCollector
+	// tokens are the operations that asked for a token of their tenant's quota.
+	tokens *prometheus.CounterVec
 }
 
 const metricsNamespace = "dewknot"
@@ -64,12 +66,13 @@
 			Namespace: metricsNamespace, Name: "answers_unproved_total",
 			Help: "Answers of a primary that were not believed, since its tenure may have ended.",
 		}),
+		tokens:    counter("tokens_total", "Operations that asked for a token of their tenant's quota, by the level of their route's urgency (0 is the most urgent).", "level", "outcome"),
 		failovers: counter("failover_phases_total", "Phases entered by the failover machines.", "service", "phase"),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.failovers, m.storeCalls, m.rounds, m.unproved,
+	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.failovers, m.storeCalls, m.rounds, m.unproved, m.tokens,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
 		newServerCollector(node), m.tenants,
--- a/internal/proxy/quotas.go
+++ b/internal/proxy/quotas.go
@@ -36,6 +36,7 @@
 	}
 	return quota.NewKeeper(quota.Config{
 		Node: n.options.Name, Address: n.options.TokenAddress, Life: lifeNumber(n.options.Life), Started: n.started, Limits: n.limitOf,
+		OnHeldBack: n.logHeldBack,
 	}, n.ports.Tokens)
 }
 
@@ -157,6 +158,21 @@
 	return true
 }
 
+// tokenOutcomes are the values of the metric's label.
+var tokenOutcomes = map[bool]string{true: "granted", false: "refused"}
+
+// logHeldBack writes that the node's allocator begins to hold less urgent work of a tenant
+// back, or has ended it.
+func (n *Node) logHeldBack(change quota.HeldBack) {
+	fields := []zap.Field{zap.String("tenant", change.Tenant), zap.Stringer("level", change.Level), zap.Bool("began", change.Began)}
+	if change.Began {
+		fields = append(fields, zap.Float64s("asked", change.Asked[:]), zap.Float64("minted", change.Minted))
+	} else {
+		fields = append(fields, zap.Uint64("refused", change.Refused), zap.Duration("lasted", change.Lasted))
+	}
+	n.log.Write(eventlog.QuotaHeldBack, fields...)
+}
+
 // charge takes a token of the tenant's quota for the operation that begins with the
 // statement, waiting a moment for one. The reply is final if it reports false.
 func (r *run) charge() (Reply, bool) {
@@ -173,6 +189,7 @@
 		deadline = r.deadline
 	}
 	token, after, granted := n.quotas.Take(tenant, r.work.Level, deadline)
+	n.metrics.tokens.WithLabelValues(r.work.Level.String(), tokenOutcomes[granted]).Inc()
 	if !granted {
 		return r.session.fail(failure.Refuse(failure.OverQuota, spread(after))), false
 	}
--- a/internal/proxy/urgency/urgency.go
+++ b/internal/proxy/urgency/urgency.go
@@ -5,11 +5,17 @@
 // The package is pure: it reads no clock and does no I/O.
 package urgency
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Level is the urgency of a kind of work. 0 is the most urgent.
 type Level uint8
 
+// String implements fmt.Stringer.
+func (l Level) String() string { return strconv.Itoa(int(l)) }
+
 // Levels is the number of levels. Messages between nodes and metrics carry a figure for
 // each, so there are few.
 const Levels = 4
