--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -22,6 +22,8 @@
 	// storeCalls are the calls to the store.
 	storeCalls *prometheus.CounterVec
 	tenants    *tenantCollector
+	// tokens are the operations that asked for a token of their tenant's quota.
+	tokens *prometheus.CounterVec
 }
 
 var freshnessNames = map[catalog.Freshness]string{
@@ -46,11 +48,12 @@
 		reads:      counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
 		refusals:   counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
 		storeCalls: counter("store_calls_total", "Calls to the store.", "call", "kind", "outcome"),
+		tokens:     counter("tokens_total", "Operations that asked for a token of their tenant's quota, by the level of their route's urgency (0 is the most urgent).", "level", "outcome"),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.storeCalls,
+	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.storeCalls, m.tokens,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
 		m.tenants,
--- a/internal/proxy/quotas.go
+++ b/internal/proxy/quotas.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	// nodesPerBank is about how many nodes of a region share a bank: each sends some
+	// nodesPerAllocator is about how many nodes of a region share an allocator: each sends some
 	// datagrams a second.
-	nodesPerBank = 24
-	// banksRanked is how many nodes may stand in for a bank.
-	banksRanked = 3
+	nodesPerAllocator = 24
+	// allocatorsRanked is how many nodes may stand in for an allocator.
+	allocatorsRanked = 3
 	// joinPause is how long a node that is new to the fleet has no share of its own: by
 	// then all others have looked at the members again, and count it.
 	joinPause = 3 * memberLook / 2
@@ -36,6 +36,7 @@
 	}
 	return quota.NewKeeper(quota.Config{
 		Node: n.options.Name, Address: n.options.TokenAddress, Life: lifeNumber(n.options.Life), Started: n.started, Limits: n.limitOf,
+		OnHeldBack: n.logHeldBack,
 	}, n.ports.Tokens)
 }
 
@@ -87,11 +88,11 @@
 		byRegion[region] = append(byRegion[region], member)
 	}
 	home := n.options.Regions[n.options.Zone]
-	fleet := quota.Fleet{Nodes: len(*known) + 1, Home: banksOf(byRegion[home])}
-	// What no other bank of the region answers for, the node does itself.
-	for i := range fleet.Home.Banks {
-		if !slices.Contains(fleet.Home.Banks[i], own.Tokens) {
-			fleet.Home.Banks[i] = append(fleet.Home.Banks[i], own.Tokens)
+	fleet := quota.Fleet{Nodes: len(*known) + 1, Home: allocatorsOf(byRegion[home])}
+	// What no other allocator of the region answers for, the node does itself.
+	for i := range fleet.Home.Allocators {
+		if !slices.Contains(fleet.Home.Allocators[i], own.Tokens) {
+			fleet.Home.Allocators[i] = append(fleet.Home.Allocators[i], own.Tokens)
 		}
 	}
 	var others []placement.Candidate
@@ -101,13 +102,13 @@
 		}
 	}
 	for _, region := range placement.Rank(n.options.Name, "", others, len(others)) {
-		fleet.Far = append(fleet.Far, banksOf(byRegion[region]))
+		fleet.Far = append(fleet.Far, allocatorsOf(byRegion[region]))
 	}
 	n.quotas.SetFleet(fleet)
 }
 
-// banksOf ranks the nodes of a region that may be its banks, by part of the tenants.
-func banksOf(members []Member) quota.Region {
+// allocatorsOf ranks the nodes of a region that may be its allocators, by part of the tenants.
+func allocatorsOf(members []Member) quota.Region {
 	addresses := map[string]string{}
 	var candidates []placement.Candidate
 	for _, member := range members {
@@ -119,17 +120,18 @@
 	if len(candidates) == 0 {
 		return quota.Region{}
 	}
-	parts := int(math.Ceil(float64(len(candidates)) / nodesPerBank))
-	region := quota.Region{Banks: make([][]string, parts)}
+	parts := int(math.Ceil(float64(len(candidates)) / nodesPerAllocator))
+	region := quota.Region{Allocators: make([][]string, parts)}
 	for i := range parts {
-		for _, name := range placement.Rank(quotaKey(i), "", candidates, banksRanked) {
-			region.Banks[i] = append(region.Banks[i], addresses[name])
+		for _, name := range placement.Rank(quotaKey(i), "", candidates, allocatorsRanked) {
+			region.Allocators[i] = append(region.Allocators[i], addresses[name])
 		}
 	}
 	return region
 }
 
-// quotaKey ranks the banks of a part of the tenants.
+// quotaKey ranks the allocators of a part of the tenants.
+// Nodes of earlier versions rank by the same key.
 func quotaKey(part int) string { return "quota bank " + string(rune('a'+part)) }
 
 // giveShare gives the node its share of the quotas, once, and reports whether it has one.
@@ -156,6 +158,21 @@
 	return true
 }
 
+// tokenOutcomes are the values of the metric's label.
+var tokenOutcomes = map[bool]string{true: "granted", false: "refused"}
+
+// logHeldBack writes that the node's allocator begins to hold less urgent work of a tenant
+// back, or has ended it.
+func (n *Node) logHeldBack(change quota.HeldBack) {
+	fields := []zap.Field{zap.String("tenant", change.Tenant), zap.Stringer("level", change.Level), zap.Bool("began", change.Began)}
+	if change.Began {
+		fields = append(fields, zap.Float64s("asked", change.Asked[:]), zap.Float64("minted", change.Minted))
+	} else {
+		fields = append(fields, zap.Uint64("refused", change.Refused), zap.Duration("lasted", change.Lasted))
+	}
+	n.log.Write(eventlog.QuotaHeldBack, fields...)
+}
+
 // charge takes a token of the tenant's quota for the operation that begins with the
 // statement, waiting a moment for one. The reply is final if it reports false.
 func (r *run) charge() (Reply, bool) {
@@ -171,7 +188,8 @@
 	if r.deadline.Before(deadline) {
 		deadline = r.deadline
 	}
-	token, after, granted := n.quotas.Take(tenant, deadline)
+	token, after, granted := n.quotas.Take(tenant, r.work.Level, deadline)
+	n.metrics.tokens.WithLabelValues(r.work.Level.String(), tokenOutcomes[granted]).Inc()
 	if !granted {
 		return r.session.fail(failure.Refuse(failure.OverQuota, spread(after))), false
 	}
@@ -184,7 +202,7 @@
 	if !r.charged {
 		return true
 	}
-	token, _, granted := r.session.node.quotas.Take(string(r.session.principal), time.Now())
+	token, _, granted := r.session.node.quotas.Take(string(r.session.principal), r.work.Level, time.Now())
 	if granted {
 		r.token = token
 	}
