routing: the server of a read by expected time, slots and what the objective can spare

Cause: fixed prices in milliseconds were added to a latency, slots counted for nothing, and every node with the same knowledge took the same server. Change: two draws, each server as often as it has slots, by way, service time, work in flight over slots and told wait; prices of zone, region and primary are shares of the time left.

--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"dewknot/internal/base/failure"
@@ -10,6 +11,7 @@
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/routing"
 	"dewknot/internal/proxy/upstream"
+	"dewknot/internal/proxy/urgency"
 )
 
 // readCurrent runs a read that must see every acknowledged commit: in a
@@ -230,19 +232,28 @@
 			SameZone:   entry.Zone == node.options.Zone,
 			SameRegion: node.options.Regions[entry.Zone] == node.options.Regions[node.options.Zone],
 			Primary:    entry.ID == leader,
-			Latency:    target.stats.Latency(now), InFlight: target.load(),
+			Latency:    target.stats.Latency(now), Way: target.stats.Way(),
+			InFlight: target.load(), Slots: entry.Slots, Wait: r.toldWait(target, now),
 			Covers:  target.stats.Covers(floor.Position, floor.Since, now),
 			Avoided: target.stats.Avoided(now), Congested: target.stats.Congested(now),
 			Leaving: entry.Leaving(), Tried: r.tried[entry.ID],
 		})
 	}
-	chosen := routing.Choose(candidates)
+	objective := r.arrived.Add(r.session.bound.TargetLatency)
+	chosen := routing.Choose(candidates, objective.Sub(now), rand.IntN)
 	if chosen < 0 {
 		return nil
 	}
 	return servers[chosen]
 }
 
+// toldWait returns how long new work like this is expected to wait at a server's owner; 0 if
+// it has not lately told.
+func (r *run) toldWait(target *server, now time.Time) time.Duration {
+	wait, _ := target.told.Wait(now, urgency.Of(r.session.bound.Priority))
+	return wait
+}
+
 // load returns the work of this node that a server has or that waits for it.
 func (t *server) load() int {
 	running, waiting := t.gate.Load()
--- a/internal/proxy/upstream/stats.go
+++ b/internal/proxy/upstream/stats.go
@@ -188,6 +188,14 @@
 	return time.Duration(s.estimate(now) * float64(time.Second))
 }
 
+// Way returns the lowest latency seen, which is the way to the server and back and hardly
+// more; 0 if nothing is known.
+func (s *Stats) Way() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return time.Duration(s.lowest * float64(time.Second))
+}
+
 // Observe takes a position that the server has applied.
 func (s *Stats) Observe(at position.Position) {
 	s.mutex.Lock()
