quorum: silence counts from where an answer is due; metrics of voters

The measured delay of a voter's answers is added to the spans after which it counts as silent and a node as isolated. Tests: questions get fewer as answers get late, what a voter believes of members under loss, repetition, restarts (rapid), 400 members in one window; switching off the gap, the voter's life or the closing revision fails them.

--- a/internal/proxy/quorum/member.go
+++ b/internal/proxy/quorum/member.go
@@ -304,6 +304,15 @@
 	n.services[service] = view
 }
 
+// Delay returns the longest measured time until a voter's answer, and the questions in a row
+// that the voter with most of them has not answered in time.
+func (n *Member) Delay() (trip time.Duration, misses int) {
+	for _, of := range n.mirrors {
+		trip, misses = max(trip, of.trip.smoothed), max(misses, of.misses)
+	}
+	return trip, misses
+}
+
 // Settled reports whether the records of all voters are known whole.
 func (n *Member) Settled() bool { return n.Whole() == len(n.mirrors) }
 
@@ -336,11 +345,12 @@
 }
 
 // Silent returns the voters that have not been heard of for a span, or not at all for a
-// first span since the table was taken.
+// first span since the table was taken. The measured delay of a voter's answers is added: a
+// full link is no loss.
 func (n *Member) Silent(now time.Time, span, first time.Duration) []string {
 	var silent []string
 	for _, of := range n.mirrors {
-		since := now.Sub(of.heard)
+		since := now.Sub(of.heard) - of.trip.delay()
 		if of.seat.Name != n.name && (since >= span || (!of.met && since >= first)) {
 			silent = append(silent, of.seat.Name)
 		}
@@ -348,12 +358,12 @@
 	return silent
 }
 
-// Heard counts the voters that have been heard of within a span, or met for the first
-// time; the member's own counts.
+// Heard counts the voters that have been heard of within a span and the measured delay of
+// their answers, or met for the first time; the member's own counts.
 func (n *Member) Heard(now time.Time, span time.Duration) int {
 	heard := 0
 	for _, of := range n.mirrors {
-		if of.seat.Name == n.name || now.Sub(of.heard) < span {
+		if of.seat.Name == n.name || now.Sub(of.heard)-of.trip.delay() < span {
 			heard++
 		}
 	}
--- a/internal/proxy/quorum/trip.go
+++ b/internal/proxy/quorum/trip.go
@@ -30,15 +30,20 @@
 	r.smoothed += (took - r.smoothed) / 8
 }
 
-// timeout is how long an answer is waited for after a number of questions without one.
+// timeout is how long an answer is waited for after a number of questions without one. It
+// doubles up to a bound, and is at least as long as the measured way takes, up to the interval
+// of renewals.
 func (r *roundTrip) timeout(misses int, most time.Duration) time.Duration {
 	wait := firstTimeout
 	if r.smoothed > 0 {
 		wait = max(leastTimeout, r.smoothed+4*r.variance)
 	}
-	return doubled(wait, misses, most)
+	return doubled(wait, misses, max(most, min(wait, RenewInterval)))
 }
 
+// delay is by how much answers come later than over a way that is free.
+func (r *roundTrip) delay() time.Duration { return max(0, r.smoothed+4*r.variance-firstTimeout) }
+
 // doubled doubles a pause a number of times, up to a bound.
 func doubled(pause time.Duration, times int, most time.Duration) time.Duration {
 	for ; times > 0 && pause < most; times-- {
--- a/internal/proxy/quorum/voter.go
+++ b/internal/proxy/quorum/voter.go
@@ -71,6 +71,10 @@
 // Normal reports whether the voter takes part.
 func (v *Voter) Normal() bool { return v.standing == normal }
 
+// Backlog returns the bytes of records that are under way to members, and how many members
+// wait for theirs.
+func (v *Voter) Backlog() (bytes, waiting int) { return v.spread.flying, len(v.spread.queue) }
+
 // Age is how long the voter's process has run.
 func (v *Voter) Age(now time.Time) time.Duration { return now.Sub(v.started) }
 
--- a/internal/proxy/tenures.go
+++ b/internal/proxy/tenures.go
@@ -22,11 +22,13 @@
 	if !n.options.Agreed || n.ports.Messages == nil {
 		return nil
 	}
-	return tenure.New(tenure.Config{
+	keeper := tenure.New(tenure.Config{
 		Name: n.options.Name, Zone: n.options.Zone, Address: n.options.MessageAddress, Life: lifeNumber(n.options.Life),
 		Store: n.ports.Store, Kind: n.options.Kinds.Voters, Sender: n.ports.Messages, Peers: n.votingPeers,
 		Changed: n.tenureChanged, Voiced: n.lookSoon, Log: n.log,
 	})
+	n.metrics.registry.MustRegister(keeper.Metrics())
+	return keeper
 }
 
 // lifeNumber makes a number of what is unique to the process.
