quorum: voters keep their changes in order

Cause: a voter looked through all records and sorted them for each message. Change: changes in the order of their revisions, searched.

--- a/internal/proxy/quorum/spread.go
+++ b/internal/proxy/quorum/spread.go
@@ -247,14 +247,18 @@
 	v.spread.answered(g.flying, now.Sub(g.sentAt))
 	v.land(g)
 	g.known, g.told, g.tries = revision, max(g.told, revision), 0
-	var out []Envelope
-	for _, service := range slices.Sorted(maps.Keys(v.matters)) {
-		held := v.matters[service]
+	var released []string
+	for service, held := range v.matters {
 		if _, owes := held.owing[name]; owes && revision >= held.closedAt {
 			delete(held.owing, name)
-			out = append(out, v.tellClear(now, held)...)
+			released = append(released, service)
 		}
 	}
+	slices.Sort(released)
+	var out []Envelope
+	for _, service := range released {
+		out = append(out, v.tellClear(now, v.matters[service])...)
+	}
 	return out
 }
 
--- a/internal/proxy/quorum/spread_test.go
+++ b/internal/proxy/quorum/spread_test.go
@@ -198,3 +198,19 @@
 		}
 	}
 }
+
+// BenchmarkPage reads all records of a voter with many services page by page, as each member
+// does that has just started.
+func BenchmarkPage(b *testing.B) {
+	voter := NewVoter("v", 1, at(0))
+	voter.Install(at(0), &Table{Era: 1, Seats: []Seat{{Name: "v", Life: 1}}})
+	for i := range 600 {
+		voter.changed(voter.matter(fmt.Sprintf("s%d", i)))
+	}
+	for b.Loop() {
+		known, more := uint64(0), true
+		for more {
+			_, known, more = voter.pageAfter(known, briefRecords)
+		}
+	}
+}
--- a/internal/proxy/quorum/voter.go
+++ b/internal/proxy/quorum/voter.go
@@ -37,6 +37,12 @@
 	looseUntil time.Time
 }
 
+// change is a matter's revision after a change.
+type change struct {
+	revision uint64
+	held     *matter
+}
+
 // Voter is one node's part in the agreement. It is a reducer, not safe for
 // concurrent use.
 type Voter struct {
@@ -48,7 +54,10 @@
 	table    *Table
 	matters  map[string]*matter
 	revision uint64
-	grants   map[string]*grant
+	// changes are the matters in the order of their last changes, with some that have
+	// changed again later.
+	changes []change
+	grants  map[string]*grant
 	spread   spread
 	// unknownUntil is until when leases may run that this voter does not know of.
 	unknownUntil time.Time
@@ -85,6 +94,7 @@
 		return
 	}
 	v.table = table
+	v.changes = nil
 	v.matters, v.grants, v.spread = map[string]*matter{}, map[string]*grant{}, spread{trip: v.spread.trip}
 	seat := table.Seat(v.name)
 	switch {
@@ -102,9 +112,9 @@
 	v.standing = normal
 	v.unknownUntil = now.Add(LeaseSpan)
 	for _, record := range records {
-		v.revision++
-		record.Revision = v.revision
-		v.matters[record.Service] = &matter{Record: record, looseUntil: now.Add(LooseSpan)}
+		held := &matter{Record: record, looseUntil: now.Add(LooseSpan)}
+		v.matters[record.Service] = held
+		v.changed(held)
 	}
 }
 
@@ -192,19 +202,17 @@
 }
 
 func (v *Voter) pageAfter(known uint64, most int) ([]Record, uint64, bool) {
-	if known >= v.revision {
-		return nil, v.revision, false
-	}
+	first, _ := slices.BinarySearchFunc(v.changes, known+1, func(c change, revision uint64) int { return cmp.Compare(c.revision, revision) })
 	var records []Record
-	for _, held := range v.matters {
-		if held.Revision > known {
-			records = append(records, held.Record)
+	for _, c := range v.changes[first:] {
+		switch {
+		case c.held.Revision != c.revision:
+		case len(records) == most:
+			return records, records[most-1].Revision, true
+		default:
+			records = append(records, c.held.Record)
 		}
 	}
-	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Revision, b.Revision) })
-	if len(records) > most {
-		return records[:most], records[most-1].Revision, true
-	}
 	return records, v.revision, false
 }
 
@@ -221,6 +229,10 @@
 func (v *Voter) changed(held *matter) {
 	v.revision++
 	held.Revision = v.revision
+	if len(v.changes) > 2*len(v.matters) {
+		v.changes = slices.DeleteFunc(v.changes, func(c change) bool { return c.held.Revision != c.revision })
+	}
+	v.changes = append(v.changes, change{v.revision, held})
 }
 
 func (v *Voter) denied(from string, m *Message, held *matter) []Envelope {
