--- a/internal/proxy/quorum/voter.go
+++ b/internal/proxy/quorum/voter.go
@@ -58,7 +58,7 @@
 	// changed again later.
 	changes []change
 	grants  map[string]*grant
-	spread   spread
+	spread  spread
 	// unknownUntil is until when leases may run that this voter does not know of.
 	unknownUntil time.Time
 }
