--- a/internal/proxy/quorum/member.go
+++ b/internal/proxy/quorum/member.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"cmp"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -131,11 +133,16 @@
 func (n *Member) Due(now time.Time, haste Haste) ([]Envelope, time.Time) {
 	var out []Envelope
 	next := now.Add(RenewInterval)
+	spares := n.spares(now, haste)
 	for _, of := range n.mirrors {
-		due := of.due(haste)
+		pause := time.Duration(0)
+		if slices.Contains(spares, of) {
+			pause = spareInterval - RenewInterval
+		}
+		due := of.due(haste).Add(pause)
 		if !due.After(now) {
 			out = append(out, n.renewal(now, of))
-			due = of.due(haste)
+			due = of.due(haste).Add(pause)
 		}
 		if due.Before(next) {
 			next = due
@@ -144,6 +151,29 @@
 	return out, next
 }
 
+// spares returns the voters that need not renew their leases now: a majority of others has
+// answered in time, and sooner. A voter's own member asks all, since it looks after them.
+func (n *Member) spares(now time.Time, haste Haste) []*mirror {
+	if haste != Calm || n.table == nil || n.table.Seat(n.name) != nil {
+		return nil
+	}
+	var sound, late []*mirror
+	for _, of := range n.mirrors {
+		switch {
+		case of.wholeAt.IsZero():
+		case of.misses > 0 || (of.waiting && !of.due(haste).After(now)):
+			late = append(late, of)
+		default:
+			sound = append(sound, of)
+		}
+	}
+	if len(sound) < n.table.Majority() {
+		return nil
+	}
+	slices.SortStableFunc(sound, func(a, b *mirror) int { return cmp.Compare(a.trip.smoothed, b.trip.smoothed) })
+	return append(late, sound[n.table.Majority():]...)
+}
+
 func (n *Member) renewal(now time.Time, of *mirror) Envelope {
 	n.sequence++
 	of.ask(now)
@@ -304,6 +334,15 @@
 	n.services[service] = view
 }
 
+// Delay returns the longest measured time until a voter's answer, and the questions in a row
+// that the voter with most of them has not answered in time.
+func (n *Member) Delay() (trip time.Duration, misses int) {
+	for _, of := range n.mirrors {
+		trip, misses = max(trip, of.trip.smoothed), max(misses, of.misses)
+	}
+	return trip, misses
+}
+
 // Settled reports whether the records of all voters are known whole.
 func (n *Member) Settled() bool { return n.Whole() == len(n.mirrors) }
 
@@ -336,11 +375,12 @@
 }
 
 // Silent returns the voters that have not been heard of for a span, or not at all for a
-// first span since the table was taken.
+// first span since the table was taken. The measured delay of a voter's answers is added: a
+// full link is no loss.
 func (n *Member) Silent(now time.Time, span, first time.Duration) []string {
 	var silent []string
 	for _, of := range n.mirrors {
-		since := now.Sub(of.heard)
+		since := now.Sub(of.heard) - of.trip.delay()
 		if of.seat.Name != n.name && (since >= span || (!of.met && since >= first)) {
 			silent = append(silent, of.seat.Name)
 		}
@@ -348,12 +388,12 @@
 	return silent
 }
 
-// Heard counts the voters that have been heard of within a span, or met for the first
-// time; the member's own counts.
+// Heard counts the voters that have been heard of within a span and the measured delay of
+// their answers, or met for the first time; the member's own counts.
 func (n *Member) Heard(now time.Time, span time.Duration) int {
 	heard := 0
 	for _, of := range n.mirrors {
-		if of.seat.Name == n.name || now.Sub(of.heard) < span {
+		if of.seat.Name == n.name || now.Sub(of.heard)-of.trip.delay() < span {
 			heard++
 		}
 	}
