quota: tell of held-back work from ten tokens on

Ruled out: a longer time until it is over, which delays the line that matters. Change: it is told once ten tokens were not given.

--- a/internal/proxy/quota/heldback.go
+++ b/internal/proxy/quota/heldback.go
@@ -12,11 +12,16 @@
 // longer than callers are told to stay away, so that it does not begin and end with each.
 const heldBackEnd = 2 * mostDry
 
+// leastHeldBack is how many tokens must not have been given before it is told: a tenant below
+// its quota whose callers meet for a moment at one allocator is asked for elsewhere, and of no
+// interest to its operator.
+const leastHeldBack = 10
+
 // HeldBack tells that an allocator begins to hold less urgent work of a tenant back for more
 // urgent work, or has ended it.
 type HeldBack struct {
 	Tenant string
-	// Level is the most urgent level that was held back when it began.
+	// Level is the level that was held back first.
 	Level urgency.Level
 	Began bool
 	// Asked is what each level asks a second, Minted what the allocator mints.
@@ -32,6 +37,7 @@
 	level       urgency.Level
 	since, last time.Time
 	refused     uint64
+	told        bool
 }
 
 // holdBack notes that a level was not given some tokens since more urgent work asks.
@@ -40,14 +46,18 @@
 	if h == nil {
 		h = &holding{level: urgency.Level(level), since: now}
 		b.held[tenant] = h
-		change := HeldBack{Tenant: tenant, Level: h.level, Began: true, Minted: s.pace}
-		for l := range change.Asked {
-			change.Asked[l] = a.claims.asked[l].now(now)
-		}
-		b.changes = append(b.changes, change)
 	}
 	h.last = now
 	h.refused += uint64(refused)
+	if h.told || h.refused < leastHeldBack {
+		return
+	}
+	h.told = true
+	change := HeldBack{Tenant: tenant, Level: h.level, Began: true, Minted: s.pace}
+	for l := range change.Asked {
+		change.Asked[l] = a.claims.asked[l].now(now)
+	}
+	b.changes = append(b.changes, change)
 }
 
 // endHoldings notes what is no longer held back.
@@ -61,6 +71,9 @@
 			continue
 		}
 		delete(b.held, tenant)
+		if !h.told {
+			continue
+		}
 		b.changes = append(b.changes, HeldBack{Tenant: tenant, Level: h.level, Refused: h.refused, Lasted: h.last.Sub(h.since)})
 	}
 }
