--- a/internal/proxy/quota/replay_test.go
+++ b/internal/proxy/quota/replay_test.go
@@ -40,18 +40,24 @@
 }
 
 type replay struct {
-	random *rand.Rand
-	now    time.Time
-	limit  Limit
-	kinds  []kind
-	nodes  []*modelNode
-	region map[string]int
-	wire   datagrams
-	sent   int
+	random  *rand.Rand
+	now     time.Time
+	limit   Limit
+	kinds   []kind
+	nodes   []*modelNode
+	region  map[string]int
+	regions []Region
+	wire    datagrams
+	sent    int
 	// unlevelled makes all operations ask at one level: the order of arrival.
 	unlevelled bool
 	waiting    map[*modelNode][]waiter
 	outcomes   []outcome
+	// restartAt is when the first node's process, an allocator, starts anew, if it does.
+	restartAt time.Time
+	// earlier holds the nodes that run the version before levels; the outcomes are those of
+	// the others' callers.
+	earlier map[string]bool
 }
 
 const (
@@ -71,29 +77,41 @@
 		random: rand.New(rand.NewPCG(seed, 9)), now: testStart, limit: limit, kinds: kinds,
 		region: map[string]int{}, waiting: map[*modelNode][]waiter{}, outcomes: make([]outcome, len(kinds)),
 	}
-	addresses := make([][]string, replayRegions)
+	r.regions = make([]Region, replayRegions)
+	for i := range r.regions {
+		r.regions[i].Allocators = make([][]string, 1)
+	}
 	for i := range replayNodes {
 		address := fmt.Sprintf("n%d", i)
 		r.region[address] = i % replayRegions
-		addresses[i%replayRegions] = append(addresses[i%replayRegions], address)
+		of := &r.regions[i%replayRegions].Allocators[0]
+		*of = append(*of, address)
 	}
-	region := func(i int) Region { return Region{Allocators: [][]string{addresses[i%replayRegions]}} }
 	for i := range replayNodes {
 		address := fmt.Sprintf("n%d", i)
-		m := NewMachine(Config{
-			Node: address, Address: address, Life: uint64(i + 1), Started: r.now,
-			Limits: func(string) (Limit, bool) { return r.limit, true },
-		})
-		m.SetShare(r.now)
-		m.SetFleet(Fleet{Nodes: replayNodes, Home: region(i), Far: []Region{region(i + 1), region(i + 2)}})
-		r.nodes = append(r.nodes, &modelNode{address: address, machine: m})
+		r.nodes = append(r.nodes, &modelNode{address: address, machine: r.start(address, i)})
 	}
 	return r
 }
 
+// start starts the process of a node.
+func (r *replay) start(address string, number int) *Machine {
+	m := NewMachine(Config{
+		Node: address, Address: address, Life: r.random.Uint64(), Started: r.now,
+		Limits: func(string) (Limit, bool) { return r.limit, true },
+	})
+	m.SetShare(r.now)
+	region := func(i int) Region { return r.regions[i%replayRegions] }
+	m.SetFleet(Fleet{Nodes: replayNodes, Home: region(number), Far: []Region{region(number + 1), region(number + 2)}})
+	return m
+}
+
 // play plays to the end.
 func (r *replay) play() []outcome {
 	for end := r.now.Add(replayLength); r.now.Before(end); r.now = r.now.Add(replayStep) {
+		if r.now.Equal(r.restartAt) {
+			r.nodes[0].machine, r.waiting[r.nodes[0]] = r.start(r.nodes[0].address, 0), nil
+		}
 		for len(r.wire) > 0 && !r.wire[0].at.After(r.now) {
 			due := heap.Pop(&r.wire).(*datagram)
 			to := r.nodes[0]
@@ -117,8 +135,8 @@
 	return r.outcomes
 }
 
-func (r *replay) level(kind int) urgency.Level {
-	if r.unlevelled {
+func (r *replay) level(node *modelNode, kind int) urgency.Level {
+	if r.unlevelled || r.earlier[node.address] {
 		return 0
 	}
 	return r.kinds[kind].level
@@ -128,7 +146,7 @@
 func (r *replay) arrive(node *modelNode) {
 	for i, kind := range r.kinds {
 		if r.random.Float64() < kind.perSecond*replayStep.Seconds()/replayNodes {
-			if r.counts(r.now) {
+			if r.counts(node, r.now) {
 				r.outcomes[i].arrived++
 			}
 			r.ask(node, waiter{kind: i, arrived: r.now, deadline: r.now.Add(kind.patience)}, false)
@@ -136,7 +154,9 @@
 	}
 }
 
-func (r *replay) counts(arrived time.Time) bool { return arrived.Sub(testStart) >= replayWarm }
+func (r *replay) counts(node *modelNode, arrived time.Time) bool {
+	return arrived.Sub(testStart) >= replayWarm && !r.earlier[node.address]
+}
 
 // wake lets those ask again for whom something has come, and ends the wait of others.
 func (r *replay) wake(node *modelNode) {
@@ -144,10 +164,10 @@
 	r.waiting[node] = nil
 	for _, w := range waiting {
 		switch {
-		case node.machine.Ready(r.now, modelTenant, r.level(w.kind)):
+		case node.machine.Ready(r.now, modelTenant, r.level(node, w.kind)):
 			r.ask(node, w, true)
 		case r.now.After(w.deadline):
-			node.machine.Abandon(modelTenant, r.level(w.kind))
+			node.machine.Abandon(modelTenant, r.level(node, w.kind))
 		default:
 			r.waiting[node] = append(r.waiting[node], w)
 		}
@@ -155,13 +175,13 @@
 }
 
 func (r *replay) ask(node *modelNode, w waiter, waits bool) {
-	verdict := node.machine.Take(r.now, modelTenant, r.level(w.kind), waits)
+	verdict := node.machine.Take(r.now, modelTenant, r.level(node, w.kind), waits)
 	switch {
 	case verdict.Pending:
 		r.waiting[node] = append(r.waiting[node], w)
 	case verdict.Granted && verdict.From.After(w.deadline):
-		node.machine.PutBack(r.now, modelTenant, r.level(w.kind), verdict.From, verdict.Until)
-	case verdict.Granted && r.counts(w.arrived):
+		node.machine.PutBack(r.now, modelTenant, r.level(node, w.kind), verdict.From, verdict.Until)
+	case verdict.Granted && r.counts(node, w.arrived):
 		r.outcomes[w.kind].served++
 		r.outcomes[w.kind].waited += max(r.now.Sub(w.arrived), verdict.From.Sub(w.arrived))
 	}
@@ -174,6 +194,9 @@
 				node.machine.Receive(r.now, node.address, &envelope.Message)
 				continue
 			}
+			if r.earlier[node.address] || r.earlier[envelope.To] {
+				withoutLevels(&envelope.Message)
+			}
 			delay := farDelay
 			if r.region[envelope.To] == r.region[node.address] {
 				delay = homeDelay
@@ -260,3 +283,46 @@
 func (r *replay) ofRate(o outcome) float64 {
 	return float64(o.served) / r.limit.Rate / (replayLength - replayWarm).Seconds()
 }
+
+// TestLostAllocatorCostsUrgentWorkLittle: an allocator that starts anew amid a crowd has
+// forgotten what was asked, its delegators' shares rest for a moment, and what waited at its
+// node is lost; of the urgent operations of the whole play, little is.
+func TestLostAllocatorCostsUrgentWorkLittle(t *testing.T) {
+	for _, limit := range replayLimits {
+		r := newReplay(5, limit, crowded(limit)...)
+		r.restartAt = testStart.Add(6 * time.Second)
+		outcomes := r.play()
+		must.GreaterEq(t, 0.95, outcomes[0].share(), must.Sprintf("rate %v", limit.Rate))
+		must.GreaterEq(t, 0.9*floorShare, r.ofRate(outcomes[2]), must.Sprintf("rate %v", limit.Rate))
+	}
+}
+
+// TestHalfOfTheFleetIsEarlier: while some nodes run the version before levels, the urgent
+// operations of the others are served as if all knew them where all allocators do. An
+// earlier allocator, one of three, hands out in the order of arrival; most of what it
+// refuses, others have.
+func TestHalfOfTheFleetIsEarlier(t *testing.T) {
+	for _, limit := range replayLimits {
+		about := must.Sprintf("rate %v", limit.Rate)
+		r := newReplay(6, limit, crowded(limit)...)
+		r.earlier = map[string]bool{"n3": true, "n5": true, "n7": true, "n8": true}
+		must.GreaterEq(t, 0.95, r.play()[0].share(), about)
+		r = newReplay(6, limit, crowded(limit)...)
+		r.earlier = map[string]bool{"n1": true, "n3": true, "n5": true, "n7": true}
+		must.GreaterEq(t, 0.75, r.play()[0].share(), about)
+	}
+}
+
+// withoutLevels leaves of a message what the version before reads and writes.
+func withoutLevels(m *Message) {
+	if m.Request != nil {
+		for i := range m.Request.Wants {
+			m.Request.Wants[i].Levels = nil
+		}
+	}
+	if m.Reply != nil {
+		for i := range m.Reply.Grants {
+			m.Reply.Grants[i].Levels, m.Reply.Grants[i].LevelsDry = nil, nil
+		}
+	}
+}
