--- a/internal/proxy/quota/take.go
+++ b/internal/proxy/quota/take.go
@@ -40,7 +40,7 @@
 		m.askAhead(now, tenant, w)
 		return Verdict{Granted: true, From: taken.from, Until: taken.until}
 	}
-	if !m.hopes(now, tenant, w, int(level)) {
+	if !m.askable(now, tenant, w, int(level)) {
 		return Verdict{After: w.comeBack(now, int(level)), Young: w.young}
 	}
 	w.waiting[level]++
@@ -50,9 +50,9 @@
 	return Verdict{Pending: true}
 }
 
-// hopes reports whether an allocator is being asked that may have a token for a level, or
+// askable reports whether an allocator is being asked that may have a token for a level, or
 // one could be asked.
-func (m *Machine) hopes(now time.Time, tenant string, w *balance, level int) bool {
+func (m *Machine) askable(now time.Time, tenant string, w *balance, level int) bool {
 	if w.asked != "" && !w.isDry(w.asked, level, now) {
 		return true
 	}
@@ -64,7 +64,7 @@
 // ask again.
 func (m *Machine) Ready(now time.Time, tenant string, level urgency.Level) bool {
 	w := m.balances[tenant]
-	return w == nil || w.asked == "" || w.available(now, level) > 0 || !m.hopes(now, tenant, w, int(level))
+	return w == nil || w.asked == "" || w.available(now, level) > 0 || !m.askable(now, tenant, w, int(level))
 }
 
 // Abandon ends the wait of an operation.
