--- a/internal/proxy/backend_metrics.go
+++ b/internal/proxy/backend_metrics.go
@@ -15,6 +15,8 @@
 	// without a lease and were not confirmed.
 	rounds   *prometheus.HistogramVec
 	unproved prometheus.Counter
+	// ownerMoves are the changes of owners as this node sees them.
+	ownerMoves prometheus.Counter
 }
 
 func newBackendMetrics() *backendMetrics {
@@ -30,10 +32,24 @@
 			Namespace: metricsNamespace, Name: "answers_unproved_total",
 			Help: "Answers of a primary that were not believed, since its tenure may have ended.",
 		}),
+		ownerMoves: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "owner_moves_total",
+			Help: "Servers whose connections another node owns than before, as this node sees it.",
+		}),
 	}
 }
 
 // Collectors returns what tells of the services and their servers.
 func (n *Backends) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{n.metrics.failovers, n.metrics.rounds, n.metrics.unproved, newServerCollector(n)}
+	m := n.metrics
+	collectors := []prometheus.Collector{
+		m.failovers, m.rounds, m.unproved, m.ownerMoves, newServerCollector(n),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: metricsNamespace, Name: "owned_servers", Help: "Servers whose connections this node owns for others.",
+		}, n.owned),
+	}
+	if n.tenures != nil {
+		collectors = append(collectors, n.tenures.Metrics())
+	}
+	return collectors
 }
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -41,6 +41,8 @@
 	Agreed         bool
 	MessageAddress string
 	Kinds          Kinds
+	// Capacity is what the node may use of its machine.
+	Capacity Capacity
 }
 
 // BackendPorts are the ways of Backends to the outside.
@@ -88,6 +90,8 @@
 	owner *remote.Owner
 	// tenures is nil where the platform checks fences.
 	tenures *tenure.Keeper
+	// placed is made of the members and the directory.
+	placed atomic.Pointer[placedAt]
 	// nudged makes the look at the services come at once.
 	nudged chan struct{}
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -8,6 +8,7 @@
 	"dewknot/internal/base/failure"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/routing"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -24,6 +25,8 @@
 	tenants    *tenantCollector
 	// tokens are the operations that asked for a token of their tenant's quota.
 	tokens *prometheus.CounterVec
+	// ways are reads by how far the server was.
+	ways *prometheus.CounterVec
 }
 
 var freshnessNames = map[catalog.Freshness]string{
@@ -49,11 +52,12 @@
 		refusals:   counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
 		storeCalls: counter("store_calls_total", "Calls to the store.", "call", "kind", "outcome"),
 		tokens:     counter("tokens_total", "Operations that asked for a token of their tenant's quota, by the level of their route's urgency (0 is the most urgent).", "level", "outcome"),
+		ways:       counter("read_ways_total", "Servers chosen for reads, by their distance and role. A read that is tried again counts again.", "distance", "role"),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.storeCalls, m.tokens,
+	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.storeCalls, m.ways, m.tokens,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
 		m.tenants,
@@ -86,6 +90,21 @@
 	return 0
 }
 
+// chose counts a server that was chosen for a read.
+func (m *metrics) chose(c *routing.Candidate) {
+	distance, role := "region", catalog.Replica
+	switch {
+	case c.SameZone:
+		distance = "zone"
+	case !c.SameRegion:
+		distance = "far"
+	}
+	if c.Primary {
+		role = catalog.Primary
+	}
+	m.ways.WithLabelValues(distance, role.String()).Inc()
+}
+
 // answered counts a command and, for a read that was served, where it ran.
 func (m *metrics) answered(s *session, received *command.Command, reply *Reply, took time.Duration) {
 	level := freshnessNames[s.bound.Freshness]
--- a/internal/proxy/network.go
+++ b/internal/proxy/network.go
@@ -65,6 +65,8 @@
 	StrictRevocation   bool
 	RevocationBound    time.Duration
 	Kinds              Kinds
+	// Capacity is what the node tells others of its machine.
+	Capacity Capacity
 }
 
 // NetworkPorts are a Network's ways to the outside.
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -92,7 +92,9 @@
 	// than RevocationBound which keys are in force.
 	StrictRevocation bool
 	RevocationBound  time.Duration
-	Kinds            Kinds
+	// Capacity is what the node may use, which it tells the others.
+	Capacity Capacity
+	Kinds    Kinds
 }
 
 // Ports are the node's ways to the outside.
@@ -162,14 +164,14 @@
 		MessageAddress: options.MessageAddress, TokenAddress: options.TokenAddress,
 		Seeds: options.Seeds, Regions: options.Regions,
 		ConfigurationBound: options.ConfigurationBound, DrainBound: options.DrainBound,
-		StrictRevocation: options.StrictRevocation, RevocationBound: options.RevocationBound, Kinds: options.Kinds,
+		StrictRevocation: options.StrictRevocation, RevocationBound: options.RevocationBound, Kinds: options.Kinds, Capacity: options.Capacity,
 	}
 }
 
 func backendOptions(options *Options) BackendOptions {
 	return BackendOptions{
 		Name: options.Name, Zone: options.Zone, Life: options.Life, Regions: options.Regions, DrainBound: options.DrainBound,
-		Agreed: options.Agreed, MessageAddress: options.MessageAddress, Kinds: options.Kinds,
+		Agreed: options.Agreed, MessageAddress: options.MessageAddress, Kinds: options.Kinds, Capacity: options.Capacity,
 	}
 }
 
--- a/internal/proxy/owners_test.go
+++ b/internal/proxy/owners_test.go
@@ -67,7 +67,7 @@
 
 // ownersNode returns a node of zone a that knows one server in zone b, of a service
 // with some connections.
-func ownersNode(store *memberStore, peers Peers, dialer upstream.Dialer, connections int) (*Backends, *server) {
+func ownersNode(store objectstore.Store, peers Peers, dialer upstream.Dialer, connections int) (*Backends, *server) {
 	regions := map[string]string{"a": "r1", "b": "r2", "c": "r2"}
 	ways := NetworkPorts{Store: store, Peers: peers}
 	network := NewNetwork(NetworkOptions{Name: "a0", Zone: "a", PeerAddress: "a0", DrainBound: time.Second, Regions: regions},
