--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -80,6 +80,8 @@
 	AnswerUnproved        Event = "answer_unproved"
 	MessageLost           Event = "message_lost"
 	QuotaShare            Event = "quota_share"
+	RoomShort             Event = "room_short"
+	RoomRegained          Event = "room_regained"
 	SessionRefused        Event = "session_refused"
 	RequestServed         Event = "request_served"
 	RequestFailed         Event = "request_failed"
@@ -96,7 +98,7 @@
 	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
 	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, NodeDegraded: Belief,
-	TransferDone: Belief, TransferInterrupted: Belief, MessageLost: Belief, QuotaShare: Belief, AnswerUnproved: Failure,
+	TransferDone: Belief, TransferInterrupted: Belief, MessageLost: Belief, QuotaShare: Belief, RoomShort: Belief, RoomRegained: Belief, AnswerUnproved: Failure,
 	SessionRefused: Failure, RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
 	LinesDropped: Belief,
 }
--- a/internal/proxy/admission/gate.go
+++ b/internal/proxy/admission/gate.go
@@ -46,6 +46,16 @@
 // priorityStep is the head start of a priority over the next lower one.
 const priorityStep = 30 * time.Millisecond
 
+// LateDelay is by how much work whose objective has passed comes after work that can still
+// be answered in time: about as long as work of usual objectives (0.5 to 2 s) waits before
+// it is refused, so that late work goes first only where nothing else is in danger.
+const LateDelay = 200 * time.Millisecond
+
+// agingInterval is after how long the work that has waited longest goes first, whatever its
+// class and priority: of any flood of more urgent work, the rest keeps five places a second
+// on each server.
+const agingInterval = 200 * time.Millisecond
+
 // The limit's law.
 const (
 	lowestLimit  = 1.0
@@ -60,9 +70,12 @@
 	limit     float64
 	highest   float64
 	running   int
+	room      room
 	waiting   waitingList
 	decreased time.Time
 	pace      pace
+	// aged is when work last went first for its age.
+	aged time.Time
 	// connections are those to the server; nil if work brings its own.
 	connections Connections
 }
@@ -91,28 +104,38 @@
 	// Priority 0 is the highest.
 	Priority int
 	Arrived  time.Time
+	// Late is set if the work's objective has passed.
+	Late bool
 	// Principal is in whose name the work runs. Holds is set if it has a connection.
 	Principal string
 	Holds     bool
 }
 
 func (r *Request) rank() time.Time {
-	return r.Arrived.Add(time.Duration(r.Priority)*priorityStep - headStarts[r.Class])
+	rank := r.Arrived.Add(time.Duration(r.Priority)*priorityStep - headStarts[r.Class])
+	if r.Late {
+		return rank.Add(LateDelay)
+	}
+	return rank
 }
 
 // Enter waits for leave to run until deadline and reports whether it was given.
 // Work that was let in must call Leave.
 func (g *Gate) Enter(request Request, deadline time.Time) bool {
-	place := &waiter{rank: request.rank(), principal: request.Principal, holds: request.Holds, admitted: make(chan struct{})}
+	place := &waiter{
+		rank: request.rank(), arrived: request.Arrived, class: request.Class, principal: request.Principal, holds: request.Holds, admitted: make(chan struct{}),
+	}
+	now := time.Now()
 	g.mutex.Lock()
 	heap.Push(&g.waiting, place)
-	g.admit()
+	g.room.asked(request.Class, now)
+	g.admit(now)
 	admitted := place.index < 0
 	g.mutex.Unlock()
 	if admitted {
 		return true
 	}
-	timer := time.NewTimer(time.Until(deadline))
+	timer := time.NewTimer(deadline.Sub(now))
 	defer timer.Stop()
 	select {
 	case <-place.admitted:
@@ -126,6 +149,7 @@
 		return true
 	}
 	heap.Remove(&g.waiting, place.index)
+	g.room.gone(request.Class, time.Now())
 	return false
 }
 
@@ -142,12 +166,13 @@
 	Other
 )
 
-// Leave ends admitted work.
-func (g *Gate) Leave(result Result, now time.Time) {
+// Leave ends admitted work of a class.
+func (g *Gate) Leave(class Class, result Result, now time.Time) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	full := g.running >= int(g.limit)
 	g.running--
+	g.room.left(class, now)
 	switch {
 	case result == Refused && now.Sub(g.decreased) > decreaseRest:
 		g.limit = max(lowestLimit, min(g.limit, float64(g.running+1))*decrease)
@@ -155,7 +180,7 @@
 	case result == Ran && full:
 		g.limit = min(g.highest, g.limit+increase/g.limit)
 	}
-	g.admit()
+	g.admit(now)
 	g.pace.ended(now, g.running >= int(g.limit))
 }
 
@@ -163,25 +188,26 @@
 func (g *Gate) Wake() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.admit()
+	g.admit(time.Now())
 }
 
 // admit lets in what may run; the lock is held.
-func (g *Gate) admit() {
+func (g *Gate) admit(now time.Time) {
 	for g.running < int(g.limit) && len(g.waiting) > 0 {
-		next := g.next()
+		next := g.next(now)
 		if next == nil {
 			return
 		}
 		heap.Remove(&g.waiting, next.index)
 		g.running++
+		g.room.entered(next.class)
 		close(next.admitted)
 	}
 }
 
 // next returns the work that is let in next; nil if all that waits lacks a connection.
-func (g *Gate) next() *waiter {
-	first := g.waiting[0]
+func (g *Gate) next(now time.Time) *waiter {
+	first := g.first(now)
 	if g.connections == nil {
 		return first
 	}
@@ -192,12 +218,42 @@
 	if reuses(first) {
 		return first
 	}
-	if other := g.firstOf(reuses); other != nil && other.rank.Before(first.rank.Add(reuseHeadStart)) {
+	full := first.class != Anywhere && g.room.full(int(g.limit))
+	other := g.firstOf(func(w *waiter) bool { return reuses(w) && !(full && w.class == Anywhere) })
+	if other != nil && other.rank.Before(first.rank.Add(reuseHeadStart)) {
 		return other
 	}
 	return first
 }
 
+// first returns the first work in the order, now and then that which has waited longest. While
+// work that other servers could take fills its room, work that runs only here goes first.
+func (g *Gate) first(now time.Time) *waiter {
+	first := g.waiting[0]
+	if now.Sub(g.aged) >= agingInterval {
+		g.aged = now
+		return g.oldest()
+	}
+	if first.class != Anywhere || !g.room.full(int(g.limit)) {
+		return first
+	}
+	if kept := g.firstOf(func(w *waiter) bool { return w.class != Anywhere }); kept != nil {
+		return kept
+	}
+	return first
+}
+
+// oldest returns the work that has waited longest.
+func (g *Gate) oldest() *waiter {
+	oldest := g.waiting[0]
+	for _, w := range g.waiting {
+		if w.arrived.Before(oldest.arrived) {
+			oldest = w
+		}
+	}
+	return oldest
+}
+
 // firstOf returns the first work in the order that fits; nil if there is none.
 func (g *Gate) firstOf(fits func(*waiter) bool) *waiter {
 	var best *waiter
@@ -226,6 +282,8 @@
 // waiter is work that waits; index is -1 once it has been let in.
 type waiter struct {
 	rank      time.Time
+	arrived   time.Time
+	class     Class
 	principal string
 	holds     bool
 	admitted  chan struct{}
--- a/internal/proxy/admission/gate_test.go
+++ b/internal/proxy/admission/gate_test.go
@@ -25,10 +25,10 @@
 		if running > bears {
 			running--
 			refusals++
-			gate.Leave(Refused, now)
+			gate.Leave(Anywhere, Refused, now)
 		} else if step%3 == 0 && running > 0 {
 			running--
-			gate.Leave(Ran, now)
+			gate.Leave(Anywhere, Ran, now)
 		}
 	}
 	must.Less(t, 300, refusals)
@@ -55,7 +55,7 @@
 		wait("transaction", Request{Class: Continuation, Priority: 2, Arrived: start.Add(50 * time.Millisecond)})
 		wait("old read", Request{Class: Anywhere, Priority: 2, Arrived: start.Add(-time.Second)})
 		for _, expected := range []string{"old read", "transaction", "write", "urgent read", "read"} {
-			gate.Leave(Other, time.Now())
+			gate.Leave(Anywhere, Other, time.Now())
 			must.Eq(t, expected, <-order)
 		}
 	})
@@ -89,7 +89,7 @@
 				}
 			} else if running > 0 {
 				running--
-				gate.Leave(Result(rapid.IntRange(0, 2).Draw(t, "result")), now)
+				gate.Leave(Anywhere, Result(rapid.IntRange(0, 2).Draw(t, "result")), now)
 			}
 			counted, waiting := gate.Load()
 			if counted != running || waiting != 0 || running > highest {
@@ -97,7 +97,7 @@
 			}
 		}
 		for ; running > 0; running-- {
-			gate.Leave(Other, now)
+			gate.Leave(Anywhere, Other, now)
 		}
 		if !gate.Enter(Request{Arrived: now}, now) {
 			t.Fatal("an empty gate lets nothing in")
--- a/internal/proxy/admission/pace.go
+++ b/internal/proxy/admission/pace.go
@@ -1,6 +1,10 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"dewknot/internal/proxy/urgency"
+)
 
 // paceWeight is the weight of a new sample in the pace of a gate.
 const paceWeight = 0.2
@@ -32,15 +36,64 @@
 // work that would be let in before it, at the pace at which the server has lately
 // finished work. It is zero if there is a free place, or if nothing is known.
 func (g *Gate) Wait(request Request) time.Duration {
-	rank := request.rank()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	before := 1
+	return g.wait(&request)
+}
+
+// wait returns the expected wait; the lock is held.
+func (g *Gate) wait(request *Request) time.Duration {
+	before := 1 + g.before(request)
+	free := int(g.limit) - g.running
+	return time.Duration(max(0, before-free)) * g.pace.interval
+}
+
+// before counts the waiting work that would be let in before work that comes now.
+func (g *Gate) before(request *Request) int {
+	rank := request.rank()
+	var kept, shared, younger int
 	for _, place := range g.waiting {
-		if place.rank.Before(rank) {
-			before++
+		earlier := place.rank.Before(rank)
+		switch {
+		case earlier && place.class == Anywhere:
+			shared++
+		case earlier:
+			kept++
+		case place.class != Anywhere:
+			younger++
 		}
 	}
-	free := int(g.limit) - g.running
-	return time.Duration(max(0, before-free)) * g.pace.interval
+	left := g.room.most(int(g.limit)) - g.room.shared
+	if request.Class == Anywhere {
+		if left <= 0 {
+			// What runs only here goes first, however young it is.
+			kept += younger
+		}
+		return kept + shared
+	}
+	return kept + min(shared, max(0, left))
+}
+
+// Outlook is what waits for a server, and how long work of each level that comes now is
+// expected to wait.
+type Outlook struct {
+	Running, Waiting, Limit int
+	// Anywhere is the wait of work that other servers could take too, OnlyHere that of
+	// work which no other can.
+	Anywhere, OnlyHere [urgency.Levels]time.Duration
+}
+
+// Outlook returns what work that comes now has to expect.
+func (g *Gate) Outlook(now time.Time) Outlook {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	seen := Outlook{Running: g.running, Waiting: len(g.waiting), Limit: int(g.limit)}
+	if g.running < int(g.limit) && len(g.waiting) == 0 {
+		return seen
+	}
+	for level := range seen.Anywhere {
+		seen.Anywhere[level] = g.wait(&Request{Class: Anywhere, Priority: level, Arrived: now})
+		seen.OnlyHere[level] = g.wait(&Request{Class: OnlyHere, Priority: level, Arrived: now})
+	}
+	return seen
 }
--- a/internal/proxy/admission/pace_test.go
+++ b/internal/proxy/admission/pace_test.go
@@ -19,7 +19,7 @@
 		gate := NewGate(2, 2)
 		run := func() {
 			time.Sleep(work)
-			gate.Leave(Ran, time.Now())
+			gate.Leave(Anywhere, Ran, time.Now())
 		}
 		results := make(chan time.Duration, 100)
 		var working sync.WaitGroup
--- a/internal/proxy/comeback.go
+++ b/internal/proxy/comeback.go
@@ -73,7 +73,10 @@
 		if target == nil || !r.service.usable(entry.ID, now) || target.stats.Avoided(now) {
 			continue
 		}
-		shortest = min(shortest, target.expectedWait(request, now))
+		// A replica that is further behind than a new read may be cannot run one before it
+		// has caught up.
+		catchUp := target.stats.Lag(now) - r.session.bound.MaxStaleness
+		shortest = min(shortest, max(target.expectedWait(request, now), catchUp))
 	}
 	return shortest
 }
@@ -81,7 +84,7 @@
 // expectedWait returns how long work waits for a slot of the server. Where an owner
 // orders the work, what it tells stands for that, or what answers have lately taken.
 func (t *server) expectedWait(request admission.Request, now time.Time) time.Duration {
-	if wait, known := t.told.Wait(now, urgency.Of(request.Priority)); known {
+	if wait, known := t.wait(request.Class, urgency.Of(request.Priority), now); known {
 		return wait
 	}
 	return max(t.gate.Wait(request), t.stats.Latency(now))
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -67,6 +67,7 @@
 		n.services.Range(func(_, value any) bool {
 			if service := value.(*service); service.attended(now) {
 				service.look(now, stoodStill)
+				service.lookAtRoom(now)
 			}
 			return true
 		})
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -19,6 +19,8 @@
 	reads     *prometheus.CounterVec
 	floorAges *prometheus.HistogramVec
 	refusals  *prometheus.CounterVec
+	// room counts what became of work for want of room.
+	room      *prometheus.CounterVec
 	failovers *prometheus.CounterVec
 	// storeCalls are the calls to the store.
 	storeCalls *prometheus.CounterVec
@@ -55,6 +57,7 @@
 		}, []string{"freshness"}),
 		reads:      counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
 		refusals:   counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
+		room:       counter("room_decisions_total", "Work that was refused, or sent elsewhere, for want of room on a server.", "service", "level", "decision"),
 		storeCalls: counter("store_calls_total", "Calls to the store.", "call", "kind", "outcome"),
 		rounds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: metricsNamespace, Name: "tenure_round_seconds", Buckets: durationBuckets,
@@ -69,7 +72,7 @@
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.failovers, m.storeCalls, m.rounds, m.unproved,
+	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.room, m.failovers, m.storeCalls, m.rounds, m.unproved,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
 		newServerCollector(node), m.tenants,
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -208,6 +208,8 @@
 	configurationHeard atomic.Int64
 	// newer is the search for a configuration that holds an unknown key.
 	newer newerSearch
+	// reports numbers what the node tells as an owner of servers' connections.
+	reports atomic.Uint64
 	// nudged makes the look at the services come at once.
 	nudged chan struct{}
 }
@@ -226,7 +228,7 @@
 	}
 	node.transfers = newTransfers(node)
 	node.reachability = newReachability(node.started)
-	node.links = remote.NewLinks(remote.LinksConfig{Dial: node.dialOwner, OnProof: node.ownerProved})
+	node.links = remote.NewLinks(remote.LinksConfig{Dial: node.dialOwner, OnProof: node.ownerProved, OnReport: node.ownerReported})
 	node.owner = remote.NewOwner(node)
 	node.tenures = node.newTenures()
 	node.quotas = node.newQuotas()
--- a/internal/proxy/owners.go
+++ b/internal/proxy/owners.go
@@ -197,12 +197,15 @@
 
 // Enter implements remote.Server.
 func (o *ownedServer) Enter(place admission.Request, deadline time.Time) bool {
+	if place.Class != admission.Continuation && admission.Overfull(o.gate.Wait(place), time.Until(deadline)) {
+		return false
+	}
 	return o.gate.Enter(place, deadline)
 }
 
 // Leave implements remote.Server.
-func (o *ownedServer) Leave(batch *upstream.Batch, result *upstream.Result) {
-	o.gate.Leave(endOf(batch, result), time.Now())
+func (o *ownedServer) Leave(class admission.Class, batch *upstream.Batch, result *upstream.Result) {
+	o.gate.Leave(class, endOf(batch, result), time.Now())
 }
 
 // Proof implements remote.Server.
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -10,6 +10,7 @@
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/routing"
 	"dewknot/internal/proxy/upstream"
+	"dewknot/internal/proxy/urgency"
 )
 
 // readCurrent runs a read that must see every acknowledged commit: in a
@@ -56,7 +57,7 @@
 	}
 	batch = lease.Run([]upstream.Operation{r.operation(), {Kind: upstream.Rollback}}, r.slotDeadline(target, lease))
 	arrived := time.Now()
-	r.leave(target, lease, &batch, batch.First())
+	r.leave(target, lease, admission.OnlyHere, &batch, batch.First())
 	if batch.Err != nil {
 		lease.Discard()
 		r.noAnswer()
@@ -65,7 +66,7 @@
 	lease.Settle(batch.Last())
 	result := batch.First()
 	if result.Outcome.NotRun() {
-		if result.Outcome == upstream.Busy && r.overloaded() {
+		if result.Outcome == upstream.Busy && r.noRoom(target, admission.OnlyHere) {
 			return r.refuse(failure.Overloaded), true
 		}
 		r.notRun(target, result)
@@ -118,7 +119,7 @@
 		operation := r.operation()
 		operation.Floor = floor.Position
 		batch := lease.Run(append(lease.Adapt(r.session.values, r.statement), operation), r.slotDeadline(target, lease))
-		r.leave(target, lease, &batch, batch.Last())
+		r.leave(target, lease, admission.Anywhere, &batch, batch.Last())
 		if batch.Err != nil {
 			lease.Discard()
 			r.noAnswer()
@@ -131,7 +132,7 @@
 			target.stats.CaughtUp(time.Now(), floor.Since)
 			return r.answer(result)
 		}
-		if result.Outcome == upstream.Busy && r.overloaded() || r.starved(target, result) {
+		if r.starved(target, result) || r.givesUp(target, result, floor) {
 			break
 		}
 		r.readNotRun(target, result, floor)
@@ -157,6 +158,17 @@
 			r.pause(behindPause)
 			continue
 		}
+		if r.awaitReplica(target, floor) {
+			continue
+		}
+		if !r.admits(target, admission.Anywhere) {
+			if r.tried[target.id] || !r.elsewhere(target, floor) {
+				break
+			}
+			r.service.count(urgency.Of(r.session.bound.Priority), "sent_elsewhere")
+			r.markTried(target)
+			continue
+		}
 		lease, err := r.session.node.lend(target, r.session.principal, r.connectionDeadline())
 		if err == nil {
 			return target, lease, floor
@@ -175,7 +187,8 @@
 	case upstream.Busy:
 		target.stats.Busied(now.Add(busyLife))
 	case upstream.Behind:
-		target.stats.Lagged(now, floor.Since)
+		target.stats.Lagged(now, floor.Since, result.Position)
+		r.foundBehind(target, result.Position, now)
 	default:
 	}
 	if r.tried[target.id] {
@@ -199,7 +212,8 @@
 // stalenessMargin is kept of the staleness bound for clocks that tick unevenly.
 const stalenessMargin = 50 * time.Millisecond
 
-// floor returns what the read must see.
+// floor returns what the read must see. Its span counts from the arrival, so a read that waits
+// for a replica does not ask for more meanwhile.
 func (r *run) floor() (freshness.Floor, bool) {
 	span := r.session.bound.MaxStaleness - stalenessMargin
 	now := time.Now()
@@ -210,7 +224,7 @@
 	if r.session.bound.Freshness == catalog.ReadYourWrites {
 		own = r.session.own
 	}
-	return r.service.proofs.Floor(now, span, own)
+	return r.service.proofs.Floor(r.arrived, span, own)
 }
 
 // choose returns the server to run the read; nil if there is none.
--- a/internal/proxy/remote/host.go
+++ b/internal/proxy/remote/host.go
@@ -14,6 +14,7 @@
 	"dewknot/internal/base/framing"
 	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/told"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -28,7 +29,9 @@
 	Behind(floor position.Position) (position.Position, bool)
 	// Enter waits for leave to run on the server; Leave ends what was let in.
 	Enter(place admission.Request, deadline time.Time) bool
-	Leave(batch *upstream.Batch, result *upstream.Result)
+	Leave(class admission.Class, batch *upstream.Batch, result *upstream.Result)
+	// Report returns what waits for the server.
+	Report() told.Report
 	// Proof returns the newest position that covers all commits acknowledged
 	// before a time; zero if none is known.
 	Proof() (at time.Time, covers position.Position)
@@ -201,6 +204,9 @@
 	if at, covers := target.Proof(); !covers.IsZero() {
 		answered.Proof, answered.ProofAge = covers, time.Since(at)
 	}
+	load := target.Report()
+	load.Held = told.Milliseconds(time.Since(received))
+	answered.Load = &load
 	return answered
 }
 
@@ -269,13 +275,13 @@
 		lease, err := target.Lend(asked.Principal, earlier(deadline, time.Now().Add(lendWait)))
 		if err != nil {
 			if slot >= 0 {
-				target.Leave(&upstream.Batch{Err: err}, nil)
+				target.Leave(asked.Ticket.Class, &upstream.Batch{Err: err}, nil)
 			}
 			return &response{Results: notRun(operations, lendOutcome(target, err), upstream.Idle)}
 		}
 		s.lease = lease
 	}
-	return s.runOn(target, operations, slot, deadline)
+	return s.runOn(target, operations, slot, asked.Ticket.Class, deadline)
 }
 
 // floorOf returns the position that operations need; zero if they need none.
@@ -300,8 +306,9 @@
 // lendWait bounds the wait for a connection.
 const lendWait = 150 * time.Millisecond
 
-// runOn runs operations on the stream's connection.
-func (s *hostStream) runOn(target Server, operations []upstream.Operation, slot int, deadline time.Time) *response {
+// runOn runs operations on the stream's connection. If one of them takes a slot, work of
+// a class was let in for it.
+func (s *hostStream) runOn(target Server, operations []upstream.Operation, slot int, class admission.Class, deadline time.Time) *response {
 	plan := s.plan(operations)
 	if len(plan.operations) == 0 {
 		return &response{Results: plan.visible(nil, len(operations))}
@@ -315,7 +322,7 @@
 			if slot < len(answered.Results) {
 				result = &answered.Results[slot]
 			}
-			target.Leave(&batch, result)
+			target.Leave(class, &batch, result)
 		}()
 	}
 	switch {
@@ -342,7 +349,7 @@
 		if operations[i].Kind != upstream.Rollback {
 			continue
 		}
-		answered := s.runOn(target, operations[i:i+1], -1, deadline)
+		answered := s.runOn(target, operations[i:i+1], -1, 0, deadline)
 		if answered.Lost || len(answered.Results) == 0 {
 			return &response{Results: results[:i], Lost: true}
 		}
--- a/internal/proxy/remote/link.go
+++ b/internal/proxy/remote/link.go
@@ -11,6 +11,7 @@
 	"dewknot/internal/base/codec"
 	"dewknot/internal/base/framing"
 	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/told"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -31,11 +32,20 @@
 // ProofFunc takes a position that covers all commits acknowledged before a time.
 type ProofFunc func(server string, at time.Time, covers position.Position)
 
+// ReportFunc takes what an owner tells of the work that waits for a server, on the answer
+// to a question that was sent at a time.
+type ReportFunc func(server string, sent time.Time, report *told.Report)
+
+// lives counts the links: a link leads to one process, whose reports it tells apart.
+var lives atomic.Uint64
+
 // Link is the asking end of a link to an owner. It is safe for concurrent use.
 type Link struct {
-	conn    net.Conn
-	w       *framing.Writer
-	onProof ProofFunc
+	conn     net.Conn
+	w        *framing.Writer
+	onProof  ProofFunc
+	onReport ReportFunc
+	life     uint64
 
 	leaving atomic.Bool
 	// suspect is set while the owner is silent for longer than usual.
@@ -58,9 +68,9 @@
 }
 
 // NewLink returns the asking end of a link over a connection.
-func NewLink(conn net.Conn, onProof ProofFunc) *Link {
+func NewLink(conn net.Conn, onProof ProofFunc, onReport ReportFunc) *Link {
 	l := &Link{
-		conn: conn, w: framing.NewWriter(deadlineWriter{conn}), onProof: onProof,
+		conn: conn, w: framing.NewWriter(deadlineWriter{conn}), onProof: onProof, onReport: onReport, life: lives.Add(1),
 		lost: make(chan struct{}), suspected: make(chan struct{}), waiting: map[uint64]chan response{}, heard: time.Now(),
 	}
 	go l.readLoop()
@@ -290,6 +300,10 @@
 		if !answered.Proof.IsZero() {
 			s.link.onProof(s.server, s.sentAt.Add(-answered.ProofAge), answered.Proof)
 		}
+		if answered.Load != nil {
+			answered.Load.Life = s.link.life
+			s.link.onReport(s.server, s.sentAt, answered.Load)
+		}
 	case <-s.link.lost:
 		s.cause = ErrLinkLost
 	case <-s.suspected:
--- a/internal/proxy/remote/links.go
+++ b/internal/proxy/remote/links.go
@@ -27,6 +27,8 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnProof takes what owners tell of the primaries.
 	OnProof ProofFunc
+	// OnReport takes what they tell of the work that waits for servers.
+	OnReport ReportFunc
 }
 
 // Links are a node's links to owners, by address. It is safe for concurrent use.
@@ -116,7 +118,7 @@
 	defer ls.mu.Unlock()
 	p.dialing = time.Time{}
 	if err == nil {
-		p.link, p.backoff = NewLink(conn, ls.cfg.OnProof), 0
+		p.link, p.backoff = NewLink(conn, ls.cfg.OnProof, ls.cfg.OnReport), 0
 	} else {
 		p.backoff = min(max(2*p.backoff, firstBackoff), longestBackoff)
 		if errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/proxy/remote/protocol.go
+++ b/internal/proxy/remote/protocol.go
@@ -14,6 +14,7 @@
 
 	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/told"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -41,7 +42,8 @@
 type Ticket struct {
 	Class    admission.Class
 	Priority int
-	// Age is the time since the work arrived at its first node.
+	// Age is the time since the work arrived at its first node, less what it comes later for
+	// being late (admission.LateDelay).
 	Age time.Duration
 	// Wait bounds the wait for a slot.
 	Wait time.Duration
@@ -91,6 +93,26 @@
 	// ProofAge ago, as the owner knows it; zero if it knows none.
 	Proof    position.Position
 	ProofAge time.Duration
+	// Load is what waits for the server; nil from an owner that does not tell it. It travels
+	// behind the response.
+	Load *told.Report `msgpack:"-"`
+}
+
+// Extension implements codec.Extended.
+func (r *response) Extension() any {
+	if r.Load == nil {
+		return nil
+	}
+	return r.Load
+}
+
+// Extend implements codec.Extended. A report in a form that is not known here counts as none.
+func (r *response) Extend(decode func(extension any) error) error {
+	load := new(told.Report)
+	if decode(load) == nil {
+		r.Load = load
+	}
+	return nil
 }
 
 type empty struct{}
--- a/internal/proxy/remote/remote_test.go
+++ b/internal/proxy/remote/remote_test.go
@@ -14,6 +14,7 @@
 	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/admission"
 	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/told"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -30,6 +31,7 @@
 	// hold, if set, delays statements until it is closed.
 	hold    chan struct{}
 	entered int
+	reports uint64
 	log     []upstream.OperationKind
 	pool    *upstream.Pool
 	proved  time.Time
@@ -74,7 +76,14 @@
 	return true
 }
 
-func (s *fakeServer) Leave(*upstream.Batch, *upstream.Result) {
+func (s *fakeServer) Report() told.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports++
+	return told.Report{Sequence: s.reports, Waiting: 7, Limit: 4}
+}
+
+func (s *fakeServer) Leave(admission.Class, *upstream.Batch, *upstream.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.entered--
@@ -142,10 +151,13 @@
 type proofs struct {
 	mu   sync.Mutex
 	list []time.Time
+	view told.View
 }
 
+func ignoreReports(string, time.Time, *told.Report) {}
+
 // connect links an asking side to an owner of the server.
-func connect(t *testing.T, server *fakeServer) (*Link, *Owner, *proofs) {
+func connect(t testing.TB, server *fakeServer) (*Link, *Owner, *proofs) {
 	t.Helper()
 	owner := NewOwner(server)
 	here, there := net.Pipe()
@@ -155,6 +167,10 @@
 		taken.mu.Lock()
 		defer taken.mu.Unlock()
 		taken.list = append(taken.list, at)
+	}, func(_ string, sent time.Time, report *told.Report) {
+		taken.mu.Lock()
+		defer taken.mu.Unlock()
+		taken.view.Observe(sent, report)
 	})
 	t.Cleanup(link.Close)
 	return link, owner, taken
@@ -347,7 +363,7 @@
 				}
 			}
 		}()
-		link := NewLink(here, func(string, time.Time, position.Position) {})
+		link := NewLink(here, func(string, time.Time, position.Position) {}, ignoreReports)
 		began := time.Now()
 		write := statement("x")
 		write.Statement.Writes = true
@@ -365,7 +381,7 @@
 		server := newFakeServer()
 		here, there := net.Pipe()
 		stopped := serveStopped(NewOwner(server), there)
-		link := NewLink(here, func(string, time.Time, position.Position) {})
+		link := NewLink(here, func(string, time.Time, position.Position) {}, ignoreReports)
 		t.Cleanup(link.Close)
 		stopped.still.Store(true)
 		done := make(chan upstream.Batch, 1)
@@ -389,7 +405,7 @@
 		server := newFakeServer()
 		here, there := net.Pipe()
 		stopped := serveStopped(NewOwner(server), there)
-		link := NewLink(here, func(string, time.Time, position.Position) {})
+		link := NewLink(here, func(string, time.Time, position.Position) {}, ignoreReports)
 		t.Cleanup(link.Close)
 		transaction := lease(link, "s1")
 		must.NoError(t, transaction.Run([]upstream.Operation{{Kind: upstream.Begin}}, soon()).Err)
@@ -417,7 +433,7 @@
 		stopped := serveStopped(NewOwner(newFakeServer()), there)
 		stopped.still.Store(true)
 		defer stopped.resume()
-		link := NewLink(here, func(string, time.Time, position.Position) {})
+		link := NewLink(here, func(string, time.Time, position.Position) {}, ignoreReports)
 		batch := lease(link, "s1").Run([]upstream.Operation{statement("x")}, time.Now().Add(suspicionLimit+2*pingInterval))
 		must.ErrorIs(t, batch.Err, ErrLinkLost)
 		select {
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -19,6 +19,7 @@
 	attempts int
 	// floor is what a read had to see.
 	floor freshness.Floor
+	room  roomAccount
 }
 
 // tried notes an attempt on a server.
@@ -48,6 +49,12 @@
 	if !s.account.floor.Since.IsZero() {
 		fields = append(fields, zap.Stringer("floor", s.account.floor.Position), zap.Duration("floor_age", now.Sub(s.account.floor.Since)))
 	}
+	if awaited := s.account.room.awaited; awaited > 0 {
+		fields = append(fields, zap.Duration("awaited_replica", awaited))
+	}
+	if reply.Failure != nil && s.account.room.rule != "" {
+		fields = append(fields, zap.String("rule", string(s.account.room.rule)), zap.Duration("told_wait", s.account.room.wait), zap.Duration("told_age", s.account.room.age))
+	}
 	if reply.Failure != nil {
 		fields = append(fields, zap.Stringer("outcome", reply.Failure.Kind), zap.String("detail", reply.Failure.FullDetail()),
 			zap.Bool("promised_not_kept", reply.Failure.Kind.NotRun()))
--- /dev/null
+++ b/internal/proxy/room.go
@@ -0,0 +1,306 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/told"
+	"dewknot/internal/proxy/upstream"
+	"dewknot/internal/proxy/urgency"
+)
+
+// refusalRule names what refused work for want of room, in logs and metrics.
+type refusalRule string
+
+// The rules.
+const (
+	// toldWait: the server's owner tells a wait that leaves the work no time.
+	toldWait refusalRule = "told_wait"
+	// toldDeadline: the same, of work that could not be answered by its deadline.
+	toldDeadline refusalRule = "told_deadline"
+	// noSlot: the work waited for a slot, or the owner saw that it would wait in vain.
+	noSlot refusalRule = "no_slot"
+	// noConnection: there was no connection in time.
+	noConnection refusalRule = "no_connection"
+	// timePassed: no server had run it when its time-out passed.
+	timePassed refusalRule = "time_passed"
+)
+
+// roomAccount tells how room for a command was found, for its line in the log.
+type roomAccount struct {
+	rule refusalRule
+	// wait is what an owner told, age how old that was.
+	wait, age time.Duration
+	// awaited is how long the command waited for a replica to catch up.
+	awaited time.Duration
+}
+
+// urgentWork describes the statement for decisions on what is scarce.
+func (r *run) urgentWork() urgency.Work {
+	bound := &r.session.bound
+	return urgency.Work{
+		Level: urgency.Of(bound.Priority), Arrived: r.arrived, Objective: r.arrived.Add(bound.TargetLatency), Deadline: r.deadline,
+		Open: r.session.transaction != nil && r.session.transaction.lease != nil, Attempt: r.fruitless,
+	}
+}
+
+// allowed returns how long new work may still wait for a slot.
+func (r *run) allowed(now time.Time) time.Duration {
+	if r.overload.IsZero() {
+		return time.Duration(overloadShare * float64(r.session.bound.TargetLatency))
+	}
+	return r.overload.Sub(now)
+}
+
+// admits reports whether new work is sent to a server, by what its owner tells of the work
+// that waits for it.
+func (r *run) admits(target *server, class admission.Class) bool {
+	now := time.Now()
+	work := r.urgentWork()
+	known, age := target.known(class, work.Level, now)
+	verdict := admission.Early(&work, now, r.allowed(now), known, rand.Float64())
+	if verdict == admission.Ask {
+		return true
+	}
+	room := &r.session.account.room
+	room.rule, room.wait, room.age = toldWait, known.Wait, age
+	if verdict == admission.Refuse {
+		room.rule = toldDeadline
+	}
+	return false
+}
+
+// noRoom reports whether new work that a server did not run for want of a slot has waited as
+// long as it may, or would: then it is not asked again.
+func (r *run) noRoom(target *server, class admission.Class) bool {
+	if r.overloaded() {
+		return true
+	}
+	now := time.Now()
+	wait, known := target.wait(class, urgency.Of(r.session.bound.Priority), now)
+	return known && admission.Overfull(wait, r.allowed(now))
+}
+
+// givesUp reports whether a read that a server did not run has no room on any other either.
+func (r *run) givesUp(target *server, result *upstream.Result, floor freshness.Floor) bool {
+	return result.Outcome == upstream.Busy && r.noRoom(target, admission.Anywhere) && (r.overloaded() || !r.elsewhere(target, floor))
+}
+
+// known returns what is known of the work that waits for the server, and how old it is.
+func (t *server) known(class admission.Class, level urgency.Level, now time.Time) (admission.Known, time.Duration) {
+	report, age, recent := t.told.Newest(now)
+	if !recent {
+		return admission.Known{}, 0
+	}
+	wait, _ := t.wait(class, level, now)
+	return admission.Known{Recent: true, Wait: wait, Waiting: int(report.Waiting), Sent: int(t.remote.Load())}, age
+}
+
+// wait returns the wait that the server's owner tells for work; false if nothing recent is
+// known.
+func (t *server) wait(class admission.Class, level urgency.Level, now time.Time) (time.Duration, bool) {
+	if class == admission.Anywhere {
+		return t.told.Wait(now, level)
+	}
+	return t.told.WaitOnlyHere(now, level)
+}
+
+// ownerReported takes what an owner tells of a server.
+func (n *Node) ownerReported(id string, sent time.Time, report *told.Report) {
+	target := n.server(id)
+	if target == nil {
+		return
+	}
+	target.told.Observe(sent, report)
+	if report.Behind > 0 {
+		target.stats.FoundBehind(time.Now(), time.Duration(report.Behind)*time.Millisecond)
+	}
+}
+
+// leastBehind is the least that a server is told to be behind: with less, replicas have what
+// reads of usual bounds (1 s and more) must see, and what is known is only as exact as a
+// round trip between regions.
+const leastBehind = 200 * time.Millisecond
+
+// Report implements remote.Server.
+func (o *ownedServer) Report() told.Report {
+	now := time.Now()
+	seen := o.gate.Outlook(now)
+	report := told.Report{
+		Sequence: o.service.node.reports.Add(1), Running: uint16(seen.Running), Waiting: uint16(seen.Waiting), Limit: uint16(seen.Limit),
+	}
+	for level := range report.Waits {
+		report.Waits[level], report.Kept[level] = told.Milliseconds(seen.Anywhere[level]), told.Milliseconds(seen.OnlyHere[level])
+	}
+	report.Behind = told.Milliseconds(o.behind(now))
+	return report
+}
+
+// behind returns how far behind the primary the server surely was when it last told its
+// position; 0 if nothing recent shows that it was.
+func (o *ownedServer) behind(now time.Time) time.Duration {
+	at, seen := o.stats.Position()
+	if at.IsZero() || now.Sub(seen) >= told.Life || o.id == o.service.belief.Leader() {
+		return 0
+	}
+	since, lacks := o.service.proofs.Lacking(at)
+	if behind := seen.Sub(since); lacks && behind >= leastBehind {
+		return behind
+	}
+	return 0
+}
+
+// awaitReplica waits for a replica that is expected to have what the read must see, if that
+// is better than the server that was chosen, and reports whether it has waited.
+func (r *run) awaitReplica(chosen *server, floor freshness.Floor) bool {
+	now := time.Now()
+	if chosen.id != r.service.belief.Leader() || chosen.stats.Avoided(now) {
+		return false
+	}
+	work := r.urgentWork()
+	prospect := freshness.Prospect{Allowed: r.allowed(now), Left: min(work.Objective.Sub(now), work.Deadline.Sub(now)) - chosen.stats.Latency(now)}
+	prospect.PrimaryWait, prospect.PrimaryKnown = chosen.wait(admission.Anywhere, work.Level, now)
+	if !prospect.PrimaryKnown {
+		prospect.PrimaryWait = chosen.gate.Wait(admission.Request{Class: admission.Anywhere, Priority: r.session.bound.Priority, Arrived: r.arrived})
+		prospect.PrimaryKnown = prospect.PrimaryWait > 0
+	}
+	prospect.CatchUp, prospect.ReplicaKnown = r.catchUp(chosen, floor, now, prospect.Allowed)
+	if prospect.Choose() != freshness.AwaitReplica {
+		return false
+	}
+	r.session.account.room.awaited += prospect.CatchUp
+	r.service.count(work.Level, "awaited_replica")
+	r.pause(max(prospect.CatchUp, behindPause))
+	return true
+}
+
+// catchUp returns when the first replica is expected to have what a read must see; false if
+// that is not known of any. One for which work waits for longer than allowed is of no use.
+func (r *run) catchUp(primary *server, floor freshness.Floor, now time.Time, allowed time.Duration) (time.Duration, bool) {
+	first, found := time.Duration(0), false
+	level := urgency.Of(r.session.bound.Priority)
+	for _, entry := range r.session.node.catalog.Current().ByService[r.service.name] {
+		target := r.session.node.server(entry.ID)
+		if target == nil || target == primary || !r.service.usable(entry.ID, now) || target.stats.Avoided(now) {
+			continue
+		}
+		if wait, _ := target.wait(admission.Anywhere, level, now); wait > max(allowed, 0) {
+			continue
+		}
+		if after, known := target.stats.CatchesUp(floor.Position, floor.Since, now); known && (!found || after < first) {
+			first, found = after, true
+		}
+	}
+	return first, found
+}
+
+// foundBehind notes how far behind the primary a server at a position is. Of one that is
+// reached through its owner, that one tells it, and knows better.
+func (r *run) foundBehind(target *server, at position.Position, now time.Time) {
+	if len(r.session.node.ownersBefore(target)) > 0 {
+		return
+	}
+	if since, lacks := r.service.proofs.Lacking(at); lacks && now.Sub(since) >= leastBehind {
+		target.stats.FoundBehind(now, now.Sub(since))
+	}
+}
+
+// elsewhere reports whether another server than one that has no room has what a read must
+// see, and room.
+func (r *run) elsewhere(declined *server, floor freshness.Floor) bool {
+	now := time.Now()
+	level := urgency.Of(r.session.bound.Priority)
+	for _, entry := range r.session.node.catalog.Current().ByService[r.service.name] {
+		target := r.session.node.server(entry.ID)
+		if target == nil || target == declined || r.tried[entry.ID] || !r.service.usable(entry.ID, now) || target.stats.Avoided(now) {
+			continue
+		}
+		wait, _ := target.wait(admission.Anywhere, level, now)
+		if wait <= r.allowed(now) && target.stats.Covers(floor.Position, floor.Since, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// turnedAwayRest is for how long a service has turned no work away when that counts as over:
+// longer than callers who were refused stay away as a rule.
+const turnedAwayRest = 2 * time.Second
+
+// turnedAway follows whether a service turns work away for want of room. It is safe for
+// concurrent use.
+type turnedAway struct {
+	mu    sync.Mutex
+	since time.Time
+	last  time.Time
+	count int
+	// most is the most urgent level that was refused.
+	most urgency.Level
+}
+
+// refused notes a refusal and reports whether it is the first, or of a more urgent level than
+// all before.
+func (t *turnedAway) refused(now time.Time, level urgency.Level) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	news := t.since.IsZero() || level < t.most
+	if t.since.IsZero() {
+		t.since, t.most, t.count = now, level, 0
+	}
+	t.last, t.most = now, min(t.most, level)
+	t.count++
+	return news
+}
+
+// over reports, once, that the service turns no work away any longer, with how many were
+// refused, for how long and the most urgent level of them.
+func (t *turnedAway) over(now time.Time) (count int, lasted time.Duration, most urgency.Level, ended bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.since.IsZero() || now.Sub(t.last) < turnedAwayRest {
+		return 0, 0, 0, false
+	}
+	count, lasted, most = t.count, t.last.Sub(t.since), t.most
+	t.since = time.Time{}
+	return count, lasted, most, true
+}
+
+// turnAway counts and logs a refusal for want of room.
+func (r *run) turnAway() {
+	room, now := &r.session.account.room, time.Now()
+	switch {
+	case room.rule != "":
+	case now.Before(r.deadline):
+		room.rule = noSlot
+	default:
+		room.rule = timePassed
+	}
+	level := urgency.Of(r.session.bound.Priority)
+	r.service.count(level, string(room.rule))
+	if r.service.turnedAway.refused(now, level) {
+		r.log().Write(eventlog.RoomShort, zap.String("service", r.service.name), zap.Uint8("level", uint8(level)), zap.String("rule", string(room.rule)),
+			zap.String("server", r.session.account.server), zap.Duration("wait", room.wait), zap.Duration("age", room.age))
+	}
+}
+
+// lookAtRoom logs that the service turns no work away any longer.
+func (s *service) lookAtRoom(now time.Time) {
+	if count, lasted, most, ended := s.turnedAway.over(now); ended {
+		s.node.log.Write(eventlog.RoomRegained, zap.String("service", s.name), zap.Int("refused", count), zap.Duration("lasted", lasted), zap.Uint8("level", uint8(most)))
+	}
+}
+
+// count counts what became of work of a level for want of room.
+func (s *service) count(level urgency.Level, decision string) {
+	s.node.metrics.room.WithLabelValues(s.name, levelNames[level], decision).Inc()
+}
+
+// levelNames label the levels in metrics.
+var levelNames = [urgency.Levels]string{"0", "1", "2", "3"}
--- /dev/null
+++ b/internal/proxy/room_test.go
@@ -0,0 +1,95 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/told"
+	"dewknot/internal/proxy/urgency"
+)
+
+// roomRun returns a run of a route with a priority, an objective of 500 ms and a time-out of
+// 2 s, at a node that reaches server s1 through its owner.
+func roomRun(priority int) (*run, *server) {
+	node, target := ownersNode(&memberStore{}, &linkPeers{asked: make(chan string, 100)}, &countingDialer{}, 40)
+	now := time.Now()
+	s := &session{node: node, bound: catalog.Route{
+		Name: "lookups", Service: "bookings", Priority: priority, TargetLatency: 500 * time.Millisecond,
+		Freshness: catalog.BoundedStaleness, MaxStaleness: time.Second,
+	}}
+	return &run{session: s, service: node.service("bookings"), statement: &command.Statement{}, arrived: now, deadline: now.Add(2 * time.Second)}, target
+}
+
+// admitted counts, of 1,000 tries, those that are sent to the server's owner.
+func admitted(r *run, target *server, class admission.Class) int {
+	count := 0
+	for range 1000 {
+		if r.admits(target, class) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestNodesRefuseByWhatOwnersTell: of reads that have no room, about as many are asked as may
+// fit; writes, which have room, are; and nothing is refused by what is old.
+func TestNodesRefuseByWhatOwnersTell(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		r, target := roomRun(1)
+		defer r.session.node.log.Close()
+		must.Eq(t, 1000, admitted(r, target, admission.Anywhere), must.Sprint("a node that starts knows nothing"))
+		r.session.node.ownerReported("s1", time.Now(), &told.Report{Life: 1, Sequence: 1, Waits: [urgency.Levels]uint16{0, 400, 4000, 4000}, Waiting: 30})
+		must.Between(t, 200, admitted(r, target, admission.Anywhere), 300)
+		must.Eq(t, toldWait, r.session.account.room.rule)
+		must.Eq(t, 1000, admitted(r, target, admission.OnlyHere))
+		time.Sleep(told.Life)
+		must.Eq(t, 1000, admitted(r, target, admission.Anywhere))
+
+		views, busy := roomRun(2)
+		defer views.session.node.log.Close()
+		views.session.node.ownerReported("s1", time.Now(), &told.Report{Life: 1, Sequence: 1, Waits: [urgency.Levels]uint16{0, 400, 4000, 4000}, Waiting: 30})
+		must.Eq(t, 0, admitted(views, busy, admission.Anywhere))
+		must.Eq(t, toldDeadline, views.session.account.room.rule)
+	})
+}
+
+// TestTimeToComeBackFollowsTheLevel: callers of urgent work are told to come back sooner.
+func TestTimeToComeBackFollowsTheLevel(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		for priority, wait := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, time.Second} {
+			r, _ := roomRun(priority)
+			r.session.node.ownerReported("s1", time.Now(), &told.Report{Life: 1, Sequence: 1, Waits: [urgency.Levels]uint16{50, 200, 1000, 1000}})
+			must.Eq(t, wait, r.expectedWait(time.Now()))
+			r.session.node.log.Close()
+		}
+	})
+}
+
+// TestTurningAwayIsLoggedOnce: at its beginning, for each more urgent level, and at its end.
+func TestTurningAwayIsLoggedOnce(t *testing.T) {
+	start := time.Unix(1_000, 0)
+	at := func(span time.Duration) time.Time { return start.Add(span) }
+	var away turnedAway
+	_, _, _, ended := away.over(at(0))
+	must.False(t, ended)
+	must.True(t, away.refused(at(0), 2))
+	must.False(t, away.refused(at(time.Second), 2))
+	must.False(t, away.refused(at(time.Second), 3))
+	must.True(t, away.refused(at(2*time.Second), 0))
+	_, _, _, ended = away.over(at(2*time.Second + turnedAwayRest - 1))
+	must.False(t, ended)
+	count, lasted, most, ended := away.over(at(2*time.Second + turnedAwayRest))
+	must.True(t, ended)
+	must.Eq(t, 4, count)
+	must.Eq(t, 2*time.Second, lasted)
+	must.Eq(t, 0, most)
+	_, _, _, ended = away.over(at(time.Hour))
+	must.False(t, ended)
+	must.True(t, away.refused(at(time.Hour), 3))
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -108,18 +108,22 @@
 	if class == admission.Continuation || r.deadline.Before(deadline) {
 		deadline = r.deadline
 	}
+	now := time.Now()
 	place := admission.Request{
-		Class: class, Priority: r.session.bound.Priority, Arrived: r.arrived, Principal: string(r.session.principal), Holds: true,
+		Class: class, Priority: r.session.bound.Priority, Arrived: r.arrived, Late: r.late(now), Principal: string(r.session.principal), Holds: true,
 	}
 	if !lease.Remote() {
-		if class != admission.Continuation && r.hopeless(target.gate.Wait(place)) {
+		if wait := target.gate.Wait(place); class != admission.Continuation && (r.hopeless(wait) || admission.Overfull(wait, deadline.Sub(now))) {
 			return false
 		}
 		return target.gate.Enter(place, deadline)
 	}
 	if session, queues := lease.Connection.(queuer); queues {
-		now := time.Now()
-		session.Queue(remote.Ticket{Class: class, Priority: place.Priority, Age: now.Sub(r.arrived), Wait: deadline.Sub(now)})
+		age := now.Sub(r.arrived)
+		if place.Late {
+			age -= admission.LateDelay
+		}
+		session.Queue(remote.Ticket{Class: class, Priority: place.Priority, Age: age, Wait: deadline.Sub(now)})
 	}
 	target.remote.Add(1)
 	return true
@@ -130,15 +134,21 @@
 	Queue(ticket remote.Ticket)
 }
 
-// leave ends work that was let in.
-func (r *run) leave(target *server, lease *upstream.Lease, batch *upstream.Batch, result *upstream.Result) {
+// late reports whether the objective of the work has passed.
+func (r *run) late(now time.Time) bool {
+	work := r.urgentWork()
+	return work.Late(now)
+}
+
+// leave ends work of a class that was let in.
+func (r *run) leave(target *server, lease *upstream.Lease, class admission.Class, batch *upstream.Batch, result *upstream.Result) {
 	r.session.account.tried(target, target.id == r.service.belief.Leader())
 	r.session.node.metrics.refused(result)
 	if lease.Remote() {
 		target.remote.Add(-1)
 		return
 	}
-	target.gate.Leave(endOf(batch, result), time.Now())
+	target.gate.Leave(class, endOf(batch, result), time.Now())
 }
 
 // endOf tells a gate how admitted work ended.
@@ -178,6 +188,9 @@
 		return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
 	}
 	r.putBack()
+	if kind == failure.Overloaded {
+		r.turnAway()
+	}
 	return r.session.fail(failure.Refuse(kind, r.comeBack(kind)))
 }
 
@@ -230,11 +243,15 @@
 			continue
 		}
 		r.held = held
+		if !r.admits(target, admission.OnlyHere) {
+			return nil, nil, failure.Overloaded
+		}
 		lease, err := r.session.node.lend(target, r.session.principal, r.connectionDeadline())
 		if err == nil {
 			return target, lease, failure.None
 		}
 		if errors.Is(err, upstream.ErrNoConnection) && r.lacksConnections(target) {
+			r.session.account.room.rule = noConnection
 			return nil, nil, failure.Overloaded
 		}
 		r.awaitLeader()
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -55,6 +55,8 @@
 	witness atomic.Pointer[string]
 	health  leaderHealth
 	outage  outage
+	// turnedAway follows whether the service turns work away for want of room.
+	turnedAway turnedAway
 	// warmed is set once connections for a survey were opened ahead.
 	warmed atomic.Bool
 	// replication holds one token: it keeps surveys, which may hold replicas,
--- a/internal/proxy/told/told.go
+++ b/internal/proxy/told/told.go
@@ -15,16 +15,25 @@
 
 // Report is what an owner tells of a server.
 type Report struct {
-	// Sequence rises with each report of the owner's process, which Life names.
-	Life     uint64
+	// Sequence rises with each report of the owner's process, which Life names. A link leads
+	// to one process, so Life is set by the node that receives the report and isn't sent.
+	Life     uint64 `msgpack:"-"`
 	Sequence uint64
-	// Waits is the wait that new work of each level would have, in milliseconds.
+	// Waits is the wait that new work of each level would have, in milliseconds: work that
+	// other servers could run too. Kept is the same for work that runs only there.
 	Waits [urgency.Levels]uint16
+	Kept  [urgency.Levels]uint16
 	// Running and Waiting count the work that has a slot and that waits for one. Limit is
 	// how many the owner lets run.
 	Running uint16
 	Waiting uint16
 	Limit   uint16
+	// Behind is how far behind the primary the server was at least when it last told its
+	// position, in milliseconds; 0 if nothing recent shows that it was.
+	Behind uint16
+	// Held is for how long the owner had had the question when it made the report, in
+	// milliseconds: by so much the report is younger than the question.
+	Held uint16
 }
 
 const (
@@ -36,7 +45,7 @@
 	Life = 400 * time.Millisecond
 )
 
-// Milliseconds returns a wait as a report carries it.
+// Milliseconds returns a wait as a report carries it. One below a millisecond is none.
 func Milliseconds(wait time.Duration) uint16 {
 	return uint16(min(max(wait, 0), mostWait) / time.Millisecond)
 }
@@ -45,8 +54,8 @@
 type View struct {
 	mu     sync.Mutex
 	report Report
-	// at is when the question was sent whose answer carried the report: the report is at
-	// most that old.
+	// at is a time before the report was made: when the question was sent whose answer
+	// carried it, and for how long the owner had had that.
 	at    time.Time
 	known bool
 }
@@ -57,24 +66,31 @@
 func (v *View) Observe(sent time.Time, report *Report) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.known && (v.report.Life == report.Life && v.report.Sequence >= report.Sequence || v.report.Life != report.Life && sent.Before(v.at)) {
+	at := sent.Add(time.Duration(report.Held) * time.Millisecond)
+	if v.known && (v.report.Life == report.Life && v.report.Sequence >= report.Sequence || v.report.Life != report.Life && at.Before(v.at)) {
 		return
 	}
-	v.report, v.at, v.known = *report, sent, true
+	v.report, v.at, v.known = *report, at, true
 }
 
 // Wait returns how long new work of a level is expected to wait at the owner. It is false
 // if nothing recent is known. What is told fades with its age: half way through its life,
 // half of the wait is left.
 func (v *View) Wait(now time.Time, level urgency.Level) (time.Duration, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	age := now.Sub(v.at)
-	if !v.known || age < 0 || age >= Life {
-		return 0, false
-	}
-	wait := time.Duration(v.report.Waits[min(level, urgency.Least)]) * time.Millisecond
-	return time.Duration(float64(wait) * (1 - float64(age)/float64(Life))), true
+	report, age, known := v.Newest(now)
+	return faded(report.Waits[min(level, urgency.Least)], age), known
+}
+
+// WaitOnlyHere is the same for work that no other server can run.
+func (v *View) WaitOnlyHere(now time.Time, level urgency.Level) (time.Duration, bool) {
+	report, age, known := v.Newest(now)
+	return faded(report.Kept[min(level, urgency.Least)], age), known
+}
+
+// faded returns what is left of a told wait at an age.
+func faded(milliseconds uint16, age time.Duration) time.Duration {
+	wait := time.Duration(milliseconds) * time.Millisecond
+	return time.Duration(float64(wait) * (1 - float64(age)/float64(Life)))
 }
 
 // Newest returns the newest report and its age; false if there is none in its life.
--- a/internal/proxy/told/told_test.go
+++ b/internal/proxy/told/told_test.go
@@ -5,38 +5,79 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
+	"dewknot/internal/base/codec"
 	"dewknot/internal/proxy/urgency"
 )
 
-// TestReportsFadeAndAreNeverOvertaken: a node that knows nothing recent has no wait to go
-// by, and an answer that was overtaken changes nothing.
-func TestReportsFadeAndAreNeverOvertaken(t *testing.T) {
+func waits(milliseconds uint16) [urgency.Levels]uint16 {
+	return [urgency.Levels]uint16{milliseconds, milliseconds, milliseconds, milliseconds}
+}
+
+// TestKnowledgeFades: what was told says less as it ages, and nothing at the end of its
+// life; a clock that jumped back makes nothing known.
+func TestKnowledgeFades(t *testing.T) {
 	start := time.Unix(1_000, 0)
-	var v View
+	v := &View{}
 	_, known := v.Wait(start, 0)
 	must.False(t, known)
-
-	v.Observe(start, &Report{Life: 1, Sequence: 5, Waits: [urgency.Levels]uint16{40, 80, 160, 320}})
-	wait, known := v.Wait(start, 1)
-	must.True(t, known)
-	must.Eq(t, 80*time.Millisecond, wait)
-	wait, _ = v.Wait(start.Add(Life/2), urgency.Least)
-	must.Eq(t, 160*time.Millisecond, wait)
-
-	v.Observe(start.Add(time.Millisecond), &Report{Life: 1, Sequence: 4})
-	wait, _ = v.Wait(start, 0)
-	must.Eq(t, 40*time.Millisecond, wait)
-	_, known = v.Wait(start.Add(Life), 0)
+	v.Observe(start, &Report{Life: 1, Sequence: 1, Waits: waits(100), Kept: waits(40)})
+	for _, at := range []struct{ age, wait, kept time.Duration }{
+		{0, 100, 40}, {Life / 4, 75, 30}, {Life / 2, 50, 20}, {3 * Life / 4, 25, 10},
+	} {
+		wait, known := v.Wait(start.Add(at.age), 1)
+		must.True(t, known)
+		must.Eq(t, at.wait*time.Millisecond, wait)
+		kept, _ := v.WaitOnlyHere(start.Add(at.age), 1)
+		must.Eq(t, at.kept*time.Millisecond, kept)
+	}
+	_, known = v.Wait(start.Add(Life), 1)
+	must.False(t, known)
+	_, known = v.Wait(start.Add(-time.Millisecond), 1)
 	must.False(t, known)
+}
+
+// TestOvertakenReportsAreLeft: of one process the highest sequence counts; what another
+// process told counts only if it was asked for later.
+func TestOvertakenReportsAreLeft(t *testing.T) {
+	start := time.Unix(1_000, 0)
+	later := start.Add(10 * time.Millisecond)
+	v := &View{}
+	expect := func(milliseconds time.Duration) {
+		t.Helper()
+		report, _, known := v.Newest(later)
+		must.True(t, known)
+		must.Eq(t, milliseconds, time.Duration(report.Waits[0]))
+	}
+	v.Observe(start, &Report{Life: 1, Sequence: 5, Waits: waits(50)})
+	v.Observe(later, &Report{Life: 1, Sequence: 4, Waits: waits(40)})
+	expect(50)
+	v.Observe(start.Add(-time.Millisecond), &Report{Life: 2, Sequence: 9, Waits: waits(90)})
+	expect(50)
+	v.Observe(later, &Report{Life: 2, Sequence: 1, Waits: waits(10)})
+	expect(10)
+	v.Observe(start, &Report{Life: 1, Sequence: 6, Waits: waits(60)})
+	expect(10)
+}
 
-	// Another process at the owner begins its sequence anew.
-	v.Observe(start.Add(2*time.Millisecond), &Report{Life: 2, Sequence: 1})
-	wait, known = v.Wait(start.Add(2*time.Millisecond), 0)
-	must.True(t, known)
-	must.Eq(t, 0, wait)
-	// A late answer of the process before is older than what is known.
-	v.Observe(start.Add(time.Millisecond), &Report{Life: 1, Sequence: 9, Waits: [urgency.Levels]uint16{900}})
-	wait, _ = v.Wait(start.Add(2*time.Millisecond), 0)
-	must.Eq(t, 0, wait)
+// TestReportsSurviveTheWire: all but the life arrives, in few bytes.
+func TestReportsSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sent := Report{
+			Sequence: rapid.Uint64().Draw(t, "sequence"), Running: rapid.Uint16().Draw(t, "running"), Waiting: rapid.Uint16().Draw(t, "waiting"),
+			Limit: rapid.Uint16().Draw(t, "limit"), Behind: rapid.Uint16().Draw(t, "behind"),
+		}
+		for i := range sent.Waits {
+			sent.Waits[i], sent.Kept[i] = rapid.Uint16().Draw(t, "wait"), rapid.Uint16().Draw(t, "kept")
+		}
+		frame, err := codec.Append(nil, &sent)
+		must.NoError(t, err)
+		var received Report
+		must.NoError(t, codec.Decode(frame, &received))
+		must.Eq(t, sent, received)
+	})
+	calm, err := codec.Append(nil, &Report{Sequence: 1_000, Running: 3, Limit: 8})
+	must.NoError(t, err)
+	must.LessEq(t, 20, len(calm))
 }
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -159,7 +159,7 @@
 		}
 		operations := append(t.lease.Adapt(r.session.values, r.statement), r.operation())
 		batch := t.lease.Run(operations, r.deadline)
-		r.leave(t.server, t.lease, &batch, batch.Last())
+		r.leave(t.server, t.lease, admission.Continuation, &batch, batch.Last())
 		if batch.Err != nil {
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "statement"),
 				zap.String("server", t.server.id), zap.Error(batch.Err))
@@ -259,7 +259,7 @@
 		}
 		batch := t.lease.Run([]upstream.Operation{{Kind: upstream.Commit, RequestID: received.RequestID, Text: received.Text}}, r.deadline)
 		arrived := time.Now()
-		r.leave(t.server, t.lease, &batch, batch.Last())
+		r.leave(t.server, t.lease, admission.Continuation, &batch, batch.Last())
 		if batch.Err != nil {
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", received.RequestID), zap.String("command", "commit"),
 				zap.String("server", t.server.id), zap.Error(batch.Err))
--- a/internal/proxy/upstream/stats.go
+++ b/internal/proxy/upstream/stats.go
@@ -37,6 +37,7 @@
 	latencyAt       time.Time
 	lag             time.Duration
 	lagAt           time.Time
+	found           behindness
 	applied         position.Position
 	observedAt      time.Time
 	failedAt        time.Time
@@ -212,6 +213,14 @@
 	return s.applied, lacks && now.Sub(s.observedAt) < knownBehind
 }
 
+// Position returns the position that the server had applied when it last told one, and when
+// that was.
+func (s *Stats) Position() (position.Position, time.Time) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.applied, s.observedAt
+}
+
 // Applied returns the newest position that the server is known to have applied.
 func (s *Stats) Applied() position.Position {
 	s.mutex.Lock()
@@ -219,14 +228,14 @@
 	return s.applied
 }
 
-// Lagged notes that the server lacked a position which the primary had since a time.
-func (s *Stats) Lagged(now, since time.Time) {
+// Lagged notes that the server, at a position, lacked one which the primary had since a time.
+func (s *Stats) Lagged(now, since time.Time, at position.Position) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.lag = max(s.lagEstimate(now), now.Sub(since)*5/4)
 	s.lagAt = now
-	// What was applied may have been rolled back by a promotion.
-	s.applied = position.Position{}
+	// What was applied before may have been rolled back by a promotion.
+	s.applied = at
 }
 
 // CaughtUp notes that the server had a position which the primary had since a time.
--- a/internal/proxy/write.go
+++ b/internal/proxy/write.go
@@ -27,7 +27,7 @@
 		operations := append(lease.Adapt(r.session.values, r.statement), r.operation())
 		batch := lease.Run(operations, r.deadline)
 		arrived := time.Now()
-		r.leave(target, lease, &batch, batch.Last())
+		r.leave(target, lease, admission.OnlyHere, &batch, batch.Last())
 		if batch.Err != nil {
 			lease.Discard()
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "write"),
@@ -46,7 +46,7 @@
 			}
 			return r.answer(result)
 		}
-		if result.Outcome == upstream.Busy && r.overloaded() || r.starved(target, result) {
+		if result.Outcome == upstream.Busy && r.noRoom(target, admission.OnlyHere) || r.starved(target, result) {
 			break
 		}
 		r.notRun(target, result)
