--- a/internal/proxy/backend_metrics.go
+++ b/internal/proxy/backend_metrics.go
@@ -11,6 +11,8 @@
 // backendMetrics are the counters and histograms of the services.
 type backendMetrics struct {
 	failovers *prometheus.CounterVec
+	// room counts what became of work for want of room.
+	room *prometheus.CounterVec
 	// rounds are the times of questions to the voters, unproved the answers that came
 	// without a lease and were not confirmed.
 	rounds   *prometheus.HistogramVec
@@ -24,6 +26,9 @@
 		failovers: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Namespace: metricsNamespace, Name: "failover_phases_total", Help: "Phases entered by the failover machines.",
 		}, []string{"service", "phase"}),
+		room: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricsNamespace, Name: "room_decisions_total", Help: "Work that was refused, or sent elsewhere, for want of room on a server.",
+		}, []string{"service", "level", "decision"}),
 		rounds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Namespace: metricsNamespace, Name: "tenure_round_seconds", Buckets: durationBuckets,
 			Help: "Time of a candidate's question to the voters, by step.",
@@ -43,7 +48,7 @@
 func (n *Backends) Collectors() []prometheus.Collector {
 	m := n.metrics
 	collectors := []prometheus.Collector{
-		m.failovers, m.rounds, m.unproved, m.ownerMoves, newServerCollector(n),
+		m.failovers, m.room, m.rounds, m.unproved, m.ownerMoves, newServerCollector(n),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: metricsNamespace, Name: "owned_servers", Help: "Servers whose connections this node owns for others.",
 		}, n.owned),
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends.go
@@ -94,6 +94,8 @@
 	placed atomic.Pointer[placedAt]
 	// nudged makes the look at the services come at once.
 	nudged chan struct{}
+	// reports numbers what the node tells as an owner of servers' connections.
+	reports atomic.Uint64
 }
 
 // NewBackends returns backends without any server. look is called at the beginning of
@@ -104,7 +106,7 @@
 		metrics: newBackendMetrics(), started: network.started, look: look,
 		informed: make(chan struct{}), nudged: make(chan struct{}, 1),
 	}
-	n.links = remote.NewLinks(remote.LinksConfig{Dial: n.dialOwner, OnProof: n.ownerProved})
+	n.links = remote.NewLinks(remote.LinksConfig{Dial: n.dialOwner, OnProof: n.ownerProved, OnReport: n.ownerReported})
 	n.owner = remote.NewOwner(n)
 	n.tenures = n.newTenures()
 	n.catalog.OnChange(n.catalogChanged)
--- a/internal/proxy/comeback.go
+++ b/internal/proxy/comeback.go
@@ -64,7 +64,10 @@
 		if target == nil || !r.service.usable(entry.ID, now) || target.stats.Avoided(now) {
 			continue
 		}
-		shortest = min(shortest, target.expectedWait(request, now))
+		// A replica that is further behind than a new read may be cannot run one before it
+		// has caught up.
+		catchUp := target.stats.Lag(now) - r.session.bound.MaxStaleness
+		shortest = min(shortest, max(target.expectedWait(request, now), catchUp))
 	}
 	return shortest
 }
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -56,6 +56,8 @@
 	witness atomic.Pointer[string]
 	health  leaderHealth
 	outage  outage
+	// turnedAway follows whether the service turns work away for want of room.
+	turnedAway turnedAway
 	// warmed is set once connections for a survey were opened ahead.
 	warmed atomic.Bool
 	// replication holds one token: it keeps surveys, which may hold replicas,
@@ -338,7 +340,7 @@
 // expectedWait returns how long work waits for a slot of the server. Where an owner
 // orders the work, what it tells stands for that, or what answers have lately taken.
 func (t *server) expectedWait(request admission.Request, now time.Time) time.Duration {
-	if wait, known := t.told.Wait(now, urgency.Of(request.Priority)); known {
+	if wait, known := t.wait(request.Class, urgency.Of(request.Priority), now); known {
 		return wait
 	}
 	return max(t.gate.Wait(request), t.stats.Latency(now))
