traffic: bytes by what they are for and how far they go

Ruled out: counting in the packages that build messages (each would count its own way, and retransmitted or framed bytes would be missed). Change: package traffic, a counter at the ports that carry bytes (links, questions, datagrams, servers, store) by kind, distance and direction: 80 series at most, a log line a minute; calls to the store in that line. A server's connection keeps its descriptor, by which an ended one is seen. No decision depends on it.

--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -60,6 +60,7 @@
 	TransferDone          Event = "transfer_done"
 	TransferInterrupted   Event = "transfer_interrupted"
 	NodeDegraded          Event = "node_degraded"
+	TrafficTold           Event = "traffic_told"
 	LinkOpened            Event = "link_opened"
 	LinkEnded             Event = "link_ended"
 	PrimaryAnnounced      Event = "primary_announced"
@@ -93,7 +94,7 @@
 	NodeStarted: Belief, NodeStopping: Belief, NodeStopped: Belief, SettingsRead: Belief, SettingsRefused: Belief,
 	StoreLost: Belief, StoreRegained: Belief, ConfigurationApplied: Belief, ConfigurationRefused: Belief,
 	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, ServerEntryRefused: Belief,
-	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
+	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, TrafficTold: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
 	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, NodeDegraded: Belief,
 	TransferDone: Belief, TransferInterrupted: Belief, MessageLost: Belief, QuotaShare: Belief, AnswerUnproved: Failure,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"dewknot/internal/proxy/quorum"
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/relay"
+	"dewknot/internal/proxy/traffic"
 	"dewknot/internal/proxy/upstream"
 	"dewknot/platform"
 )
@@ -63,16 +64,24 @@
 	}
 	log.Write(eventlog.NodeStarted, zap.String("zone", loaded.Zone))
 	dialer := &platform.Dialer{Who: loaded.Name}
-	way := ports(&loaded, dialer)
+	meter := new(traffic.Meter)
+	asker := &relay.Asker{Accounting: accounting(meter)}
+	way := ports(&loaded, dialer, asker)
 	node, err := newNode(&loaded, way, log)
 	if err != nil {
 		return err
 	}
 	dialer.Connect = func(ctx context.Context, address, id string) (net.Conn, error) {
 		if via, detour := node.DetourTo(id); detour {
-			return relay.Tunnel(ctx, via, id)
+			return asker.Tunnel(ctx, via, id)
 		}
-		return platform.ConnectDirectly(ctx, address)
+		conn, err := platform.ConnectDirectly(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		conn = meter.Count(conn)
+		traffic.SetKind(conn, traffic.Servers)
+		return conn, nil
 	}
 	go serveReadiness(readiness, node)
 	if loaded.Peers != "" {
@@ -80,7 +89,7 @@
 		if err != nil {
 			return err
 		}
-		go relay.Serve(peers, node)
+		go relay.Serve(peers, node, asker.Accounting)
 	}
 	if loaded.Metrics != "" {
 		if err := serveMetrics(loaded.Metrics, node); err != nil {
@@ -97,13 +106,13 @@
 	var quotas *datagrams[quota.Message]
 	var err error
 	if loaded.UnfencedPromotions {
-		if agreement, err = listenDatagrams[quorum.Message]("messages", loaded.Messages, log); err != nil {
+		if agreement, err = listenDatagrams[quorum.Message]("messages", loaded.Messages, traffic.Agreement, way.Traffic, log); err != nil {
 			return nil, err
 		}
 		way.Messages = votes{agreement}
 	}
 	if loaded.QuotaWindow.Duration > 0 {
-		if quotas, err = listenDatagrams[quota.Message]("tokens", loaded.Tokens, log); err != nil {
+		if quotas, err = listenDatagrams[quota.Message]("tokens", loaded.Tokens, traffic.Tokens, way.Traffic, log); err != nil {
 			return nil, err
 		}
 		way.Tokens = tokens{quotas}
@@ -146,11 +155,11 @@
 	}
 }
 
-func ports(loaded *settings.Proxy, dialer upstream.Dialer) proxy.Ports {
+func ports(loaded *settings.Proxy, dialer upstream.Dialer, asker *relay.Asker) proxy.Ports {
 	return proxy.Ports{
-		Store: platform.NewStore(loaded.Store), Dialer: dialer,
+		Store: platform.NewStore(loaded.Store, asker.Meter), Dialer: dialer,
 		Promoter: platform.NewPromoter(loaded.Promotions), Decoder: platform.Decoder{}, Client: platform.NewCaller,
-		Peers: tcpPeers{}, Connect: platform.ConnectDirectly,
+		Peers: asker, Traffic: asker.Meter, Connect: platform.ConnectDirectly,
 	}
 }
 
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -14,6 +14,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/quorum"
 	"dewknot/internal/proxy/quota"
+	"dewknot/internal/proxy/traffic"
 )
 
 // maxMessageBytes bounds a datagram. A table of voters or a page of records takes about
@@ -22,14 +23,16 @@
 
 // datagrams carries messages of one type between nodes. What is lost is asked for again.
 type datagrams[M any] struct {
-	conn *net.UDPConn
-	log  *eventlog.Log
+	conn  *net.UDPConn
+	log   *eventlog.Log
+	kind  traffic.Kind
+	meter *traffic.Meter
 	// failedAt is when a failure was last logged, in Unix seconds: one line a second.
 	failedAt atomic.Int64
 }
 
 // listenDatagrams opens the socket for messages at the address of a setting.
-func listenDatagrams[M any](setting, listenAt string, log *eventlog.Log) (*datagrams[M], error) {
+func listenDatagrams[M any](setting, listenAt string, kind traffic.Kind, meter *traffic.Meter, log *eventlog.Log) (*datagrams[M], error) {
 	address, err := netip.ParseAddrPort(listenAt)
 	if err != nil {
 		return nil, pkgerrors.Wrapf(err, "%s = %q; use an IP address and a port", setting, listenAt)
@@ -38,7 +41,7 @@
 	if err != nil {
 		return nil, pkgerrors.Wrapf(err, "listen for messages on %s; check the settings for an address in use", listenAt)
 	}
-	return &datagrams[M]{conn: conn, log: log}, nil
+	return &datagrams[M]{conn: conn, log: log, kind: kind, meter: meter}, nil
 }
 
 // votes sends the messages of the agreement on tenures. It implements tenure.Sender.
@@ -67,7 +70,9 @@
 	}
 	if _, err := s.conn.WriteToUDPAddrPort(content, to); err != nil {
 		s.failed("send", address, err)
+		return
 	}
+	s.meter.Add(s.kind, address, traffic.Sent, len(content))
 }
 
 // serve gives what comes to a function, until the socket is closed.
@@ -83,6 +88,7 @@
 			time.Sleep(receivePause)
 			continue
 		}
+		s.meter.Add(s.kind, from.String(), traffic.Received, size)
 		m := new(M)
 		if err := codec.Decode(buffer[:size], m); err != nil {
 			s.failed("decode", from.String(), err)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -1,21 +1,15 @@
 package daemon
 
 import (
-	"context"
-	"net"
-
 	"dewknot/internal/proxy/relay"
+	"dewknot/internal/proxy/traffic"
+	"dewknot/platform"
 )
 
-// tcpPeers asks other nodes over TCP.
-type tcpPeers struct{}
-
-// Ask implements proxy.Peers.
-func (tcpPeers) Ask(ctx context.Context, address string, question relay.Question) (relay.Answer, error) {
-	return relay.Ask(ctx, address, question)
-}
-
-// Link implements proxy.Peers.
-func (tcpPeers) Link(ctx context.Context, address string) (net.Conn, error) {
-	return relay.Link(ctx, address)
+// accounting tells what the bytes of questions between nodes are for.
+func accounting(meter *traffic.Meter) relay.Accounting {
+	return relay.Accounting{Meter: meter, Kinds: map[string]traffic.Kind{
+		platform.Kinds.Members: traffic.Members, platform.Kinds.Configuration: traffic.Configuration,
+		platform.Kinds.Servers: traffic.Directory,
+	}}
 }
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -50,7 +50,7 @@
 func (n *Node) watchServices(ctx context.Context) {
 	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
-	last, trimmed := time.Now(), time.Now()
+	last, trimmed, told := time.Now(), time.Now(), time.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -70,6 +70,10 @@
 			}
 			return true
 		})
+		if now.Sub(told) > trafficLook {
+			told = now
+			n.logTraffic()
+		}
 		if now.Sub(trimmed) > trimInterval {
 			trimmed = now
 			n.log.Flush()
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -158,6 +158,7 @@
 			members = append(members, member)
 		}
 	}
+	n.placeMembers(members)
 	if n.members.Swap(&members) == nil {
 		close(n.membersKnown)
 	}
--- a/internal/proxy/metered.go
+++ b/internal/proxy/metered.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -9,6 +11,28 @@
 	"dewknot/internal/proxy/objectstore"
 )
 
+// storeCalls counts a node's calls by call and kind. It is safe for concurrent use.
+type storeCalls struct {
+	mu    sync.Mutex
+	count map[string]int
+}
+
+func (c *storeCalls) add(call, kind string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.count == nil {
+		c.count = map[string]int{}
+	}
+	c.count[call+" "+kind]++
+}
+
+// told returns the counts for a log line.
+func (c *storeCalls) told() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.count)
+}
+
 // meteredStore counts the calls to the store, which are priced.
 type meteredStore struct {
 	objectstore.Store
@@ -22,6 +46,7 @@
 	if err != nil {
 		outcome = objectstore.OutcomeOf(err).String()
 	}
+	m.node.calls.add(call, kind)
 	m.calls.WithLabelValues(call, kind, outcome).Inc()
 	m.node.reachability.store(outcome != objectstore.Unknown.String(), time.Now())
 }
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -72,7 +72,7 @@
 	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.failovers, m.storeCalls, m.rounds, m.unproved,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
-		newServerCollector(node), m.tenants,
+		newServerCollector(node), m.tenants, newTrafficCollector(node.ports.Traffic),
 		gauge("remote_sessions", "Sessions of other nodes with work on this node's connections.", func() float64 { return float64(node.owner.Active()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(node.log.Dropped()) }),
 		gauge("known_members", "Other nodes known.", func() float64 { return float64(node.KnownMembers()) }),
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -23,6 +23,7 @@
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/remote"
 	"dewknot/internal/proxy/tenure"
+	"dewknot/internal/proxy/traffic"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -137,6 +138,8 @@
 	Messages tenure.Sender
 	// Tokens carries the messages about tenants' tokens; nil if there are no quotas.
 	Tokens quota.Sender
+	// Traffic counts the bytes of the other ports; nil if nobody counts.
+	Traffic *traffic.Meter
 	// Connect opens a connection to an address, for tunnels of other nodes.
 	Connect func(ctx context.Context, address string) (net.Conn, error)
 	// Client wraps an accepted connection.
@@ -178,6 +181,10 @@
 	// transfers fetches large objects from other nodes.
 	transfers *transfers
 	members   atomic.Pointer[[]Member]
+	// memberZones holds the zones of the members' addresses and machines.
+	memberZones atomic.Pointer[map[string]string]
+	// calls counts the calls to the store.
+	calls storeCalls
 	// informed is closed once the node knows a configuration and a directory.
 	informed     chan struct{}
 	informedOnce sync.Once
@@ -218,6 +225,10 @@
 		options: options, ports: ports, log: log,
 		catalog: catalog.New(options.DrainBound), started: time.Now(), membersKnown: make(chan struct{}), membersSettled: make(chan struct{}), informed: make(chan struct{}), nudged: make(chan struct{}, 1),
 	}
+	if ports.Traffic == nil {
+		node.ports.Traffic = new(traffic.Meter)
+	}
+	node.ports.Traffic.Locate(node.distanceTo)
 	node.metrics = newMetrics(node)
 	node.ports.Store = &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls, node: node}
 	node.caches = map[string]*objectstore.Cache{
--- a/internal/proxy/relay/relay.go
+++ b/internal/proxy/relay/relay.go
@@ -23,6 +23,7 @@
 	"dewknot/internal/base/position"
 	"dewknot/internal/base/stall"
 	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/traffic"
 )
 
 // Question is what one node asks another.
@@ -111,15 +112,35 @@
 	maxWait = 30 * time.Second
 )
 
+// Accounting tells what bytes of questions and answers are for. Its zero value counts none.
+type Accounting struct {
+	Meter *traffic.Meter
+	// Kinds are those of the objects that are asked for.
+	Kinds map[string]traffic.Kind
+}
+
+// set tells what the bytes of a connection are for.
+func (a *Accounting) set(connection net.Conn, question *Question) {
+	kind := a.Kinds[question.Kind]
+	switch {
+	case question.Link:
+		kind = traffic.Links
+	case question.Tunnel:
+		kind = traffic.Tunnels
+	}
+	traffic.SetKind(connection, kind)
+}
+
 // server answers questions.
 type server struct {
-	handler Handler
-	pieces  pieceGate
+	handler    Handler
+	pieces     pieceGate
+	accounting Accounting
 }
 
 // Serve answers questions until the listener is closed.
-func Serve(listener net.Listener, handler Handler) {
-	s := &server{handler: handler, pieces: newPieceGate()}
+func Serve(listener net.Listener, handler Handler, accounting Accounting) {
+	s := &server{handler: handler, pieces: newPieceGate(), accounting: accounting}
 	for {
 		connection, err := listener.Accept()
 		if err != nil {
@@ -129,7 +150,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go s.serve(connection)
+		go s.serve(accounting.Meter.Count(connection))
 	}
 }
 
@@ -144,6 +165,7 @@
 	if receive(connection, &question) != nil {
 		return
 	}
+	s.accounting.set(connection, &question)
 	question.Wait = min(max(question.Wait, 0), maxWait)
 	ctx, cancel := context.WithTimeout(context.Background(), question.Wait+serveLimit)
 	defer cancel()
@@ -202,22 +224,27 @@
 // ErrNotReached is returned when the other node cannot reach the server either.
 var ErrNotReached = errors.New("the other node does not reach the server; ask a different one")
 
+// Asker asks other nodes.
+type Asker struct{ Accounting }
+
 // Tunnel opens a connection to a server through the node at an address.
-func Tunnel(ctx context.Context, address, server string) (net.Conn, error) {
-	return open(ctx, address, Question{Server: server, Tunnel: true})
+func (a *Asker) Tunnel(ctx context.Context, address, server string) (net.Conn, error) {
+	return a.open(ctx, address, Question{Server: server, Tunnel: true})
 }
 
 // Link opens the connection of a link to the node at an address.
-func Link(ctx context.Context, address string) (net.Conn, error) {
-	return open(ctx, address, Question{Link: true})
+func (a *Asker) Link(ctx context.Context, address string) (net.Conn, error) {
+	return a.open(ctx, address, Question{Link: true})
 }
 
 // open asks a question after whose answer the connection goes on.
-func open(ctx context.Context, address string, question Question) (net.Conn, error) {
+func (a *Asker) open(ctx context.Context, address string, question Question) (net.Conn, error) {
 	connection, err := liveness.Dialer(0).DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "reach another node; ask a different one")
 	}
+	connection = a.Meter.Count(connection)
+	a.set(connection, &question)
 	if deadline, set := ctx.Deadline(); set {
 		_ = connection.SetDeadline(deadline)
 	}
@@ -237,11 +264,13 @@
 }
 
 // Ask asks the node at an address.
-func Ask(ctx context.Context, address string, question Question) (Answer, error) {
+func (a *Asker) Ask(ctx context.Context, address string, question Question) (Answer, error) {
 	connection, err := liveness.Dialer(dialLimit).DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "reach another node; ask a different one")
 	}
+	connection = a.Meter.Count(connection)
+	a.set(connection, &question)
 	defer func() { _ = connection.Close() }()
 	if deadline, set := ctx.Deadline(); set {
 		_ = connection.SetReadDeadline(deadline)
--- a/internal/proxy/relay/relay_test.go
+++ b/internal/proxy/relay/relay_test.go
@@ -44,7 +44,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go Serve(listener, echo{})
+	go Serve(listener, echo{}, Accounting{})
 	return listener.Addr().String()
 }
 
@@ -52,13 +52,13 @@
 	address := serve(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	answer, err := Ask(ctx, address, Question{Kind: "servers", Changes: true, After: 7, Wait: time.Second, Server: "s1"})
+	answer, err := new(Asker).Ask(ctx, address, Question{Kind: "servers", Changes: true, After: 7, Wait: time.Second, Server: "s1"})
 	must.NoError(t, err)
 	must.Eq(t, Answer{
 		Objects: []objectstore.Object{{Name: "servers", Revision: 7, Content: []byte("content")}}, Revision: uint64(time.Second), Reached: true,
 	}, answer)
 	// A wait beyond what is allowed is cut down.
-	answer, err = Ask(ctx, address, Question{Wait: time.Hour})
+	answer, err = new(Asker).Ask(ctx, address, Question{Wait: time.Hour})
 	must.NoError(t, err)
 	must.Eq(t, uint64(maxWait), answer.Revision)
 }
@@ -73,7 +73,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	_, err := Ask(ctx, address, Question{Server: "s"})
+	_, err := new(Asker).Ask(ctx, address, Question{Server: "s"})
 	must.NoError(t, err)
 }
 
@@ -81,7 +81,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	must.NoError(t, listener.Close())
-	_, err = Ask(t.Context(), listener.Addr().String(), Question{Server: "s"})
+	_, err = new(Asker).Ask(t.Context(), listener.Addr().String(), Question{Server: "s"})
 	must.Error(t, err)
 }
 
@@ -89,7 +89,7 @@
 func TestLinkIsHandedOver(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	link, err := Link(ctx, serve(t))
+	link, err := new(Asker).Link(ctx, serve(t))
 	must.NoError(t, err)
 	_, err = link.Write([]byte("frame"))
 	must.NoError(t, err)
@@ -124,7 +124,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	tunnel, err := Tunnel(ctx, address, server.Addr().String())
+	tunnel, err := new(Asker).Tunnel(ctx, address, server.Addr().String())
 	must.NoError(t, err)
 	for range 3 {
 		_, err = tunnel.Write([]byte("hello"))
@@ -137,6 +137,6 @@
 	must.NoError(t, tunnel.Close())
 	<-closed
 	must.NoError(t, server.Close())
-	_, err = Tunnel(ctx, address, server.Addr().String())
+	_, err = new(Asker).Tunnel(ctx, address, server.Addr().String())
 	must.ErrorIs(t, err, ErrNotReached)
 }
--- /dev/null
+++ b/internal/proxy/traffic_metrics.go
@@ -0,0 +1,105 @@
+package proxy
+
+import (
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/traffic"
+)
+
+// trafficLook is the pause between two log lines of what a node has exchanged with others:
+// the log alone then tells which kind fills a link.
+const trafficLook = time.Minute
+
+// distanceTo tells how far an address is: a member's, a server's, or one of their machines'.
+func (n *Node) distanceTo(address string) traffic.Distance {
+	if zones := n.memberZones.Load(); zones != nil {
+		if zone, known := zoneAt(*zones, address); known {
+			return n.trafficDistance(zone)
+		}
+	}
+	for _, entry := range n.catalog.Current().Servers {
+		if entry.Address == address {
+			return n.trafficDistance(entry.Zone)
+		}
+	}
+	return traffic.Unplaced
+}
+
+// zoneAt looks an address up, and else its machine: a connection that another node opened
+// comes from a port of no meaning.
+func zoneAt(zones map[string]string, address string) (string, bool) {
+	if zone, known := zones[address]; known {
+		return zone, true
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", false
+	}
+	zone, known := zones[host]
+	return zone, known
+}
+
+// trafficDistances are the distances of zoneDistance.
+var trafficDistances = [...]traffic.Distance{traffic.SameZone, traffic.SameRegion, traffic.OtherRegion}
+
+func (n *Node) trafficDistance(zone string) traffic.Distance {
+	return trafficDistances[n.zoneDistance(n.options.Zone, zone)]
+}
+
+// placeMembers notes where the members' addresses are.
+func (n *Node) placeMembers(members []Member) {
+	zones := make(map[string]string, 2*len(members))
+	for _, member := range members {
+		zones[member.Address] = member.Zone
+		if member.Tokens != "" {
+			zones[member.Tokens] = member.Zone
+		}
+		if host, _, err := net.SplitHostPort(member.Address); err == nil {
+			zones[host] = member.Zone
+		}
+	}
+	n.memberZones.Store(&zones)
+}
+
+// trafficCollector collects the bytes exchanged by kind, distance and direction, of which
+// there are few. It implements prometheus.Collector.
+type trafficCollector struct {
+	meter *traffic.Meter
+	bytes *prometheus.Desc
+}
+
+func newTrafficCollector(meter *traffic.Meter) *trafficCollector {
+	return &trafficCollector{meter: meter, bytes: prometheus.NewDesc(
+		prometheus.BuildFQName(metricsNamespace, "", "traffic_bytes_total"),
+		"Bytes exchanged with other nodes, servers and the store, by what they are for and how far they go.",
+		[]string{"kind", "distance", "direction"}, nil,
+	)}
+}
+
+// Describe implements prometheus.Collector.
+func (c *trafficCollector) Describe(descriptions chan<- *prometheus.Desc) { descriptions <- c.bytes }
+
+// Collect implements prometheus.Collector.
+func (c *trafficCollector) Collect(metrics chan<- prometheus.Metric) {
+	c.meter.Each(func(kind traffic.Kind, distance traffic.Distance, direction traffic.Direction, bytes uint64) {
+		metrics <- prometheus.MustNewConstMetric(c.bytes, prometheus.CounterValue, float64(bytes), kind.String(), distance.String(), direction.String())
+	})
+}
+
+// logTraffic writes the bytes sent so far by kind and distance, those received from the
+// store, and the calls to it.
+func (n *Node) logTraffic() {
+	var fields []zap.Field
+	n.ports.Traffic.Each(func(kind traffic.Kind, distance traffic.Distance, direction traffic.Direction, bytes uint64) {
+		if bytes > 0 && (direction == traffic.Sent || kind == traffic.Store) {
+			fields = append(fields, zap.Uint64(kind.String()+"."+distance.String()+"."+direction.String(), bytes))
+		}
+	})
+	fields = append(fields, zap.Any("store_calls", n.calls.told()))
+	n.log.Write(eventlog.TrafficTold, fields...)
+}
