members: a list that comes slowly is waited for, and one seed tells it

Cause: the first listing of the members had to end within 350 ms. It is 60 KB at 300 nodes: on links of 2 Mbit/s it takes 240 ms alone, so after a loss of all nodes turned to the seeds, each of three sent its whole list, and their links filled for seconds. Ruled out: the store's rate (stale listings are outside of it); more seeds (each would send the same). Change: the limit is the time until the list begins to come, then its progress; seeds are asked how many they know, and the first to answer that knows nearly as many as any for its list; answers between nodes are compressed where the asker allows it. The test's fleet of 100 nodes does not know its members in time before the change.

--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"dewknot/internal/base/stall"
 	"dewknot/internal/proxy/objectstore"
 	"dewknot/internal/proxy/relay"
 )
@@ -133,9 +134,9 @@
 }
 
 // listMembers takes the other members from the store and returns this node's own
-// entry, nil if there is none.
+// entry, nil if there is none. The limit bounds the time until the list begins to come.
 func (n *Node) listMembers(ctx context.Context, limit time.Duration) (*objectstore.Object, error) {
-	limited, cancel := context.WithTimeout(ctx, limit)
+	limited, cancel := stall.WithLimit(ctx, limit, stalledLimit)
 	defer cancel()
 	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Members)
 	if err != nil {
--- a/internal/proxy/relay/relay.go
+++ b/internal/proxy/relay/relay.go
@@ -57,6 +57,8 @@
 	// Link asks the node to serve operations on its connections: after an answer
 	// with Reached, the connection is a link of package remote.
 	Link bool `msgpack:"l,omitempty"`
+	// Packed allows an answer to come compressed.
+	Packed bool `msgpack:"u,omitempty"`
 }
 
 // Piece names the part of a version of an object that begins at an offset.
@@ -85,6 +87,8 @@
 	Reached bool `msgpack:"y,omitempty"`
 	// Received is the end of the log of a server that has stepped down.
 	Received position.Position `msgpack:"v,omitempty"`
+	// Packed, if set, is the whole answer, compressed, in place of the other fields.
+	Packed []byte `msgpack:"s,omitempty"`
 }
 
 // Handler answers questions.
@@ -181,7 +185,7 @@
 	case question.Piece != nil:
 		s.servePiece(ctx, connection, question)
 	default:
-		_ = send(connection, s.handler.Answer(ctx, question))
+		_ = answer(connection, &question, s.handler.Answer(ctx, question))
 	}
 }
 
@@ -277,12 +281,15 @@
 	}
 	// A question whose answer is no longer wanted ends at once.
 	defer context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Now()) })()
+	question.Packed = true
 	if err := send(connection, question); err != nil {
 		return Answer{}, err
 	}
 	var answer Answer
-	err = receive(stall.Reader(ctx, connection), &answer)
-	return answer, err
+	if err = receive(stall.Reader(ctx, connection), &answer); err != nil || answer.Packed == nil {
+		return answer, err
+	}
+	return unpack(answer.Packed)
 }
 
 // send writes a message in parts, each of which the other end has to take in time.
@@ -291,6 +298,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode a message between nodes")
 	}
+	return write(connection, content)
+}
+
+// write writes an encoded message behind its length.
+func write(connection net.Conn, content []byte) error {
 	framed := binary.BigEndian.AppendUint32(make([]byte, 0, len(content)+lengthBytes), uint32(len(content)))
 	for part := range slices.Chunk(append(framed, content...), writeBytes) {
 		_ = connection.SetWriteDeadline(time.Now().Add(serveLimit))
--- a/internal/proxy/relay/relay_test.go
+++ b/internal/proxy/relay/relay_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -140,3 +143,37 @@
 	_, err = new(Asker).Tunnel(ctx, address, server.Addr().String())
 	must.ErrorIs(t, err, ErrNotReached)
 }
+
+// TestAnswersOfAlikeEntriesAreCompressed: a list of alike entries takes a fraction of its
+// size, an asker of an older version gets it as it is, and rubbish is an error.
+func TestAnswersOfAlikeEntriesAreCompressed(t *testing.T) {
+	told := Answer{Revision: 7}
+	for i := range 300 {
+		told.Objects = append(told.Objects, objectstore.Object{
+			Name: fmt.Sprintf("node-%d", i), Revision: uint64(i), Content: fmt.Appendf(nil, `{"address":"10.6.0.%d:7102","zone":"a"}`, i),
+		})
+	}
+	sizes := map[bool]int{}
+	for _, packed := range []bool{false, true} {
+		here, there := net.Pipe()
+		go func() {
+			_ = answer(there, &Question{Packed: packed}, told)
+			_ = there.Close()
+		}()
+		content, err := io.ReadAll(here)
+		must.NoError(t, err)
+		sizes[packed] = len(content)
+		var received Answer
+		must.NoError(t, receive(bytes.NewReader(content), &received))
+		if packed {
+			received, err = unpack(received.Packed)
+			must.NoError(t, err)
+		}
+		must.Eq(t, told, received)
+	}
+	must.Less(t, sizes[false]/3, sizes[true])
+	for _, rubbish := range [][]byte{{}, {0xff, 0xff, 0xff, 0xff, 0x0f, 1}, []byte("rubbish")} {
+		_, err := unpack(rubbish)
+		must.Error(t, err)
+	}
+}
--- a/internal/proxy/seeds.go
+++ b/internal/proxy/seeds.go
@@ -10,8 +10,10 @@
 )
 
 const (
-	// firstListLimit bounds the first listing of a node that starts: a store that
-	// takes longer is not waited for while other nodes can tell.
+	// firstListLimit bounds the time until the first listing of a node that starts begins
+	// to come: a store that takes longer is not waited for while other nodes can tell. What
+	// has begun takes as long as the node's link demands: of 300 nodes that start together
+	// on links of 3 Mbit/s, all would else turn to three seeds, whose links fill.
 	firstListLimit = 350 * time.Millisecond
 	// firstMemberRetry is the pause until a node that starts asks again for members.
 	firstMemberRetry = 300 * time.Millisecond
@@ -45,8 +47,13 @@
 	}
 }
 
-// askSeeds takes the members from the seed that knows most of them. It reports false
-// if none answers that knows any.
+// enoughKnown is the part of the most known members from which a list will do: the lists
+// of running nodes differ by the few that have just come, and the nearest one costs least.
+const enoughKnown = 0.9
+
+// askSeeds takes the members from the first seed to answer that knows nearly as many as
+// any: the seeds are asked how many they know, and one for the list. It reports false if
+// none answers that knows any.
 func (n *Node) askSeeds(ctx context.Context) bool {
 	if n.ports.Peers == nil {
 		return false
@@ -59,25 +66,50 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
 	defer cancel()
-	var most []objectstore.Object
-	for _, answer := range n.gather(limited, seeds, relay.Question{Kind: n.options.Kinds.Members}, answerGrace) {
-		if !answer.Failed && len(answer.Objects) > len(most) {
-			most = answer.Objects
+	answers := n.gather(limited, seeds, relay.Question{Kind: n.options.Kinds.Members, Peek: true}, answerGrace)
+	for _, address := range sourcesOfMembers(answers) {
+		list, err := n.askPeer(ctx, address, relay.Question{Kind: n.options.Kinds.Members}, memberAnswerLimit)
+		if err == nil && len(list.Objects) > 0 {
+			n.giveShare(n.takeMembers(list.Objects) != nil, time.Now())
+			return true
 		}
 	}
-	if len(most) == 0 {
-		return false
+	return false
+}
+
+// sourcesOfMembers returns the nodes to ask for the list, in the order in which they said
+// how many they know.
+func sourcesOfMembers(answers []memberAnswer) []string {
+	most := uint64(0)
+	for _, answer := range answers {
+		most = max(most, knownBy(&answer))
+	}
+	var sources []string
+	for _, answer := range answers {
+		if known := knownBy(&answer); known > 0 && float64(known) >= enoughKnown*float64(most) {
+			sources = append(sources, answer.from)
+		}
 	}
-	n.giveShare(n.takeMembers(most) != nil, time.Now())
-	return true
+	return sources
 }
 
-// memberList answers a question for the members, this node among them.
-func (n *Node) memberList() relay.Answer {
+// knownBy is how many members a node says it knows; one of an older version sends them all.
+func knownBy(answer *memberAnswer) uint64 {
+	if answer.Failed {
+		return 0
+	}
+	return max(answer.Revision, uint64(len(answer.Objects)))
+}
+
+// memberList answers a question for the members, this node among them, or for their number.
+func (n *Node) memberList(peek bool) relay.Answer {
 	known := n.members.Load()
 	if known == nil {
 		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
 	}
+	if peek {
+		return relay.Answer{Revision: uint64(len(*known) + 1)}
+	}
 	var answer relay.Answer
 	for _, member := range append([]Member{n.ownMember()}, *known...) {
 		content, err := json.Marshal(member)
--- a/internal/proxy/slowlink_test.go
+++ b/internal/proxy/slowlink_test.go
@@ -90,6 +90,17 @@
 	return objects, revision, err
 }
 
+// ListStale implements objectstore.Store.
+func (s *linkedStore) ListStale(ctx context.Context, kind string) ([]objectstore.Object, error) {
+	objects, err := s.Client.ListStale(ctx, kind)
+	if err == nil {
+		// The answer's head comes at once.
+		stall.Received(ctx, 0)
+		err = s.links.carry(ctx, contentBytes(objects), s.node)
+	}
+	return objects, err
+}
+
 // Watch implements objectstore.Store.
 func (s *linkedStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objectstore.Object, uint64, error) {
 	objects, revision, err := s.Client.Watch(ctx, kind, after, wait)
--- a/internal/proxy/sources.go
+++ b/internal/proxy/sources.go
@@ -135,7 +135,7 @@
 		return relay.Answer{Reached: n.reaches(question.Server)}
 	}
 	if question.Kind != "" && question.Kind == n.options.Kinds.Members {
-		return n.memberList()
+		return n.memberList(question.Peek)
 	}
 	cache := n.caches[question.Kind]
 	if cache == nil {
