members: a fleet's first start awaits the second list

Change: while the settings say that the whole fleet starts for the first time, nodes wait for their second list of members, 5 s at most, and look again who reads in each round; leases are made once the configuration has come, without another list of the members.

--- a/internal/proxy/calls_test.go
+++ b/internal/proxy/calls_test.go
@@ -31,6 +31,31 @@
 	return counted
 }
 
+// TestFirstStartWithOldLists: the store tells a fleet of 60 that starts who has entered as
+// it was up to a second ago. Nodes do not take themselves for readers by a list in part:
+// but for a few, only the six readers list and watch.
+func TestFirstStartWithOldLists(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const nodes, readers = 60, 6
+		fleet := prepareFleet(fleetConfig{nodes: nodes})
+		fleet.links.stale = time.Second
+		for i := range nodes {
+			fleet.startNode(i)
+			time.Sleep(5 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		listing := 0
+		for name, node := range fleet.nodes {
+			must.True(t, node.Ready(), must.Sprint(name))
+			if callsByName(t, node)["list"] > 0 {
+				listing++
+			}
+		}
+		must.LessEq(t, 2*readers, listing)
+		fleet.end()
+	})
+}
+
 // TestNodesMakeFewCallsToTheStore: of a fleet of 60 that starts, only the six readers list
 // and watch; each node enters itself once, and makes some cheap listings. A node that
 // starts again in the running fleet makes cheap listings only.
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -42,8 +42,12 @@
 	secondMemberLook = 2 * time.Second
 	memberLook       = 40 * time.Second
 	// settleLimit bounds the wait, from a node's start, for a list of members that is
-	// likely complete.
-	settleLimit = 1500 * time.Millisecond
+	// likely complete, firstSettleLimit the same while a whole fleet starts for the first
+	// time. A list may be seconds old then, and nodes that go by the first one take
+	// themselves and others for readers by chance: of 300 nodes, 204 listed and watched the
+	// store. So the second one is awaited; callers come later.
+	settleLimit      = 1500 * time.Millisecond
+	firstSettleLimit = 5 * time.Second
 	// leasesLook is about the pause until all nodes that start together have made
 	// their leases.
 	leasesLook  = 6 * time.Second
@@ -56,12 +60,12 @@
 	n.findMembers(ctx)
 	n.waitAbout(ctx, firstMemberLook)
 	for ctx.Err() == nil && !n.lookAtMembers(ctx) {
-		n.settled()
+		n.settledUnlessFirst()
 		n.waitAbout(ctx, memberRetry)
 	}
-	n.settled()
+	n.settledUnlessFirst()
 	n.waitAbout(ctx, secondMemberLook)
-	for ctx.Err() == nil && !(n.lookAtMembers(ctx) && n.giveShare(false, time.Now()) && n.makeLeases(ctx)) {
+	for ctx.Err() == nil && !n.completeStart(ctx) {
 		n.waitAbout(ctx, memberRetry)
 	}
 	n.waitAbout(ctx, leasesLook)
@@ -75,6 +79,18 @@
 	}
 }
 
+// completeStart takes the second list of members and what depends on it, and reports
+// whether all is done.
+func (n *Node) completeStart(ctx context.Context) bool {
+	if !n.lookAtMembers(ctx) {
+		return false
+	}
+	n.settled()
+	// Leases are made for the configuration's services, and it may come only now.
+	n.awaitInformed(time.Now())
+	return n.giveShare(false, time.Now()) && n.makeLeases(ctx)
+}
+
 // waitAbout waits for half to one and a half times a span, so that the calls of
 // many nodes are spread.
 func (n *Node) waitAbout(ctx context.Context, span time.Duration) {
@@ -89,13 +105,24 @@
 // settled notes that the list of members is as complete as it will soon be.
 func (n *Node) settled() { n.settledOnce.Do(func() { close(n.membersSettled) }) }
 
+// settledUnlessFirst is settled, except while a whole fleet starts for the first time.
+func (n *Node) settledUnlessFirst() {
+	if !n.options.FirstStart {
+		n.settled()
+	}
+}
+
 // awaitSettled waits until it is likely known how many other nodes there are: of a large
 // fleet that starts, each would else watch the store for a moment.
 func (n *Node) awaitSettled(ctx context.Context) {
 	if n.ports.Peers == nil {
 		return
 	}
-	timer := time.NewTimer(time.Until(n.started.Add(settleLimit)))
+	limit := settleLimit
+	if n.options.FirstStart {
+		limit = firstSettleLimit
+	}
+	timer := time.NewTimer(time.Until(n.started.Add(limit)))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/proxy/readers.go
+++ b/internal/proxy/readers.go
@@ -29,9 +29,10 @@
 	readersListed   = 2
 	readerListLimit = 60 * time.Millisecond
 	// firstListRounds is how often they are asked at the first start of a fleet, with about
-	// firstListPause in between: the readers are chosen a second after the start, and on a
-	// slow machine need some tenths more.
-	firstListRounds = 8
+	// firstListPause in between, until well after secondMemberLook: of 300 nodes many see
+	// the others in part only at their first look, and ask nodes that are no readers. Two
+	// thirds of them listed configuration and directory from the store with 8 rounds.
+	firstListRounds = 20
 	firstListPause  = 200 * time.Millisecond
 	// firstMembersWait is how long a node that starts waits for the list of members, from
 	// which it learns who the readers are: a good store has told it by then.
@@ -146,21 +147,22 @@
 func (s *storeReaders) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
 	s.node.awaitMembers(time.Now().Add(firstMembersWait))
 	rounds := 1
-	if s.node.firstStart.Load() {
+	if s.node.firstStart.Load() || s.node.options.FirstStart {
 		// Nobody waits for a fleet that starts for the first time, and its readers need a
 		// moment to list.
 		s.node.awaitSettled(ctx)
 		rounds = firstListRounds
 	}
-	set := s.node.readers()
-	if set == nil || set.reads {
-		return nil, 0, errNoReader
-	}
 	question := relay.Question{Kind: kind, Within: s.node.watchWait(s.bound) + readerSlack}
 	for round := range rounds {
 		if round > 0 {
 			s.node.waitAbout(ctx, firstListPause)
 		}
+		// Looks at the members meanwhile tell better who the readers are.
+		set := s.node.readers()
+		if set == nil || set.reads {
+			return nil, 0, errNoReader
+		}
 		for range min(readersListed, len(set.others)) {
 			answer, err := s.node.askObjects(ctx, s.present(set.others).Address, question, readerListLimit)
 			if err == nil && !answer.Failed {
