--- a/internal/proxy/duties.go
+++ b/internal/proxy/duties.go
@@ -25,6 +25,9 @@
 // LookAtLeases implements Duties.
 func (d duties) LookAtLeases(ctx context.Context) { d.lookAtLeases(ctx) }
 
+// AwaitInformed implements Duties.
+func (d duties) AwaitInformed() { d.awaitInformed(time.Now()) }
+
 // Reaches implements Duties.
 func (d duties) Reaches(server string) bool { return d.reaches(server) }
 
--- a/internal/proxy/network.go
+++ b/internal/proxy/network.go
@@ -9,6 +9,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/traffic"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -25,6 +26,8 @@
 	ReadLeases(ctx context.Context)
 	MakeLeases(ctx context.Context) bool
 	LookAtLeases(ctx context.Context)
+	// AwaitInformed waits a moment until the node knows a configuration and a directory.
+	AwaitInformed()
 	// Reaches reports whether this node reaches a server directly.
 	Reaches(server string) bool
 	// Demote makes a server give up the lead; nil if it did not, or if nodes do not agree on
@@ -65,6 +68,8 @@
 	StrictRevocation   bool
 	RevocationBound    time.Duration
 	Kinds              Kinds
+	// FirstStart is set while the whole fleet starts for the first time.
+	FirstStart bool
 	// Capacity is what the node tells others of its machine.
 	Capacity Capacity
 }
@@ -75,6 +80,8 @@
 	Decoder Decoder
 	// Peers asks other nodes; nil if there are none.
 	Peers Peers
+	// Traffic counts the bytes of the node's ports; nil if nobody counts.
+	Traffic *traffic.Meter
 }
 
 // Network is what a node knows of the configuration, the servers and the other nodes, and
@@ -96,6 +103,10 @@
 	// transfers fetches large objects from other nodes.
 	transfers *transfers
 	members   atomic.Pointer[[]Member]
+	// memberZones holds the zones of the members' addresses and machines.
+	memberZones atomic.Pointer[map[string]string]
+	// calls counts the calls to the store.
+	calls storeCalls
 	// membersKnown is closed once members has a value.
 	membersKnown chan struct{}
 	// membersSettled is closed once the list of members is likely to be complete: nodes
@@ -120,6 +131,10 @@
 		options: options, ports: ports, duties: duties, log: log, catalog: cat, started: started,
 		membersKnown: make(chan struct{}), membersSettled: make(chan struct{}),
 	}
+	if ports.Traffic == nil {
+		n.ports.Traffic = new(traffic.Meter)
+	}
+	n.ports.Traffic.Locate(n.distanceTo)
 	n.reachability = newReachability(started)
 	n.transfers = newTransfers(n)
 	n.caches = map[string]*objectstore.Cache{
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -21,6 +21,7 @@
 	"dewknot/internal/proxy/objectstore"
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/tenure"
+	"dewknot/internal/proxy/traffic"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -109,6 +110,8 @@
 	Messages tenure.Sender
 	// Tokens carries the messages about tenants' tokens; nil if there are no quotas.
 	Tokens quota.Sender
+	// Traffic counts the bytes of the other ports; nil if nobody counts.
+	Traffic *traffic.Meter
 	// Connect opens a connection to an address, for tunnels of other nodes.
 	Connect func(ctx context.Context, address string) (net.Conn, error)
 	// Client wraps an accepted connection.
@@ -145,9 +148,13 @@
 	node := &Node{
 		options: options, ports: ports, log: log, catalog: catalog.New(options.DrainBound), started: time.Now(),
 	}
+	if ports.Traffic == nil {
+		node.ports.Traffic = new(traffic.Meter)
+	}
+	node.ports.Traffic.Locate(node.distanceTo)
 	node.metrics = newMetrics(node)
 	metered := &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls}
-	ways := NetworkPorts{Store: metered, Decoder: ports.Decoder, Peers: ports.Peers}
+	ways := NetworkPorts{Store: metered, Decoder: ports.Decoder, Peers: ports.Peers, Traffic: ports.Traffic}
 	metered.node = NewNetwork(networkOptions(&options), ways, duties{node}, node.catalog, node.started, log)
 	node.Backends = NewBackends(backendOptions(&options), BackendPorts{
 		NetworkPorts: ways, Dialer: ports.Dialer, Promoter: ports.Promoter, Messages: ports.Messages,
@@ -164,7 +171,7 @@
 		MessageAddress: options.MessageAddress, TokenAddress: options.TokenAddress,
 		Seeds: options.Seeds, Regions: options.Regions,
 		ConfigurationBound: options.ConfigurationBound, DrainBound: options.DrainBound,
-		StrictRevocation: options.StrictRevocation, RevocationBound: options.RevocationBound, Kinds: options.Kinds, Capacity: options.Capacity,
+		StrictRevocation: options.StrictRevocation, RevocationBound: options.RevocationBound, Kinds: options.Kinds, FirstStart: options.FirstStart, Capacity: options.Capacity,
 	}
 }
 
--- a/internal/proxy/readers.go
+++ b/internal/proxy/readers.go
@@ -19,6 +19,9 @@
 	// since a change may be large and bytes between zones are dear.
 	zoneReaders    = 2
 	twoReadersFrom = 8
+	// manyZonesTwoFrom is twoReadersFrom where one reader a zone makes more than a node
+	// asks: two thirds of the calls of a calm day of 62 nodes were watches of twelve readers.
+	manyZonesTwoFrom = 16
 	// readersAsked is how many readers a node asks before it asks the store itself.
 	// Two of them that stand still one after the other leave a change time within
 	// its bound.
@@ -29,9 +32,10 @@
 	readersListed   = 2
 	readerListLimit = 60 * time.Millisecond
 	// firstListRounds is how often they are asked at the first start of a fleet, with about
-	// firstListPause in between: the readers are chosen a second after the start, and on a
-	// slow machine need some tenths more.
-	firstListRounds = 8
+	// firstListPause in between, until well after secondMemberLook: of 300 nodes many see
+	// the others in part only at their first look, and ask nodes that are no readers. Two
+	// thirds of them listed configuration and directory from the store with 8 rounds.
+	firstListRounds = 20
 	firstListPause  = 200 * time.Millisecond
 	// firstMembersWait is how long a node that starts waits for the list of members, from
 	// which it learns who the readers are: a good store has told it by then.
@@ -80,11 +84,7 @@
 	}
 	tiers := make([][]placement.Candidate, 3)
 	for zone, candidates := range byZone {
-		count := zoneReaders
-		if len(candidates) < twoReadersFrom {
-			count = 1
-		}
-		for _, name := range placement.Rank("store readers", "", candidates, count) {
+		for _, name := range placement.Rank("store readers", "", candidates, readersOf(len(candidates), len(byZone))) {
 			if name == n.options.Name {
 				set.reads = true
 				continue
@@ -103,6 +103,18 @@
 	return set
 }
 
+// readersOf is how many nodes of a zone of some nodes watch the store.
+func readersOf(nodes, zones int) int {
+	from := twoReadersFrom
+	if zones > readersAsked {
+		from = manyZonesTwoFrom
+	}
+	if nodes < from {
+		return 1
+	}
+	return zoneReaders
+}
+
 // zoneDistance is 0 for the same zone, 1 for another of its region, 2 for the rest.
 func (n *Network) zoneDistance(from, to string) int {
 	switch {
@@ -146,21 +158,22 @@
 func (s *storeReaders) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
 	s.node.awaitMembers(time.Now().Add(firstMembersWait))
 	rounds := 1
-	if s.node.firstStart.Load() {
+	if s.node.firstStart.Load() || s.node.options.FirstStart {
 		// Nobody waits for a fleet that starts for the first time, and its readers need a
 		// moment to list.
 		s.node.awaitSettled(ctx)
 		rounds = firstListRounds
 	}
-	set := s.node.readers()
-	if set == nil || set.reads {
-		return nil, 0, errNoReader
-	}
 	question := relay.Question{Kind: kind, Within: s.node.watchWait(s.bound) + readerSlack}
 	for round := range rounds {
 		if round > 0 {
 			s.node.waitAbout(ctx, firstListPause)
 		}
+		// Looks at the members meanwhile tell better who the readers are.
+		set := s.node.readers()
+		if set == nil || set.reads {
+			return nil, 0, errNoReader
+		}
 		for range min(readersListed, len(set.others)) {
 			answer, err := s.node.askObjects(ctx, s.present(set.others).Address, question, readerListLimit)
 			if err == nil && !answer.Failed {
--- a/internal/proxy/relay/relay.go
+++ b/internal/proxy/relay/relay.go
@@ -23,6 +23,7 @@
 	"dewknot/internal/base/position"
 	"dewknot/internal/base/stall"
 	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/traffic"
 )
 
 // Question is what one node asks another.
@@ -56,6 +57,8 @@
 	// Link asks the node to serve operations on its connections: after an answer
 	// with Reached, the connection is a link of package remote.
 	Link bool `msgpack:"l,omitempty"`
+	// Packed allows an answer to come compressed.
+	Packed bool `msgpack:"u,omitempty"`
 }
 
 // Piece names the part of a version of an object that begins at an offset.
@@ -84,6 +87,8 @@
 	Reached bool `msgpack:"y,omitempty"`
 	// Received is the end of the log of a server that has stepped down.
 	Received position.Position `msgpack:"v,omitempty"`
+	// Packed, if set, is the whole answer, compressed, in place of the other fields.
+	Packed []byte `msgpack:"s,omitempty"`
 }
 
 // Handler answers questions.
@@ -111,15 +116,35 @@
 	maxWait = 30 * time.Second
 )
 
+// Accounting tells what bytes of questions and answers are for. Its zero value counts none.
+type Accounting struct {
+	Meter *traffic.Meter
+	// Kinds are those of the objects that are asked for.
+	Kinds map[string]traffic.Kind
+}
+
+// set tells what the bytes of a connection are for.
+func (a *Accounting) set(connection net.Conn, question *Question) {
+	kind := a.Kinds[question.Kind]
+	switch {
+	case question.Link:
+		kind = traffic.Links
+	case question.Tunnel:
+		kind = traffic.Tunnels
+	}
+	traffic.SetKind(connection, kind)
+}
+
 // server answers questions.
 type server struct {
-	handler Handler
-	pieces  pieceGate
+	handler    Handler
+	pieces     pieceGate
+	accounting Accounting
 }
 
 // Serve answers questions until the listener is closed.
-func Serve(listener net.Listener, handler Handler) {
-	s := &server{handler: handler, pieces: newPieceGate()}
+func Serve(listener net.Listener, handler Handler, accounting Accounting) {
+	s := &server{handler: handler, pieces: newPieceGate(), accounting: accounting}
 	for {
 		connection, err := listener.Accept()
 		if err != nil {
@@ -129,7 +154,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go s.serve(connection)
+		go s.serve(accounting.Meter.Count(connection))
 	}
 }
 
@@ -144,6 +169,7 @@
 	if receive(connection, &question) != nil {
 		return
 	}
+	s.accounting.set(connection, &question)
 	question.Wait = min(max(question.Wait, 0), maxWait)
 	ctx, cancel := context.WithTimeout(context.Background(), question.Wait+serveLimit)
 	defer cancel()
@@ -159,7 +185,7 @@
 	case question.Piece != nil:
 		s.servePiece(ctx, connection, question)
 	default:
-		_ = send(connection, s.handler.Answer(ctx, question))
+		_ = answer(connection, &question, s.handler.Answer(ctx, question))
 	}
 }
 
@@ -202,22 +228,27 @@
 // ErrNotReached is returned when the other node cannot reach the server either.
 var ErrNotReached = errors.New("the other node does not reach the server; ask a different one")
 
+// Asker asks other nodes.
+type Asker struct{ Accounting }
+
 // Tunnel opens a connection to a server through the node at an address.
-func Tunnel(ctx context.Context, address, server string) (net.Conn, error) {
-	return open(ctx, address, Question{Server: server, Tunnel: true})
+func (a *Asker) Tunnel(ctx context.Context, address, server string) (net.Conn, error) {
+	return a.open(ctx, address, Question{Server: server, Tunnel: true})
 }
 
 // Link opens the connection of a link to the node at an address.
-func Link(ctx context.Context, address string) (net.Conn, error) {
-	return open(ctx, address, Question{Link: true})
+func (a *Asker) Link(ctx context.Context, address string) (net.Conn, error) {
+	return a.open(ctx, address, Question{Link: true})
 }
 
 // open asks a question after whose answer the connection goes on.
-func open(ctx context.Context, address string, question Question) (net.Conn, error) {
+func (a *Asker) open(ctx context.Context, address string, question Question) (net.Conn, error) {
 	connection, err := liveness.Dialer(0).DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "reach another node; ask a different one")
 	}
+	connection = a.Meter.Count(connection)
+	a.set(connection, &question)
 	if deadline, set := ctx.Deadline(); set {
 		_ = connection.SetDeadline(deadline)
 	}
@@ -237,23 +268,28 @@
 }
 
 // Ask asks the node at an address.
-func Ask(ctx context.Context, address string, question Question) (Answer, error) {
+func (a *Asker) Ask(ctx context.Context, address string, question Question) (Answer, error) {
 	connection, err := liveness.Dialer(dialLimit).DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return Answer{}, errors.Wrap(err, "reach another node; ask a different one")
 	}
+	connection = a.Meter.Count(connection)
+	a.set(connection, &question)
 	defer func() { _ = connection.Close() }()
 	if deadline, set := ctx.Deadline(); set {
 		_ = connection.SetReadDeadline(deadline)
 	}
 	// A question whose answer is no longer wanted ends at once.
 	defer context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Now()) })()
+	question.Packed = true
 	if err := send(connection, question); err != nil {
 		return Answer{}, err
 	}
 	var answer Answer
-	err = receive(stall.Reader(ctx, connection), &answer)
-	return answer, err
+	if err = receive(stall.Reader(ctx, connection), &answer); err != nil || answer.Packed == nil {
+		return answer, err
+	}
+	return unpack(answer.Packed)
 }
 
 // send writes a message in parts, each of which the other end has to take in time.
@@ -262,6 +298,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode a message between nodes")
 	}
+	return write(connection, content)
+}
+
+// write writes an encoded message behind its length.
+func write(connection net.Conn, content []byte) error {
 	framed := binary.BigEndian.AppendUint32(make([]byte, 0, len(content)+lengthBytes), uint32(len(content)))
 	for part := range slices.Chunk(append(framed, content...), writeBytes) {
 		_ = connection.SetWriteDeadline(time.Now().Add(serveLimit))
--- a/internal/proxy/relay/relay_test.go
+++ b/internal/proxy/relay/relay_test.go
@@ -1,7 +1,10 @@
 package relay
 
 import (
+	"bytes"
 	"context"
+	"fmt"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -44,7 +47,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	go Serve(listener, echo{})
+	go Serve(listener, echo{}, Accounting{})
 	return listener.Addr().String()
 }
 
@@ -52,13 +55,13 @@
 	address := serve(t)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	answer, err := Ask(ctx, address, Question{Kind: "servers", Changes: true, After: 7, Wait: time.Second, Server: "s1"})
+	answer, err := new(Asker).Ask(ctx, address, Question{Kind: "servers", Changes: true, After: 7, Wait: time.Second, Server: "s1"})
 	must.NoError(t, err)
 	must.Eq(t, Answer{
 		Objects: []objectstore.Object{{Name: "servers", Revision: 7, Content: []byte("content")}}, Revision: uint64(time.Second), Reached: true,
 	}, answer)
 	// A wait beyond what is allowed is cut down.
-	answer, err = Ask(ctx, address, Question{Wait: time.Hour})
+	answer, err = new(Asker).Ask(ctx, address, Question{Wait: time.Hour})
 	must.NoError(t, err)
 	must.Eq(t, uint64(maxWait), answer.Revision)
 }
@@ -73,7 +76,7 @@
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	_, err := Ask(ctx, address, Question{Server: "s"})
+	_, err := new(Asker).Ask(ctx, address, Question{Server: "s"})
 	must.NoError(t, err)
 }
 
@@ -81,7 +84,7 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	must.NoError(t, listener.Close())
-	_, err = Ask(t.Context(), listener.Addr().String(), Question{Server: "s"})
+	_, err = new(Asker).Ask(t.Context(), listener.Addr().String(), Question{Server: "s"})
 	must.Error(t, err)
 }
 
@@ -89,7 +92,7 @@
 func TestLinkIsHandedOver(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	link, err := Link(ctx, serve(t))
+	link, err := new(Asker).Link(ctx, serve(t))
 	must.NoError(t, err)
 	_, err = link.Write([]byte("frame"))
 	must.NoError(t, err)
@@ -124,7 +127,7 @@
 	}()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	tunnel, err := Tunnel(ctx, address, server.Addr().String())
+	tunnel, err := new(Asker).Tunnel(ctx, address, server.Addr().String())
 	must.NoError(t, err)
 	for range 3 {
 		_, err = tunnel.Write([]byte("hello"))
@@ -137,6 +140,40 @@
 	must.NoError(t, tunnel.Close())
 	<-closed
 	must.NoError(t, server.Close())
-	_, err = Tunnel(ctx, address, server.Addr().String())
+	_, err = new(Asker).Tunnel(ctx, address, server.Addr().String())
 	must.ErrorIs(t, err, ErrNotReached)
 }
+
+// TestAnswersOfAlikeEntriesAreCompressed: a list of alike entries takes a fraction of its
+// size, an asker of an older version gets it as it is, and rubbish is an error.
+func TestAnswersOfAlikeEntriesAreCompressed(t *testing.T) {
+	told := Answer{Revision: 7}
+	for i := range 300 {
+		told.Objects = append(told.Objects, objectstore.Object{
+			Name: fmt.Sprintf("node-%d", i), Revision: uint64(i), Content: fmt.Appendf(nil, `{"address":"10.6.0.%d:7102","zone":"a"}`, i),
+		})
+	}
+	sizes := map[bool]int{}
+	for _, packed := range []bool{false, true} {
+		here, there := net.Pipe()
+		go func() {
+			_ = answer(there, &Question{Packed: packed}, told)
+			_ = there.Close()
+		}()
+		content, err := io.ReadAll(here)
+		must.NoError(t, err)
+		sizes[packed] = len(content)
+		var received Answer
+		must.NoError(t, receive(bytes.NewReader(content), &received))
+		if packed {
+			received, err = unpack(received.Packed)
+			must.NoError(t, err)
+		}
+		must.Eq(t, told, received)
+	}
+	must.Less(t, sizes[false]/3, sizes[true])
+	for _, rubbish := range [][]byte{{}, {0xff, 0xff, 0xff, 0xff, 0x0f, 1}, []byte("rubbish")} {
+		_, err := unpack(rubbish)
+		must.Error(t, err)
+	}
+}
