--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -148,10 +148,6 @@
 	node := &Node{
 		options: options, ports: ports, log: log, catalog: catalog.New(options.DrainBound), started: time.Now(),
 	}
-	if ports.Traffic == nil {
-		node.ports.Traffic = new(traffic.Meter)
-	}
-	node.ports.Traffic.Locate(node.distanceTo)
 	node.metrics = newMetrics(node)
 	metered := &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls}
 	ways := NetworkPorts{Store: metered, Decoder: ports.Decoder, Peers: ports.Peers, Traffic: ports.Traffic}
--- a/internal/proxy/reader_set_test.go
+++ b/internal/proxy/reader_set_test.go
@@ -27,7 +27,7 @@
 		asked := make([][]Member, len(fleet))
 		for i, own := range fleet {
 			others := append(append([]Member{}, fleet[:i]...), fleet[i+1:]...)
-			n := &Node{options: Options{Name: own.Name, Zone: own.Zone, Regions: regions}}
+			n := &Network{options: NetworkOptions{Name: own.Name, Zone: own.Zone, Regions: regions}}
 			set := n.chooseReaders(&others)
 			if set.reads {
 				reading[own.Name] = own.Zone
