--- a/internal/proxy/room.go
+++ b/internal/proxy/room.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,7 +10,6 @@
 	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/admission"
 	"dewknot/internal/proxy/freshness"
-	"dewknot/internal/proxy/told"
 	"dewknot/internal/proxy/upstream"
 	"dewknot/internal/proxy/urgency"
 )
@@ -92,70 +90,6 @@
 	return result.Outcome == upstream.Busy && r.noRoom(target, admission.Anywhere) && (r.overloaded() || !r.elsewhere(target, floor))
 }
 
-// known returns what is known of the work that waits for the server, and how old it is.
-func (t *server) known(class admission.Class, level urgency.Level, now time.Time) (admission.Known, time.Duration) {
-	report, age, recent := t.told.Newest(now)
-	if !recent {
-		return admission.Known{}, 0
-	}
-	wait, _ := t.wait(class, level, now)
-	return admission.Known{Recent: true, Wait: wait, Waiting: int(report.Waiting), Sent: int(t.remote.Load())}, age
-}
-
-// wait returns the wait that the server's owner tells for work; false if nothing recent is
-// known.
-func (t *server) wait(class admission.Class, level urgency.Level, now time.Time) (time.Duration, bool) {
-	if class == admission.Anywhere {
-		return t.told.Wait(now, level)
-	}
-	return t.told.WaitOnlyHere(now, level)
-}
-
-// ownerReported takes what an owner tells of a server.
-func (n *Backends) ownerReported(id string, sent time.Time, report *told.Report) {
-	target := n.server(id)
-	if target == nil {
-		return
-	}
-	target.told.Observe(sent, report)
-	if report.Behind > 0 {
-		target.stats.FoundBehind(time.Now(), time.Duration(report.Behind)*time.Millisecond)
-	}
-}
-
-// leastBehind is the least that a server is told to be behind: with less, replicas have what
-// reads of usual bounds (1 s and more) must see, and what is known is only as exact as a
-// round trip between regions.
-const leastBehind = 200 * time.Millisecond
-
-// Report implements remote.Server.
-func (o *ownedServer) Report() told.Report {
-	now := time.Now()
-	seen := o.gate.Outlook(now)
-	report := told.Report{
-		Sequence: o.service.node.reports.Add(1), Running: uint16(seen.Running), Waiting: uint16(seen.Waiting), Limit: uint16(seen.Limit),
-	}
-	for level := range report.Waits {
-		report.Waits[level], report.Kept[level] = told.Milliseconds(seen.Anywhere[level]), told.Milliseconds(seen.OnlyHere[level])
-	}
-	report.Behind = told.Milliseconds(o.behind(now))
-	return report
-}
-
-// behind returns how far behind the primary the server surely was when it last told its
-// position; 0 if nothing recent shows that it was.
-func (o *ownedServer) behind(now time.Time) time.Duration {
-	at, seen := o.stats.Position()
-	if at.IsZero() || now.Sub(seen) >= told.Life || o.id == o.service.belief.Leader() {
-		return 0
-	}
-	since, lacks := o.service.proofs.Lacking(at)
-	if behind := seen.Sub(since); lacks && behind >= leastBehind {
-		return behind
-	}
-	return 0
-}
-
 // awaitReplica waits for a replica that is expected to have what the read must see, if that
 // is better than the server that was chosen, and reports whether it has waited.
 func (r *run) awaitReplica(chosen *server, floor freshness.Floor) bool {
@@ -229,48 +163,6 @@
 	return false
 }
 
-// turnedAwayRest is for how long a service has turned no work away when that counts as over:
-// longer than callers who were refused stay away as a rule.
-const turnedAwayRest = 2 * time.Second
-
-// turnedAway follows whether a service turns work away for want of room. It is safe for
-// concurrent use.
-type turnedAway struct {
-	mu    sync.Mutex
-	since time.Time
-	last  time.Time
-	count int
-	// most is the most urgent level that was refused.
-	most urgency.Level
-}
-
-// refused notes a refusal and reports whether it is the first, or of a more urgent level than
-// all before.
-func (t *turnedAway) refused(now time.Time, level urgency.Level) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	news := t.since.IsZero() || level < t.most
-	if t.since.IsZero() {
-		t.since, t.most, t.count = now, level, 0
-	}
-	t.last, t.most = now, min(t.most, level)
-	t.count++
-	return news
-}
-
-// over reports, once, that the service turns no work away any longer, with how many were
-// refused, for how long and the most urgent level of them.
-func (t *turnedAway) over(now time.Time) (count int, lasted time.Duration, most urgency.Level, ended bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.since.IsZero() || now.Sub(t.last) < turnedAwayRest {
-		return 0, 0, 0, false
-	}
-	count, lasted, most = t.count, t.last.Sub(t.since), t.most
-	t.since = time.Time{}
-	return count, lasted, most, true
-}
-
 // turnAway counts and logs a refusal for want of room.
 func (r *run) turnAway() {
 	room, now := &r.session.account.room, time.Now()
@@ -288,15 +180,3 @@
 			zap.String("server", r.session.account.server), zap.Duration("wait", room.wait), zap.Duration("age", room.age))
 	}
 }
-
-// lookAtRoom logs that the service turns no work away any longer.
-func (s *service) lookAtRoom(now time.Time) {
-	if count, lasted, most, ended := s.turnedAway.over(now); ended {
-		s.node.log.Write(eventlog.RoomRegained, zap.String("service", s.name), zap.Int("refused", count), zap.Duration("lasted", lasted), zap.Uint8("level", uint8(most)))
-	}
-}
-
-// count counts what became of work of a level for want of room.
-func (s *service) count(level urgency.Level, decision string) {
-	s.node.metrics.room.WithLabelValues(s.name, level.String(), decision).Inc()
-}
