members: a node's share of the quotas does not wait for its configuration

Cause: the second look waits for a configuration before it makes leases, up to 1.8 s since nodes await their second list; the share waited with it. Change: the share is given first, as before.

--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -86,9 +86,12 @@
 		return false
 	}
 	n.settled()
+	if !n.giveShare(false, time.Now()) {
+		return false
+	}
 	// Leases are made for the configuration's services, and it may come only now.
 	n.awaitInformed(time.Now())
-	return n.giveShare(false, time.Now()) && n.makeLeases(ctx)
+	return n.makeLeases(ctx)
 }
 
 // waitAbout waits for half to one and a half times a span, so that the calls of
