--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -88,9 +88,12 @@
 		return false
 	}
 	n.settled()
+	if !n.duties.TakeShare(false, time.Now()) {
+		return false
+	}
 	// Leases are made for the configuration's services, and it may come only now.
 	n.duties.AwaitInformed()
-	return n.duties.TakeShare(false, time.Now()) && n.duties.MakeLeases(ctx)
+	return n.duties.MakeLeases(ctx)
 }
 
 // waitAbout waits for half to one and a half times a span, so that the calls of
