--- /dev/null
+++ b/internal/proxy/choose_test.go
@@ -0,0 +1,48 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/told"
+)
+
+// TestToldWaitsSendReadsElsewhereWhileTheyAreNew: a read is not sent to a server whose owner
+// has just told of a long wait; when nothing recent is told, equal servers share the reads.
+func TestToldWaitsSendReadsElsewhereWhileTheyAreNew(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		node, _ := ownersNode(&memberStore{}, &linkPeers{asked: make(chan string, 100)}, &countingDialer{}, 40)
+		defer node.log.Close()
+		node.catalog.ReplaceDirectory([]catalog.Server{
+			{ID: "s1", Service: "bookings", Address: "s1", Zone: "a", Slots: 4}, {ID: "s2", Service: "bookings", Address: "s2", Zone: "a", Slots: 4},
+		}, time.Now())
+		r := &run{
+			session: &session{node: node, bound: catalog.Route{TargetLatency: 800 * time.Millisecond}},
+			service: node.service("bookings"), arrived: time.Now(),
+		}
+		chosen := func() map[string]int {
+			counts := map[string]int{}
+			for range 200 {
+				counts[r.choose(freshness.Floor{}).id]++
+			}
+			return counts
+		}
+		counts := chosen()
+		must.Between(t, 50, counts["s1"], 150)
+
+		report := &told.Report{Life: 1, Sequence: 1}
+		for level := range report.Waits {
+			report.Waits[level] = told.Milliseconds(200 * time.Millisecond)
+		}
+		node.server("s1").told.Observe(time.Now(), report)
+		must.Eq(t, map[string]int{"s2": 200}, chosen())
+		time.Sleep(told.Life)
+		counts = chosen()
+		must.Between(t, 50, counts["s1"], 150)
+	})
+}
