--- a/internal/proxy/choose_test.go
+++ b/internal/proxy/choose_test.go
@@ -16,11 +16,9 @@
 // has just told of a long wait; when nothing recent is told, equal servers share the reads.
 func TestToldWaitsSendReadsElsewhereWhileTheyAreNew(t *testing.T) {
 	bubbletest.Test(t, func(t *testing.T) {
-		node, _ := ownersNode(&memberStore{}, &linkPeers{asked: make(chan string, 100)}, &countingDialer{}, 40)
+		node := nodeBefore(catalog.Server{ID: "s1", Service: "bookings", Address: "s1", Zone: "a", Slots: 4},
+			catalog.Server{ID: "s2", Service: "bookings", Address: "s2", Zone: "a", Slots: 4})
 		defer node.log.Close()
-		node.catalog.ReplaceDirectory([]catalog.Server{
-			{ID: "s1", Service: "bookings", Address: "s1", Zone: "a", Slots: 4}, {ID: "s2", Service: "bookings", Address: "s2", Zone: "a", Slots: 4},
-		}, time.Now())
 		r := &run{
 			session: &session{node: node, bound: catalog.Route{TargetLatency: 800 * time.Millisecond}},
 			service: node.service("bookings"), arrived: time.Now(),
--- a/internal/proxy/owners.go
+++ b/internal/proxy/owners.go
@@ -97,14 +97,20 @@
 // server comes first.
 func (n *Backends) rankOwners(id string, placed *placements) *ranking {
 	ranked := &ranking{placed: placed, first: placed.owners[id]}
-	names := []string{ranked.first}
-	for _, tier := range placed.tiers[placed.zones[id]] {
+	var names []string
+	if ranked.first != "" {
+		names = append(names, ranked.first)
+	}
+	for _, tier := range n.tiersOf(id, placed) {
 		for _, name := range placement.Rank(id, "", tier, ownersRanked) {
 			if name != ranked.first {
 				names = append(names, name)
 			}
 		}
 	}
+	if ranked.first == "" {
+		ranked.first = names[0]
+	}
 	for _, name := range names {
 		if name == n.options.Name || len(ranked.before) >= ownersRanked {
 			break
@@ -114,6 +120,20 @@
 	return ranked
 }
 
+// tiersOf returns the nodes by their distance from a server, the nearest first.
+func (n *Backends) tiersOf(id string, placed *placements) [][]placement.Candidate {
+	zone, known := placed.zones[id]
+	if !known {
+		if entry := n.catalog.Current().Servers[id]; entry != nil {
+			zone = entry.Zone
+		}
+	}
+	if tiers, made := placed.tiers[zone]; made {
+		return tiers
+	}
+	return n.tiersFrom(zone, placed.members)
+}
+
 // notShunned leaves out an owner that does not reach the server, if there is
 // another.
 func (t *server) notShunned(owners []string, now time.Time) []string {
--- a/internal/proxy/placements.go
+++ b/internal/proxy/placements.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"dewknot/internal/base/placement"
 	"dewknot/internal/proxy/catalog"
@@ -28,8 +29,15 @@
 	*placements
 	members  *[]Member
 	snapshot *catalog.Snapshot
+	at       time.Time
 }
 
+// placementsPause is how long placements stand at least while only the directory changes: at
+// the start of a large fleet its servers enter one by one, and placing 1,800 of them among 300
+// nodes anew for each took half of each node's processor. A server that has no place yet is
+// ranked by itself.
+const placementsPause = time.Second
+
 // zoneTiers are distances between zones: the same, the same region, others.
 const zoneTiers = 3
 
@@ -37,7 +45,8 @@
 func (n *Backends) placements(members *[]Member) *placements {
 	snapshot := n.catalog.Current()
 	known := n.placed.Load()
-	if known != nil && known.members == members && known.snapshot == snapshot {
+	now := time.Now()
+	if known != nil && known.members == members && (known.snapshot == snapshot || now.Sub(known.at) < placementsPause) {
 		return known.placements
 	}
 	zones := n.ownedZones(snapshot, len(*members)+1)
@@ -45,11 +54,11 @@
 	inOrder := slices.SortedFunc(slices.Values(*members), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
 	if known != nil && maps.Equal(known.zones, zones) && slices.Equal(known.placements.members, inOrder) {
 		// Nothing changed that matters: rankings that were made of it stand.
-		n.placed.Store(&placedAt{known.placements, members, snapshot})
+		n.placed.Store(&placedAt{known.placements, members, snapshot, now})
 		return known.placements
 	}
 	made := n.place(zones, inOrder)
-	n.placed.Store(&placedAt{made, members, snapshot})
+	n.placed.Store(&placedAt{made, members, snapshot, now})
 	return made
 }
 
--- a/internal/proxy/room_test.go
+++ b/internal/proxy/room_test.go
@@ -16,15 +16,21 @@
 	"dewknot/internal/proxy/urgency"
 )
 
-// roomRun returns a run of a route with a priority, an objective of 500 ms and a time-out of
-// 2 s, at a node that reaches server s1 through its owner.
-func roomRun(priority int) (*run, *server) {
+// nodeBefore returns a node of zone a, alone, before some servers of service bookings.
+func nodeBefore(servers ...catalog.Server) *Node {
 	node := New(Options{Name: "a0", Zone: "a", PeerAddress: "a0", DrainBound: time.Second},
 		Ports{}, eventlog.New(io.Discard, eventlog.Config{Node: "a0", LinesPerSecond: 1}))
 	node.catalog.ApplyConfiguration(&catalog.Configuration{
 		Version: 1, Services: map[string]catalog.Service{"bookings": {Name: "bookings", MaxConnections: 40}},
 	})
-	node.catalog.ReplaceDirectory([]catalog.Server{{ID: "s1", Service: "bookings", Address: "s1", Zone: "b"}}, time.Now())
+	node.catalog.ReplaceDirectory(servers, time.Now())
+	return node
+}
+
+// roomRun returns a run of a route with a priority, an objective of 500 ms and a time-out of
+// 2 s, at a node that reaches server s1 through its owner.
+func roomRun(priority int) (*run, *server) {
+	node := nodeBefore(catalog.Server{ID: "s1", Service: "bookings", Address: "s1", Zone: "b"})
 	target := node.server("s1")
 	now := time.Now()
 	s := &session{node: node, bound: catalog.Route{
--- a/internal/proxy/tenures.go
+++ b/internal/proxy/tenures.go
@@ -24,7 +24,8 @@
 	}
 	return tenure.New(tenure.Config{
 		Name: n.options.Name, Zone: n.options.Zone, Address: n.options.MessageAddress, Life: lifeNumber(n.options.Life),
-		Store: n.ports.Store, Kind: n.options.Kinds.Voters, Sender: n.ports.Messages, Peers: n.votingPeers,
+		Capacity: n.options.Capacity.weight(),
+		Store:    n.ports.Store, Kind: n.options.Kinds.Voters, Sender: n.ports.Messages, Peers: n.votingPeers,
 		Changed: n.tenureChanged, Voiced: n.lookSoon, Log: n.log,
 	})
 }
@@ -45,7 +46,7 @@
 	peers := make([]tenure.Peer, 0, len(*known))
 	for _, member := range *known {
 		if member.Messages != "" {
-			peers = append(peers, tenure.Peer{Name: member.Name, Address: member.Messages, Zone: member.Zone})
+			peers = append(peers, tenure.Peer{Name: member.Name, Address: member.Messages, Zone: member.Zone, Capacity: member.Capacity.weight()})
 		}
 	}
 	return peers
