--- a/internal/architecture/floors_test.go
+++ b/internal/architecture/floors_test.go
@@ -45,6 +45,13 @@
 // imports are the project's own imports of each package, tests aside.
 type imports map[string][]string
 
+// mostFiles bounds the files of code in a package: with more, it has more than one matter.
+const mostFiles = 15
+
+// innerLayers are the packages of the node's way, each of which imports only those before
+// it: what is known of others, services and their servers, callers' sessions.
+var innerLayers = []string{"internal/proxy/network", "internal/proxy/backends", "internal/proxy"}
+
 func readImports(t *testing.T) imports {
 	t.Helper()
 	found := imports{}
@@ -158,3 +165,64 @@
 		must.SliceNotEmpty(t, breaches(found), must.Sprint(path.Join(wrong.importer, "->", wrong.imported)))
 	}
 }
+
+// layerBreaches returns the imports of an inner layer by one before it.
+func layerBreaches(found imports) []string {
+	var broken []string
+	for i, layer := range innerLayers {
+		for _, later := range innerLayers[i+1:] {
+			if slices.Contains(found[layer], later) {
+				broken = append(broken, layer+" imports "+later)
+			}
+		}
+	}
+	return broken
+}
+
+// TestInnerLayersImportDownwards, and an import upwards is noticed.
+func TestInnerLayersImportDownwards(t *testing.T) {
+	found := readImports(t)
+	must.SliceEmpty(t, layerBreaches(found))
+	for i, layer := range innerLayers[:len(innerLayers)-1] {
+		must.MapContainsKey(t, found, layer)
+		wrong := maps.Clone(found)
+		wrong[layer] = append(slices.Clone(found[layer]), innerLayers[i+1])
+		must.SliceNotEmpty(t, layerBreaches(wrong), must.Sprint(layer))
+	}
+}
+
+// countFiles counts the files of code, tests aside, by package.
+func countFiles(t *testing.T) map[string]int {
+	t.Helper()
+	count := map[string]int{}
+	for _, top := range []string{"internal", "platform", "cmd"} {
+		err := filepath.WalkDir(filepath.Join(root, top), func(name string, entry fs.DirEntry, err error) error {
+			if err == nil && strings.HasSuffix(name, ".go") && !strings.HasSuffix(name, "_test.go") {
+				count[filepath.Dir(name)]++
+			}
+			return err
+		})
+		must.NoError(t, err)
+	}
+	return count
+}
+
+// large returns the packages that have too many files.
+func large(count map[string]int) []string {
+	var found []string
+	for name, files := range count {
+		if files > mostFiles {
+			found = append(found, name)
+		}
+	}
+	return found
+}
+
+// TestPackagesAreSmall, and one file more than allowed is noticed.
+func TestPackagesAreSmall(t *testing.T) {
+	count := countFiles(t)
+	must.Greater(t, 50, len(count))
+	must.SliceEmpty(t, large(count))
+	count["internal/other"] = mostFiles + 1
+	must.Eq(t, []string{"internal/other"}, large(count))
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -10,12 +10,12 @@
 // tcpPeers asks other nodes over TCP.
 type tcpPeers struct{}
 
-// Ask implements proxy.Peers.
+// Ask implements network.Peers.
 func (tcpPeers) Ask(ctx context.Context, address string, question relay.Question) (relay.Answer, error) {
 	return relay.Ask(ctx, address, question)
 }
 
-// Link implements proxy.Peers.
+// Link implements network.Peers.
 func (tcpPeers) Link(ctx context.Context, address string) (net.Conn, error) {
 	return relay.Link(ctx, address)
 }
--- a/internal/lab/standin/managed/store.go
+++ b/internal/lab/standin/managed/store.go
@@ -332,14 +332,14 @@
 // Decoder reads the stand-in's objects.
 type Decoder struct{}
 
-// Configuration implements proxy.Decoder.
+// Configuration implements network.Decoder.
 func (Decoder) Configuration(content []byte) (*catalog.Configuration, error) {
 	var configuration catalog.Configuration
 	err := json.Unmarshal(content, &configuration)
 	return &configuration, err
 }
 
-// Server implements proxy.Decoder.
+// Server implements network.Decoder.
 func (Decoder) Server(object objectstore.Object) (catalog.Server, error) {
 	var entry Entry
 	err := json.Unmarshal(object.Content, &entry)
@@ -383,7 +383,7 @@
 	return slices.Clone(p.orders)
 }
 
-// Promote implements proxy.Promoter.
+// Promote implements backends.Promoter.
 func (p *Promoter) Promote(ctx context.Context, service, server, holder string, token uint64) failover.PromotionOutcome {
 	time.Sleep(storeDelay)
 	p.mutex.Lock()
--- a/internal/proxy/backend_metrics.go
+++ b/internal/proxy/backends/backend_metrics.go
@@ -1,12 +1,12 @@
-package proxy
+package backends
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// metricsNamespace begins the names of all metrics.
-const metricsNamespace = "dewknot"
+// MetricsNamespace begins the names of all metrics.
+const MetricsNamespace = "dewknot"
 
-// durationBuckets are seconds; latency objectives lie between them.
-var durationBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 2, 4}
+// DurationBuckets are seconds; latency objectives lie between them.
+var DurationBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 2, 4}
 
 // backendMetrics are the counters and histograms of the services.
 type backendMetrics struct {
@@ -20,14 +20,14 @@
 func newBackendMetrics() *backendMetrics {
 	return &backendMetrics{
 		failovers: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "failover_phases_total", Help: "Phases entered by the failover machines.",
+			Namespace: MetricsNamespace, Name: "failover_phases_total", Help: "Phases entered by the failover machines.",
 		}, []string{"service", "phase"}),
 		rounds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: metricsNamespace, Name: "tenure_round_seconds", Buckets: durationBuckets,
+			Namespace: MetricsNamespace, Name: "tenure_round_seconds", Buckets: DurationBuckets,
 			Help: "Time of a candidate's question to the voters, by step.",
 		}, []string{"step", "outcome"}),
 		unproved: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "answers_unproved_total",
+			Namespace: MetricsNamespace, Name: "answers_unproved_total",
 			Help: "Answers of a primary that were not believed, since its tenure may have ended.",
 		}),
 	}
--- a/internal/proxy/backends.go
+++ b/internal/proxy/backends/backends.go
@@ -1,4 +1,8 @@
-package proxy
+// Package backends is what a node knows of services and their database servers: who leads,
+// who is healthy, whose connections lead to them, and the node's part in the change of a
+// primary. Decisions are made by pure packages (failover, quorum, routing, admission); this
+// one gathers what they need and carries out what they decide.
+package backends
 
 import (
 	"context"
@@ -10,6 +14,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/remote"
 	"dewknot/internal/proxy/tenure"
 	"dewknot/internal/proxy/upstream"
@@ -27,8 +32,8 @@
 	Step(at time.Duration, event failover.Event, effects []failover.Effect)
 }
 
-// BackendOptions are the settings of Backends.
-type BackendOptions struct {
+// Options are the settings of Backends.
+type Options struct {
 	Name string
 	Zone string
 	// Life is unique to the process.
@@ -40,12 +45,12 @@
 	// MessageAddress is where messages of the agreement reach this node.
 	Agreed         bool
 	MessageAddress string
-	Kinds          Kinds
+	Kinds          network.Kinds
 }
 
-// BackendPorts are the ways of Backends to the outside.
-type BackendPorts struct {
-	NetworkPorts
+// Ports are the ways of Backends to the outside.
+type Ports struct {
+	network.Ports
 	Dialer   upstream.Dialer
 	Promoter Promoter
 	// Messages carries the messages of the agreement; nil if nodes do not agree.
@@ -60,9 +65,9 @@
 // Backends is what a node knows of the services and their servers, its connections to
 // them, and its part in the change of their primaries.
 type Backends struct {
-	*Network
-	options BackendOptions
-	ports   BackendPorts
+	*network.Network
+	options Options
+	ports   Ports
 	log     *eventlog.Log
 	catalog *catalog.Catalog
 	metrics *backendMetrics
@@ -70,57 +75,57 @@
 	// look is called at the beginning of each look at the services.
 	look func(now time.Time)
 
-	servers  sync.Map // server ID to *server
-	services sync.Map // service name to *service
+	Servers  sync.Map // Server ID to *server
+	services sync.Map // Service name to *service
 
-	stopping atomic.Bool
-	// isolated is set while the node reaches too few voters to use any primary.
-	isolated atomic.Bool
-	// degraded is set while all that the node talks to is silent.
-	degraded atomic.Bool
+	Stopping atomic.Bool
+	// Isolated is set while the node reaches too few voters to use any primary.
+	Isolated atomic.Bool
+	// Degraded is set while all that the node talks to is silent.
+	Degraded atomic.Bool
 	// refreshingLeases is set while a listing of the leases is due.
 	refreshingLeases atomic.Bool
-	// informed is closed once the node knows a configuration and a directory.
-	informed     chan struct{}
+	// Informed is closed once the node knows a configuration and a directory.
+	Informed     chan struct{}
 	informedOnce sync.Once
 	// links lead to nodes that own connections, owner serves this node's own.
 	links *remote.Links
-	owner *remote.Owner
-	// tenures is nil where the platform checks fences.
-	tenures *tenure.Keeper
+	Owner *remote.Owner
+	// Tenures is nil where the platform checks fences.
+	Tenures *tenure.Keeper
 	// nudged makes the look at the services come at once.
 	nudged chan struct{}
 }
 
-// NewBackends returns backends without any server. look is called at the beginning of
+// New returns backends without any server. look is called at the beginning of
 // each look at the services.
-func NewBackends(options BackendOptions, ports BackendPorts, network *Network, look func(now time.Time)) *Backends {
+func New(options Options, ports Ports, network *network.Network, look func(now time.Time)) *Backends {
 	n := &Backends{
-		Network: network, options: options, ports: ports, log: network.log, catalog: network.catalog,
-		metrics: newBackendMetrics(), started: network.started, look: look,
-		informed: make(chan struct{}), nudged: make(chan struct{}, 1),
+		Network: network, options: options, ports: ports, log: network.Log, catalog: network.Catalog,
+		metrics: newBackendMetrics(), started: network.Started, look: look,
+		Informed: make(chan struct{}), nudged: make(chan struct{}, 1),
 	}
 	n.links = remote.NewLinks(remote.LinksConfig{Dial: n.dialOwner, OnProof: n.ownerProved})
-	n.owner = remote.NewOwner(n)
-	n.tenures = n.newTenures()
+	n.Owner = remote.NewOwner(n)
+	n.Tenures = n.newTenures()
 	n.catalog.OnChange(n.catalogChanged)
 	return n
 }
 
-// run looks at the services and takes part in the agreement until ctx ends.
-func (n *Backends) run(ctx context.Context) {
+// Run looks at the services and takes part in the agreement until ctx ends.
+func (n *Backends) Run(ctx context.Context) {
 	go n.watchServices(ctx)
-	if n.tenures != nil {
-		go n.tenures.Run(ctx)
+	if n.Tenures != nil {
+		go n.Tenures.Run(ctx)
 	}
 }
 
-// close ends all connections to servers and other nodes.
-func (n *Backends) close() {
+// Close ends all connections to servers and other nodes.
+func (n *Backends) Close() {
 	n.links.Close()
-	n.owner.Close()
-	n.servers.Range(func(_, value any) bool {
-		value.(*server).pool.Shut()
+	n.Owner.Close()
+	n.Servers.Range(func(_, value any) bool {
+		value.(*Server).Pool.Shut()
 		return true
 	})
 }
--- a/internal/proxy/campaign.go
+++ b/internal/proxy/backends/campaign.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"context"
@@ -14,23 +14,23 @@
 )
 
 // performTenure carries out a step of a campaign; it reports false for other effects.
-func (s *service) performTenure(effect failover.Effect) bool {
+func (s *Service) performTenure(effect failover.Effect) bool {
 	began := time.Now()
 	switch effect := effect.(type) {
 	case failover.Prepare:
-		result := s.node.tenures.Prepare(s.name, effect.Ballot)
+		result := s.node.Tenures.Prepare(s.Name, effect.Ballot)
 		s.logRound("prepare", effect.Ballot, "", &result, began)
 		s.submit(preparedFrom(effect.Ballot, &result))
 	case failover.Choose:
-		result := s.node.tenures.Choose(s.name, quorum.Tenure{Ballot: effect.Ballot, Primary: effect.Target}, effect.Ordering)
+		result := s.node.Tenures.Choose(s.Name, quorum.Tenure{Ballot: effect.Ballot, Primary: effect.Target}, effect.Ordering)
 		s.logRound("choose", effect.Ballot, effect.Target, &result, began)
 		s.submit(failover.Held{Agreed: result.Agreed})
 	case failover.AwaitClear:
-		result := s.node.tenures.AwaitClear(s.name, effect.Ballot, clearLimit)
+		result := s.node.Tenures.AwaitClear(s.Name, effect.Ballot, clearLimit)
 		s.logRound("clear", effect.Ballot, "", &result, began)
 		s.submit(failover.Cleared{Agreed: result.Agreed})
 	case failover.Open:
-		result := s.node.tenures.Open(s.name, quorum.Tenure{Ballot: effect.Ballot, Primary: effect.Primary}, effect.Term, effect.Loose)
+		result := s.node.Tenures.Open(s.Name, quorum.Tenure{Ballot: effect.Ballot, Primary: effect.Primary}, effect.Term, effect.Loose)
 		s.logRound("open", effect.Ballot, effect.Primary, &result, began)
 		s.submit(failover.Opened{Agreed: result.Agreed})
 	case failover.StepDown:
@@ -62,9 +62,9 @@
 	return event
 }
 
-func (s *service) logRound(step string, ballot uint64, target string, result *tenure.Result, began time.Time) {
+func (s *Service) logRound(step string, ballot uint64, target string, result *tenure.Result, began time.Time) {
 	s.node.metrics.rounds.WithLabelValues(step, outcomeOf(result.Agreed)).Observe(time.Since(began).Seconds())
-	s.node.log.Write(eventlog.TenureRound, zap.String("service", s.name), zap.String("step", step), zap.Uint64("ballot", ballot),
+	s.node.log.Write(eventlog.TenureRound, zap.String("service", s.Name), zap.String("step", step), zap.Uint64("ballot", ballot),
 		zap.String("target", target), zap.Bool("agreed", result.Agreed), zap.Uint64("highest", result.Highest),
 		zap.Bool("clear", result.Clear), zap.Duration("took", time.Since(began)))
 }
@@ -82,9 +82,9 @@
 // awaitLead waits until a server that was ordered leads in a term not below the least.
 // That it accepts a transaction is cheap to learn; in which term it does, its status
 // tells.
-func (s *service) awaitLead(id string, least uint64, deadline time.Time) failover.Led {
+func (s *Service) awaitLead(id string, least uint64, deadline time.Time) failover.Led {
 	for time.Now().Before(deadline) {
-		target := s.node.server(id)
+		target := s.node.Server(id)
 		if target != nil && target.accepts(time.Now().Add(pingLimit)) {
 			status := target.report(upstream.Operation{Kind: upstream.ReportStatus}, time.Now().Add(surveyLimit))
 			if status != nil && status.Primary && status.Term >= least {
@@ -97,8 +97,8 @@
 }
 
 // accepts reports whether a server opens a transaction that only a primary accepts.
-func (t *server) accepts(deadline time.Time) bool {
-	lease, err := t.pool.Reserve(deadline)
+func (t *Server) accepts(deadline time.Time) bool {
+	lease, err := t.Pool.Reserve(deadline)
 	if err != nil {
 		return false
 	}
@@ -116,22 +116,22 @@
 
 // stepDown tells a primary to give up the lead: directly, and through other nodes that
 // may reach it.
-func (s *service) stepDown(id string) failover.SteppedDown {
+func (s *Service) stepDown(id string) failover.SteppedDown {
 	ctx, cancel := context.WithTimeout(context.Background(), stepDownLimit)
 	defer cancel()
 	began := time.Now()
 	results := make(chan *upstream.Status, 1+witnessesAsked)
 	asked := 1
-	go func() { results <- s.node.demote(id) }()
-	for _, member := range s.node.someMembers(witnessesAsked) {
+	go func() { results <- s.node.Demote(id) }()
+	for _, member := range s.node.SomeMembers(witnessesAsked) {
 		asked++
-		go func() { results <- s.node.askToDemote(ctx, &member, id) }()
+		go func() { results <- s.node.AskToDemote(ctx, &member, id) }()
 	}
 	event := failover.SteppedDown{Server: id}
 	if status := firstStatus(ctx, results, asked); status != nil {
 		event.Done, event.Received = true, status.Received
 	}
-	s.node.log.Write(eventlog.StepDown, zap.String("service", s.name), zap.String("server", id), zap.Bool("done", event.Done),
+	s.node.log.Write(eventlog.StepDown, zap.String("service", s.Name), zap.String("server", id), zap.Bool("done", event.Done),
 		zap.Stringer("received", event.Received), zap.Duration("took", time.Since(began)))
 	return event
 }
@@ -152,11 +152,11 @@
 	return nil
 }
 
-// demote makes a server give up the lead; the status tells that it does not lead. It is
-// nil if the server did not answer.
-func (n *Backends) demote(id string) *upstream.Status {
-	target := n.server(id)
-	if target == nil {
+// Demote makes a server give up the lead; the status tells that it does not lead. It is
+// nil if the server did not answer, or if nodes do not agree on primaries.
+func (n *Backends) Demote(id string) *upstream.Status {
+	target := n.Server(id)
+	if target == nil || n.Tenures == nil {
 		return nil
 	}
 	deadline := time.Now().Add(stepDownLimit)
--- a/internal/proxy/detour.go
+++ b/internal/proxy/backends/detour.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"context"
@@ -22,21 +22,21 @@
 }
 
 // takeDetour leads new connections to a server through a node that reaches it.
-func (s *service) takeDetour(id string) {
-	target, witness := s.node.server(id), s.witness.Load()
+func (s *Service) takeDetour(id string) {
+	target, witness := s.node.Server(id), s.witness.Load()
 	if target == nil || witness == nil {
 		return
 	}
 	target.detour.Store(&detour{via: *witness, until: time.Now().Add(detourSpan)})
-	target.pool.Renew()
-	target.stats.Forgive()
-	s.node.log.Write(eventlog.DetourTaken, zap.String("service", s.name), zap.String("server", id), zap.String("via", *witness))
+	target.Pool.Renew()
+	target.Stats.Forgive()
+	s.node.log.Write(eventlog.DetourTaken, zap.String("service", s.Name), zap.String("server", id), zap.String("via", *witness))
 }
 
 // DetourTo returns the address of the node through which a server is reached,
 // and whether there is one.
 func (n *Backends) DetourTo(id string) (string, bool) {
-	target := n.server(id)
+	target := n.Server(id)
 	if target == nil {
 		return "", false
 	}
--- a/internal/proxy/health.go
+++ b/internal/proxy/backends/health.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"context"
@@ -17,8 +17,8 @@
 	lookInterval = 100 * time.Millisecond
 	// pauseLimit: a longer gap between looks means that the process stood still.
 	pauseLimit = 250 * time.Millisecond
-	// silenceLimit is how long a server with work may be silent before it is asked.
-	silenceLimit = 250 * time.Millisecond
+	// SilenceLimit is how long a server with work may be silent before it is asked.
+	SilenceLimit = 250 * time.Millisecond
 	// idleLimit is how long a primary without work may be silent before the
 	// holder of the lease asks it.
 	idleLimit = time.Second
@@ -63,7 +63,7 @@
 		stoodStill := now.Sub(last) > pauseLimit
 		last = now
 		n.services.Range(func(_, value any) bool {
-			if service := value.(*service); service.attended(now) {
+			if service := value.(*Service); service.attended(now) {
 				service.look(now, stoodStill)
 			}
 			return true
@@ -77,38 +77,38 @@
 }
 
 func (n *Backends) trim(now time.Time) {
-	n.servers.Range(func(_, value any) bool {
-		value.(*server).pool.Trim(now.Add(-trimAge))
+	n.Servers.Range(func(_, value any) bool {
+		value.(*Server).Pool.Trim(now.Add(-trimAge))
 		return true
 	})
 }
 
 // look gathers evidence and gives the failover machine an observation.
-func (s *service) look(now time.Time, stoodStill bool) {
+func (s *Service) look(now time.Time, stoodStill bool) {
 	leader := s.lastPrimary()
 	if leader != s.health.leader || stoodStill || s.health.results == nil {
 		s.health = leaderHealth{leader: leader, results: make(chan standing, 1)}
 	}
 	s.takePing()
-	target := s.node.server(leader)
+	target := s.node.Server(leader)
 	down := target != nil && s.health.missed >= pingsToDown
 	s.reportHealth(down)
 	if target != nil && !s.health.asking && s.wantsPing(target, now) {
 		s.ping(target)
 	}
-	if s.node.tenures == nil && (target == nil || down) {
+	if s.node.Tenures == nil && (target == nil || down) {
 		s.seek()
 	}
-	s.outage.note(now, target != nil && !down)
+	s.Outage.note(now, target != nil && !down)
 	observation := s.observe(leader, down)
 	if observation.Voiceless && s.holding() {
-		s.warm(upstream.Own)
+		s.Warm(upstream.Own)
 	}
 	s.submit(failover.Observed{Observation: observation})
 }
 
 // reportHealth logs when the primary stops or starts to answer this node.
-func (s *service) reportHealth(down bool) {
+func (s *Service) reportHealth(down bool) {
 	if down == s.health.reported {
 		return
 	}
@@ -117,10 +117,10 @@
 	if down {
 		event = eventlog.ServerUnreachable
 	}
-	s.node.log.Write(event, zap.String("service", s.name), zap.String("server", s.health.leader), zap.Int("missed", s.health.missed))
+	s.node.log.Write(event, zap.String("service", s.Name), zap.String("server", s.health.leader), zap.Int("missed", s.health.missed))
 }
 
-func (s *service) takePing() {
+func (s *Service) takePing() {
 	select {
 	case shown := <-s.health.results:
 		s.health.asking = false
@@ -136,27 +136,27 @@
 }
 
 // wantsPing reports whether the primary's silence calls for a question.
-func (s *service) wantsPing(target *server, now time.Time) bool {
+func (s *Service) wantsPing(target *Server, now time.Time) bool {
 	if s.health.missed > 0 {
 		return true
 	}
-	idle := target.stats.SinceSign(now)
-	if failures, _ := target.stats.Failures(); failures > 0 {
+	idle := target.Stats.SinceSign(now)
+	if failures, _ := target.Stats.Failures(); failures > 0 {
 		return true
 	}
-	if target.stats.Unanswered(now) > silenceLimit {
+	if target.Stats.Unanswered(now) > SilenceLimit {
 		return true
 	}
 	return idle > idleLimit && s.holding()
 }
 
-func (s *service) holding() bool {
+func (s *Service) holding() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.machine.Holding()
 }
 
-func (s *service) ping(target *server) {
+func (s *Service) ping(target *Server) {
 	s.health.asking = true
 	results := s.health.results
 	go func() {
@@ -164,13 +164,13 @@
 	}()
 }
 
-func (s *service) observe(leader string, down bool) failover.Observation {
+func (s *Service) observe(leader string, down bool) failover.Observation {
 	observation := failover.Observation{
-		Leader: leader, LeaderDown: down, SynchronousReplicas: s.synchronousReplicas(), Degraded: s.node.degraded.Load(),
+		Leader: leader, LeaderDown: down, SynchronousReplicas: s.synchronousReplicas(), Degraded: s.node.Degraded.Load(),
 	}
 	// A primary whose entry vanished so long ago that it was forgotten is gone all the same.
 	observation.LeaderGone = leader != ""
-	for _, entry := range s.node.catalog.Current().ByService[s.name] {
+	for _, entry := range s.node.catalog.Current().ByService[s.Name] {
 		if entry.ID == leader {
 			observation.LeaderDraining = entry.Draining
 			observation.LeaderGone = entry.Gone
@@ -180,31 +180,31 @@
 		}
 		observation.Servers = append(observation.Servers, failover.Server{ID: entry.ID, Leaving: entry.Leaving()})
 	}
-	if s.node.tenures != nil {
+	if s.node.Tenures != nil {
 		s.observeTenure(&observation, time.Now())
 	}
 	return observation
 }
 
-func (s *service) synchronousReplicas() int {
+func (s *Service) synchronousReplicas() int {
 	if configuration := s.node.catalog.Current().Configuration; configuration != nil {
-		return configuration.Services[s.name].SynchronousReplicas
+		return configuration.Services[s.Name].SynchronousReplicas
 	}
 	return 0
 }
 
 // seek asks the servers, other than the one believed in, who is the primary.
-func (s *service) seek() {
+func (s *Service) seek() {
 	if !s.seeking.TryLock() {
 		return
 	}
 	go func() {
 		defer s.seeking.Unlock()
 		now := time.Now()
-		believed := s.belief.Leader()
-		for _, entry := range s.node.catalog.Current().ByService[s.name] {
-			target := s.node.server(entry.ID)
-			if entry.ID == believed || entry.Gone || target == nil || s.belief.Refuted(entry.ID, now) || target.stats.Avoided(now) {
+		believed := s.Belief.Leader()
+		for _, entry := range s.node.catalog.Current().ByService[s.Name] {
+			target := s.node.Server(entry.ID)
+			if entry.ID == believed || entry.Gone || target == nil || s.Belief.Refuted(entry.ID, now) || target.Stats.Avoided(now) {
 				continue
 			}
 			if s.prove(target, s.node.lendOwn, time.Now().Add(seekLimit)) == leading {
--- a/internal/proxy/leases.go
+++ b/internal/proxy/backends/leases.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 	"dewknot/internal/base/placement"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/objectstore"
 )
 
@@ -22,9 +23,9 @@
 	briefStoreLimit = 150 * time.Millisecond
 )
 
-// readLeases learns, at the start, of leases that an earlier life of this node
+// ReadLeases learns, at the start, of leases that an earlier life of this node
 // holds. Leases that are missing are made once the members are known.
-func (n *Backends) readLeases(ctx context.Context) {
+func (n *Backends) ReadLeases(ctx context.Context) {
 	for ctx.Err() == nil {
 		objects, ok := n.listLeases(ctx)
 		if !ok {
@@ -42,7 +43,7 @@
 // leasesKnown tells the failover machines who holds the leases.
 func (n *Backends) leasesKnown(objects []objectstore.Object) {
 	for _, object := range objects {
-		n.service(object.Name).submit(decodeLease(object))
+		n.Service(object.Name).submit(decodeLease(object))
 	}
 }
 
@@ -50,23 +51,23 @@
 // leases, which tells who holds them now and who the deputies are.
 const leaseRefresh = 2 * time.Second
 
-// refreshLeases lists the leases soon; the calls of many nodes are spread, and changes
+// RefreshLeases lists the leases soon; the calls of many nodes are spread, and changes
 // in a row make one call.
-func (n *Backends) refreshLeases() {
+func (n *Backends) RefreshLeases() {
 	if !n.refreshingLeases.CompareAndSwap(false, true) {
 		return
 	}
 	time.AfterFunc(leaseRefresh/2+rand.N(leaseRefresh), func() {
 		n.refreshingLeases.Store(false)
-		if n.stopping.Load() {
+		if n.Stopping.Load() {
 			return
 		}
-		n.lookAtLeases(context.Background())
+		n.LookAtLeases(context.Background())
 	})
 }
 
-// lookAtLeases learns who holds the leases and who the deputies are.
-func (n *Backends) lookAtLeases(ctx context.Context) {
+// LookAtLeases learns who holds the leases and who the deputies are.
+func (n *Backends) LookAtLeases(ctx context.Context) {
 	if objects, ok := n.listLeases(ctx); ok {
 		n.leasesKnown(objects)
 	}
@@ -80,16 +81,16 @@
 const leaseRetry = time.Second
 
 func (n *Backends) listLeases(ctx context.Context) ([]objectstore.Object, bool) {
-	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+	limited, cancel := context.WithTimeout(ctx, network.StoreCallLimit)
 	defer cancel()
 	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Leases)
 	return objects, err == nil
 }
 
-// makeLeases makes the missing leases of the services for which this node ranks
+// MakeLeases makes the missing leases of the services for which this node ranks
 // first among the members, so that holders are spread over the nodes and a fleet
 // that starts makes each lease about once. Views that differ cost a conflict.
-func (n *Backends) makeLeases(ctx context.Context) bool {
+func (n *Backends) MakeLeases(ctx context.Context) bool {
 	configuration := n.catalog.Current().Configuration
 	if configuration == nil {
 		return false
@@ -108,7 +109,7 @@
 	}
 	for _, name := range own {
 		if !made[name] {
-			n.service(name).submit(failover.LeaseKnown{Missing: true})
+			n.Service(name).submit(failover.LeaseKnown{Missing: true})
 		}
 	}
 	return true
@@ -117,7 +118,7 @@
 // rankedFirst returns the services for which this node ranks first among the members.
 func (n *Backends) rankedFirst(configuration *catalog.Configuration) []string {
 	candidates := []placement.Candidate{{ID: n.options.Name}}
-	for _, member := range *n.members.Load() {
+	for _, member := range *n.Members.Load() {
 		candidates = append(candidates, placement.Candidate{ID: member.Name})
 	}
 	var first []string
@@ -141,7 +142,7 @@
 // deputies returns the nodes that may act for this one while the store is silent: the
 // first of other zones, since a zone may be lost as a whole, then any.
 func (n *Backends) deputies(service string) []string {
-	known := n.members.Load()
+	known := n.Members.Load()
 	if known == nil {
 		return nil
 	}
@@ -158,14 +159,14 @@
 	return ranked[:min(len(ranked), failover.MaxDeputies)]
 }
 
-func (s *service) readLease() {
-	limit := storeCallLimit
-	if s.node.storeDown.Load() {
+func (s *Service) readLease() {
+	limit := network.StoreCallLimit
+	if s.node.StoreDown.Load() {
 		limit = silentStoreLimit
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	object, err := s.node.ports.Store.Get(ctx, s.node.options.Kinds.Leases, s.name)
+	object, err := s.node.ports.Store.Get(ctx, s.node.options.Kinds.Leases, s.Name)
 	switch {
 	case err == nil:
 		s.submit(decodeLease(object))
@@ -176,14 +177,14 @@
 	}
 }
 
-func (s *service) writeLease(effect failover.WriteLease) {
-	effect.Lease.Deputies = s.node.deputies(s.name)
+func (s *Service) writeLease(effect failover.WriteLease) {
+	effect.Lease.Deputies = s.node.deputies(s.Name)
 	content, err := json.Marshal(effect.Lease)
 	if err != nil {
 		s.submit(failover.LeaseWritten{Result: failover.Uncertain})
 		return
 	}
-	limit := storeCallLimit
+	limit := network.StoreCallLimit
 	if effect.Brief {
 		limit = briefStoreLimit
 	}
@@ -192,9 +193,9 @@
 	kind := s.node.options.Kinds.Leases
 	var object objectstore.Object
 	if effect.Create {
-		object, err = s.node.ports.Store.Create(ctx, kind, s.name, content)
+		object, err = s.node.ports.Store.Create(ctx, kind, s.Name, content)
 	} else {
-		object, err = s.node.ports.Store.Replace(ctx, kind, s.name, effect.Revision, content)
+		object, err = s.node.ports.Store.Replace(ctx, kind, s.Name, effect.Revision, content)
 	}
 	result := failover.Written
 	if err != nil {
@@ -203,7 +204,7 @@
 			result = failover.Superseded
 		}
 	}
-	s.node.log.Write(eventlog.FailoverLease, zap.String("service", s.name),
+	s.node.log.Write(eventlog.FailoverLease, zap.String("service", s.Name),
 		zap.Uint64("epoch", effect.Lease.Epoch), zap.Bool("written", result == failover.Written), zap.Error(err))
 	s.submit(failover.LeaseWritten{Result: result, Revision: object.Revision})
 }
--- a/internal/proxy/outage.go
+++ b/internal/proxy/backends/outage.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"sync"
@@ -15,7 +15,7 @@
 	outageWeight = 0.3
 )
 
-// outage tells how long a service is usually without a primary that answers. It is safe
+// Outage tells how long a service is usually without a primary that answers. It is safe
 // for concurrent use.
 type outage struct {
 	mu    sync.Mutex
@@ -40,9 +40,9 @@
 	}
 }
 
-// left returns how long the present outage is expected to go on: what is left of the
+// Left returns how long the present outage is expected to go on: what is left of the
 // usual length, and after that half of what it has lasted so far.
-func (o *outage) left(now time.Time) time.Duration {
+func (o *outage) Left(now time.Time) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	usual := o.usual
--- a/internal/proxy/outage_test.go
+++ b/internal/proxy/backends/outage_test.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"testing"
@@ -14,16 +14,16 @@
 	at := func(span time.Duration) time.Time { return start.Add(span) }
 	var o outage
 	o.note(at(0), false)
-	must.Eq(t, firstOutage, o.left(at(0)))
-	must.Eq(t, firstOutage-time.Second, o.left(at(time.Second)))
-	must.Eq(t, 3*time.Second, o.left(at(6*time.Second)))
+	must.Eq(t, firstOutage, o.Left(at(0)))
+	must.Eq(t, firstOutage-time.Second, o.Left(at(time.Second)))
+	must.Eq(t, 3*time.Second, o.Left(at(6*time.Second)))
 	o.note(at(6*time.Second), true)
-	must.Eq(t, 6*time.Second/nearEnd, o.left(at(7*time.Second)))
+	must.Eq(t, 6*time.Second/nearEnd, o.Left(at(7*time.Second)))
 	for i := range 20 {
 		began := at(time.Duration(10+10*i) * time.Second)
 		o.note(began, false)
 		o.note(began.Add(time.Second), true)
 	}
 	o.note(at(time.Hour), false)
-	must.Between(t, time.Second, o.left(at(time.Hour)), 1100*time.Millisecond)
+	must.Between(t, time.Second, o.Left(at(time.Hour)), 1100*time.Millisecond)
 }
--- a/internal/proxy/owners.go
+++ b/internal/proxy/backends/owners.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/admission"
 	"dewknot/internal/proxy/freshness"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/remote"
 	"dewknot/internal/proxy/upstream"
 )
@@ -26,8 +27,8 @@
 	// shunSpan is how long another owner is tried after one said that it does
 	// not reach the server.
 	shunSpan = time.Second
-	// connectionWait bounds the wait for a connection to one of several servers.
-	connectionWait = 150 * time.Millisecond
+	// ConnectionWait bounds the wait for a connection to one of several servers.
+	ConnectionWait = 150 * time.Millisecond
 	// proofAge is the age from which an owner refreshes what it knows of the
 	// primary, since others depend on it.
 	proofAge = 300 * time.Millisecond
@@ -35,7 +36,7 @@
 
 // ranking is the order of a server's owners, made for a list of members.
 type ranking struct {
-	members *[]Member
+	members *[]network.Member
 	// before are the nodes that come before this one, best first.
 	before []string
 }
@@ -46,33 +47,33 @@
 	until   time.Time
 }
 
-// lend lends a principal's connection to a server for callers' work: one of this node's
+// Lend lends a principal's connection to a server for callers' work: one of this node's
 // own, or one of the server's owner.
-func (n *Backends) lend(target *server, principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
-	if !n.awaitMembers(deadline) {
+func (n *Backends) Lend(target *Server, principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
+	if !n.AwaitMembers(deadline) {
 		return nil, upstream.ErrNoConnection
 	}
 	owners := n.ownersBefore(target)
 	if len(owners) == 0 {
-		return target.pool.Get(principal, deadline)
+		return target.Pool.Get(principal, deadline)
 	}
 	link, address := n.links.Pick(target.notShunned(owners, time.Now()), deadline)
 	if link == nil {
-		return target.pool.Get(principal, deadline)
+		return target.Pool.Get(principal, deadline)
 	}
-	return upstream.NewRemoteLease(link.Session(target.id, principal), target.stats, func() { target.shun(address, len(owners)) }), nil
+	return upstream.NewRemoteLease(link.Session(target.ID, principal), target.Stats, func() { target.shun(address, len(owners)) }), nil
 }
 
 // ownersBefore returns the nodes that this one goes through to a server, best
 // first; none if it has connections of its own.
-func (n *Backends) ownersBefore(target *server) []string {
-	members := n.members.Load()
+func (n *Backends) ownersBefore(target *Server) []string {
+	members := n.Members.Load()
 	if members == nil || n.ports.Peers == nil || n.sharesConnections(target.service, len(*members)+1) {
 		return nil
 	}
 	ranked := target.owners.Load()
 	if ranked == nil || ranked.members != members {
-		ranked = &ranking{members: members, before: n.rankOwners(target.id, *members)}
+		ranked = &ranking{members: members, before: n.rankOwners(target.ID, *members)}
 		target.owners.Store(ranked)
 	}
 	return ranked.before
@@ -85,7 +86,7 @@
 
 // rankOwners ranks nodes in the server's zone first, then those in its region:
 // whoever owns the connections, the way to the server is hardly longer.
-func (n *Backends) rankOwners(id string, members []Member) []string {
+func (n *Backends) rankOwners(id string, members []network.Member) []string {
 	zone := ""
 	if entry := n.catalog.Current().Servers[id]; entry != nil {
 		zone = entry.Zone
@@ -93,7 +94,7 @@
 	addresses := map[string]string{n.options.Name: ""}
 	tiers := make([][]placement.Candidate, 3)
 	sort := func(name, memberZone string) {
-		tier := n.zoneDistance(memberZone, zone)
+		tier := n.ZoneDistance(memberZone, zone)
 		tiers[tier] = append(tiers[tier], placement.Candidate{ID: name})
 	}
 	sort(n.options.Name, n.options.Zone)
@@ -115,7 +116,7 @@
 
 // notShunned leaves out an owner that does not reach the server, if there is
 // another.
-func (t *server) notShunned(owners []string, now time.Time) []string {
+func (t *Server) notShunned(owners []string, now time.Time) []string {
 	avoided := t.shunned.Load()
 	if avoided == nil || now.After(avoided.until) || len(owners) < 2 || owners[0] != avoided.address {
 		return owners
@@ -125,11 +126,11 @@
 
 // shun turns to the next owner for a while. Only the first is ever left out: if
 // the next one does not reach the server either, the server is down.
-func (t *server) shun(address string, owners int) {
+func (t *Server) shun(address string, owners int) {
 	now := time.Now()
 	avoided := t.shunned.Load()
 	if owners < 2 || (avoided != nil && now.Before(avoided.until)) {
-		t.stats.Avoid(now.Add(unreachedPause))
+		t.Stats.Avoid(now.Add(unreachedPause))
 		return
 	}
 	t.shunned.Store(&shunned{address: address, until: now.Add(shunSpan)})
@@ -140,15 +141,15 @@
 
 // ownerProved takes what an owner tells of a primary.
 func (n *Backends) ownerProved(id string, at time.Time, covers position.Position) {
-	if target := n.server(id); target != nil {
-		n.service(target.service).proofs.Add(freshness.Proof{At: at, Position: covers})
+	if target := n.Server(id); target != nil {
+		n.Service(target.service).Proofs.Add(freshness.Proof{At: at, Position: covers})
 	}
 }
 
 // ServeLink implements relay.Handler: it serves operations on this node's connections.
 func (n *Backends) ServeLink(conn net.Conn) {
 	n.log.Write(eventlog.LinkOpened, zap.Stringer("from", conn.RemoteAddr()))
-	n.owner.Serve(conn)
+	n.Owner.Serve(conn)
 	n.log.Write(eventlog.LinkEnded, zap.Stringer("from", conn.RemoteAddr()))
 }
 
@@ -159,28 +160,28 @@
 
 // Owned implements remote.Host.
 func (n *Backends) Owned(id string) remote.Server {
-	target := n.server(id)
+	target := n.Server(id)
 	if target == nil {
 		return nil
 	}
-	owned := &ownedServer{server: target, service: n.service(target.service)}
-	owned.service.used(time.Now())
+	owned := &ownedServer{Server: target, service: n.Service(target.service)}
+	owned.service.Used(time.Now())
 	return owned
 }
 
 // ownedServer is a server as other nodes reach it through this one.
 type ownedServer struct {
-	*server
-	service *service
+	*Server
+	service *Service
 }
 
 // Lend implements remote.Server. The connection is always this node's own, so that
 // operations never pass through two owners.
 func (o *ownedServer) Lend(principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
-	if !o.service.usable(o.id, time.Now()) {
+	if !o.service.Usable(o.ID, time.Now()) {
 		return nil, &upstream.RefusedError{Outcome: upstream.Unreached, Detail: "the server leaves"}
 	}
-	return o.pool.Get(principal, deadline)
+	return o.Pool.Get(principal, deadline)
 }
 
 // Behind implements remote.Server.
@@ -188,37 +189,37 @@
 	if floor.IsZero() {
 		return position.Position{}, false
 	}
-	return o.stats.Behind(floor, time.Now())
+	return o.Stats.Behind(floor, time.Now())
 }
 
 // Silent implements remote.Server.
 func (o *ownedServer) Silent() bool {
 	now := time.Now()
-	return o.stats.Unanswered(now) >= connectionWait || o.stats.Avoided(now)
+	return o.Stats.Unanswered(now) >= ConnectionWait || o.Stats.Avoided(now)
 }
 
 // Enter implements remote.Server.
 func (o *ownedServer) Enter(place admission.Request, deadline time.Time) bool {
-	return o.gate.Enter(place, deadline)
+	return o.Gate.Enter(place, deadline)
 }
 
 // Leave implements remote.Server.
 func (o *ownedServer) Leave(batch *upstream.Batch, result *upstream.Result) {
-	o.gate.Leave(endOf(batch, result), time.Now())
+	o.Gate.Leave(EndOf(batch, result), time.Now())
 }
 
 // Proof implements remote.Server.
 func (o *ownedServer) Proof() (time.Time, position.Position) {
-	newest := o.service.proofs.Newest()
+	newest := o.service.Proofs.Newest()
 	now := time.Now()
 	if now.Sub(newest.At) > proofAge {
-		go o.service.refreshProof(now.Add(proofLimit))
+		go o.service.RefreshProof(now.Add(ProofLimit))
 	}
 	return newest.At, newest.Position
 }
 
-// endOf tells a gate how admitted work ended.
-func endOf(batch *upstream.Batch, result *upstream.Result) admission.Result {
+// EndOf tells a gate how admitted work ended.
+func EndOf(batch *upstream.Batch, result *upstream.Result) admission.Result {
 	switch {
 	case batch.Err != nil || result == nil:
 		return admission.Other
--- a/internal/proxy/owners_test.go
+++ b/internal/proxy/backends/owners_test.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"context"
@@ -16,6 +16,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/objectstore"
 	"dewknot/internal/proxy/relay"
 	"dewknot/internal/proxy/upstream"
@@ -67,22 +68,22 @@
 
 // ownersNode returns a node of zone a that knows one server in zone b, of a service
 // with some connections.
-func ownersNode(store *memberStore, peers Peers, dialer upstream.Dialer, connections int) (*Backends, *server) {
+func ownersNode(store *memberStore, peers network.Peers, dialer upstream.Dialer, connections int) (*Backends, *Server) {
 	regions := map[string]string{"a": "r1", "b": "r2", "c": "r2"}
-	ways := NetworkPorts{Store: store, Peers: peers}
-	network := NewNetwork(NetworkOptions{Name: "a0", Zone: "a", PeerAddress: "a0", DrainBound: time.Second, Regions: regions},
+	ways := network.Ports{Store: store, Peers: peers}
+	network := network.New(network.Options{Name: "a0", Zone: "a", PeerAddress: "a0", DrainBound: time.Second, Regions: regions},
 		ways, idle{}, catalog.New(time.Second), time.Now(), eventlog.New(io.Discard, eventlog.Config{Node: "a0", LinesPerSecond: 1}))
-	node := NewBackends(BackendOptions{Name: "a0", Zone: "a", DrainBound: time.Second, Regions: regions},
-		BackendPorts{NetworkPorts: ways, Dialer: dialer}, network, func(time.Time) {})
+	node := New(Options{Name: "a0", Zone: "a", DrainBound: time.Second, Regions: regions},
+		Ports{Ports: ways, Dialer: dialer}, network, func(time.Time) {})
 	node.catalog.ApplyConfiguration(&catalog.Configuration{
 		Version: 1, Services: map[string]catalog.Service{"bookings": {Name: "bookings", MaxConnections: connections}},
 	})
 	node.catalog.ReplaceDirectory([]catalog.Server{{ID: "s1", Service: "bookings", Address: "s1", Zone: "b"}}, time.Now())
-	return node, node.server("s1")
+	return node, node.Server("s1")
 }
 
 // idle has no other duties.
-type idle struct{ Duties }
+type idle struct{ network.Duties }
 
 func (idle) MembersChanged() {}
 
@@ -93,9 +94,9 @@
 		store, dialer := &memberStore{}, &countingDialer{}
 		store.down.Store(true)
 		node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, dialer, 40)
-		_, _ = node.listMembers(t.Context(), time.Second)
+		_, _ = node.ListMembers(t.Context(), time.Second)
 		for range 10 {
-			_, err := node.lend(target, upstream.Own, time.Now().Add(100*time.Millisecond))
+			_, err := node.Lend(target, upstream.Own, time.Now().Add(100*time.Millisecond))
 			must.ErrorIs(t, err, upstream.ErrNoConnection)
 		}
 		must.Eq(t, int64(0), dialer.dials.Load())
@@ -103,9 +104,9 @@
 		store.down.Store(false)
 		go func() {
 			time.Sleep(50 * time.Millisecond)
-			_, _ = node.listMembers(context.Background(), time.Second)
+			_, _ = node.ListMembers(context.Background(), time.Second)
 		}()
-		_, err := node.lend(target, upstream.Own, time.Now().Add(time.Second))
+		_, err := node.Lend(target, upstream.Own, time.Now().Add(time.Second))
 		must.ErrorIs(t, err, errTestUnreachable)
 		must.Positive(t, dialer.dials.Load())
 		node.log.Close()
@@ -117,8 +118,8 @@
 	bubbletest.Test(t, func(t *testing.T) {
 		store, dialer := &memberStore{}, &countingDialer{}
 		node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, dialer, 40)
-		time.Sleep(membersPatience)
-		_, err := node.lend(target, upstream.Own, time.Now().Add(time.Second))
+		time.Sleep(network.MembersPatience)
+		_, err := node.Lend(target, upstream.Own, time.Now().Add(time.Second))
 		must.ErrorIs(t, err, errTestUnreachable)
 		node.log.Close()
 	})
@@ -131,9 +132,9 @@
 		store, dialer := &memberStore{members: []string{"a1", "a2", "b1", "b2", "c1", "c2", "c3"}}, &countingDialer{}
 		peers := &linkPeers{asked: make(chan string, 100)}
 		node, target := ownersNode(store, peers, dialer, 20)
-		_, err := node.listMembers(t.Context(), time.Second)
+		_, err := node.ListMembers(t.Context(), time.Second)
 		must.NoError(t, err)
-		_, err = node.lend(target, upstream.Own, time.Now().Add(5*time.Second))
+		_, err = node.Lend(target, upstream.Own, time.Now().Add(5*time.Second))
 		must.ErrorIs(t, err, errTestUnreachable, must.Sprint("no owner can be reached, so its own"))
 		close(peers.asked)
 		var asked []string
@@ -150,11 +151,11 @@
 func TestEnoughConnectionsAreNotShared(t *testing.T) {
 	store := &memberStore{members: []string{"a1", "b1", "b2"}}
 	node, target := ownersNode(store, &linkPeers{asked: make(chan string, 100)}, &countingDialer{}, 15)
-	_, err := node.listMembers(t.Context(), time.Second)
+	_, err := node.ListMembers(t.Context(), time.Second)
 	must.NoError(t, err)
 	must.SliceEmpty(t, node.ownersBefore(target))
 	store.members = append(store.members, "c1")
-	_, err = node.listMembers(t.Context(), time.Second)
+	_, err = node.ListMembers(t.Context(), time.Second)
 	must.NoError(t, err)
 	must.SliceNotEmpty(t, node.ownersBefore(target))
 	node.log.Close()
@@ -163,14 +164,14 @@
 // TestOwnerThatDoesNotReachTheServerIsLeftOutForAWhile, one at a time.
 func TestOwnerThatDoesNotReachTheServerIsLeftOutForAWhile(t *testing.T) {
 	bubbletest.Test(t, func(t *testing.T) {
-		target := &server{stats: upstream.NewStats()}
+		target := &Server{Stats: upstream.NewStats()}
 		owners := []string{"first", "second", "third"}
 		target.shun("first", len(owners))
 		must.Eq(t, owners[1:], target.notShunned(owners, time.Now()))
-		must.False(t, target.stats.Avoided(time.Now()))
+		must.False(t, target.Stats.Avoided(time.Now()))
 		target.shun("second", len(owners))
 		must.Eq(t, owners[1:], target.notShunned(owners, time.Now()))
-		must.True(t, target.stats.Avoided(time.Now()), must.Sprint("two owners say so: the server is down"))
+		must.True(t, target.Stats.Avoided(time.Now()), must.Sprint("two owners say so: the server is down"))
 		time.Sleep(shunSpan + time.Millisecond)
 		must.Eq(t, owners, target.notShunned(owners, time.Now()))
 	})
--- a/internal/proxy/server_metrics.go
+++ b/internal/proxy/backends/server_metrics.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"time"
@@ -21,7 +21,7 @@
 
 func newServerCollector(node *Backends) *serverCollector {
 	desc := func(name, help string) *prometheus.Desc {
-		return prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "server", name), help, []string{"service", "server"}, nil)
+		return prometheus.NewDesc(prometheus.BuildFQName(MetricsNamespace, "server", name), help, []string{"service", "server"}, nil)
 	}
 	return &serverCollector{
 		node:        node,
@@ -31,7 +31,7 @@
 		limit:       desc("statements_limit", "Statements that this node lets run on the server at a time."),
 		remote:      desc("statements_through_owner", "Statements of this node that run through the server's owner."),
 		lag:         desc("lag_seconds", "How far behind the primary this node expects the server to be."),
-		proofAge: prometheus.NewDesc(prometheus.BuildFQName(metricsNamespace, "service", "proof_age_seconds"),
+		proofAge: prometheus.NewDesc(prometheus.BuildFQName(MetricsNamespace, "service", "proof_age_seconds"),
 			"Age of the newest position that the primary is known to have had, from which reads on replicas get their floors.", []string{"service"}, nil),
 	}
 }
@@ -46,21 +46,21 @@
 // Collect implements prometheus.Collector.
 func (c *serverCollector) Collect(out chan<- prometheus.Metric) {
 	now := time.Now()
-	c.node.servers.Range(func(_, value any) bool {
-		s := value.(*server)
-		running, waiting := s.gate.Load()
+	c.node.Servers.Range(func(_, value any) bool {
+		s := value.(*Server)
+		running, waiting := s.Gate.Load()
 		for desc, value := range map[*prometheus.Desc]float64{
-			c.connections: float64(s.pool.Open()), c.running: float64(running), c.waiting: float64(waiting),
-			c.limit: s.gate.Limit(), c.remote: float64(s.remote.Load()), c.lag: s.stats.Lag(now).Seconds(),
+			c.connections: float64(s.Pool.Open()), c.running: float64(running), c.waiting: float64(waiting),
+			c.limit: s.Gate.Limit(), c.remote: float64(s.Remote.Load()), c.lag: s.Stats.Lag(now).Seconds(),
 		} {
-			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, s.service, s.id)
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, s.service, s.ID)
 		}
 		return true
 	})
 	c.node.services.Range(func(_, value any) bool {
-		s := value.(*service)
-		if proof := s.proofs.Newest(); !proof.At.IsZero() {
-			out <- prometheus.MustNewConstMetric(c.proofAge, prometheus.GaugeValue, now.Sub(proof.At).Seconds(), s.name)
+		s := value.(*Service)
+		if proof := s.Proofs.Newest(); !proof.At.IsZero() {
+			out <- prometheus.MustNewConstMetric(c.proofAge, prometheus.GaugeValue, now.Sub(proof.At).Seconds(), s.Name)
 		}
 		return true
 	})
--- a/internal/proxy/service.go
+++ b/internal/proxy/backends/service.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"context"
@@ -20,31 +20,31 @@
 	"dewknot/internal/proxy/urgency"
 )
 
-// server is the runtime state of a database server.
-type server struct {
-	id      string
+// Server is the runtime state of a database server.
+type Server struct {
+	ID      string
 	service string
-	stats   *upstream.Stats
-	pool    *upstream.Pool
-	gate    *admission.Gate
+	Stats   *upstream.Stats
+	Pool    *upstream.Pool
+	Gate    *admission.Gate
 	// detour is how the server is reached while it cannot be reached directly.
 	detour atomic.Pointer[detour]
 	// owners are the nodes whose connections callers' work uses, shunned one of
 	// them that does not reach the server.
 	owners  atomic.Pointer[ranking]
 	shunned atomic.Pointer[shunned]
-	// remote counts this node's work on the server that goes through an owner, told is what
+	// Remote counts this node's work on the server that goes through an owner, told is what
 	// that one tells of the work which waits for the server.
-	remote atomic.Int64
+	Remote atomic.Int64
 	told   told.View
 }
 
-// service is the runtime state of a service.
-type service struct {
+// Service is the runtime state of a service.
+type Service struct {
 	node   *Backends
-	name   string
-	belief *leadership.Belief
-	proofs freshness.Proofs
+	Name   string
+	Belief *leadership.Belief
+	Proofs freshness.Proofs
 
 	// refresh lets one goroutine at a time ask the primary for a proof.
 	refresh refresher
@@ -55,7 +55,7 @@
 	// witness is the address of a node that lately reached the primary.
 	witness atomic.Pointer[string]
 	health  leaderHealth
-	outage  outage
+	Outage  outage
 	// warmed is set once connections for a survey were opened ahead.
 	warmed atomic.Bool
 	// replication holds one token: it keeps surveys, which may hold replicas,
@@ -69,32 +69,32 @@
 	lastSeen failover.Phase
 }
 
-func (n *Backends) service(name string) *service {
+func (n *Backends) Service(name string) *Service {
 	if found, ok := n.services.Load(name); ok {
-		return found.(*service)
+		return found.(*Service)
 	}
 	rank := n.takeoverRank(name)
-	created := &service{
-		node: n, name: name, belief: leadership.NewBelief(), replication: make(chan struct{}, 1),
-		machine: failover.New(failover.Config{Node: n.options.Name, Life: n.options.Life, Rank: rank, Agreed: n.tenures != nil}),
+	created := &Service{
+		node: n, Name: name, Belief: leadership.NewBelief(), replication: make(chan struct{}, 1),
+		machine: failover.New(failover.Config{Node: n.options.Name, Life: n.options.Life, Rank: rank, Agreed: n.Tenures != nil}),
 	}
 	if n.ports.Trace != nil {
 		created.trace = n.ports.Trace(name, rank)
 	}
 	found, _ := n.services.LoadOrStore(name, created)
-	return found.(*service)
+	return found.(*Service)
 }
 
 // attentionSpan is how long after its last use a service is looked at by a node
 // that does not hold its lease.
 const attentionSpan = 10 * time.Second
 
-// used notes that a statement asks for the service.
-func (s *service) used(now time.Time) { s.lastUsed.Store(int64(now.Sub(s.node.started))) }
+// Used notes that a statement asks for the service.
+func (s *Service) Used(now time.Time) { s.lastUsed.Store(int64(now.Sub(s.node.started))) }
 
 // attended reports whether this node looks at the service: it holds the lease,
 // acts, or serves callers of the service. Of many services, a node looks at few.
-func (s *service) attended(now time.Time) bool {
+func (s *Service) attended(now time.Time) bool {
 	s.mutex.Lock()
 	acting := s.machine.Holding() || s.machine.Phase() != failover.Watching
 	s.mutex.Unlock()
@@ -119,8 +119,8 @@
 	if previous.Configuration != current.Configuration {
 		n.setCeilings()
 	}
-	if complete(current) && !complete(previous) {
-		n.informedOnce.Do(func() { close(n.informed) })
+	if Complete(current) && !Complete(previous) {
+		n.informedOnce.Do(func() { close(n.Informed) })
 	}
 	for id, entry := range current.Servers {
 		if previous.Servers[id] == entry {
@@ -135,31 +135,31 @@
 	}
 }
 
-// complete reports whether a snapshot suffices to serve callers.
-func complete(snapshot *catalog.Snapshot) bool {
+// Complete reports whether a snapshot suffices to serve callers.
+func Complete(snapshot *catalog.Snapshot) bool {
 	return snapshot.Configuration != nil && len(snapshot.Servers) > 0
 }
 
 func (n *Backends) serverChanged(entry *catalog.Server) {
-	if found, ok := n.servers.Load(entry.ID); !ok {
+	if found, ok := n.Servers.Load(entry.ID); !ok {
 		stats := upstream.NewStats()
-		created := &server{
-			id: entry.ID, service: entry.Service, stats: stats,
-			pool: upstream.NewPool(n.ports.Dialer, upstream.Target{Address: entry.Address, Service: entry.Service, Server: entry.ID}, n.connectionCeiling(entry.Service), stats),
-			gate: newGate(entry.Slots),
+		created := &Server{
+			ID: entry.ID, service: entry.Service, Stats: stats,
+			Pool: upstream.NewPool(n.ports.Dialer, upstream.Target{Address: entry.Address, Service: entry.Service, Server: entry.ID}, n.connectionCeiling(entry.Service), stats),
+			Gate: newGate(entry.Slots),
 		}
-		created.gate.Share(pooled{created.pool})
-		created.pool.OnFree(created.gate.Wake)
-		n.servers.Store(entry.ID, created)
+		created.Gate.Share(pooled{created.Pool})
+		created.Pool.OnFree(created.Gate.Wake)
+		n.Servers.Store(entry.ID, created)
 	} else if entry.Leaving() {
-		found.(*server).pool.Trim(time.Now())
+		found.(*Server).Pool.Trim(time.Now())
 	}
-	if entry.Role == catalog.Primary && !entry.Gone && n.tenures == nil {
-		service := n.service(entry.Service)
-		replaced := service.belief.Leader() != ""
-		if service.belief.Announce(entry.ID, entry.Revision) {
+	if entry.Role == catalog.Primary && !entry.Gone && n.Tenures == nil {
+		service := n.Service(entry.Service)
+		replaced := service.Belief.Leader() != ""
+		if service.Belief.Announce(entry.ID, entry.Revision) {
 			if replaced {
-				n.refreshLeases()
+				n.RefreshLeases()
 			}
 			n.log.Write(eventlog.PrimaryAnnounced, zap.String("service", entry.Service),
 				zap.String("server", entry.ID), zap.Uint64("revision", entry.Revision))
@@ -215,44 +215,44 @@
 }
 
 func (n *Backends) setCeilings() {
-	n.servers.Range(func(_, value any) bool {
-		known := value.(*server)
-		known.pool.SetCeiling(n.connectionCeiling(known.service))
+	n.Servers.Range(func(_, value any) bool {
+		known := value.(*Server)
+		known.Pool.SetCeiling(n.connectionCeiling(known.service))
 		return true
 	})
 }
 
 func (n *Backends) forgetServer(id string) {
-	if found, ok := n.servers.LoadAndDelete(id); ok {
-		found.(*server).pool.Shut()
+	if found, ok := n.Servers.LoadAndDelete(id); ok {
+		found.(*Server).Pool.Shut()
 	}
 }
 
-func (n *Backends) server(id string) *server {
-	if found, ok := n.servers.Load(id); ok {
-		return found.(*server)
+func (n *Backends) Server(id string) *Server {
+	if found, ok := n.Servers.Load(id); ok {
+		return found.(*Server)
 	}
 	return nil
 }
 
-// leader returns the server believed to be the primary, nil if none is usable.
-func (s *service) leader(now time.Time) *server {
-	id := s.belief.Leader()
-	if id == "" || !s.usable(id, now) || !s.leased(now) {
+// Leader returns the server believed to be the primary, nil if none is usable.
+func (s *Service) Leader(now time.Time) *Server {
+	id := s.Belief.Leader()
+	if id == "" || !s.Usable(id, now) || !s.leased(now) {
 		return nil
 	}
-	if s.node.tenures != nil && s.belief.Refuted(id, now) {
+	if s.node.Tenures != nil && s.Belief.Refuted(id, now) {
 		return nil
 	}
-	return s.node.server(id)
+	return s.node.Server(id)
 }
 
 // leavingShare is the part of the drain bound during which a leaving server may
 // still receive work that no other server can take.
 const leavingShare = 0.7
 
-// usable reports whether a server may receive new work.
-func (s *service) usable(id string, now time.Time) bool {
+// Usable reports whether a server may receive new work.
+func (s *Service) Usable(id string, now time.Time) bool {
 	entry := s.node.catalog.Current().Servers[id]
 	if entry == nil {
 		return false
@@ -265,7 +265,7 @@
 }
 
 // submit gives the failover machine an event and carries out its effects.
-func (s *service) submit(event failover.Event) {
+func (s *Service) submit(event failover.Event) {
 	s.mutex.Lock()
 	now := time.Now()
 	effects := s.machine.Step(now, event)
@@ -274,9 +274,9 @@
 	}
 	phase := s.machine.Phase()
 	if phase != s.lastSeen {
-		s.node.log.Write(eventlog.FailoverPhase, zap.String("service", s.name), zap.Stringer("phase", phase),
-			zap.String("leader", s.belief.Leader()), zap.Bool("holding", s.machine.Holding()))
-		s.node.metrics.failovers.WithLabelValues(s.name, phase.String()).Inc()
+		s.node.log.Write(eventlog.FailoverPhase, zap.String("service", s.Name), zap.Stringer("phase", phase),
+			zap.String("leader", s.Belief.Leader()), zap.Bool("holding", s.machine.Holding()))
+		s.node.metrics.failovers.WithLabelValues(s.Name, phase.String()).Inc()
 		s.lastSeen = phase
 	}
 	s.mutex.Unlock()
@@ -286,8 +286,8 @@
 }
 
 // perform carries out an effect that was decided at a time.
-func (s *service) perform(effect failover.Effect, decided time.Time) {
-	if s.node.tenures != nil && s.performTenure(effect) {
+func (s *Service) perform(effect failover.Effect, decided time.Time) {
+	if s.node.Tenures != nil && s.performTenure(effect) {
 		return
 	}
 	switch effect := effect.(type) {
@@ -306,8 +306,8 @@
 	case failover.Order:
 		s.order(effect, decided)
 	case failover.LeaderFound:
-		if s.belief.Confirm(effect.ID, s.belief.Term()) {
-			s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "survey"), zap.String("service", s.name), zap.String("server", effect.ID))
+		if s.Belief.Confirm(effect.ID, s.Belief.Term()) {
+			s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "survey"), zap.String("service", s.Name), zap.String("server", effect.ID))
 		}
 	}
 }
@@ -315,7 +315,7 @@
 // orderLimit bounds an order to promote; one that is not answered is given again.
 const orderLimit = 600 * time.Millisecond
 
-func (s *service) order(effect failover.Order, decided time.Time) {
+func (s *Service) order(effect failover.Order, decided time.Time) {
 	if effect.Within > 0 && time.Since(decided) > effect.Within {
 		// This process stood still; another node may be at work.
 		s.submit(failover.Ordered{Outcome: failover.NotSent})
@@ -323,23 +323,23 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
 	defer cancel()
-	outcome := s.node.ports.Promoter.Promote(ctx, s.name, effect.Target, s.node.options.Name, effect.Token)
-	s.node.log.Write(eventlog.FailoverOrder, zap.String("service", s.name), zap.String("leader", s.belief.Leader()),
+	outcome := s.node.ports.Promoter.Promote(ctx, s.Name, effect.Target, s.node.options.Name, effect.Token)
+	s.node.log.Write(eventlog.FailoverOrder, zap.String("service", s.Name), zap.String("leader", s.Belief.Leader()),
 		zap.String("target", effect.Target), zap.Uint64("token", effect.Token), zap.Stringer("outcome", outcome))
 	s.submit(failover.Ordered{Outcome: outcome})
 }
 
-// load returns the work of this node that a server has or that waits for it.
-func (t *server) load() int {
-	running, waiting := t.gate.Load()
-	return running + waiting + int(t.remote.Load())
+// Load returns the work of this node that a server has or that waits for it.
+func (t *Server) Load() int {
+	running, waiting := t.Gate.Load()
+	return running + waiting + int(t.Remote.Load())
 }
 
-// expectedWait returns how long work waits for a slot of the server. Where an owner
+// ExpectedWait returns how long work waits for a slot of the server. Where an owner
 // orders the work, what it tells stands for that, or what answers have lately taken.
-func (t *server) expectedWait(request admission.Request, now time.Time) time.Duration {
+func (t *Server) ExpectedWait(request admission.Request, now time.Time) time.Duration {
 	if wait, known := t.told.Wait(now, urgency.Of(request.Priority)); known {
 		return wait
 	}
-	return max(t.gate.Wait(request), t.stats.Latency(now))
+	return max(t.Gate.Wait(request), t.Stats.Latency(now))
 }
--- a/internal/proxy/survey.go
+++ b/internal/proxy/backends/survey.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"errors"
@@ -14,10 +14,10 @@
 )
 
 const (
-	// busyPause is the pause before a server that refused for want of a slot is asked again.
-	busyPause = 15 * time.Millisecond
-	// leaderPause is the longest wait for a change of the primary before another look.
-	leaderPause = 50 * time.Millisecond
+	// BusyPause is the pause before a server that refused for want of a slot is asked again.
+	BusyPause = 15 * time.Millisecond
+	// LeaderPause is the longest wait for a change of the primary before another look.
+	LeaderPause = 50 * time.Millisecond
 )
 
 // surveyLimit bounds the wait for the servers' reports. A status takes a slot,
@@ -28,17 +28,17 @@
 // survey asks the servers of the service for their status. For one that does
 // not answer in time, but has answered others lately, the position it is known
 // to have applied stands for what it has received.
-func (s *service) survey(effect failover.Survey) []failover.Report {
+func (s *Service) survey(effect failover.Survey) []failover.Report {
 	s.replication <- struct{}{}
 	defer func() { <-s.replication }()
 	var reports []failover.Report
 	var mutex sync.Mutex
 	var asked sync.WaitGroup
-	for _, entry := range s.node.catalog.Current().ByService[s.name] {
+	for _, entry := range s.node.catalog.Current().ByService[s.Name] {
 		if entry.ID == effect.Except || entry.Gone {
 			continue
 		}
-		target := s.node.server(entry.ID)
+		target := s.node.Server(entry.ID)
 		if target == nil {
 			continue
 		}
@@ -58,11 +58,11 @@
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			reports = append(reports, failover.Report{ID: target.id, Primary: status.Primary, Term: status.Term, Received: status.Received, Assumed: assumed})
+			reports = append(reports, failover.Report{ID: target.ID, Primary: status.Primary, Term: status.Term, Received: status.Received, Assumed: assumed})
 		})
 	}
 	asked.Wait()
-	s.node.log.Write(eventlog.FailoverSurvey, zap.String("service", s.name), zap.Any("reports", reports))
+	s.node.log.Write(eventlog.FailoverSurvey, zap.String("service", s.Name), zap.Any("reports", reports))
 	return reports
 }
 
@@ -71,9 +71,9 @@
 const knownWithin = time.Second
 
 // lastKnown returns what a server's answers have shown, nil if they are old.
-func (t *server) lastKnown(now time.Time) *upstream.Status {
-	applied := t.stats.Applied()
-	if applied.IsZero() || t.stats.SinceAnswer(now) > knownWithin {
+func (t *Server) lastKnown(now time.Time) *upstream.Status {
+	applied := t.Stats.Applied()
+	if applied.IsZero() || t.Stats.SinceAnswer(now) > knownWithin {
 		return nil
 	}
 	return &upstream.Status{Term: applied.Term, Received: applied}
@@ -81,13 +81,13 @@
 
 // resumeReplication lets the replicas receive again. It never overlaps a survey:
 // a late word to one replica would let go of what the survey holds.
-func (s *service) resumeReplication() {
+func (s *Service) resumeReplication() {
 	s.replication <- struct{}{}
 	defer func() { <-s.replication }()
 	deadline := time.Now().Add(resumeLimit)
 	var asked sync.WaitGroup
-	for _, entry := range s.node.catalog.Current().ByService[s.name] {
-		target := s.node.server(entry.ID)
+	for _, entry := range s.node.catalog.Current().ByService[s.Name] {
+		target := s.node.Server(entry.ID)
 		if target == nil || entry.Gone {
 			continue
 		}
@@ -99,8 +99,8 @@
 // resumeLimit bounds the wait for the replicas' answers.
 const resumeLimit = 250 * time.Millisecond
 
-func (t *server) resume(deadline time.Time) {
-	lease, err := t.pool.Reserve(deadline)
+func (t *Server) resume(deadline time.Time) {
+	lease, err := t.Pool.Reserve(deadline)
 	if err != nil {
 		return
 	}
@@ -113,9 +113,9 @@
 }
 
 // report asks a server for its status until it answers or the deadline passes.
-func (t *server) report(question upstream.Operation, deadline time.Time) *upstream.Status {
+func (t *Server) report(question upstream.Operation, deadline time.Time) *upstream.Status {
 	for time.Now().Before(deadline) {
-		lease, err := t.pool.Reserve(deadline)
+		lease, err := t.Pool.Reserve(deadline)
 		if err != nil {
 			return nil
 		}
@@ -128,7 +128,7 @@
 		if result := batch.Last(); result.Outcome == upstream.Succeeded {
 			return result.Status
 		}
-		time.Sleep(busyPause)
+		time.Sleep(BusyPause)
 	}
 	return nil
 }
@@ -149,27 +149,27 @@
 )
 
 // lender is a way to a connection.
-type lender func(target *server, deadline time.Time) (*upstream.Lease, error)
+type lender func(target *Server, deadline time.Time) (*upstream.Lease, error)
 
 // lendOwn lends a connection for a question that may go through the server's owner.
-func (n *Backends) lendOwn(target *server, deadline time.Time) (*upstream.Lease, error) {
-	return n.lend(target, upstream.Own, deadline)
+func (n *Backends) lendOwn(target *Server, deadline time.Time) (*upstream.Lease, error) {
+	return n.Lend(target, upstream.Own, deadline)
 }
 
 // reserve lends a connection of this node's own for a question about the server.
-func reserve(target *server, deadline time.Time) (*upstream.Lease, error) {
-	return target.pool.Reserve(deadline)
+func reserve(target *Server, deadline time.Time) (*upstream.Lease, error) {
+	return target.Pool.Reserve(deadline)
 }
 
 // prove asks a server to open and end a transaction that only a primary accepts.
-func (s *service) prove(target *server, lend lender, deadline time.Time) standing {
-	held, holds := s.hold(target.id)
+func (s *Service) prove(target *Server, lend lender, deadline time.Time) standing {
+	held, holds := s.Hold(target.ID)
 	lease, err := lend(target, deadline)
 	if err != nil {
 		if _, refused := upstream.RefusalOf(err); refused {
 			return otherwise
 		}
-		if errors.Is(err, upstream.ErrNoConnection) && target.stats.Unanswered(time.Now()) < pingLimit {
+		if errors.Is(err, upstream.ErrNoConnection) && target.Stats.Unanswered(time.Now()) < pingLimit {
 			return inconclusive
 		}
 		return silent
@@ -181,37 +181,37 @@
 	}
 	arrived := time.Now()
 	lease.Settle(batch.Last())
-	if s.judgeBegin(target, batch.First()) && holds && s.confirmed(held, arrived, deadline) {
-		s.proved(target, batch.SentAt, batch.First())
+	if s.JudgeBegin(target, batch.First()) && holds && s.Confirmed(held, arrived, deadline) {
+		s.Proved(target, batch.SentAt, batch.First())
 		return leading
 	}
 	return otherwise
 }
 
-// judgeBegin reports whether a server has accepted a transaction as the primary, and
+// JudgeBegin reports whether a server has accepted a transaction as the primary, and
 // takes its word that it does not lead.
-func (s *service) judgeBegin(target *server, begin *upstream.Result) bool {
+func (s *Service) JudgeBegin(target *Server, begin *upstream.Result) bool {
 	switch begin.Outcome {
 	case upstream.Succeeded:
 		return true
 	case upstream.NotPrimary:
-		if s.deny(target.id, time.Now()) {
-			s.node.log.Write(eventlog.PrimaryDenied, zap.String("service", s.name), zap.String("server", target.id))
+		if s.Deny(target.ID, time.Now()) {
+			s.node.log.Write(eventlog.PrimaryDenied, zap.String("service", s.Name), zap.String("server", target.ID))
 		}
 	default:
 	}
 	return false
 }
 
-// proved takes an answer that only the primary gives to a question sent at a time. Where
+// Proved takes an answer that only the primary gives to a question sent at a time. Where
 // nodes agree on tenures, it has been confirmed.
-func (s *service) proved(target *server, sentAt time.Time, result *upstream.Result) {
-	if s.node.tenures == nil && s.belief.Confirm(target.id, result.Position.Term) {
-		s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "answer"), zap.String("service", s.name),
-			zap.String("server", target.id), zap.Stringer("position", result.Position))
+func (s *Service) Proved(target *Server, sentAt time.Time, result *upstream.Result) {
+	if s.node.Tenures == nil && s.Belief.Confirm(target.ID, result.Position.Term) {
+		s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "answer"), zap.String("service", s.Name),
+			zap.String("server", target.ID), zap.Stringer("position", result.Position))
 	}
 	if !result.Position.IsZero() {
-		s.proofs.Add(freshness.Proof{At: sentAt, Position: result.Position})
+		s.Proofs.Add(freshness.Proof{At: sentAt, Position: result.Position})
 	}
 }
 
@@ -221,10 +221,10 @@
 	running chan struct{}
 }
 
-// refreshProof asks the primary for a new proof, or waits for the question
+// RefreshProof asks the primary for a new proof, or waits for the question
 // under way. A question under way began before the caller's, which is fine:
 // the caller looks whether the proof is new enough.
-func (s *service) refreshProof(deadline time.Time) {
+func (s *Service) RefreshProof(deadline time.Time) {
 	s.refresh.mutex.Lock()
 	running := s.refresh.running
 	if running == nil {
@@ -241,26 +241,26 @@
 	}
 }
 
-func (s *service) askProof(done chan struct{}, deadline time.Time) {
+func (s *Service) askProof(done chan struct{}, deadline time.Time) {
 	defer func() {
 		s.refresh.mutex.Lock()
 		s.refresh.running = nil
 		s.refresh.mutex.Unlock()
 		close(done)
 	}()
-	target := s.leader(time.Now())
+	target := s.Leader(time.Now())
 	if target == nil {
-		time.Sleep(leaderPause)
+		time.Sleep(LeaderPause)
 		return
 	}
-	limit := time.Now().Add(proofLimit)
+	limit := time.Now().Add(ProofLimit)
 	if deadline.Before(limit) {
 		limit = deadline
 	}
 	if s.prove(target, s.node.lendOwn, limit) != leading {
-		time.Sleep(leaderPause)
+		time.Sleep(LeaderPause)
 	}
 }
 
-// proofLimit bounds one question for a proof.
-const proofLimit = 300 * time.Millisecond
+// ProofLimit bounds one question for a proof.
+const ProofLimit = 300 * time.Millisecond
--- a/internal/proxy/tenures.go
+++ b/internal/proxy/backends/tenures.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"hash/fnv"
@@ -23,14 +23,14 @@
 		return nil
 	}
 	return tenure.New(tenure.Config{
-		Name: n.options.Name, Zone: n.options.Zone, Address: n.options.MessageAddress, Life: lifeNumber(n.options.Life),
+		Name: n.options.Name, Zone: n.options.Zone, Address: n.options.MessageAddress, Life: LifeNumber(n.options.Life),
 		Store: n.ports.Store, Kind: n.options.Kinds.Voters, Sender: n.ports.Messages, Peers: n.votingPeers,
 		Changed: n.tenureChanged, Voiced: n.lookSoon, Log: n.log,
 	})
 }
 
-// lifeNumber makes a number of what is unique to the process.
-func lifeNumber(life string) uint64 {
+// LifeNumber makes a number of what is unique to the process.
+func LifeNumber(life string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(life))
 	return hash.Sum64()
@@ -38,7 +38,7 @@
 
 // votingPeers returns the other nodes that take messages.
 func (n *Backends) votingPeers() []tenure.Peer {
-	known := n.members.Load()
+	known := n.Members.Load()
 	if known == nil {
 		return nil
 	}
@@ -53,21 +53,21 @@
 
 // ReceiveMessage takes a message from the node at an address.
 func (n *Backends) ReceiveMessage(from string, m *quorum.Message) {
-	if n.tenures != nil {
-		n.tenures.Receive(from, m)
+	if n.Tenures != nil {
+		n.Tenures.Receive(from, m)
 	}
 }
 
 // tenureChanged leads callers' work to the primary of a service's open tenure.
 func (n *Backends) tenureChanged(name string) {
-	s := n.service(name)
+	s := n.Service(name)
 	primary := ""
-	if view := n.tenures.View(name); view.Open {
+	if view := n.Tenures.View(name); view.Open {
 		primary = view.Tenure.Primary
 	}
-	before := s.belief.Leader()
-	if s.belief.Follow(primary) && before != "" {
-		n.refreshLeases()
+	before := s.Belief.Leader()
+	if s.Belief.Follow(primary) && before != "" {
+		n.RefreshLeases()
 	}
 }
 
@@ -79,13 +79,13 @@
 	}
 }
 
-// hold returns the tenure under which a server is asked for what only the primary may
+// Hold returns the tenure under which a server is asked for what only the primary may
 // answer, and whether there is one. Where fences are checked, the answer itself tells.
-func (s *service) hold(server string) (quorum.Tenure, bool) {
-	if s.node.tenures == nil {
+func (s *Service) Hold(server string) (quorum.Tenure, bool) {
+	if s.node.Tenures == nil {
 		return quorum.Tenure{}, true
 	}
-	view := s.node.tenures.View(s.name)
+	view := s.node.Tenures.View(s.Name)
 	if view == nil || !view.Open || view.Tenure.Primary != server {
 		return quorum.Tenure{}, false
 	}
@@ -94,15 +94,15 @@
 
 // leased reports whether this node may use the primary now. If its leases have run out
 // it asks for new ones.
-func (s *service) leased(now time.Time) bool {
-	if s.node.tenures == nil {
+func (s *Service) leased(now time.Time) bool {
+	if s.node.Tenures == nil {
 		return true
 	}
-	view := s.node.tenures.View(s.name)
+	view := s.node.Tenures.View(s.Name)
 	if view != nil && view.Covers(now) {
 		return true
 	}
-	s.node.tenures.Renew(now)
+	s.node.Tenures.Renew(now)
 	return false
 }
 
@@ -110,60 +110,60 @@
 // leases had run out: some round trips between regions.
 const confirmLimit = 400 * time.Millisecond
 
-// confirmed reports whether an answer that has just come, and was asked for under a
+// Confirmed reports whether an answer that has just come, and was asked for under a
 // tenure, is the primary's: no other server can have been ordered to lead before.
-func (s *service) confirmed(held quorum.Tenure, arrived, deadline time.Time) bool {
-	if s.node.tenures == nil {
+func (s *Service) Confirmed(held quorum.Tenure, arrived, deadline time.Time) bool {
+	if s.node.Tenures == nil {
 		return true
 	}
 	if limit := arrived.Add(confirmLimit); limit.Before(deadline) {
 		deadline = limit
 	}
-	if s.node.tenures.Confirm(s.name, held, arrived, deadline) {
+	if s.node.Tenures.Confirm(s.Name, held, arrived, deadline) {
 		return true
 	}
 	s.node.metrics.unproved.Inc()
-	s.node.log.Write(eventlog.AnswerUnproved, zap.String("service", s.name), zap.String("server", held.Primary),
+	s.node.log.Write(eventlog.AnswerUnproved, zap.String("service", s.Name), zap.String("server", held.Primary),
 		zap.Uint64("ballot", held.Ballot), zap.Duration("waited", time.Since(arrived)))
 	return false
 }
 
-// covered is confirmed without a wait, for answers that only add to what is known.
-func (s *service) covered(held quorum.Tenure, arrived time.Time) bool {
-	if s.node.tenures == nil {
+// Covered is confirmed without a wait, for answers that only add to what is known.
+func (s *Service) Covered(held quorum.Tenure, arrived time.Time) bool {
+	if s.node.Tenures == nil {
 		return true
 	}
-	view := s.node.tenures.View(s.name)
+	view := s.node.Tenures.View(s.Name)
 	return view != nil && view.Tenure == held && view.Covers(arrived)
 }
 
-// deny takes a server's own word that it does not lead.
-func (s *service) deny(server string, now time.Time) bool {
-	if s.node.tenures == nil {
-		return s.belief.Refute(server, now)
+// Deny takes a server's own word that it does not lead.
+func (s *Service) Deny(server string, now time.Time) bool {
+	if s.node.Tenures == nil {
+		return s.Belief.Refute(server, now)
 	}
-	return s.belief.Deny(server, now)
+	return s.Belief.Deny(server, now)
 }
 
 // observeTenure tells the failover machine what the nodes agree on.
-func (s *service) observeTenure(observation *failover.Observation, now time.Time) {
-	observation.LeastBallot, observation.Voiceless = s.node.tenures.Standing()
-	view := s.node.tenures.View(s.name)
+func (s *Service) observeTenure(observation *failover.Observation, now time.Time) {
+	observation.LeastBallot, observation.Voiceless = s.node.Tenures.Standing()
+	view := s.node.Tenures.View(s.Name)
 	if view == nil {
 		observation.Closed = true
 		return
 	}
-	observation.Closed = !view.Open || s.belief.Refuted(view.Tenure.Primary, now)
+	observation.Closed = !view.Open || s.Belief.Refuted(view.Tenure.Primary, now)
 	observation.Highest = view.Highest
 }
 
 // lastPrimary returns the server whose health is looked at: the primary of the last
 // tenure known, also while that is closed, or the one believed in.
-func (s *service) lastPrimary() string {
-	if s.node.tenures == nil {
-		return s.belief.Leader()
+func (s *Service) lastPrimary() string {
+	if s.node.Tenures == nil {
+		return s.Belief.Leader()
 	}
-	if view := s.node.tenures.View(s.name); view != nil {
+	if view := s.node.Tenures.View(s.Name); view != nil {
 		return view.Tenure.Primary
 	}
 	return ""
--- a/internal/proxy/warm.go
+++ b/internal/proxy/backends/warm.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"time"
@@ -6,14 +6,14 @@
 	"dewknot/internal/proxy/upstream"
 )
 
-// warm opens a principal's connections to a service's servers, once, while its callers wait for the
+// Warm opens a principal's connections to a service's servers, once, while its callers wait for the
 // first tenure. They will all come at once, and an opening takes a server's slot.
-func (s *service) warm(principal upstream.Principal) {
+func (s *Service) Warm(principal upstream.Principal) {
 	if s.warmed.Swap(true) {
 		return
 	}
-	for _, entry := range s.node.catalog.Current().ByService[s.name] {
-		target := s.node.server(entry.ID)
+	for _, entry := range s.node.catalog.Current().ByService[s.Name] {
+		target := s.node.Server(entry.ID)
 		if target == nil || entry.Gone {
 			continue
 		}
@@ -32,8 +32,8 @@
 const warmTime = 100 * time.Millisecond
 
 // warmOne opens a connection, or the link to the node that owns those to the server.
-func (n *Backends) warmOne(target *server, principal upstream.Principal) {
-	lease, err := n.lend(target, principal, time.Now().Add(stepDownLimit))
+func (n *Backends) warmOne(target *Server, principal upstream.Principal) {
+	lease, err := n.Lend(target, principal, time.Now().Add(stepDownLimit))
 	if err != nil {
 		return
 	}
--- a/internal/proxy/witnesses.go
+++ b/internal/proxy/backends/witnesses.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"cmp"
@@ -12,6 +12,7 @@
 
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/failover"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/relay"
 )
 
@@ -19,22 +20,22 @@
 // so old that the server may have ended since.
 const reachedWithin = 60 * time.Millisecond
 
-// reaches reports whether this node reaches a server directly: by a fresh answer,
+// Reaches reports whether this node reaches a server directly: by a fresh answer,
 // by work that has waited too long for one, or else by asking it. A node that goes
 // through another one reaches nothing for a third.
-func (n *Backends) reaches(id string) bool {
-	target := n.server(id)
+func (n *Backends) Reaches(id string) bool {
+	target := n.Server(id)
 	if target == nil {
 		return false
 	}
 	now := time.Now()
-	if _, detour := n.DetourTo(id); detour || target.stats.Unanswered(now) > silenceLimit {
+	if _, detour := n.DetourTo(id); detour || target.Stats.Unanswered(now) > SilenceLimit {
 		return false
 	}
-	if failures, _ := target.stats.Failures(); failures == 0 && target.stats.SinceAnswer(now) < reachedWithin {
+	if failures, _ := target.Stats.Failures(); failures == 0 && target.Stats.SinceAnswer(now) < reachedWithin {
 		return true
 	}
-	return n.service(target.service).prove(target, reserve, now.Add(pingLimit)) != silent
+	return n.Service(target.service).prove(target, reserve, now.Add(pingLimit)) != silent
 }
 
 // witnessesAsked is how many nodes are asked whether they reach a primary.
@@ -43,48 +44,48 @@
 // witnesses returns the nodes to ask whether they reach a primary, at random but of
 // different zones in turn: those of one zone may all be cut off. Nodes that were silent
 // lately come last.
-func (n *Backends) witnesses() []Member {
-	members := n.someMembers(math.MaxInt)
+func (n *Backends) witnesses() []network.Member {
+	members := n.SomeMembers(math.MaxInt)
 	now := time.Now()
 	seen := map[string]int{}
 	turns := make(map[string]int, len(members))
 	for _, member := range members {
 		turns[member.Name] = seen[member.Zone]
 		seen[member.Zone]++
-		if n.silentMembers.lately(member.Address, now) {
+		if n.SilentMembers.Lately(member.Address, now) {
 			turns[member.Name] += len(members)
 		}
 	}
-	slices.SortStableFunc(members, func(a, b Member) int { return cmp.Compare(turns[a.Name], turns[b.Name]) })
+	slices.SortStableFunc(members, func(a, b network.Member) int { return cmp.Compare(turns[a.Name], turns[b.Name]) })
 	return members[:min(witnessesAsked, len(members))]
 }
 
 // corroborate asks other nodes, and the holder of the lease, whether they reach
 // the primary.
-func (s *service) corroborate(effect failover.Corroborate) failover.Corroborated {
+func (s *Service) corroborate(effect failover.Corroborate) failover.Corroborated {
 	node := s.node
-	ctx, cancel := context.WithTimeout(context.Background(), pingLimit+memberAnswerLimit)
+	ctx, cancel := context.WithTimeout(context.Background(), pingLimit+network.MemberAnswerLimit)
 	defer cancel()
 	question := relay.Question{Server: effect.Server}
-	var holder, answers []memberAnswer
-	var witnesses []Member
+	var holder, answers []network.MemberAnswer
+	var witnesses []network.Member
 	var asked sync.WaitGroup
-	asked.Go(func() { holder = node.askMembers(ctx, node.membersNamed(effect.Superiors), question) })
+	asked.Go(func() { holder = node.AskMembers(ctx, node.membersNamed(effect.Superiors), question) })
 	if effect.Server != "" {
 		witnesses = node.witnesses()
-		answers = node.askMembers(ctx, witnesses, question)
+		answers = node.AskMembers(ctx, witnesses, question)
 	}
 	asked.Wait()
 	outcome := s.weigh(witnesses, answers)
 	outcome.HolderAnswered = len(holder) > 0
-	node.log.Write(eventlog.FailoverWitnesses, zap.String("service", s.name), zap.String("server", effect.Server),
+	node.log.Write(eventlog.FailoverWitnesses, zap.String("service", s.Name), zap.String("server", effect.Server),
 		zap.Int("asked", outcome.Asked), zap.Int("answers", outcome.Answers), zap.Int("reached", outcome.Reached),
 		zap.Int("confirmed_elsewhere", outcome.ConfirmedElsewhere), zap.Bool("holder_answered", outcome.HolderAnswered))
 	return outcome
 }
 
 // weigh counts what witnesses say.
-func (s *service) weigh(witnesses []Member, answers []memberAnswer) failover.Corroborated {
+func (s *Service) weigh(witnesses []network.Member, answers []network.MemberAnswer) failover.Corroborated {
 	outcome := failover.Corroborated{Asked: len(witnesses), Answers: len(answers)}
 	elsewhere := map[string]bool{}
 	for _, witness := range witnesses {
@@ -97,8 +98,8 @@
 		switch {
 		case answer.Reached:
 			outcome.Reached++
-			s.witness.Store(&answer.from)
-		case elsewhere[answer.from]:
+			s.witness.Store(&answer.From)
+		case elsewhere[answer.From]:
 			outcome.ConfirmedElsewhere++
 		}
 	}
@@ -106,12 +107,12 @@
 }
 
 // membersNamed returns the members with some names that are known and other nodes.
-func (n *Backends) membersNamed(names []string) []Member {
-	known := n.members.Load()
+func (n *Backends) membersNamed(names []string) []network.Member {
+	known := n.Members.Load()
 	if known == nil || n.ports.Peers == nil {
 		return nil
 	}
-	var named []Member
+	var named []network.Member
 	for _, member := range *known {
 		if slices.Contains(names, member.Name) {
 			named = append(named, member)
--- a/internal/proxy/comeback.go
+++ b/internal/proxy/comeback.go
@@ -32,7 +32,7 @@
 	case failure.Overloaded:
 		return spread(r.expectedWait(now))
 	case failure.NoPrimary:
-		return spread(r.service.outage.left(now))
+		return spread(r.service.Outage.Left(now))
 	default:
 		return spread(leastComeBack)
 	}
@@ -52,19 +52,19 @@
 func (r *run) expectedWait(now time.Time) time.Duration {
 	request := admission.Request{Class: admission.OnlyHere, Priority: r.session.bound.Priority, Arrived: now}
 	if r.needsLeader() {
-		if leader := r.service.leader(now); leader != nil {
-			return leader.expectedWait(request, now)
+		if leader := r.service.Leader(now); leader != nil {
+			return leader.ExpectedWait(request, now)
 		}
-		return r.service.outage.left(now)
+		return r.service.Outage.Left(now)
 	}
 	request.Class = admission.Anywhere
 	shortest := mostComeBack
-	for _, entry := range r.session.node.catalog.Current().ByService[r.service.name] {
-		target := r.session.node.server(entry.ID)
-		if target == nil || !r.service.usable(entry.ID, now) || target.stats.Avoided(now) {
+	for _, entry := range r.session.node.catalog.Current().ByService[r.service.Name] {
+		target := r.session.node.Server(entry.ID)
+		if target == nil || !r.service.Usable(entry.ID, now) || target.Stats.Avoided(now) {
 			continue
 		}
-		shortest = min(shortest, target.expectedWait(request, now))
+		shortest = min(shortest, target.ExpectedWait(request, now))
 	}
 	return shortest
 }
--- a/internal/proxy/degraded.go
+++ b/internal/proxy/degraded.go
@@ -6,6 +6,8 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/backends"
+	"dewknot/internal/proxy/network"
 )
 
 // lookDegraded notes whether this node takes itself to be at fault, since other nodes,
@@ -13,17 +15,17 @@
 // callers, and lets go of those that it has: on other nodes they are served.
 func (n *Node) lookDegraded(now time.Time) {
 	signs := n.serverSigns(now)
-	degraded, changed, probe := n.reachability.look(now, n.KnownMembers(), signs)
-	n.degraded.Store(degraded)
+	degraded, changed, probe := n.Reachability.Look(now, n.KnownMembers(), signs)
+	n.Degraded.Store(degraded)
 	if probe {
-		go n.probeStore()
+		go n.ProbeStore()
 	}
 	if changed {
-		n.log.Write(eventlog.NodeDegraded, zap.Bool("degraded", degraded), zap.Int("servers_silent", signs.silent),
+		n.log.Write(eventlog.NodeDegraded, zap.Bool("degraded", degraded), zap.Int("servers_silent", signs.Silent),
 			zap.Int64("sessions", n.sessionCount.Load()))
 		if !degraded {
 			// Other nodes may have taken leases over meanwhile.
-			n.refreshLeases()
+			n.RefreshLeases()
 		}
 	}
 	if degraded {
@@ -32,16 +34,16 @@
 }
 
 // serverSigns returns what the node has heard of the servers that it uses.
-func (n *Node) serverSigns(now time.Time) serverSigns {
-	var signs serverSigns
-	n.servers.Range(func(_, value any) bool {
-		stats := value.(*server).stats
-		if heard := now.Add(-stats.SinceSign(now)); heard.After(signs.heard) {
-			signs.heard = heard
+func (n *Node) serverSigns(now time.Time) network.ServerSigns {
+	var signs network.ServerSigns
+	n.Servers.Range(func(_, value any) bool {
+		stats := value.(*backends.Server).Stats
+		if heard := now.Add(-stats.SinceSign(now)); heard.After(signs.Heard) {
+			signs.Heard = heard
 		}
 		failures, _ := stats.Failures()
-		if failures > 0 || stats.Unanswered(now) > silenceLimit {
-			signs.silent++
+		if failures > 0 || stats.Unanswered(now) > backends.SilenceLimit {
+			signs.Silent++
 		}
 		return true
 	})
@@ -49,17 +51,17 @@
 }
 
 // secluded reports whether the node is of no use to callers at present.
-func (n *Node) secluded() bool { return n.isolated.Load() || n.degraded.Load() }
+func (n *Node) secluded() bool { return n.Isolated.Load() || n.Degraded.Load() }
 
 // lookIsolated notes whether this node is cut off from the voters. It then wants no new
 // callers and lets go of those that it has as soon as nothing of theirs is under way: on
 // other nodes they are served.
 func (n *Node) lookIsolated(now time.Time) {
-	if n.tenures == nil {
+	if n.Tenures == nil {
 		return
 	}
-	isolated := n.tenures.Isolated(now)
-	if n.isolated.Swap(isolated) != isolated {
+	isolated := n.Tenures.Isolated(now)
+	if n.Isolated.Swap(isolated) != isolated {
 		n.log.Write(eventlog.NodeIsolated, zap.Bool("isolated", isolated), zap.Int64("sessions", n.sessionCount.Load()))
 	}
 	if isolated {
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -24,6 +24,7 @@
 	"dewknot/internal/lab/standin/managed"
 	"dewknot/internal/proxy"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/quorum"
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/relay"
@@ -201,7 +202,7 @@
 		Name: name, Zone: f.zones[i%len(f.zones)], PeerAddress: name, Life: strconv.Itoa(f.life), Seeds: f.seeds(),
 		Regions:            map[string]string{"a": "r1", "b": "r2", "c": "r3"},
 		ConfigurationBound: 4 * time.Second, DrainBound: 7 * time.Second, StopGrace: 6 * time.Second,
-		Kinds:            proxy.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind, Voters: managed.VoterKind},
+		Kinds:            network.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind, Voters: managed.VoterKind},
 		StrictRevocation: f.strictRevocation, RevocationBound: 5 * time.Second,
 		Agreed: f.agreed, MessageAddress: name, Quotas: f.quotas, TokenAddress: name, FirstStart: f.life <= len(f.listeners),
 	}, proxy.Ports{
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/command"
 	"dewknot/internal/proxy/upstream"
@@ -30,17 +31,17 @@
 
 func newMetrics(node *Node) *metrics {
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}, labels)
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: backends.MetricsNamespace, Name: name, Help: help}, labels)
 	}
 	m := &metrics{
 		registry: prometheus.NewRegistry(), tenants: newTenantCollector(),
 		commands: counter("commands_total", "Commands answered.", "command", "freshness", "outcome"),
 		durations: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: metricsNamespace, Name: "command_duration_seconds", Buckets: durationBuckets,
+			Namespace: backends.MetricsNamespace, Name: "command_duration_seconds", Buckets: backends.DurationBuckets,
 			Help: "Time from a command's arrival to its answer, for commands that reached a server.",
 		}, []string{"freshness"}),
 		floorAges: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: metricsNamespace, Name: "read_floor_age_seconds", Buckets: durationBuckets,
+			Namespace: backends.MetricsNamespace, Name: "read_floor_age_seconds", Buckets: backends.DurationBuckets,
 			Help: "Age of the position that a read on any server had to see, when it was answered.",
 		}, []string{"freshness"}),
 		reads:      counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
@@ -48,17 +49,17 @@
 		storeCalls: counter("store_calls_total", "Calls to the store.", "call", "kind", "outcome"),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
-		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}, value)
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: backends.MetricsNamespace, Name: name, Help: help}, value)
 	}
 	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.storeCalls,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
 		m.tenants,
-		gauge("remote_sessions", "Sessions of other nodes with work on this node's connections.", func() float64 { return float64(node.owner.Active()) }),
+		gauge("remote_sessions", "Sessions of other nodes with work on this node's connections.", func() float64 { return float64(node.Owner.Active()) }),
 		gauge("log_lines_dropped", "Log lines dropped since the start.", func() float64 { return float64(node.log.Dropped()) }),
 		gauge("known_members", "Other nodes known.", func() float64 { return float64(node.KnownMembers()) }),
 		gauge("degraded", "1 while other nodes, servers and the store are all silent for this node.", func() float64 {
-			if node.degraded.Load() {
+			if node.Degraded.Load() {
 				return 1
 			}
 			return 0
@@ -77,7 +78,7 @@
 func (n *Node) Metrics() prometheus.Gatherer { return n.metrics.registry }
 
 func (n *Node) storeLost() float64 {
-	if n.storeDown.Load() {
+	if n.StoreDown.Load() {
 		return 1
 	}
 	return 0
--- a/internal/proxy/ask.go
+++ b/internal/proxy/network/ask.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
@@ -12,28 +12,28 @@
 	"dewknot/internal/proxy/upstream"
 )
 
-// memberAnswer is an answer and the address of the node that gave it.
-type memberAnswer struct {
+// MemberAnswer is an answer and the address of the node that gave it.
+type MemberAnswer struct {
 	relay.Answer
-	from string
+	From string
 }
 
-// askMembers asks other nodes at the same time and returns the answers that
+// AskMembers asks other nodes at the same time and returns the answers that
 // came before ctx ended.
-func (n *Network) askMembers(ctx context.Context, members []Member, question relay.Question) []memberAnswer {
+func (n *Network) AskMembers(ctx context.Context, members []Member, question relay.Question) []MemberAnswer {
 	return n.gather(ctx, members, question, 0)
 }
 
 // gather is askMembers, but with a grace it waits no longer than that after the
 // first answer that did not fail.
-func (n *Network) gather(ctx context.Context, members []Member, question relay.Question, grace time.Duration) []memberAnswer {
+func (n *Network) gather(ctx context.Context, members []Member, question relay.Question, grace time.Duration) []MemberAnswer {
 	limited, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answered := make(chan *memberAnswer, len(members))
+	answered := make(chan *MemberAnswer, len(members))
 	for _, member := range members {
 		go func() { answered <- n.askMember(limited, &member, question) }()
 	}
-	var answers []memberAnswer
+	var answers []MemberAnswer
 	var enough <-chan time.Time
 	for range members {
 		select {
@@ -54,8 +54,8 @@
 	return answers
 }
 
-// askToDemote asks another node to make a server give up the lead; nil if it did not.
-func (n *Network) askToDemote(ctx context.Context, member *Member, server string) *upstream.Status {
+// AskToDemote asks another node to make a server give up the lead; nil if it did not.
+func (n *Network) AskToDemote(ctx context.Context, member *Member, server string) *upstream.Status {
 	answer := n.askMember(ctx, member, relay.Question{Server: server, StepDown: true})
 	if answer == nil || !answer.Reached {
 		return nil
@@ -65,7 +65,7 @@
 
 // askMember asks one node; nil if it does not answer. That its answer is no longer
 // wanted says nothing of the node, and is not logged.
-func (n *Network) askMember(ctx context.Context, member *Member, question relay.Question) *memberAnswer {
+func (n *Network) askMember(ctx context.Context, member *Member, question relay.Question) *MemberAnswer {
 	began := time.Now()
 	answer, err := n.ports.Peers.Ask(ctx, member.Address, question)
 	if errors.Is(ctx.Err(), context.Canceled) {
@@ -73,9 +73,9 @@
 	}
 	n.peerAnswered(member.Address, err)
 	if err != nil {
-		n.log.Write(eventlog.PeerSilent, zap.String("peer", member.Name), zap.String("address", member.Address),
+		n.Log.Write(eventlog.PeerSilent, zap.String("peer", member.Name), zap.String("address", member.Address),
 			zap.Duration("after", time.Since(began)), zap.Error(err))
 		return nil
 	}
-	return &memberAnswer{Answer: answer, from: member.Address}
+	return &MemberAnswer{Answer: answer, From: member.Address}
 }
--- a/internal/proxy/follow.go
+++ b/internal/proxy/network/follow.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
@@ -19,8 +19,8 @@
 	readerShare = 0.4
 )
 
-// follow starts the watches on configuration and directory.
-func (n *Network) follow(ctx context.Context) {
+// Follow starts the watches on configuration and directory.
+func (n *Network) Follow(ctx context.Context) {
 	kinds := n.options.Kinds
 	for kind, bound := range map[string]time.Duration{
 		kinds.Configuration: n.options.ConfigurationBound, kinds.Servers: n.options.DrainBound,
@@ -30,7 +30,7 @@
 			heard = n.heardConfiguration
 		}
 		go objectstore.Follow(ctx, objectstore.FollowConfig{
-			Store: n.ports.Store, Others: &otherNodes{n}, Readers: &storeReaders{node: n, bound: bound, patience: memberAnswerLimit},
+			Store: n.ports.Store, Others: &otherNodes{n}, Readers: &storeReaders{node: n, bound: bound, patience: MemberAnswerLimit},
 			Kind: kind, Wait: func() time.Duration { return n.watchWait(bound) }, Sink: n.caches[kind], Heard: heard,
 		})
 	}
@@ -56,11 +56,11 @@
 		}
 		configuration, err := s.ports.Decoder.Configuration(object.Content)
 		if err != nil {
-			s.log.Write(eventlog.ConfigurationRefused, zap.String("object", object.Name), zap.Uint64("revision", object.Revision), zap.Error(err))
+			s.Log.Write(eventlog.ConfigurationRefused, zap.String("object", object.Name), zap.Uint64("revision", object.Revision), zap.Error(err))
 			continue
 		}
-		if s.catalog.ApplyConfiguration(configuration) {
-			s.log.Write(eventlog.ConfigurationApplied, zap.Uint64("version", configuration.Version),
+		if s.Catalog.ApplyConfiguration(configuration) {
+			s.Log.Write(eventlog.ConfigurationApplied, zap.Uint64("version", configuration.Version),
 				zap.Uint64("revision", object.Revision), zap.Int("routes", len(configuration.Routes)))
 		}
 	}
@@ -68,14 +68,14 @@
 
 // Lost implements objectstore.Sink.
 func (s *configurationSink) Lost(err error) {
-	s.storeDown.Store(true)
-	s.log.Write(eventlog.StoreLost, zap.String("watch", "configuration"), zap.Error(err))
+	s.StoreDown.Store(true)
+	s.Log.Write(eventlog.StoreLost, zap.String("watch", "configuration"), zap.Error(err))
 }
 
 // Regained implements objectstore.Sink.
 func (s *configurationSink) Regained() {
-	s.storeDown.Store(false)
-	s.log.Write(eventlog.StoreRegained, zap.String("watch", "configuration"))
+	s.StoreDown.Store(false)
+	s.Log.Write(eventlog.StoreRegained, zap.String("watch", "configuration"))
 }
 
 type directorySink struct{ *Network }
@@ -91,8 +91,8 @@
 			servers = append(servers, server)
 		}
 	}
-	s.catalog.ReplaceDirectory(servers, time.Now())
-	s.log.Write(eventlog.DirectoryListed, zap.Int("servers", len(servers)))
+	s.Catalog.ReplaceDirectory(servers, time.Now())
+	s.Log.Write(eventlog.DirectoryListed, zap.Int("servers", len(servers)))
 }
 
 // Apply implements objectstore.Sink.
@@ -100,7 +100,7 @@
 	changes := make([]catalog.Server, 0, len(events))
 	for _, event := range events {
 		if event.Deleted {
-			s.log.Write(eventlog.ServerGone, zap.String("server", event.Name), zap.Uint64("revision", event.Revision))
+			s.Log.Write(eventlog.ServerGone, zap.String("server", event.Name), zap.Uint64("revision", event.Revision))
 			changes = append(changes, catalog.Server{ID: event.Name, Gone: true})
 			continue
 		}
@@ -108,17 +108,17 @@
 		if !ok {
 			continue
 		}
-		s.log.Write(eventlog.ServerChanged, zap.String("server", server.ID), zap.String("service", server.Service),
+		s.Log.Write(eventlog.ServerChanged, zap.String("server", server.ID), zap.String("service", server.Service),
 			zap.Stringer("role", server.Role), zap.Bool("draining", server.Draining), zap.Uint64("revision", server.Revision))
 		changes = append(changes, server)
 	}
-	s.catalog.MergeDirectory(changes, time.Now())
+	s.Catalog.MergeDirectory(changes, time.Now())
 }
 
 func (s *directorySink) decode(object objectstore.Object) (catalog.Server, bool) {
 	server, err := s.ports.Decoder.Server(object)
 	if err != nil {
-		s.log.Write(eventlog.ServerEntryRefused, zap.String("server", object.Name), zap.Error(err))
+		s.Log.Write(eventlog.ServerEntryRefused, zap.String("server", object.Name), zap.Error(err))
 		return server, false
 	}
 	return server, true
@@ -126,10 +126,10 @@
 
 // Lost implements objectstore.Sink.
 func (s *directorySink) Lost(err error) {
-	s.log.Write(eventlog.StoreLost, zap.String("watch", "directory"), zap.Error(err))
+	s.Log.Write(eventlog.StoreLost, zap.String("watch", "directory"), zap.Error(err))
 }
 
 // Regained implements objectstore.Sink.
 func (s *directorySink) Regained() {
-	s.log.Write(eventlog.StoreRegained, zap.String("watch", "directory"))
+	s.Log.Write(eventlog.StoreRegained, zap.String("watch", "directory"))
 }
--- a/internal/proxy/members.go
+++ b/internal/proxy/network/members.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
@@ -39,7 +39,7 @@
 	// that were late.
 	firstMemberLook  = 700 * time.Millisecond
 	secondMemberLook = 2 * time.Second
-	memberLook       = 40 * time.Second
+	MemberLook       = 40 * time.Second
 	// settleLimit bounds the wait, from a node's start, for a list of members that is
 	// likely complete.
 	settleLimit = 1500 * time.Millisecond
@@ -67,7 +67,7 @@
 	n.duties.LookAtLeases(ctx)
 	var watched neighbor
 	for ctx.Err() == nil {
-		n.waitAbout(ctx, memberLook)
+		n.waitAbout(ctx, MemberLook)
 		if n.lookAtMembers(ctx) {
 			n.checkNeighbor(ctx, &watched)
 		}
@@ -94,7 +94,7 @@
 	if n.ports.Peers == nil {
 		return
 	}
-	timer := time.NewTimer(time.Until(n.started.Add(settleLimit)))
+	timer := time.NewTimer(time.Until(n.Started.Add(settleLimit)))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -103,8 +103,8 @@
 	}
 }
 
-// ownMember returns what this node tells others of itself.
-func (n *Network) ownMember() Member {
+// OwnMember returns what this node tells others of itself.
+func (n *Network) OwnMember() Member {
 	return Member{
 		Name: n.options.Name, Address: n.options.PeerAddress, Zone: n.options.Zone,
 		Messages: n.options.MessageAddress, Tokens: n.options.TokenAddress,
@@ -113,7 +113,7 @@
 
 // lookAtMembers lists the members and enters this node if it is missing.
 func (n *Network) lookAtMembers(ctx context.Context) bool {
-	own, err := n.listMembers(ctx, storeCallLimit)
+	own, err := n.ListMembers(ctx, StoreCallLimit)
 	return err == nil && n.ensureEntry(ctx, own)
 }
 
@@ -124,17 +124,17 @@
 		return true
 	}
 	entry := Member{Name: n.options.Name}
-	if own != nil && json.Unmarshal(own.Content, &entry) == nil && entry == n.ownMember() {
+	if own != nil && json.Unmarshal(own.Content, &entry) == nil && entry == n.OwnMember() {
 		return true
 	}
-	limited, cancel := context.WithTimeout(ctx, storeCallLimit)
+	limited, cancel := context.WithTimeout(ctx, StoreCallLimit)
 	defer cancel()
 	return n.enter(limited, own)
 }
 
-// listMembers takes the other members from the store and returns this node's own
+// ListMembers takes the other members from the store and returns this node's own
 // entry, nil if there is none.
-func (n *Network) listMembers(ctx context.Context, limit time.Duration) (*objectstore.Object, error) {
+func (n *Network) ListMembers(ctx context.Context, limit time.Duration) (*objectstore.Object, error) {
 	limited, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Members)
@@ -158,21 +158,21 @@
 			members = append(members, member)
 		}
 	}
-	if n.members.Swap(&members) == nil {
+	if n.Members.Swap(&members) == nil {
 		close(n.membersKnown)
 	}
 	n.duties.MembersChanged()
 	return own
 }
 
-// awaitMembers waits, but not past a deadline, until a node that has just started
+// AwaitMembers waits, but not past a deadline, until a node that has just started
 // knows how many others there are: one that does not know would open connections
 // as if it were alone. It reports whether connections may be opened.
-func (n *Network) awaitMembers(deadline time.Time) bool {
-	if n.members.Load() != nil || n.ports.Peers == nil {
+func (n *Network) AwaitMembers(deadline time.Time) bool {
+	if n.Members.Load() != nil || n.ports.Peers == nil {
 		return true
 	}
-	patience := time.Until(n.started.Add(membersPatience))
+	patience := time.Until(n.Started.Add(MembersPatience))
 	timer := time.NewTimer(min(time.Until(deadline), patience))
 	defer timer.Stop()
 	select {
@@ -183,12 +183,12 @@
 	}
 }
 
-// membersPatience is how long after its start a node waits for a list of members.
-const membersPatience = 10 * time.Second
+// MembersPatience is how long after its start a node waits for a list of members.
+const MembersPatience = 10 * time.Second
 
 // enter writes this node's entry, in place of an old one if there is one.
 func (n *Network) enter(ctx context.Context, old *objectstore.Object) bool {
-	content, err := json.Marshal(n.ownMember())
+	content, err := json.Marshal(n.OwnMember())
 	if err != nil {
 		return false
 	}
@@ -202,15 +202,15 @@
 
 // KnownMembers returns how many other nodes this node knows.
 func (n *Network) KnownMembers() int {
-	if known := n.members.Load(); known != nil {
+	if known := n.Members.Load(); known != nil {
 		return len(*known)
 	}
 	return 0
 }
 
-// someMembers returns up to count other nodes, chosen at random.
-func (n *Network) someMembers(count int) []Member {
-	known := n.members.Load()
+// SomeMembers returns up to count other nodes, chosen at random.
+func (n *Network) SomeMembers(count int) []Member {
+	known := n.Members.Load()
 	if known == nil || n.ports.Peers == nil {
 		return nil
 	}
--- a/internal/proxy/network.go
+++ b/internal/proxy/network/network.go
@@ -1,4 +1,10 @@
-package proxy
+// Package network is what a node knows of the configuration, the directory of servers and
+// the other nodes, and how it learns of them: a few nodes of each zone watch the store, the
+// others ask them, and while the store is away nodes tell each other.
+//
+// What the rest of the node does as members come and go, and what it answers other nodes,
+// stands behind the interface Duties.
+package network
 
 import (
 	"context"
@@ -48,8 +54,8 @@
 	Voters string
 }
 
-// NetworkOptions are the settings of a Network.
-type NetworkOptions struct {
+// Options are the settings of a Network.
+type Options struct {
 	Name string
 	Zone string
 	// PeerAddress, MessageAddress and TokenAddress are where other nodes reach this one.
@@ -67,8 +73,8 @@
 	Kinds              Kinds
 }
 
-// NetworkPorts are a Network's ways to the outside.
-type NetworkPorts struct {
+// Ports are a Network's ways to the outside.
+type Ports struct {
 	Store   objectstore.Store
 	Decoder Decoder
 	// Peers asks other nodes; nil if there are none.
@@ -78,22 +84,22 @@
 // Network is what a node knows of the configuration, the servers and the other nodes, and
 // how it learns of them: from the store, or from nodes that watch it.
 type Network struct {
-	options NetworkOptions
-	ports   NetworkPorts
+	options Options
+	ports   Ports
 	duties  Duties
-	log     *eventlog.Log
-	catalog *catalog.Catalog
-	started time.Time
+	Log     *eventlog.Log
+	Catalog *catalog.Catalog
+	Started time.Time
 
-	storeDown    atomic.Bool
-	reachability *reachability
-	// silentMembers are the nodes that did not answer lately.
-	silentMembers silences
+	StoreDown    atomic.Bool
+	Reachability *reachability
+	// SilentMembers are the nodes that did not answer lately.
+	SilentMembers silences
 	// caches hold the objects of the kinds that other nodes may ask for.
 	caches map[string]*objectstore.Cache
 	// transfers fetches large objects from other nodes.
 	transfers *transfers
-	members   atomic.Pointer[[]Member]
+	Members   atomic.Pointer[[]Member]
 	// membersKnown is closed once members has a value.
 	membersKnown chan struct{}
 	// membersSettled is closed once the list of members is likely to be complete: nodes
@@ -112,13 +118,13 @@
 	newer newerSearch
 }
 
-// NewNetwork returns a network of which nothing is known yet.
-func NewNetwork(options NetworkOptions, ports NetworkPorts, duties Duties, cat *catalog.Catalog, started time.Time, log *eventlog.Log) *Network {
+// New returns a network of which nothing is known yet.
+func New(options Options, ports Ports, duties Duties, cat *catalog.Catalog, started time.Time, log *eventlog.Log) *Network {
 	n := &Network{
-		options: options, ports: ports, duties: duties, log: log, catalog: cat, started: started,
+		options: options, ports: ports, duties: duties, Log: log, Catalog: cat, Started: started,
 		membersKnown: make(chan struct{}), membersSettled: make(chan struct{}),
 	}
-	n.reachability = newReachability(started)
+	n.Reachability = newReachability(started)
 	n.transfers = newTransfers(n)
 	n.caches = map[string]*objectstore.Cache{
 		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{n}),
@@ -127,5 +133,5 @@
 	return n
 }
 
-// storeCallLimit bounds a call to the store.
-const storeCallLimit = 1500 * time.Millisecond
+// StoreCallLimit bounds a call to the store.
+const StoreCallLimit = 1500 * time.Millisecond
--- a/internal/proxy/network_test.go
+++ b/internal/proxy/network/network_test.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"fmt"
@@ -18,9 +18,9 @@
 // listedNetwork returns the network of a node in zone a that has listed some members,
 // whose zones are the first letters of their names.
 func listedNetwork(names []string, peers Peers) *Network {
-	n := NewNetwork(NetworkOptions{
+	n := New(Options{
 		Name: "a0", Zone: "a", PeerAddress: "a0", DrainBound: time.Second, Regions: map[string]string{"a": "r1", "b": "r2", "c": "r2"},
-	}, NetworkPorts{Peers: peers}, unburdened{}, catalog.New(time.Second), time.Now(),
+	}, Ports{Peers: peers}, unburdened{}, catalog.New(time.Second), time.Now(),
 		eventlog.New(io.Discard, eventlog.Config{Node: "a0", LinesPerSecond: 1}))
 	var objects []objectstore.Object
 	for _, name := range names {
--- a/internal/proxy/newer.go
+++ b/internal/proxy/network/newer.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
@@ -27,9 +27,9 @@
 	running chan struct{}
 }
 
-// seekNewer looks whether another node knows a newer configuration than this one, and
+// SeekNewer looks whether another node knows a newer configuration than this one, and
 // waits until it is in force here. It does nothing if this node's is recent.
-func (n *Network) seekNewer(now time.Time) {
+func (n *Network) SeekNewer(now time.Time) {
 	if n.caches[n.options.Kinds.Configuration].Age() < surelyRecent || n.ports.Peers == nil {
 		return
 	}
@@ -73,11 +73,11 @@
 // heardConfiguration notes that a call for the configuration was answered which began at a
 // time.
 func (n *Network) heardConfiguration(began time.Time) {
-	n.configurationHeard.Store(int64(began.Sub(n.started)))
+	n.configurationHeard.Store(int64(began.Sub(n.Started)))
 }
 
-// keysUncertain reports whether the node has not heard for too long which keys are in force
+// KeysUncertain reports whether the node has not heard for too long which keys are in force
 // to serve any, where that is asked for.
-func (n *Network) keysUncertain(now time.Time) bool {
-	return n.options.StrictRevocation && now.Sub(n.started)-time.Duration(n.configurationHeard.Load()) > n.options.RevocationBound
+func (n *Network) KeysUncertain(now time.Time) bool {
+	return n.options.StrictRevocation && now.Sub(n.Started)-time.Duration(n.configurationHeard.Load()) > n.options.RevocationBound
 }
--- a/internal/proxy/prune.go
+++ b/internal/proxy/network/prune.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
@@ -35,7 +35,7 @@
 	if next.Name != watched.name {
 		*watched = neighbor{name: next.Name}
 	}
-	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
+	limited, cancel := context.WithTimeout(ctx, MemberAnswerLimit)
 	defer cancel()
 	if _, err := n.ports.Peers.Ask(limited, next.Address, relay.Question{}); err == nil {
 		watched.silent = 0
@@ -45,10 +45,10 @@
 	if watched.silent < pruneAfter {
 		return
 	}
-	limited, cancel = context.WithTimeout(ctx, storeCallLimit)
+	limited, cancel = context.WithTimeout(ctx, StoreCallLimit)
 	defer cancel()
 	err := n.ports.Store.Delete(limited, n.options.Kinds.Members, next.Name, next.Revision)
-	n.log.Write(eventlog.MemberRemoved, zap.String("member", next.Name), zap.Int("silent", watched.silent), zap.Error(err))
+	n.Log.Write(eventlog.MemberRemoved, zap.String("member", next.Name), zap.Int("silent", watched.silent), zap.Error(err))
 	if err == nil || objectstore.OutcomeOf(err) == objectstore.NotFound {
 		n.forgetMember(next.Name)
 	}
@@ -57,7 +57,7 @@
 // nextMember returns the member after this node in the order of names, which is
 // a ring.
 func (n *Network) nextMember() (Member, bool) {
-	known := n.members.Load()
+	known := n.Members.Load()
 	if known == nil || len(*known) == 0 || n.ports.Peers == nil {
 		return Member{}, false
 	}
@@ -72,8 +72,8 @@
 
 // forgetMember drops a member until the next listing.
 func (n *Network) forgetMember(name string) {
-	known := n.members.Load()
+	known := n.Members.Load()
 	kept := slices.DeleteFunc(slices.Clone(*known), func(member Member) bool { return member.Name == name })
-	n.members.CompareAndSwap(known, &kept)
+	n.Members.CompareAndSwap(known, &kept)
 	n.duties.MembersChanged()
 }
--- a/internal/proxy/reachability.go
+++ b/internal/proxy/network/reachability.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
@@ -21,7 +21,7 @@
 	storeProbePause = time.Second
 )
 
-// reachability is what a node has lately heard of other nodes and of the store. It is
+// Reachability is what a node has lately heard of other nodes and of the store. It is
 // safe for concurrent use.
 type reachability struct {
 	mu sync.Mutex
@@ -63,26 +63,26 @@
 	r.storeFailed = now
 }
 
-// serverSigns is what a node has lately heard of database servers.
-type serverSigns struct {
-	// silent counts the servers that owe an answer.
-	silent int
-	// heard is when any server last answered.
-	heard time.Time
+// ServerSigns is what a node has lately heard of database servers.
+type ServerSigns struct {
+	// Silent counts the servers that owe an answer.
+	Silent int
+	// Heard is when any server last answered.
+	Heard time.Time
 }
 
-// look decides whether the node, which knows some others, is degraded. It asks for a
+// Look decides whether the node, which knows some others, is degraded. It asks for a
 // call to the store if only the store's word is missing.
-func (r *reachability) look(now time.Time, others int, servers serverSigns) (degraded, changed, probe bool) {
+func (r *reachability) Look(now time.Time, others int, servers ServerSigns) (degraded, changed, probe bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.degraded
 	if r.degraded {
-		r.degraded = !r.peerHeard.After(r.since) && !r.storeHeard.After(r.since) && !servers.heard.After(r.since)
+		r.degraded = !r.peerHeard.After(r.since) && !r.storeHeard.After(r.since) && !servers.Heard.After(r.since)
 	} else {
 		silence := now.Add(-degradedAfter)
 		silent := others > 0 && len(r.silentPeers) >= min(degradedPeers, others) && r.peerHeard.Before(silence) &&
-			servers.silent > 0 && servers.heard.Before(silence) && r.storeHeard.Before(silence)
+			servers.Silent > 0 && servers.Heard.Before(silence) && r.storeHeard.Before(silence)
 		if silent && r.storeFailed.After(r.storeHeard) && r.storeFailed.After(r.peerHeard) {
 			r.degraded, r.since = true, now
 		} else if silent && now.Sub(r.storeProbed) > storeProbePause {
@@ -96,12 +96,12 @@
 // connection has answered as far as this node's link is concerned.
 func (n *Network) peerAnswered(address string, err error) {
 	heard := err == nil || errors.Is(err, syscall.ECONNREFUSED)
-	n.reachability.peer(address, heard, time.Now())
-	n.silentMembers.note(address, err != nil)
+	n.Reachability.peer(address, heard, time.Now())
+	n.SilentMembers.note(address, err != nil)
 }
 
-// probeStore makes a cheap call, whose outcome tells whether the store is reached.
-func (n *Network) probeStore() {
+// ProbeStore makes a cheap call, whose outcome tells whether the store is reached.
+func (n *Network) ProbeStore() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeProbePause)
 	defer cancel()
 	// The outcome is noted on the way, by meteredStore.
@@ -122,8 +122,8 @@
 	s.since.Delete(address)
 }
 
-// lately reports whether a node was silent a short while ago.
-func (s *silences) lately(address string, now time.Time) bool {
+// Lately reports whether a node was silent a short while ago.
+func (s *silences) Lately(address string, now time.Time) bool {
 	since, found := s.since.Load(address)
 	return found && now.Sub(since.(time.Time)) < silentSpan
 }
--- a/internal/proxy/reachability_test.go
+++ b/internal/proxy/network/reachability_test.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"fmt"
@@ -19,11 +19,11 @@
 		}
 	}
 	const late = 2 * time.Second
-	silent := serverSigns{silent: 1, heard: start}
+	silent := ServerSigns{Silent: 1, Heard: start}
 	for _, c := range []struct {
 		name     string
 		prepare  func(r *reachability)
-		servers  serverSigns
+		servers  ServerSigns
 		degraded bool
 		probe    bool
 	}{
@@ -36,33 +36,33 @@
 		}, silent, false, false},
 		{"the store answers", func(r *reachability) { silentPeers(r, degradedPeers); r.store(true, at(time.Second)) }, silent, false, false},
 		{"the store was not asked", func(r *reachability) { silentPeers(r, degradedPeers) }, silent, false, true},
-		{"no server owes an answer", func(r *reachability) { silentPeers(r, degradedPeers); r.store(false, at(time.Second)) }, serverSigns{heard: start}, false, false},
-		{"a server answers", func(r *reachability) { silentPeers(r, degradedPeers); r.store(false, at(time.Second)) }, serverSigns{silent: 1, heard: at(time.Second)}, false, false},
+		{"no server owes an answer", func(r *reachability) { silentPeers(r, degradedPeers); r.store(false, at(time.Second)) }, ServerSigns{Heard: start}, false, false},
+		{"a server answers", func(r *reachability) { silentPeers(r, degradedPeers); r.store(false, at(time.Second)) }, ServerSigns{Silent: 1, Heard: at(time.Second)}, false, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := newReachability(start)
 			c.prepare(r)
-			degraded, changed, probe := r.look(at(late), degradedPeers, c.servers)
+			degraded, changed, probe := r.Look(at(late), degradedPeers, c.servers)
 			must.Eq(t, c.degraded, degraded)
 			must.Eq(t, c.degraded, changed)
 			must.Eq(t, c.probe, probe)
 		})
 	}
-	for name, sign := range map[string]func(r *reachability) serverSigns{
-		"node":   func(r *reachability) serverSigns { r.peer("x", true, at(3*time.Second)); return silent },
-		"store":  func(r *reachability) serverSigns { r.store(true, at(3*time.Second)); return silent },
-		"server": func(*reachability) serverSigns { return serverSigns{silent: 1, heard: at(3 * time.Second)} },
+	for name, sign := range map[string]func(r *reachability) ServerSigns{
+		"node":   func(r *reachability) ServerSigns { r.peer("x", true, at(3*time.Second)); return silent },
+		"store":  func(r *reachability) ServerSigns { r.store(true, at(3*time.Second)); return silent },
+		"server": func(*reachability) ServerSigns { return ServerSigns{Silent: 1, Heard: at(3 * time.Second)} },
 	} {
 		t.Run("any sign ends it: "+name, func(t *testing.T) {
 			r := newReachability(start)
 			silentPeers(r, degradedPeers)
 			r.store(false, at(time.Second))
-			degraded, _, _ := r.look(at(late), degradedPeers, silent)
+			degraded, _, _ := r.Look(at(late), degradedPeers, silent)
 			must.True(t, degraded)
-			degraded, changed, _ := r.look(at(2500*time.Millisecond), degradedPeers, silent)
+			degraded, changed, _ := r.Look(at(2500*time.Millisecond), degradedPeers, silent)
 			must.True(t, degraded)
 			must.False(t, changed)
-			degraded, changed, _ = r.look(at(4*time.Second), degradedPeers, sign(r))
+			degraded, changed, _ = r.Look(at(4*time.Second), degradedPeers, sign(r))
 			must.False(t, degraded)
 			must.True(t, changed)
 		})
--- a/internal/proxy/readers.go
+++ b/internal/proxy/network/readers.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
@@ -55,7 +55,7 @@
 
 // readers returns the present readers; nil if all nodes watch the store.
 func (n *Network) readers() *readerSet {
-	members := n.members.Load()
+	members := n.Members.Load()
 	if members == nil || n.ports.Peers == nil || len(*members)+1 < readersFrom {
 		return nil
 	}
@@ -89,7 +89,7 @@
 				set.reads = true
 				continue
 			}
-			tier := n.zoneDistance(n.options.Zone, zone)
+			tier := n.ZoneDistance(n.options.Zone, zone)
 			tiers[tier] = append(tiers[tier], placement.Candidate{ID: name})
 		}
 	}
@@ -103,8 +103,8 @@
 	return set
 }
 
-// zoneDistance is 0 for the same zone, 1 for another of its region, 2 for the rest.
-func (n *Network) zoneDistance(from, to string) int {
+// ZoneDistance is 0 for the same zone, 1 for another of its region, 2 for the rest.
+func (n *Network) ZoneDistance(from, to string) int {
 	switch {
 	case from == to:
 		return 0
@@ -144,7 +144,7 @@
 // List implements objectstore.ReaderSource. Few are asked, and for a short while only: a
 // node that starts after a loss of all finds nobody who knows anything.
 func (s *storeReaders) List(ctx context.Context, kind string) ([]objectstore.Object, uint64, error) {
-	s.node.awaitMembers(time.Now().Add(firstMembersWait))
+	s.node.AwaitMembers(time.Now().Add(firstMembersWait))
 	rounds := 1
 	if s.node.firstStart.Load() {
 		// Nobody waits for a fleet that starts for the first time, and its readers need a
@@ -206,7 +206,7 @@
 func (s *storeReaders) succeeded() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.patience = memberAnswerLimit
+	s.patience = MemberAnswerLimit
 }
 
 func (s *storeReaders) failed() {
--- a/internal/proxy/seeds.go
+++ b/internal/proxy/network/seeds.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 func (n *Network) findMembers(ctx context.Context) {
 	limit := firstListLimit
 	for ctx.Err() == nil {
-		if own, err := n.listMembers(ctx, limit); err == nil {
+		if own, err := n.ListMembers(ctx, limit); err == nil {
 			if own == nil {
 				n.firstStart.Store(true)
 				n.duties.TakeShare(false, time.Now())
@@ -40,7 +40,7 @@
 			n.settled()
 			return
 		}
-		limit = storeCallLimit
+		limit = StoreCallLimit
 		n.waitAbout(ctx, firstMemberRetry)
 	}
 }
@@ -57,7 +57,7 @@
 			seeds = append(seeds, Member{Address: address})
 		}
 	}
-	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
+	limited, cancel := context.WithTimeout(ctx, MemberAnswerLimit)
 	defer cancel()
 	var most []objectstore.Object
 	for _, answer := range n.gather(limited, seeds, relay.Question{Kind: n.options.Kinds.Members}, answerGrace) {
@@ -74,12 +74,12 @@
 
 // memberList answers a question for the members, this node among them.
 func (n *Network) memberList() relay.Answer {
-	known := n.members.Load()
+	known := n.Members.Load()
 	if known == nil {
 		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
 	}
 	var answer relay.Answer
-	for _, member := range append([]Member{n.ownMember()}, *known...) {
+	for _, member := range append([]Member{n.OwnMember()}, *known...) {
 		content, err := json.Marshal(member)
 		if err != nil {
 			continue
--- a/internal/proxy/sources.go
+++ b/internal/proxy/network/sources.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"cmp"
@@ -21,8 +21,8 @@
 	// farSources how many of any: a zone may be cut off as a whole.
 	nearSources = 2
 	farSources  = 1
-	// memberAnswerLimit bounds the wait for other nodes' answers.
-	memberAnswerLimit = 400 * time.Millisecond
+	// MemberAnswerLimit bounds the wait for other nodes' answers.
+	MemberAnswerLimit = 400 * time.Millisecond
 	// stalledLimit is how long an answer that has begun may stand still: packets wait up
 	// to half a second on a full link, and one that is lost is sent again after 0.2 s or more.
 	stalledLimit = time.Second
@@ -41,12 +41,12 @@
 // ask asks some nodes how much they know, and the one that knows most for it: an
 // answer may be a whole listing, of which one is enough.
 func (o *otherNodes) ask(ctx context.Context, question relay.Question) ([]objectstore.Object, uint64, error) {
-	o.node.awaitMembers(time.Now().Add(memberAnswerLimit))
+	o.node.AwaitMembers(time.Now().Add(MemberAnswerLimit))
 	best, found := o.newest(ctx, question.Kind)
 	if !found || (question.Changes && best.Revision <= question.After) {
 		return nil, 0, &objectstore.Error{Outcome: objectstore.NotDone, Detail: "no other node knows more"}
 	}
-	answer, err := o.node.askObjects(ctx, best.from, question, memberAnswerLimit)
+	answer, err := o.node.askObjects(ctx, best.From, question, MemberAnswerLimit)
 	if err != nil {
 		return nil, 0, &objectstore.Error{Outcome: objectstore.NotDone, Detail: err.Error()}
 	}
@@ -56,9 +56,9 @@
 // sources returns the nodes to ask, nearest first: listings are large, and bytes
 // between regions are dear.
 func (n *Network) sources() []Member {
-	members := n.someMembers(math.MaxInt)
+	members := n.SomeMembers(math.MaxInt)
 	slices.SortStableFunc(members, func(a, b Member) int {
-		return cmp.Compare(n.zoneDistance(n.options.Zone, a.Zone), n.zoneDistance(n.options.Zone, b.Zone))
+		return cmp.Compare(n.ZoneDistance(n.options.Zone, a.Zone), n.ZoneDistance(n.options.Zone, b.Zone))
 	})
 	if len(members) <= nearSources+farSources {
 		return members
@@ -69,16 +69,16 @@
 
 // newest returns the answer of the node that knows most of a kind, the nearest of
 // those that know as much.
-func (o *otherNodes) newest(ctx context.Context, kind string) (memberAnswer, bool) {
-	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
+func (o *otherNodes) newest(ctx context.Context, kind string) (MemberAnswer, bool) {
+	limited, cancel := context.WithTimeout(ctx, MemberAnswerLimit)
 	defer cancel()
 	sources := o.node.sources()
 	answers := o.node.gather(limited, sources, relay.Question{Kind: kind, Peek: true}, answerGrace)
-	var best memberAnswer
+	var best MemberAnswer
 	found := false
 	for _, source := range sources {
 		for _, answer := range answers {
-			if answer.from == source.Address && !answer.Failed && (!found || answer.Revision > best.Revision) {
+			if answer.From == source.Address && !answer.Failed && (!found || answer.Revision > best.Revision) {
 				best, found = answer, true
 			}
 		}
--- a/internal/proxy/sources_test.go
+++ b/internal/proxy/network/sources_test.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
--- a/internal/proxy/transfer_test.go
+++ b/internal/proxy/network/transfer_test.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"bytes"
@@ -82,7 +82,7 @@
 				return nil
 			}
 			node := listedNetwork(nil, source)
-			defer node.log.Close()
+			defer node.Log.Close()
 			var fetched objectstore.Object
 			err := net.ErrClosed
 			for attempts := 0; err != nil; attempts++ {
@@ -102,7 +102,7 @@
 	bubbletest.Test(t, func(t *testing.T) {
 		source, wanted := newPieceSource(incompressible(4))
 		node := listedNetwork(nil, source)
-		defer node.log.Close()
+		defer node.Log.Close()
 		source.turned = map[int]bool{2: true, 3: true}
 		began := time.Now()
 		_, err := node.transfers.fetch(t.Context(), "a1", "kind", &wanted)
@@ -122,7 +122,7 @@
 		object := incompressible(4)
 		source, wanted := newPieceSource(object)
 		node := listedNetwork(nil, source)
-		defer node.log.Close()
+		defer node.Log.Close()
 		source.fails = func(question int) error {
 			if question == 3 {
 				return net.ErrClosed
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -1,10 +1,12 @@
-// Package proxy is the node's runtime: it accepts sessions, runs their commands
-// on database servers and keeps what is known of the servers up to date.
+// Package proxy is the node's runtime for callers: it accepts sessions, runs their commands
+// on database servers, and bounds what tenants do.
 //
-// Decisions are made by pure packages (routing, freshness, failover); this
-// package carries them out. Outside systems are reached through ports: callers
-// (Client), servers (upstream.Dialer), the durable store (objectstore.Store)
-// and the platform's promotions (Promoter).
+// A request's way is session.go (who asks, what is bound), quotas.go (may it run now),
+// read.go, write.go and transaction.go (what it needs and where it may run), run.go (a place
+// there, the attempt and its outcome) and comeback.go (when a refused caller returns). What
+// it goes by is kept by package backends, and below that by package network. Outside systems
+// are reached through ports: callers (Client), servers (upstream.Dialer), the durable store
+// (objectstore.Store) and the platform's promotions (backends.Promoter).
 package proxy
 
 import (
@@ -16,8 +18,10 @@
 
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/objectstore"
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/tenure"
@@ -92,17 +96,17 @@
 	// than RevocationBound which keys are in force.
 	StrictRevocation bool
 	RevocationBound  time.Duration
-	Kinds            Kinds
+	Kinds            network.Kinds
 }
 
 // Ports are the node's ways to the outside.
 type Ports struct {
 	Store    objectstore.Store
 	Dialer   upstream.Dialer
-	Promoter Promoter
-	Decoder  Decoder
+	Promoter backends.Promoter
+	Decoder  network.Decoder
 	// Peers asks other nodes.
-	Peers Peers
+	Peers network.Peers
 	// Messages carries the messages of the agreement; nil if nodes do not agree.
 	Messages tenure.Sender
 	// Tokens carries the messages about tenants' tokens; nil if there are no quotas.
@@ -113,12 +117,12 @@
 	Client func(net.Conn) Client
 	// Trace, if not nil, begins the trace of a service's failover machine, whose
 	// takeovers are delayed by a rank.
-	Trace func(service string, rank time.Duration) FailoverTrace
+	Trace func(service string, rank time.Duration) backends.FailoverTrace
 }
 
 // Node is a running node.
 type Node struct {
-	*Backends
+	*backends.Backends
 	options Options
 	ports   Ports
 	log     *eventlog.Log
@@ -144,20 +148,20 @@
 		options: options, ports: ports, log: log, catalog: catalog.New(options.DrainBound), started: time.Now(),
 	}
 	node.metrics = newMetrics(node)
-	metered := &meteredStore{Store: ports.Store, calls: node.metrics.storeCalls}
-	ways := NetworkPorts{Store: metered, Decoder: ports.Decoder, Peers: ports.Peers}
-	metered.node = NewNetwork(networkOptions(&options), ways, duties{node}, node.catalog, node.started, log)
-	node.Backends = NewBackends(backendOptions(&options), BackendPorts{
-		NetworkPorts: ways, Dialer: ports.Dialer, Promoter: ports.Promoter, Messages: ports.Messages,
+	metered := &network.MeteredStore{Store: ports.Store, Calls: node.metrics.storeCalls}
+	ways := network.Ports{Store: metered, Decoder: ports.Decoder, Peers: ports.Peers}
+	metered.Node = network.New(networkOptions(&options), ways, duties{node}, node.catalog, node.started, log)
+	node.Backends = backends.New(backendOptions(&options), backends.Ports{
+		Ports: ways, Dialer: ports.Dialer, Promoter: ports.Promoter, Messages: ports.Messages,
 		Connect: ports.Connect, Trace: ports.Trace,
-	}, metered.node, node.lookAtOneself)
+	}, metered.Node, node.lookAtOneself)
 	node.metrics.register(node.Collectors()...)
 	node.quotas = node.newQuotas()
 	return node
 }
 
-func networkOptions(options *Options) NetworkOptions {
-	return NetworkOptions{
+func networkOptions(options *Options) network.Options {
+	return network.Options{
 		Name: options.Name, Zone: options.Zone, PeerAddress: options.PeerAddress,
 		MessageAddress: options.MessageAddress, TokenAddress: options.TokenAddress,
 		Seeds: options.Seeds, Regions: options.Regions,
@@ -166,8 +170,8 @@
 	}
 }
 
-func backendOptions(options *Options) BackendOptions {
-	return BackendOptions{
+func backendOptions(options *Options) backends.Options {
+	return backends.Options{
 		Name: options.Name, Zone: options.Zone, Life: options.Life, Regions: options.Regions, DrainBound: options.DrainBound,
 		Agreed: options.Agreed, MessageAddress: options.MessageAddress, Kinds: options.Kinds,
 	}
@@ -184,19 +188,19 @@
 func (n *Node) Run(ctx context.Context, listener net.Listener) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	n.follow(background)
-	n.run(background)
+	n.Follow(background)
+	n.Backends.Run(background)
 	go n.accept(listener)
 	<-ctx.Done()
 	n.stop(listener)
-	n.close()
+	n.Backends.Close()
 	return nil
 }
 
 // Ready reports whether the node wants new callers.
 func (n *Node) Ready() bool {
 	snapshot := n.catalog.Current()
-	return !n.stopping.Load() && !n.secluded() && complete(snapshot)
+	return !n.Stopping.Load() && !n.secluded() && backends.Complete(snapshot)
 }
 
 func (n *Node) accept(listener net.Listener) {
--- a/internal/proxy/quotas.go
+++ b/internal/proxy/quotas.go
@@ -10,7 +10,9 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/failure"
 	"dewknot/internal/base/placement"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/upstream"
 )
@@ -23,7 +25,7 @@
 	banksRanked = 3
 	// joinPause is how long a node that is new to the fleet has no share of its own: by
 	// then all others have looked at the members again, and count it.
-	joinPause = 3 * memberLook / 2
+	joinPause = 3 * network.MemberLook / 2
 	// tokenShare is the part of the latency objective for which an operation may wait for a
 	// token; the rest is for what it asks.
 	tokenShare = 0.6
@@ -35,7 +37,7 @@
 		return nil
 	}
 	return quota.NewKeeper(quota.Config{
-		Node: n.options.Name, Address: n.options.TokenAddress, Life: lifeNumber(n.options.Life), Started: n.started, Limits: n.limitOf,
+		Node: n.options.Name, Address: n.options.TokenAddress, Life: backends.LifeNumber(n.options.Life), Started: n.started, Limits: n.limitOf,
 	}, n.ports.Tokens)
 }
 
@@ -76,13 +78,13 @@
 
 // fleetChanged tells the quotas who the other nodes are.
 func (n *Node) fleetChanged() {
-	known := n.members.Load()
+	known := n.Members.Load()
 	if n.quotas == nil || known == nil {
 		return
 	}
-	own := n.ownMember()
-	byRegion := map[string][]Member{}
-	for _, member := range append([]Member{own}, *known...) {
+	own := n.OwnMember()
+	byRegion := map[string][]network.Member{}
+	for _, member := range append([]network.Member{own}, *known...) {
 		region := n.options.Regions[member.Zone]
 		byRegion[region] = append(byRegion[region], member)
 	}
@@ -107,7 +109,7 @@
 }
 
 // banksOf ranks the nodes of a region that may be its banks, by part of the tenants.
-func banksOf(members []Member) quota.Region {
+func banksOf(members []network.Member) quota.Region {
 	addresses := map[string]string{}
 	var candidates []placement.Candidate
 	for _, member := range members {
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -6,6 +6,7 @@
 
 	"dewknot/internal/base/failure"
 	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/routing"
@@ -30,7 +31,7 @@
 }
 
 // provenRead makes one attempt on a connection to the primary.
-func (r *run) provenRead(target *server, lease *upstream.Lease) (Reply, bool) {
+func (r *run) provenRead(target *backends.Server, lease *upstream.Lease) (Reply, bool) {
 	deadline := r.readDeadline(target)
 	operations := append(lease.Adapt(r.session.values, r.statement), upstream.Operation{Kind: upstream.Begin})
 	batch := lease.Run(operations, deadline)
@@ -39,7 +40,7 @@
 		return Reply{}, false
 	}
 	begin := batch.Last()
-	if !r.service.judgeBegin(target, begin) {
+	if !r.service.JudgeBegin(target, begin) {
 		lease.Settle(begin)
 		if r.starved(target, begin) {
 			return r.refuse(failure.Overloaded), true
@@ -47,8 +48,8 @@
 		r.notRun(target, begin)
 		return Reply{}, false
 	}
-	if r.service.covered(r.held, time.Now()) {
-		r.service.proved(target, batch.SentAt, begin)
+	if r.service.Covered(r.held, time.Now()) {
+		r.service.Proved(target, batch.SentAt, begin)
 	}
 	if !r.enter(target, lease, admission.OnlyHere) {
 		lease.RollBack()
@@ -72,18 +73,18 @@
 		return Reply{}, false
 	}
 	if result.Outcome == upstream.Succeeded {
-		if !r.service.confirmed(r.held, arrived, r.deadline) {
+		if !r.service.Confirmed(r.held, arrived, r.deadline) {
 			r.noAnswer()
 			return Reply{}, false
 		}
-		r.service.proved(target, batch.SentAt, result)
+		r.service.Proved(target, batch.SentAt, result)
 	}
 	return r.answer(result), true
 }
 
 // slotDeadline is when a read that takes a slot, and has not been answered, is asked
 // elsewhere. At an owner the wait for the slot comes on top.
-func (r *run) slotDeadline(target *server, lease *upstream.Lease) time.Time {
+func (r *run) slotDeadline(target *backends.Server, lease *upstream.Lease) time.Time {
 	deadline := r.readDeadline(target)
 	if !lease.Remote() {
 		return deadline
@@ -95,9 +96,9 @@
 }
 
 // readDeadline is when a read that has not been answered is asked elsewhere.
-func (r *run) readDeadline(target *server) time.Time {
+func (r *run) readDeadline(target *backends.Server) time.Time {
 	now := time.Now()
-	patience := max(silentRead, slowFactor*target.stats.Latency(now))
+	patience := max(silentRead, slowFactor*target.Stats.Latency(now))
 	if limit := now.Add(patience); limit.Before(r.deadline) {
 		return limit
 	}
@@ -128,7 +129,7 @@
 		result := batch.Last()
 		lease.Settle(result)
 		if !result.Outcome.NotRun() {
-			target.stats.CaughtUp(time.Now(), floor.Since)
+			target.Stats.CaughtUp(time.Now(), floor.Since)
 			return r.answer(result)
 		}
 		if result.Outcome == upstream.Busy && r.overloaded() || r.starved(target, result) {
@@ -141,14 +142,14 @@
 
 // onAnyServer lends a connection to the best server for what must be seen; nil
 // if there is none in time.
-func (r *run) onAnyServer() (*server, *upstream.Lease, freshness.Floor) {
+func (r *run) onAnyServer() (*backends.Server, *upstream.Lease, freshness.Floor) {
 	for r.goesOn() {
 		floor, found := r.floor()
-		if r.session.node.degraded.Load() || (!found && r.session.node.secluded()) {
+		if r.session.node.Degraded.Load() || (!found && r.session.node.secluded()) {
 			break
 		}
 		if !found {
-			r.service.refreshProof(r.deadline)
+			r.service.RefreshProof(r.deadline)
 			continue
 		}
 		r.session.account.floor = floor
@@ -157,7 +158,7 @@
 			r.pause(behindPause)
 			continue
 		}
-		lease, err := r.session.node.lend(target, r.session.principal, r.connectionDeadline())
+		lease, err := r.session.node.Lend(target, r.session.principal, r.connectionDeadline())
 		if err == nil {
 			return target, lease, floor
 		}
@@ -169,27 +170,27 @@
 	return nil, nil, freshness.Floor{}
 }
 
-func (r *run) readNotRun(target *server, result *upstream.Result, floor freshness.Floor) {
+func (r *run) readNotRun(target *backends.Server, result *upstream.Result, floor freshness.Floor) {
 	now := time.Now()
 	switch result.Outcome {
 	case upstream.Busy:
-		target.stats.Busied(now.Add(busyLife))
+		target.Stats.Busied(now.Add(busyLife))
 	case upstream.Behind:
-		target.stats.Lagged(now, floor.Since)
+		target.Stats.Lagged(now, floor.Since)
 	default:
 	}
-	if r.tried[target.id] {
+	if r.tried[target.ID] {
 		r.fruitless++
 		r.pause(min(behindPause<<r.fruitless, longestPause))
 	}
 	r.markTried(target)
 }
 
-func (r *run) markTried(target *server) {
+func (r *run) markTried(target *backends.Server) {
 	if r.tried == nil {
 		r.tried = map[string]bool{}
 	}
-	r.tried[target.id] = true
+	r.tried[target.ID] = true
 }
 
 // proofRefreshShare is the part of the staleness bound after which a new proof
@@ -203,26 +204,26 @@
 func (r *run) floor() (freshness.Floor, bool) {
 	span := r.session.bound.MaxStaleness - stalenessMargin
 	now := time.Now()
-	if age := now.Sub(r.service.proofs.Newest().At); age > time.Duration(proofRefreshShare*float64(span)) {
-		go r.service.refreshProof(now.Add(proofLimit))
+	if age := now.Sub(r.service.Proofs.Newest().At); age > time.Duration(proofRefreshShare*float64(span)) {
+		go r.service.RefreshProof(now.Add(backends.ProofLimit))
 	}
 	var own freshness.OwnCommit
 	if r.session.bound.Freshness == catalog.ReadYourWrites {
 		own = r.session.own
 	}
-	return r.service.proofs.Floor(now, span, own)
+	return r.service.Proofs.Floor(now, span, own)
 }
 
 // choose returns the server to run the read; nil if there is none.
-func (r *run) choose(floor freshness.Floor) *server {
+func (r *run) choose(floor freshness.Floor) *backends.Server {
 	now := time.Now()
 	node := r.session.node
-	leader := r.service.belief.Leader()
-	var servers []*server
+	leader := r.service.Belief.Leader()
+	var servers []*backends.Server
 	var candidates []routing.Candidate
-	for _, entry := range node.catalog.Current().ByService[r.service.name] {
-		target := node.server(entry.ID)
-		if target == nil || !r.service.usable(entry.ID, now) {
+	for _, entry := range node.catalog.Current().ByService[r.service.Name] {
+		target := node.Server(entry.ID)
+		if target == nil || !r.service.Usable(entry.ID, now) {
 			continue
 		}
 		servers = append(servers, target)
@@ -230,9 +231,9 @@
 			SameZone:   entry.Zone == node.options.Zone,
 			SameRegion: node.options.Regions[entry.Zone] == node.options.Regions[node.options.Zone],
 			Primary:    entry.ID == leader,
-			Latency:    target.stats.Latency(now), InFlight: target.load(),
-			Covers:  target.stats.Covers(floor.Position, floor.Since, now),
-			Avoided: target.stats.Avoided(now), Congested: target.stats.Congested(now),
+			Latency:    target.Stats.Latency(now), InFlight: target.Load(),
+			Covers:  target.Stats.Covers(floor.Position, floor.Since, now),
+			Avoided: target.Stats.Avoided(now), Congested: target.Stats.Congested(now),
 			Leaving: entry.Leaving(), Tried: r.tried[entry.ID],
 		})
 	}
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/command"
 	"dewknot/internal/proxy/freshness"
 )
@@ -22,8 +23,8 @@
 }
 
 // tried notes an attempt on a server.
-func (a *account) tried(target *server, primary bool) {
-	a.server, a.primary = target.id, primary
+func (a *account) tried(target *backends.Server, primary bool) {
+	a.server, a.primary = target.ID, primary
 	a.attempts++
 }
 
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -7,6 +7,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/failure"
 	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/command"
 	"dewknot/internal/proxy/quorum"
 	"dewknot/internal/proxy/quota"
@@ -41,7 +42,7 @@
 // run is one statement on its way.
 type run struct {
 	session   *session
-	service   *service
+	service   *backends.Service
 	statement *command.Statement
 	arrived   time.Time
 	deadline  time.Time
@@ -64,8 +65,8 @@
 }
 
 func (s *session) newRun(statement *command.Statement, arrived time.Time) *run {
-	service := s.node.service(s.bound.Service)
-	service.used(arrived)
+	service := s.node.Service(s.bound.Service)
+	service.Used(arrived)
 	return &run{
 		session: s, service: service, statement: statement,
 		arrived: arrived, deadline: arrived.Add(s.bound.StatementTimeout - answerMargin),
@@ -93,7 +94,7 @@
 // enter waits for leave to run on a server. Work of an open transaction may
 // wait until the statement's deadline, new work until it counts as refused for
 // overload.
-func (r *run) enter(target *server, lease *upstream.Lease, class admission.Class) bool {
+func (r *run) enter(target *backends.Server, lease *upstream.Lease, class admission.Class) bool {
 	if r.overload.IsZero() {
 		r.overload = time.Now().Add(time.Duration(overloadShare * float64(r.session.bound.TargetLatency)))
 	}
@@ -105,16 +106,16 @@
 		Class: class, Priority: r.session.bound.Priority, Arrived: r.arrived, Principal: string(r.session.principal), Holds: true,
 	}
 	if !lease.Remote() {
-		if class != admission.Continuation && r.hopeless(target.gate.Wait(place)) {
+		if class != admission.Continuation && r.hopeless(target.Gate.Wait(place)) {
 			return false
 		}
-		return target.gate.Enter(place, deadline)
+		return target.Gate.Enter(place, deadline)
 	}
 	if session, queues := lease.Connection.(queuer); queues {
 		now := time.Now()
 		session.Queue(remote.Ticket{Class: class, Priority: place.Priority, Age: now.Sub(r.arrived), Wait: deadline.Sub(now)})
 	}
-	target.remote.Add(1)
+	target.Remote.Add(1)
 	return true
 }
 
@@ -124,19 +125,19 @@
 }
 
 // leave ends work that was let in.
-func (r *run) leave(target *server, lease *upstream.Lease, batch *upstream.Batch, result *upstream.Result) {
-	r.session.account.tried(target, target.id == r.service.belief.Leader())
+func (r *run) leave(target *backends.Server, lease *upstream.Lease, batch *upstream.Batch, result *upstream.Result) {
+	r.session.account.tried(target, target.ID == r.service.Belief.Leader())
 	r.session.node.metrics.refused(result)
 	if lease.Remote() {
-		target.remote.Add(-1)
+		target.Remote.Add(-1)
 		return
 	}
-	target.gate.Leave(endOf(batch, result), time.Now())
+	target.Gate.Leave(backends.EndOf(batch, result), time.Now())
 }
 
 // starved reports whether new work has waited for a connection of the server's
 // owner as long as it may.
-func (r *run) starved(target *server, result *upstream.Result) bool {
+func (r *run) starved(target *backends.Server, result *upstream.Result) bool {
 	return result.Outcome == upstream.NoConnection && r.lacksConnections(target)
 }
 
@@ -176,12 +177,12 @@
 
 // awaitLeader waits a moment for a primary to be known.
 func (r *run) awaitLeader() {
-	changed := r.service.belief.Changed()
-	if r.service.leader(time.Now()) != nil {
-		r.pause(busyPause)
+	changed := r.service.Belief.Changed()
+	if r.service.Leader(time.Now()) != nil {
+		r.pause(backends.BusyPause)
 		return
 	}
-	wait := min(leaderPause, time.Until(r.deadline))
+	wait := min(backends.LeaderPause, time.Until(r.deadline))
 	if wait <= 0 {
 		return
 	}
@@ -195,21 +196,21 @@
 
 // onLeader lends a connection to the primary. If there is none in time, it
 // returns the reason: no primary can be reached, or its connections are in use.
-func (r *run) onLeader() (*server, *upstream.Lease, failure.Kind) {
+func (r *run) onLeader() (*backends.Server, *upstream.Lease, failure.Kind) {
 	for time.Now().Before(r.deadline) && !r.session.node.secluded() {
 		now := time.Now()
-		target := r.service.leader(now)
-		if target == nil || target.stats.Avoided(now) {
+		target := r.service.Leader(now)
+		if target == nil || target.Stats.Avoided(now) {
 			r.awaitLeader()
 			continue
 		}
-		held, holds := r.service.hold(target.id)
+		held, holds := r.service.Hold(target.ID)
 		if !holds {
 			r.awaitLeader()
 			continue
 		}
 		r.held = held
-		lease, err := r.session.node.lend(target, r.session.principal, r.connectionDeadline())
+		lease, err := r.session.node.Lend(target, r.session.principal, r.connectionDeadline())
 		if err == nil {
 			return target, lease, failure.None
 		}
@@ -223,14 +224,14 @@
 
 // lacksConnections reports whether new work has waited for a connection as long
 // as it may.
-func (r *run) lacksConnections(target *server) bool {
+func (r *run) lacksConnections(target *backends.Server) bool {
 	now := time.Now()
-	if target.stats.Unanswered(now) >= connectionWait {
+	if target.Stats.Unanswered(now) >= backends.ConnectionWait {
 		// The server says nothing at all: it is not overloaded, it is out of reach.
 		return false
 	}
 	share := overloadShare
-	if target.pool.Warming(now) {
+	if target.Pool.Warming(now) {
 		share = warmingShare
 	}
 	return now.Sub(r.arrived) >= time.Duration(share*float64(r.session.bound.TargetLatency))
@@ -244,7 +245,7 @@
 }
 
 func (r *run) connectionDeadline() time.Time {
-	if limit := time.Now().Add(connectionWait); limit.Before(r.deadline) {
+	if limit := time.Now().Add(backends.ConnectionWait); limit.Before(r.deadline) {
 		return limit
 	}
 	return r.deadline
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -71,7 +71,7 @@
 	s.node.awaitInformed(time.Now())
 	refusal := s.bind()
 	if refusal != nil && refusal.Kind == failure.UnknownKey {
-		s.node.seekNewer(time.Now())
+		s.node.SeekNewer(time.Now())
 		refusal = s.bind()
 	}
 	if refusal != nil {
@@ -98,7 +98,7 @@
 	if access == catalog.Denied {
 		return failure.New(failure.UnknownKey, "")
 	}
-	if access == catalog.Identified && !route.Public && s.node.keysUncertain(time.Now()) {
+	if access == catalog.Identified && !route.Public && s.node.KeysUncertain(time.Now()) {
 		return &failure.Error{Kind: failure.Isolated, Detail: "which keys are in force is not known", RetryAfter: spread(uncertainPause)}
 	}
 	s.bound, s.principal = route, upstream.Principal(tenant)
--- a/internal/proxy/start.go
+++ b/internal/proxy/start.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -14,15 +15,15 @@
 // awaitTenure holds a new session back until its service has a tenure, on a node that has
 // just started. Its statements would be refused, each after a wait.
 func (n *Node) awaitTenure(service string, principal upstream.Principal, now time.Time) {
-	if n.tenures == nil {
+	if n.Tenures == nil {
 		return
 	}
-	if view := n.tenures.View(service); view == nil || view.Tenure.Ballot == 0 {
-		s := n.service(service)
+	if view := n.Tenures.View(service); view == nil || view.Tenure.Ballot == 0 {
+		s := n.Service(service)
 		// This node looks at the service from now on: its holder may be lost.
-		s.used(now)
-		s.warm(principal)
-		n.tenures.AwaitFirst(service, now.Add(firstTenureLimit))
+		s.Used(now)
+		s.Warm(principal)
+		n.Tenures.AwaitFirst(service, now.Add(firstTenureLimit))
 		n.spread(now)
 	}
 }
@@ -31,13 +32,13 @@
 // configuration and the directory, which takes it a round trip or two. Its caller comes
 // back after a loss of all nodes: to refuse it would use up one of its few attempts.
 func (n *Node) awaitInformed(now time.Time) {
-	if complete(n.catalog.Current()) {
+	if backends.Complete(n.catalog.Current()) {
 		return
 	}
 	timer := time.NewTimer(time.Until(now.Add(startPatience)))
 	defer timer.Stop()
 	select {
-	case <-n.informed:
+	case <-n.Informed:
 	case <-timer.C:
 	}
 }
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -26,8 +26,8 @@
 // until callers are led elsewhere, then closes sessions as they become idle.
 func (n *Node) stop(listener net.Listener) {
 	began := time.Now()
-	n.stopping.Store(true)
-	n.owner.Leave()
+	n.Stopping.Store(true)
+	n.Owner.Leave()
 	if n.quotas != nil {
 		n.quotas.Leave()
 	}
@@ -38,7 +38,7 @@
 	time.Sleep(time.Until(part(routedAwayShare)))
 	n.closing.Store(true)
 	_ = listener.Close()
-	for (n.sessionCount.Load() > 0 || n.owner.Active() > 0) && time.Now().Before(part(exitShare)) {
+	for (n.sessionCount.Load() > 0 || n.Owner.Active() > 0) && time.Now().Before(part(exitShare)) {
 		if time.Now().After(part(abortShare)) {
 			n.aborting.Store(true)
 		}
@@ -46,7 +46,7 @@
 		time.Sleep(stopLook)
 	}
 	n.log.Write(eventlog.NodeStopped, zap.Int64("sessions", n.sessionCount.Load()),
-		zap.Int("others_sessions", int(n.owner.Active())), zap.Duration("took", time.Since(began)))
+		zap.Int("others_sessions", int(n.Owner.Active())), zap.Duration("took", time.Since(began)))
 }
 
 func (n *Node) interruptSessions() {
--- a/internal/proxy/tenant_metrics.go
+++ b/internal/proxy/tenant_metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/backends"
 )
 
 // shownTenants is how many tenants have series of their own: those that asked most since
@@ -37,7 +38,7 @@
 
 func newTenantCollector() *tenantCollector {
 	return &tenantCollector{commands: prometheus.NewDesc(
-		prometheus.BuildFQName(metricsNamespace, "", "tenant_commands_total"),
+		prometheus.BuildFQName(backends.MetricsNamespace, "", "tenant_commands_total"),
 		"Commands of the tenants that asked most, and of all others together, by outcome.", []string{"tenant", "outcome"}, nil,
 	)}
 }
--- a/internal/proxy/trace_test.go
+++ b/internal/proxy/trace_test.go
@@ -13,7 +13,7 @@
 
 	"dewknot/internal/base/bubbletest"
 	"dewknot/internal/lab/trace"
-	"dewknot/internal/proxy"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/failover"
 )
 
@@ -32,11 +32,11 @@
 }
 
 // of returns how one life of a node records its machines; nil if it does not.
-func (r *traceRecorder) of(node, life string) func(service string, rank time.Duration) proxy.FailoverTrace {
+func (r *traceRecorder) of(node, life string) func(service string, rank time.Duration) backends.FailoverTrace {
 	if r == nil {
 		return nil
 	}
-	return func(service string, rank time.Duration) proxy.FailoverTrace {
+	return func(service string, rank time.Duration) backends.FailoverTrace {
 		r.mutex.Lock()
 		defer r.mutex.Unlock()
 		content := &bytes.Buffer{}
@@ -54,7 +54,7 @@
 	writer   *trace.FailoverWriter
 }
 
-// Step implements proxy.FailoverTrace.
+// Step implements backends.FailoverTrace.
 func (l *lockedTrace) Step(at time.Duration, event failover.Event, effects []failover.Effect) {
 	l.recorder.mutex.Lock()
 	defer l.recorder.mutex.Unlock()
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -8,6 +8,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/failure"
 	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/command"
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/quorum"
@@ -19,7 +20,7 @@
 type transaction struct {
 	readOnly bool
 	// server and lease are set from the first statement on.
-	server *server
+	server *backends.Server
 	lease  *upstream.Lease
 	// proven is set if the server accepted the transaction as the primary, held is the
 	// tenure under which it was asked.
@@ -88,12 +89,12 @@
 		}
 		arrived := time.Now()
 		begin := batch.Last()
-		if r.service.judgeBegin(target, begin) {
-			if !r.service.confirmed(r.held, arrived, r.deadline) {
+		if r.service.JudgeBegin(target, begin) {
+			if !r.service.Confirmed(r.held, arrived, r.deadline) {
 				lease.RollBack()
 				continue
 			}
-			r.service.proved(target, batch.SentAt, begin)
+			r.service.Proved(target, batch.SentAt, begin)
 			t.server, t.lease, t.proven, t.held = target, lease, true, r.held
 			return Reply{}, true
 		}
@@ -121,7 +122,7 @@
 		}
 		begin := batch.Last()
 		if begin.Outcome == upstream.Succeeded {
-			target.stats.CaughtUp(time.Now(), floor.Since)
+			target.Stats.CaughtUp(time.Now(), floor.Since)
 			t.server, t.lease = target, lease
 			return Reply{}, true
 		}
@@ -162,25 +163,25 @@
 		r.leave(t.server, t.lease, &batch, batch.Last())
 		if batch.Err != nil {
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "statement"),
-				zap.String("server", t.server.id), zap.Error(batch.Err))
+				zap.String("server", t.server.ID), zap.Error(batch.Err))
 			return t.lost(r)
 		}
 		result := batch.Last()
 		switch {
 		case result.Outcome == upstream.Succeeded:
 			t.wrote = t.wrote || r.statement.Writes
-			if t.proven && r.service.covered(t.held, time.Now()) {
-				r.service.proved(t.server, batch.SentAt, result)
+			if t.proven && r.service.Covered(t.held, time.Now()) {
+				r.service.Proved(t.server, batch.SentAt, result)
 			}
 			return r.answer(result)
 		case result.Outcome == upstream.Busy && result.State == upstream.InTransaction,
 			result.Outcome == upstream.StatementMissing && result.State == upstream.InTransaction:
-			r.pause(busyPause)
+			r.pause(backends.BusyPause)
 		case result.Outcome.NotRun():
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "statement"),
-				zap.String("server", t.server.id), zap.Stringer("outcome", result.Outcome), zap.Uint8("state", uint8(result.State)))
+				zap.String("server", t.server.ID), zap.Stringer("outcome", result.Outcome), zap.Uint8("state", uint8(result.State)))
 			if result.Outcome == upstream.NotPrimary {
-				r.service.deny(t.server.id, time.Now())
+				r.service.Deny(t.server.ID, time.Now())
 			}
 			return t.refused(r)
 		default:
@@ -262,7 +263,7 @@
 		r.leave(t.server, t.lease, &batch, batch.Last())
 		if batch.Err != nil {
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", received.RequestID), zap.String("command", "commit"),
-				zap.String("server", t.server.id), zap.Error(batch.Err))
+				zap.String("server", t.server.ID), zap.Error(batch.Err))
 			wrote := t.wrote
 			reply := t.lost(r)
 			if wrote {
@@ -272,7 +273,7 @@
 		}
 		result := batch.Last()
 		if result.Outcome == upstream.Succeeded {
-			if t.wrote && !r.service.confirmed(t.held, arrived, r.deadline) {
+			if t.wrote && !r.service.Confirmed(t.held, arrived, r.deadline) {
 				t.lease.Settle(result)
 				t.lease = nil
 				return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
@@ -281,7 +282,7 @@
 			return r.answer(result)
 		}
 		if result.Outcome == upstream.Busy && result.State == upstream.InTransaction {
-			r.pause(busyPause)
+			r.pause(backends.BusyPause)
 			continue
 		}
 		if result.Outcome.NotRun() {
--- a/internal/proxy/write.go
+++ b/internal/proxy/write.go
@@ -8,6 +8,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/failure"
 	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/upstream"
 )
@@ -31,17 +32,17 @@
 		if batch.Err != nil {
 			lease.Discard()
 			r.log().Write(eventlog.AttemptFailed, zap.String("request", r.statement.RequestID), zap.String("command", "write"),
-				zap.String("server", target.id), zap.Error(batch.Err))
+				zap.String("server", target.ID), zap.Error(batch.Err))
 			return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
 		}
 		result := batch.Last()
 		lease.Settle(result)
 		if !result.Outcome.NotRun() {
 			if result.Outcome == upstream.Succeeded {
-				if !r.service.confirmed(r.held, arrived, r.deadline) {
+				if !r.service.Confirmed(r.held, arrived, r.deadline) {
 					return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
 				}
-				r.service.proved(target, batch.SentAt, result)
+				r.service.Proved(target, batch.SentAt, result)
 				r.session.own = freshness.OwnCommit{At: time.Now(), Position: result.Position}
 			}
 			return r.answer(result)
@@ -56,16 +57,16 @@
 
 // notRun takes an answer which promises that the statement did not run, and
 // waits where the next attempt would meet the same.
-func (r *run) notRun(target *server, result *upstream.Result) {
+func (r *run) notRun(target *backends.Server, result *upstream.Result) {
 	now := time.Now()
 	switch result.Outcome {
 	case upstream.Busy:
-		target.stats.Busied(now.Add(busyLife))
-		r.pause(busyPause)
+		target.Stats.Busied(now.Add(busyLife))
+		r.pause(backends.BusyPause)
 	case upstream.NotPrimary:
-		if r.service.deny(target.id, now) {
-			r.log().Write(eventlog.PrimaryDenied, zap.String("service", r.service.name),
-				zap.String("server", target.id), zap.String("request", r.statement.RequestID))
+		if r.service.Deny(target.ID, now) {
+			r.log().Write(eventlog.PrimaryDenied, zap.String("service", r.service.Name),
+				zap.String("server", target.ID), zap.String("request", r.statement.RequestID))
 		}
 		r.awaitLeader()
 	case upstream.Unreached:
