--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"dewknot/internal/base/liveness"
 	"dewknot/internal/base/settings"
 	"dewknot/internal/proxy"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/quorum"
 	"dewknot/internal/proxy/quota"
 	"dewknot/internal/proxy/relay"
@@ -151,7 +152,7 @@
 		Agreed: loaded.UnfencedPromotions, MessageAddress: loaded.Messages,
 		Quotas:       quota.Bounds{Window: loaded.QuotaWindow.Duration, Overage: loaded.QuotaOverage, Slack: loaded.QuotaSlack},
 		TokenAddress: loaded.Tokens, FirstStart: loaded.FirstStart,
-		Capacity:         proxy.Capacity{Processors: loaded.Processors, LinkMbps: loaded.LinkMbps, MemoryMB: loaded.MemoryLimitMB},
+		Capacity:         network.Capacity{Processors: loaded.Processors, LinkMbps: loaded.LinkMbps, MemoryMB: loaded.MemoryLimitMB},
 		StrictRevocation: loaded.StrictRevocation, RevocationBound: loaded.RevocationBound.Duration,
 	}
 }
--- a/internal/proxy/backend_metrics.go
+++ b/internal/proxy/backends/backend_metrics.go
@@ -1,9 +1,13 @@
-package proxy
+package backends
+
+import (
+	"dewknot/internal/proxy/network"
+)
 
 import "github.com/prometheus/client_golang/prometheus"
 
-// durationBuckets are seconds; latency objectives lie between them.
-var durationBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 2, 4}
+// DurationBuckets are seconds; latency objectives lie between them.
+var DurationBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 2, 4}
 
 // backendMetrics are the counters and histograms of the services.
 type backendMetrics struct {
@@ -21,21 +25,21 @@
 func newBackendMetrics() *backendMetrics {
 	return &backendMetrics{
 		failovers: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "failover_phases_total", Help: "Phases entered by the failover machines.",
+			Namespace: network.MetricsNamespace, Name: "failover_phases_total", Help: "Phases entered by the failover machines.",
 		}, []string{"service", "phase"}),
 		room: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "room_decisions_total", Help: "Work that was refused, or sent elsewhere, for want of room on a server.",
+			Namespace: network.MetricsNamespace, Name: "room_decisions_total", Help: "Work that was refused, or sent elsewhere, for want of room on a server.",
 		}, []string{"service", "level", "decision"}),
 		rounds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Namespace: metricsNamespace, Name: "tenure_round_seconds", Buckets: durationBuckets,
+			Namespace: network.MetricsNamespace, Name: "tenure_round_seconds", Buckets: DurationBuckets,
 			Help: "Time of a candidate's question to the voters, by step.",
 		}, []string{"step", "outcome"}),
 		unproved: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "answers_unproved_total",
+			Namespace: network.MetricsNamespace, Name: "answers_unproved_total",
 			Help: "Answers of a primary that were not believed, since its tenure may have ended.",
 		}),
 		ownerMoves: prometheus.NewCounter(prometheus.CounterOpts{
-			Namespace: metricsNamespace, Name: "owner_moves_total",
+			Namespace: network.MetricsNamespace, Name: "owner_moves_total",
 			Help: "Servers whose connections another node owns than before, as this node sees it.",
 		}),
 	}
@@ -47,11 +51,11 @@
 	collectors := []prometheus.Collector{
 		m.failovers, m.room, m.rounds, m.unproved, m.ownerMoves, newServerCollector(n),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Namespace: metricsNamespace, Name: "owned_servers", Help: "Servers whose connections this node owns for others.",
+			Namespace: network.MetricsNamespace, Name: "owned_servers", Help: "Servers whose connections this node owns for others.",
 		}, n.owned),
 	}
-	if n.tenures != nil {
-		collectors = append(collectors, n.tenures.Metrics())
+	if n.Tenures != nil {
+		collectors = append(collectors, n.Tenures.Metrics())
 	}
 	return append(collectors, n.Network.Collectors()...)
 }
--- a/internal/proxy/placements.go
+++ b/internal/proxy/backends/placements.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"maps"
@@ -8,12 +8,13 @@
 
 	"dewknot/internal/base/placement"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/network"
 )
 
 // placements says which node owns the connections of which server, as it follows from a list
 // of members and a directory. It is immutable.
 type placements struct {
-	members []Member
+	members []network.Member
 	// zones holds the zone of each server whose connections are owned.
 	zones map[string]string
 	// addresses holds the nodes' by name.
@@ -27,7 +28,7 @@
 // placedAt are placements with the list of members and the directory for which they hold.
 type placedAt struct {
 	*placements
-	members  *[]Member
+	members  *[]network.Member
 	snapshot *catalog.Snapshot
 	at       time.Time
 }
@@ -42,7 +43,7 @@
 const zoneTiers = 3
 
 // placements returns who owns what by the present members and directory.
-func (n *Backends) placements(members *[]Member) *placements {
+func (n *Backends) placements(members *[]network.Member) *placements {
 	snapshot := n.catalog.Current()
 	known := n.placed.Load()
 	now := time.Now()
@@ -51,7 +52,7 @@
 	}
 	zones := n.ownedZones(snapshot, len(*members)+1)
 	// Listings may come in any order.
-	inOrder := slices.SortedFunc(slices.Values(*members), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	inOrder := slices.SortedFunc(slices.Values(*members), func(a, b network.Member) int { return strings.Compare(a.Name, b.Name) })
 	if known != nil && maps.Equal(known.zones, zones) && slices.Equal(known.placements.members, inOrder) {
 		// Nothing changed that matters: rankings that were made of it stand.
 		n.placed.Store(&placedAt{known.placements, members, snapshot, now})
@@ -63,7 +64,7 @@
 }
 
 // place ranks the nodes for servers in some zones.
-func (n *Backends) place(zones map[string]string, members []Member) *placements {
+func (n *Backends) place(zones map[string]string, members []network.Member) *placements {
 	made := &placements{
 		members: members, zones: zones, addresses: map[string]string{n.options.Name: ""},
 		tiers: map[string][][]placement.Candidate{}, owners: map[string]string{},
@@ -103,11 +104,11 @@
 }
 
 // tiersFrom sorts all nodes by their distance from a zone.
-func (n *Backends) tiersFrom(zone string, members []Member) [][]placement.Candidate {
+func (n *Backends) tiersFrom(zone string, members []network.Member) [][]placement.Candidate {
 	tiers := make([][]placement.Candidate, zoneTiers)
-	sort := func(name, memberZone string, capacity Capacity) {
-		tier := n.zoneDistance(memberZone, zone)
-		tiers[tier] = append(tiers[tier], placement.Candidate{ID: name, Weight: capacity.weight()})
+	sort := func(name, memberZone string, capacity network.Capacity) {
+		tier := n.ZoneDistance(memberZone, zone)
+		tiers[tier] = append(tiers[tier], placement.Candidate{ID: name, Weight: capacity.Weight()})
 	}
 	sort(n.options.Name, n.options.Zone, n.options.Capacity)
 	for _, member := range members {
--- a/internal/proxy/placements_test.go
+++ b/internal/proxy/backends/placements_test.go
@@ -1,4 +1,4 @@
-package proxy
+package backends
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/objectstore"
 )
 
@@ -39,7 +40,7 @@
 
 // sizedFleet returns a node among two large nodes, eight small ones and one that tells no
 // capacity, before 24 servers of their zone.
-func sizedFleet(t *testing.T) (*Backends, *sizedStore, *server) {
+func sizedFleet(t *testing.T) (*Backends, *sizedStore, *Server) {
 	t.Helper()
 	store := &sizedStore{entries: map[string]string{}}
 	for i := range 2 {
@@ -55,7 +56,7 @@
 		servers[i] = catalog.Server{ID: fmt.Sprintf("s%d", i), Service: "bookings", Address: "s", Zone: "b"}
 	}
 	node.catalog.ReplaceDirectory(servers, time.Now())
-	_, err := node.listMembers(t.Context(), time.Second)
+	_, err := node.ListMembers(t.Context(), time.Second)
 	must.NoError(t, err)
 	return node, store, target
 }
@@ -65,7 +66,7 @@
 func TestLargeNodesOwnMoreServers(t *testing.T) {
 	node, _, target := sizedFleet(t)
 	defer node.log.Close()
-	must.SliceNotEmpty(t, node.ownersBefore(target))
+	must.SliceNotEmpty(t, node.OwnersBefore(target))
 	owned := map[string]int{}
 	for _, owner := range node.placed.Load().owners {
 		owned[owner]++
@@ -83,20 +84,20 @@
 func TestListingsThatTellNothingNewMoveNobody(t *testing.T) {
 	node, store, target := sizedFleet(t)
 	defer node.log.Close()
-	node.ownersBefore(target)
+	node.OwnersBefore(target)
 	before := target.owners.Load()
-	_, err := node.listMembers(t.Context(), time.Second)
+	_, err := node.ListMembers(t.Context(), time.Second)
 	must.NoError(t, err)
 	entry := *node.catalog.Current().Servers["s3"]
 	entry.Role, entry.Revision = catalog.Primary, entry.Revision+1
 	node.catalog.MergeDirectory([]catalog.Server{entry}, time.Now())
-	node.ownersBefore(target)
+	node.OwnersBefore(target)
 	must.True(t, before == target.owners.Load(), must.Sprint("the ranking was made anew"))
 
 	delete(store.entries, before.first)
-	_, err = node.listMembers(t.Context(), time.Second)
+	_, err = node.ListMembers(t.Context(), time.Second)
 	must.NoError(t, err)
-	node.ownersBefore(target)
+	node.OwnersBefore(target)
 	must.NotEq(t, before.first, target.owners.Load().first)
 	must.Eq(t, float64(1), metricValue(t, node, "dewknot_owner_moves_total"))
 }
@@ -106,22 +107,22 @@
 func TestNodesAgreeOnOwners(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		count := rapid.IntRange(2, 12).Draw(t, "nodes")
-		members := make([]Member, count)
+		members := make([]network.Member, count)
 		for i := range members {
-			members[i] = Member{
+			members[i] = network.Member{
 				Name: fmt.Sprintf("n%d", i), Address: fmt.Sprintf("n%d", i), Zone: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone"),
-				Capacity: Capacity{Processors: rapid.SampledFrom([]float64{0, 0.192, 0.8}).Draw(t, "processors")},
+				Capacity: network.Capacity{Processors: rapid.SampledFrom([]float64{0, 0.192, 0.8}).Draw(t, "processors")},
 			}
 		}
 		zones := map[string]string{"s1": "a", "s2": "a", "s3": "b", "s4": "c", "s5": "c"}
 		owners := map[string]string{}
 		for i, own := range members {
 			regions := map[string]string{"a": "r1", "b": "r2", "c": "r2"}
-			others := NewNetwork(NetworkOptions{Name: own.Name, Zone: own.Zone, Regions: regions}, NetworkPorts{}, idle{},
+			others := network.New(network.Options{Name: own.Name, Zone: own.Zone, Regions: regions}, network.Ports{}, idle{},
 				catalog.New(time.Second), time.Now(), eventlog.New(io.Discard, eventlog.Config{Node: own.Name, LinesPerSecond: 1}))
-			node := NewBackends(BackendOptions{Name: own.Name, Zone: own.Zone, Capacity: own.Capacity, Regions: regions},
-				BackendPorts{Dialer: &countingDialer{}}, others, func(time.Time) {})
-			rest := append(append([]Member(nil), members[:i]...), members[i+1:]...)
+			node := New(Options{Name: own.Name, Zone: own.Zone, Capacity: own.Capacity, Regions: regions},
+				Ports{Dialer: &countingDialer{}}, others, func(time.Time) {})
+			rest := append(append([]network.Member(nil), members[:i]...), members[i+1:]...)
 			placed := node.place(zones, rest)
 			for id := range zones {
 				first := placed.owners[id]
@@ -139,16 +140,16 @@
 // TestCapacityIsItsScarcestPart covers what is not told, too.
 func TestCapacityIsItsScarcestPart(t *testing.T) {
 	for _, test := range []struct {
-		capacity Capacity
+		capacity network.Capacity
 		weight   float64
 	}{
-		{Capacity{}, 0},
-		{Capacity{Processors: 0.8, LinkMbps: 200, MemoryMB: 536}, 0.8},
-		{Capacity{Processors: 0.8, LinkMbps: 10, MemoryMB: 536}, 0.4},
-		{Capacity{Processors: 4, LinkMbps: 1000, MemoryMB: 512}, 2},
-		{Capacity{MemoryMB: 256}, 1},
+		{network.Capacity{}, 0},
+		{network.Capacity{Processors: 0.8, LinkMbps: 200, MemoryMB: 536}, 0.8},
+		{network.Capacity{Processors: 0.8, LinkMbps: 10, MemoryMB: 536}, 0.4},
+		{network.Capacity{Processors: 4, LinkMbps: 1000, MemoryMB: 512}, 2},
+		{network.Capacity{MemoryMB: 256}, 1},
 	} {
-		must.Eq(t, test.weight, test.capacity.weight(), must.Sprint(test.capacity))
+		must.Eq(t, test.weight, test.capacity.Weight(), must.Sprint(test.capacity))
 	}
 }
 
--- a/internal/proxy/choose_test.go
+++ b/internal/proxy/choose_test.go
@@ -21,12 +21,12 @@
 		defer node.log.Close()
 		r := &run{
 			session: &session{node: node, bound: catalog.Route{TargetLatency: 800 * time.Millisecond}},
-			service: node.service("bookings"), arrived: time.Now(),
+			service: node.Service("bookings"), arrived: time.Now(),
 		}
 		chosen := func() map[string]int {
 			counts := map[string]int{}
 			for range 200 {
-				counts[r.choose(freshness.Floor{}).id]++
+				counts[r.choose(freshness.Floor{}).ID]++
 			}
 			return counts
 		}
@@ -37,7 +37,7 @@
 		for level := range report.Waits {
 			report.Waits[level] = told.Milliseconds(200 * time.Millisecond)
 		}
-		node.server("s1").told.Observe(time.Now(), report)
+		node.Server("s1").Told.Observe(time.Now(), report)
 		must.Eq(t, map[string]int{"s2": 200}, chosen())
 		time.Sleep(told.Life)
 		counts = chosen()
--- a/internal/proxy/comeback.go
+++ b/internal/proxy/comeback.go
@@ -32,7 +32,7 @@
 	case failure.Overloaded:
 		return spread(r.expectedWait(now))
 	case failure.NoPrimary:
-		return spread(r.service.outage.left(now))
+		return spread(r.service.Outage.Left(now))
 	default:
 		return spread(leastComeBack)
 	}
@@ -52,22 +52,22 @@
 func (r *run) expectedWait(now time.Time) time.Duration {
 	request := admission.Request{Class: admission.OnlyHere, Priority: r.session.bound.Priority, Arrived: now}
 	if r.needsLeader() {
-		if leader := r.service.leader(now); leader != nil {
-			return leader.expectedWait(request, now)
+		if leader := r.service.Leader(now); leader != nil {
+			return leader.ExpectedWait(request, now)
 		}
-		return r.service.outage.left(now)
+		return r.service.Outage.Left(now)
 	}
 	request.Class = admission.Anywhere
 	shortest := mostComeBack
-	for _, entry := range r.session.node.catalog.Current().ByService[r.service.name] {
-		target := r.session.node.server(entry.ID)
-		if target == nil || !r.service.usable(entry.ID, now) || target.stats.Avoided(now) {
+	for _, entry := range r.session.node.catalog.Current().ByService[r.service.Name] {
+		target := r.session.node.Server(entry.ID)
+		if target == nil || !r.service.Usable(entry.ID, now) || target.Stats.Avoided(now) {
 			continue
 		}
 		// A replica that is further behind than a new read may be cannot run one before it
 		// has caught up.
-		catchUp := target.stats.Lag(now) - r.session.bound.MaxStaleness
-		shortest = min(shortest, max(target.expectedWait(request, now), catchUp))
+		catchUp := target.Stats.Lag(now) - r.session.bound.MaxStaleness
+		shortest = min(shortest, max(target.ExpectedWait(request, now), catchUp))
 	}
 	return shortest
 }
--- a/internal/proxy/capacity.go
+++ b/internal/proxy/network/capacity.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 // Capacity is what a node may use of its machine; zero for what is not known.
 type Capacity struct {
@@ -19,9 +19,9 @@
 	memoryMBPerProcessor = 256
 )
 
-// weight is how much of other nodes' work a node can own: the scarcest of what it tells, as
+// Weight is how much of other nodes' work a node can own: the scarcest of what it tells, as
 // the number of processors of which the rest would be in proportion. Zero if it tells none.
-func (c Capacity) weight() float64 {
+func (c Capacity) Weight() float64 {
 	weight := 0.0
 	for _, part := range []float64{c.Processors, c.LinkMbps / linkMbpsPerProcessor, float64(c.MemoryMB) / memoryMBPerProcessor} {
 		if part > 0 && (weight == 0 || part < weight) {
--- a/internal/proxy/seeds.go
+++ b/internal/proxy/network/seeds.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"context"
@@ -26,7 +26,7 @@
 func (n *Network) findMembers(ctx context.Context) {
 	limit := firstListLimit
 	for ctx.Err() == nil {
-		if own, err := n.listMembers(ctx, limit); err == nil {
+		if own, err := n.ListMembers(ctx, limit); err == nil {
 			if own == nil {
 				n.firstStart.Store(true)
 				n.duties.TakeShare(false, time.Now())
@@ -42,7 +42,7 @@
 			n.settled()
 			return
 		}
-		limit = storeCallLimit
+		limit = StoreCallLimit
 		n.waitAbout(ctx, firstMemberRetry)
 	}
 }
@@ -64,11 +64,11 @@
 			seeds = append(seeds, Member{Address: address})
 		}
 	}
-	limited, cancel := context.WithTimeout(ctx, memberAnswerLimit)
+	limited, cancel := context.WithTimeout(ctx, MemberAnswerLimit)
 	defer cancel()
 	answers := n.gather(limited, seeds, relay.Question{Kind: n.options.Kinds.Members, Peek: true}, answerGrace)
 	for _, address := range sourcesOfMembers(answers) {
-		list, err := n.askPeer(ctx, address, relay.Question{Kind: n.options.Kinds.Members}, memberAnswerLimit)
+		list, err := n.askPeer(ctx, address, relay.Question{Kind: n.options.Kinds.Members}, MemberAnswerLimit)
 		if err == nil && len(list.Objects) > 0 {
 			n.duties.TakeShare(n.takeMembers(list.Objects) != nil, time.Now())
 			return true
@@ -79,7 +79,7 @@
 
 // sourcesOfMembers returns the nodes to ask for the list, in the order in which they said
 // how many they know.
-func sourcesOfMembers(answers []memberAnswer) []string {
+func sourcesOfMembers(answers []MemberAnswer) []string {
 	most := uint64(0)
 	for _, answer := range answers {
 		most = max(most, knownBy(&answer))
@@ -87,14 +87,14 @@
 	var sources []string
 	for _, answer := range answers {
 		if known := knownBy(&answer); known > 0 && float64(known) >= enoughKnown*float64(most) {
-			sources = append(sources, answer.from)
+			sources = append(sources, answer.From)
 		}
 	}
 	return sources
 }
 
 // knownBy is how many members a node says it knows; one of an older version sends them all.
-func knownBy(answer *memberAnswer) uint64 {
+func knownBy(answer *MemberAnswer) uint64 {
 	if answer.Failed {
 		return 0
 	}
@@ -103,7 +103,7 @@
 
 // memberList answers a question for the members, this node among them, or for their number.
 func (n *Network) memberList(peek bool) relay.Answer {
-	known := n.members.Load()
+	known := n.Members.Load()
 	if known == nil {
 		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
 	}
@@ -111,7 +111,7 @@
 		return relay.Answer{Revision: uint64(len(*known) + 1)}
 	}
 	var answer relay.Answer
-	for _, member := range append([]Member{n.ownMember()}, *known...) {
+	for _, member := range append([]Member{n.OwnMember()}, *known...) {
 		content, err := json.Marshal(member)
 		if err != nil {
 			continue
--- a/internal/proxy/traffic_metrics.go
+++ b/internal/proxy/network/traffic_metrics.go
@@ -1,4 +1,4 @@
-package proxy
+package network
 
 import (
 	"net"
@@ -11,9 +11,9 @@
 	"dewknot/internal/proxy/traffic"
 )
 
-// trafficLook is the pause between two log lines of what a node has exchanged with others:
+// TrafficLook is the pause between two log lines of what a node has exchanged with others:
 // the log alone then tells which kind fills a link.
-const trafficLook = time.Minute
+const TrafficLook = time.Minute
 
 // distanceTo tells how far an address is: a member's, a server's, or one of their machines'.
 func (n *Network) distanceTo(address string) traffic.Distance {
@@ -22,7 +22,7 @@
 			return n.trafficDistance(zone)
 		}
 	}
-	for _, entry := range n.catalog.Current().Servers {
+	for _, entry := range n.Catalog.Current().Servers {
 		if entry.Address == address {
 			return n.trafficDistance(entry.Zone)
 		}
@@ -48,7 +48,7 @@
 var trafficDistances = [...]traffic.Distance{traffic.SameZone, traffic.SameRegion, traffic.OtherRegion}
 
 func (n *Network) trafficDistance(zone string) traffic.Distance {
-	return trafficDistances[n.zoneDistance(n.options.Zone, zone)]
+	return trafficDistances[n.ZoneDistance(n.options.Zone, zone)]
 }
 
 // placeMembers notes where the members' addresses are.
@@ -80,7 +80,7 @@
 
 func newTrafficCollector(meter *traffic.Meter) *trafficCollector {
 	return &trafficCollector{meter: meter, bytes: prometheus.NewDesc(
-		prometheus.BuildFQName(metricsNamespace, "", "traffic_bytes_total"),
+		prometheus.BuildFQName(MetricsNamespace, "", "traffic_bytes_total"),
 		"Bytes exchanged with other nodes, servers and the store, by what they are for and how far they go.",
 		[]string{"kind", "distance", "direction"}, nil,
 	)}
@@ -96,9 +96,9 @@
 	})
 }
 
-// logTraffic writes the bytes sent so far by kind and distance, those received from the
+// LogTraffic writes the bytes sent so far by kind and distance, those received from the
 // store, and the calls to it.
-func (n *Network) logTraffic() {
+func (n *Network) LogTraffic() {
 	var fields []zap.Field
 	n.ports.Traffic.Each(func(kind traffic.Kind, distance traffic.Distance, direction traffic.Direction, bytes uint64) {
 		if bytes > 0 && (direction == traffic.Sent || kind == traffic.Store) {
@@ -106,5 +106,5 @@
 		}
 	})
 	fields = append(fields, zap.Any("store_calls", n.calls.told()))
-	n.log.Write(eventlog.TrafficTold, fields...)
+	n.Log.Write(eventlog.TrafficTold, fields...)
 }
--- a/internal/proxy/room.go
+++ b/internal/proxy/room.go
@@ -9,6 +9,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/backends"
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/upstream"
 	"dewknot/internal/proxy/urgency"
@@ -58,10 +59,10 @@
 
 // admits reports whether new work is sent to a server, by what its owner tells of the work
 // that waits for it.
-func (r *run) admits(target *server, class admission.Class) bool {
+func (r *run) admits(target *backends.Server, class admission.Class) bool {
 	now := time.Now()
 	work := r.urgentWork()
-	known, age := target.known(class, work.Level, now)
+	known, age := target.Known(class, work.Level, now)
 	verdict := admission.Early(&work, now, r.allowed(now), known, rand.Float64())
 	if verdict == admission.Ask {
 		return true
@@ -76,32 +77,32 @@
 
 // noRoom reports whether new work that a server did not run for want of a slot has waited as
 // long as it may, or would: then it is not asked again.
-func (r *run) noRoom(target *server, class admission.Class) bool {
+func (r *run) noRoom(target *backends.Server, class admission.Class) bool {
 	if r.overloaded() {
 		return true
 	}
 	now := time.Now()
-	wait, known := target.wait(class, urgency.Of(r.session.bound.Priority), now)
+	wait, known := target.Wait(class, urgency.Of(r.session.bound.Priority), now)
 	return known && admission.Overfull(wait, r.allowed(now))
 }
 
 // givesUp reports whether a read that a server did not run has no room on any other either.
-func (r *run) givesUp(target *server, result *upstream.Result, floor freshness.Floor) bool {
+func (r *run) givesUp(target *backends.Server, result *upstream.Result, floor freshness.Floor) bool {
 	return result.Outcome == upstream.Busy && r.noRoom(target, admission.Anywhere) && (r.overloaded() || !r.elsewhere(target, floor))
 }
 
 // awaitReplica waits for a replica that is expected to have what the read must see, if that
 // is better than the server that was chosen, and reports whether it has waited.
-func (r *run) awaitReplica(chosen *server, floor freshness.Floor) bool {
+func (r *run) awaitReplica(chosen *backends.Server, floor freshness.Floor) bool {
 	now := time.Now()
-	if chosen.id != r.service.belief.Leader() || chosen.stats.Avoided(now) {
+	if chosen.ID != r.service.Belief.Leader() || chosen.Stats.Avoided(now) {
 		return false
 	}
 	work := r.urgentWork()
-	prospect := freshness.Prospect{Allowed: r.allowed(now), Left: min(work.Objective.Sub(now), work.Deadline.Sub(now)) - chosen.stats.Latency(now)}
-	prospect.PrimaryWait, prospect.PrimaryKnown = chosen.wait(admission.Anywhere, work.Level, now)
+	prospect := freshness.Prospect{Allowed: r.allowed(now), Left: min(work.Objective.Sub(now), work.Deadline.Sub(now)) - chosen.Stats.Latency(now)}
+	prospect.PrimaryWait, prospect.PrimaryKnown = chosen.Wait(admission.Anywhere, work.Level, now)
 	if !prospect.PrimaryKnown {
-		prospect.PrimaryWait = chosen.gate.Wait(admission.Request{Class: admission.Anywhere, Priority: r.session.bound.Priority, Arrived: r.arrived})
+		prospect.PrimaryWait = chosen.Gate.Wait(admission.Request{Class: admission.Anywhere, Priority: r.session.bound.Priority, Arrived: r.arrived})
 		prospect.PrimaryKnown = prospect.PrimaryWait > 0
 	}
 	prospect.CatchUp, prospect.ReplicaKnown = r.catchUp(chosen, floor, now, prospect.Allowed)
@@ -109,25 +110,25 @@
 		return false
 	}
 	r.session.account.room.awaited += prospect.CatchUp
-	r.service.count(work.Level, "awaited_replica")
+	r.service.Count(work.Level, "awaited_replica")
 	r.pause(max(prospect.CatchUp, behindPause))
 	return true
 }
 
 // catchUp returns when the first replica is expected to have what a read must see; false if
 // that is not known of any. One for which work waits for longer than allowed is of no use.
-func (r *run) catchUp(primary *server, floor freshness.Floor, now time.Time, allowed time.Duration) (time.Duration, bool) {
+func (r *run) catchUp(primary *backends.Server, floor freshness.Floor, now time.Time, allowed time.Duration) (time.Duration, bool) {
 	first, found := time.Duration(0), false
 	level := urgency.Of(r.session.bound.Priority)
-	for _, entry := range r.session.node.catalog.Current().ByService[r.service.name] {
-		target := r.session.node.server(entry.ID)
-		if target == nil || target == primary || !r.service.usable(entry.ID, now) || target.stats.Avoided(now) {
+	for _, entry := range r.session.node.catalog.Current().ByService[r.service.Name] {
+		target := r.session.node.Server(entry.ID)
+		if target == nil || target == primary || !r.service.Usable(entry.ID, now) || target.Stats.Avoided(now) {
 			continue
 		}
-		if wait, _ := target.wait(admission.Anywhere, level, now); wait > max(allowed, 0) {
+		if wait, _ := target.Wait(admission.Anywhere, level, now); wait > max(allowed, 0) {
 			continue
 		}
-		if after, known := target.stats.CatchesUp(floor.Position, floor.Since, now); known && (!found || after < first) {
+		if after, known := target.Stats.CatchesUp(floor.Position, floor.Since, now); known && (!found || after < first) {
 			first, found = after, true
 		}
 	}
@@ -136,27 +137,27 @@
 
 // foundBehind notes how far behind the primary a server at a position is. Of one that is
 // reached through its owner, that one tells it, and knows better.
-func (r *run) foundBehind(target *server, at position.Position, now time.Time) {
-	if len(r.session.node.ownersBefore(target)) > 0 {
+func (r *run) foundBehind(target *backends.Server, at position.Position, now time.Time) {
+	if len(r.session.node.OwnersBefore(target)) > 0 {
 		return
 	}
-	if since, lacks := r.service.proofs.Lacking(at); lacks && now.Sub(since) >= leastBehind {
-		target.stats.FoundBehind(now, now.Sub(since))
+	if since, lacks := r.service.Proofs.Lacking(at); lacks && now.Sub(since) >= backends.LeastBehind {
+		target.Stats.FoundBehind(now, now.Sub(since))
 	}
 }
 
 // elsewhere reports whether another server than one that has no room has what a read must
 // see, and room.
-func (r *run) elsewhere(declined *server, floor freshness.Floor) bool {
+func (r *run) elsewhere(declined *backends.Server, floor freshness.Floor) bool {
 	now := time.Now()
 	level := urgency.Of(r.session.bound.Priority)
-	for _, entry := range r.session.node.catalog.Current().ByService[r.service.name] {
-		target := r.session.node.server(entry.ID)
-		if target == nil || target == declined || r.tried[entry.ID] || !r.service.usable(entry.ID, now) || target.stats.Avoided(now) {
+	for _, entry := range r.session.node.catalog.Current().ByService[r.service.Name] {
+		target := r.session.node.Server(entry.ID)
+		if target == nil || target == declined || r.tried[entry.ID] || !r.service.Usable(entry.ID, now) || target.Stats.Avoided(now) {
 			continue
 		}
-		wait, _ := target.wait(admission.Anywhere, level, now)
-		if wait <= r.allowed(now) && target.stats.Covers(floor.Position, floor.Since, now) {
+		wait, _ := target.Wait(admission.Anywhere, level, now)
+		if wait <= r.allowed(now) && target.Stats.Covers(floor.Position, floor.Since, now) {
 			return true
 		}
 	}
@@ -174,9 +175,9 @@
 		room.rule = timePassed
 	}
 	level := urgency.Of(r.session.bound.Priority)
-	r.service.count(level, string(room.rule))
-	if r.service.turnedAway.refused(now, level) {
-		r.log().Write(eventlog.RoomShort, zap.String("service", r.service.name), zap.Uint8("level", uint8(level)), zap.String("rule", string(room.rule)),
+	r.service.Count(level, string(room.rule))
+	if r.service.TurnedAway.Refused(now, level) {
+		r.log().Write(eventlog.RoomShort, zap.String("service", r.service.Name), zap.Uint8("level", uint8(level)), zap.String("rule", string(room.rule)),
 			zap.String("server", r.session.account.server), zap.Duration("wait", room.wait), zap.Duration("age", room.age))
 	}
 }
