network: what others need of its state is asked by methods

Cause: after the split, fields of network were public that only answered one question each (is the store lost, was a node silent, does the node distrust itself).

Ruled out: leaving them: an exported field of an unexported type says nothing.

Figures: go test of network, backends and proxy passes; no behaviour changes.

--- a/internal/proxy/backends/leases.go
+++ b/internal/proxy/backends/leases.go
@@ -161,7 +161,7 @@
 
 func (s *Service) readLease() {
 	limit := network.StoreCallLimit
-	if s.node.StoreDown.Load() {
+	if s.node.StoreLost() {
 		limit = silentStoreLimit
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
--- a/internal/proxy/backends/service.go
+++ b/internal/proxy/backends/service.go
@@ -69,6 +69,7 @@
 	lastSeen failover.Phase
 }
 
+// Service returns a service's runtime state, which is made when it is first asked for.
 func (n *Backends) Service(name string) *Service {
 	if found, ok := n.services.Load(name); ok {
 		return found.(*Service)
@@ -228,6 +229,7 @@
 	}
 }
 
+// Server returns a server's runtime state, nil if the directory does not name it.
 func (n *Backends) Server(id string) *Server {
 	if found, ok := n.Servers.Load(id); ok {
 		return found.(*Server)
--- a/internal/proxy/backends/witnesses.go
+++ b/internal/proxy/backends/witnesses.go
@@ -52,7 +52,7 @@
 	for _, member := range members {
 		turns[member.Name] = seen[member.Zone]
 		seen[member.Zone]++
-		if n.SilentMembers.Lately(member.Address, now) {
+		if n.SilentLately(member.Address, now) {
 			turns[member.Name] += len(members)
 		}
 	}
--- a/internal/proxy/degraded.go
+++ b/internal/proxy/degraded.go
@@ -15,11 +15,8 @@
 // callers, and lets go of those that it has: on other nodes they are served.
 func (n *Node) lookDegraded(now time.Time) {
 	signs := n.serverSigns(now)
-	degraded, changed, probe := n.Reachability.Look(now, n.KnownMembers(), signs)
+	degraded, changed := n.Distrusts(now, signs)
 	n.Degraded.Store(degraded)
-	if probe {
-		go n.ProbeStore()
-	}
 	if changed {
 		n.log.Write(eventlog.NodeDegraded, zap.Bool("degraded", degraded), zap.Int("servers_silent", signs.Silent),
 			zap.Int64("sessions", n.sessionCount.Load()))
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -64,7 +64,7 @@
 			}
 			return 0
 		}),
-		gauge("store_lost", "1 while the store does not answer.", node.storeLost),
+		gauge("store_lost", "1 while the store does not answer.", node.lostStore),
 	)
 	return m
 }
@@ -77,8 +77,8 @@
 // Metrics returns the node's metrics for its metrics address.
 func (n *Node) Metrics() prometheus.Gatherer { return n.metrics.registry }
 
-func (n *Node) storeLost() float64 {
-	if n.StoreDown.Load() {
+func (n *Node) lostStore() float64 {
+	if n.StoreLost() {
 		return 1
 	}
 	return 0
--- a/internal/proxy/network/follow.go
+++ b/internal/proxy/network/follow.go
@@ -68,13 +68,13 @@
 
 // Lost implements objectstore.Sink.
 func (s *configurationSink) Lost(err error) {
-	s.StoreDown.Store(true)
+	s.storeDown.Store(true)
 	s.Log.Write(eventlog.StoreLost, zap.String("watch", "configuration"), zap.Error(err))
 }
 
 // Regained implements objectstore.Sink.
 func (s *configurationSink) Regained() {
-	s.StoreDown.Store(false)
+	s.storeDown.Store(false)
 	s.Log.Write(eventlog.StoreRegained, zap.String("watch", "configuration"))
 }
 
--- a/internal/proxy/network/metered.go
+++ b/internal/proxy/network/metered.go
@@ -23,7 +23,7 @@
 		outcome = objectstore.OutcomeOf(err).String()
 	}
 	m.Calls.WithLabelValues(call, kind, outcome).Inc()
-	m.Node.Reachability.store(outcome != objectstore.Unknown.String(), time.Now())
+	m.Node.reachability.store(outcome != objectstore.Unknown.String(), time.Now())
 }
 
 // List implements objectstore.Store.
--- a/internal/proxy/network/network.go
+++ b/internal/proxy/network/network.go
@@ -91,10 +91,10 @@
 	Catalog *catalog.Catalog
 	Started time.Time
 
-	StoreDown    atomic.Bool
-	Reachability *reachability
-	// SilentMembers are the nodes that did not answer lately.
-	SilentMembers silences
+	storeDown    atomic.Bool
+	reachability *reachability
+	// silentMembers are the nodes that did not answer lately.
+	silentMembers silences
 	// caches hold the objects of the kinds that other nodes may ask for.
 	caches map[string]*objectstore.Cache
 	// transfers fetches large objects from other nodes.
@@ -124,7 +124,7 @@
 		options: options, ports: ports, duties: duties, Log: log, Catalog: cat, Started: started,
 		membersKnown: make(chan struct{}), membersSettled: make(chan struct{}),
 	}
-	n.Reachability = newReachability(started)
+	n.reachability = newReachability(started)
 	n.transfers = newTransfers(n)
 	n.caches = map[string]*objectstore.Cache{
 		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{n}),
--- a/internal/proxy/network/reachability.go
+++ b/internal/proxy/network/reachability.go
@@ -71,9 +71,9 @@
 	Heard time.Time
 }
 
-// Look decides whether the node, which knows some others, is degraded. It asks for a
+// look decides whether the node, which knows some others, is degraded. It asks for a
 // call to the store if only the store's word is missing.
-func (r *reachability) Look(now time.Time, others int, servers ServerSigns) (degraded, changed, probe bool) {
+func (r *reachability) look(now time.Time, others int, servers ServerSigns) (degraded, changed, probe bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before := r.degraded
@@ -96,12 +96,30 @@
 // connection has answered as far as this node's link is concerned.
 func (n *Network) peerAnswered(address string, err error) {
 	heard := err == nil || errors.Is(err, syscall.ECONNREFUSED)
-	n.Reachability.peer(address, heard, time.Now())
-	n.SilentMembers.note(address, err != nil)
+	n.reachability.peer(address, heard, time.Now())
+	n.silentMembers.note(address, err != nil)
 }
 
-// ProbeStore makes a cheap call, whose outcome tells whether the store is reached.
-func (n *Network) ProbeStore() {
+// Distrusts decides whether the node, which has heard of servers what signs tell, takes
+// itself to be at fault, and whether that has changed.
+func (n *Network) Distrusts(now time.Time, signs ServerSigns) (degraded, changed bool) {
+	degraded, changed, probe := n.reachability.look(now, n.KnownMembers(), signs)
+	if probe {
+		go n.probeStore()
+	}
+	return degraded, changed
+}
+
+// StoreLost reports whether the store does not answer the watch of the configuration.
+func (n *Network) StoreLost() bool { return n.storeDown.Load() }
+
+// SilentLately reports whether the node at an address was silent a short while ago.
+func (n *Network) SilentLately(address string, now time.Time) bool {
+	return n.silentMembers.lately(address, now)
+}
+
+// probeStore makes a cheap call, whose outcome tells whether the store is reached.
+func (n *Network) probeStore() {
 	ctx, cancel := context.WithTimeout(context.Background(), storeProbePause)
 	defer cancel()
 	// The outcome is noted on the way, by meteredStore.
@@ -122,8 +140,8 @@
 	s.since.Delete(address)
 }
 
-// Lately reports whether a node was silent a short while ago.
-func (s *silences) Lately(address string, now time.Time) bool {
+// lately reports whether a node was silent a short while ago.
+func (s *silences) lately(address string, now time.Time) bool {
 	since, found := s.since.Load(address)
 	return found && now.Sub(since.(time.Time)) < silentSpan
 }
