--- a/internal/proxy/backends/backend_metrics.go
+++ b/internal/proxy/backends/backend_metrics.go
@@ -46,16 +46,16 @@
 }
 
 // Collectors returns what tells of the services and their servers.
-func (n *Backends) Collectors() []prometheus.Collector {
-	m := n.metrics
+func (b *Backends) Collectors() []prometheus.Collector {
+	m := b.metrics
 	collectors := []prometheus.Collector{
-		m.failovers, m.room, m.rounds, m.unproved, m.ownerMoves, newServerCollector(n),
+		m.failovers, m.room, m.rounds, m.unproved, m.ownerMoves, newServerCollector(b),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: network.MetricsNamespace, Name: "owned_servers", Help: "Servers whose connections this node owns for others.",
-		}, n.owned),
+		}, b.owned),
 	}
-	if n.Tenures != nil {
-		collectors = append(collectors, n.Tenures.Metrics())
+	if b.Tenures != nil {
+		collectors = append(collectors, b.Tenures.Metrics())
 	}
-	return append(collectors, n.Network.Collectors()...)
+	return append(collectors, b.Network.Collectors()...)
 }
--- a/internal/proxy/backends/backends.go
+++ b/internal/proxy/backends/backends.go
@@ -119,18 +119,18 @@
 }
 
 // Run looks at the services and takes part in the agreement until ctx ends.
-func (n *Backends) Run(ctx context.Context) {
-	go n.watchServices(ctx)
-	if n.Tenures != nil {
-		go n.Tenures.Run(ctx)
+func (b *Backends) Run(ctx context.Context) {
+	go b.watchServices(ctx)
+	if b.Tenures != nil {
+		go b.Tenures.Run(ctx)
 	}
 }
 
 // Close ends all connections to servers and other nodes.
-func (n *Backends) Close() {
-	n.links.Close()
-	n.Owner.Close()
-	n.Servers.Range(func(_, value any) bool {
+func (b *Backends) Close() {
+	b.links.Close()
+	b.Owner.Close()
+	b.Servers.Range(func(_, value any) bool {
 		value.(*Server).Pool.Shut()
 		return true
 	})
--- a/internal/proxy/backends/campaign.go
+++ b/internal/proxy/backends/campaign.go
@@ -18,19 +18,19 @@
 	began := time.Now()
 	switch effect := effect.(type) {
 	case failover.Prepare:
-		result := s.node.Tenures.Prepare(s.Name, effect.Ballot)
+		result := s.backends.Tenures.Prepare(s.Name, effect.Ballot)
 		s.logRound("prepare", effect.Ballot, "", &result, began)
 		s.submit(preparedFrom(effect.Ballot, &result))
 	case failover.Choose:
-		result := s.node.Tenures.Choose(s.Name, quorum.Tenure{Ballot: effect.Ballot, Primary: effect.Target}, effect.Ordering)
+		result := s.backends.Tenures.Choose(s.Name, quorum.Tenure{Ballot: effect.Ballot, Primary: effect.Target}, effect.Ordering)
 		s.logRound("choose", effect.Ballot, effect.Target, &result, began)
 		s.submit(failover.Held{Agreed: result.Agreed})
 	case failover.AwaitClear:
-		result := s.node.Tenures.AwaitClear(s.Name, effect.Ballot, clearLimit)
+		result := s.backends.Tenures.AwaitClear(s.Name, effect.Ballot, clearLimit)
 		s.logRound("clear", effect.Ballot, "", &result, began)
 		s.submit(failover.Cleared{Agreed: result.Agreed})
 	case failover.Open:
-		result := s.node.Tenures.Open(s.Name, quorum.Tenure{Ballot: effect.Ballot, Primary: effect.Primary}, effect.Term, effect.Loose)
+		result := s.backends.Tenures.Open(s.Name, quorum.Tenure{Ballot: effect.Ballot, Primary: effect.Primary}, effect.Term, effect.Loose)
 		s.logRound("open", effect.Ballot, effect.Primary, &result, began)
 		s.submit(failover.Opened{Agreed: result.Agreed})
 	case failover.StepDown:
@@ -63,8 +63,8 @@
 }
 
 func (s *Service) logRound(step string, ballot uint64, target string, result *tenure.Result, began time.Time) {
-	s.node.metrics.rounds.WithLabelValues(step, outcomeOf(result.Agreed)).Observe(time.Since(began).Seconds())
-	s.node.log.Write(eventlog.TenureRound, zap.String("service", s.Name), zap.String("step", step), zap.Uint64("ballot", ballot),
+	s.backends.metrics.rounds.WithLabelValues(step, outcomeOf(result.Agreed)).Observe(time.Since(began).Seconds())
+	s.backends.log.Write(eventlog.TenureRound, zap.String("service", s.Name), zap.String("step", step), zap.Uint64("ballot", ballot),
 		zap.String("target", target), zap.Bool("agreed", result.Agreed), zap.Uint64("highest", result.Highest),
 		zap.Bool("clear", result.Clear), zap.Duration("took", time.Since(began)))
 }
@@ -84,7 +84,7 @@
 // tells.
 func (s *Service) awaitLead(id string, least uint64, deadline time.Time) failover.Led {
 	for time.Now().Before(deadline) {
-		target := s.node.Server(id)
+		target := s.backends.Server(id)
 		if target != nil && target.accepts(time.Now().Add(pingLimit)) {
 			status := target.report(upstream.Operation{Kind: upstream.ReportStatus}, time.Now().Add(surveyLimit))
 			if status != nil && status.Primary && status.Term >= least {
@@ -122,16 +122,16 @@
 	began := time.Now()
 	results := make(chan *upstream.Status, 1+witnessesAsked)
 	asked := 1
-	go func() { results <- s.node.Demote(id) }()
-	for _, member := range s.node.SomeMembers(witnessesAsked) {
+	go func() { results <- s.backends.Demote(id) }()
+	for _, member := range s.backends.SomeMembers(witnessesAsked) {
 		asked++
-		go func() { results <- s.node.AskToDemote(ctx, &member, id) }()
+		go func() { results <- s.backends.AskToDemote(ctx, &member, id) }()
 	}
 	event := failover.SteppedDown{Server: id}
 	if status := firstStatus(ctx, results, asked); status != nil {
 		event.Done, event.Received = true, status.Received
 	}
-	s.node.log.Write(eventlog.StepDown, zap.String("service", s.Name), zap.String("server", id), zap.Bool("done", event.Done),
+	s.backends.log.Write(eventlog.StepDown, zap.String("service", s.Name), zap.String("server", id), zap.Bool("done", event.Done),
 		zap.Stringer("received", event.Received), zap.Duration("took", time.Since(began)))
 	return event
 }
@@ -154,9 +154,9 @@
 
 // Demote makes a server give up the lead; the status tells that it does not lead. It is
 // nil if the server did not answer, or if nodes do not agree on primaries.
-func (n *Backends) Demote(id string) *upstream.Status {
-	target := n.Server(id)
-	if target == nil || n.Tenures == nil {
+func (b *Backends) Demote(id string) *upstream.Status {
+	target := b.Server(id)
+	if target == nil || b.Tenures == nil {
 		return nil
 	}
 	deadline := time.Now().Add(stepDownLimit)
--- a/internal/proxy/backends/detour.go
+++ b/internal/proxy/backends/detour.go
@@ -23,20 +23,20 @@
 
 // takeDetour leads new connections to a server through a node that reaches it.
 func (s *Service) takeDetour(id string) {
-	target, witness := s.node.Server(id), s.witness.Load()
+	target, witness := s.backends.Server(id), s.witness.Load()
 	if target == nil || witness == nil {
 		return
 	}
 	target.detour.Store(&detour{via: *witness, until: time.Now().Add(detourSpan)})
 	target.Pool.Renew()
 	target.Stats.Forgive()
-	s.node.log.Write(eventlog.DetourTaken, zap.String("service", s.Name), zap.String("server", id), zap.String("via", *witness))
+	s.backends.log.Write(eventlog.DetourTaken, zap.String("service", s.Name), zap.String("server", id), zap.String("via", *witness))
 }
 
 // DetourTo returns the address of the node through which a server is reached,
 // and whether there is one.
-func (n *Backends) DetourTo(id string) (string, bool) {
-	target := n.Server(id)
+func (b *Backends) DetourTo(id string) (string, bool) {
+	target := b.Server(id)
 	if target == nil {
 		return "", false
 	}
@@ -52,10 +52,10 @@
 
 // Connect implements relay.Handler: it opens a tunnel's connection to a server of
 // the directory, directly, so that tunnels never pass through two nodes.
-func (n *Backends) Connect(ctx context.Context, id string) (net.Conn, error) {
-	entry := n.catalog.Current().Servers[id]
-	if entry == nil || entry.Gone || n.ports.Connect == nil {
+func (b *Backends) Connect(ctx context.Context, id string) (net.Conn, error) {
+	entry := b.catalog.Current().Servers[id]
+	if entry == nil || entry.Gone || b.ports.Connect == nil {
 		return nil, errUnknownServer
 	}
-	return n.ports.Connect(ctx, entry.Address)
+	return b.ports.Connect(ctx, entry.Address)
 }
--- a/internal/proxy/backends/health.go
+++ b/internal/proxy/backends/health.go
@@ -48,7 +48,7 @@
 }
 
 // watchServices looks at all services at regular times.
-func (n *Backends) watchServices(ctx context.Context) {
+func (b *Backends) watchServices(ctx context.Context) {
 	ticker := time.NewTicker(lookInterval)
 	defer ticker.Stop()
 	last, trimmed, told := time.Now(), time.Now(), time.Now()
@@ -57,13 +57,13 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-n.nudged:
+		case <-b.nudged:
 		}
 		now := time.Now()
-		n.look(now)
+		b.look(now)
 		stoodStill := now.Sub(last) > pauseLimit
 		last = now
-		n.services.Range(func(_, value any) bool {
+		b.services.Range(func(_, value any) bool {
 			if service := value.(*Service); service.attended(now) {
 				service.look(now, stoodStill)
 				service.lookAtRoom(now)
@@ -72,18 +72,18 @@
 		})
 		if now.Sub(told) > network.TrafficLook {
 			told = now
-			n.LogTraffic()
+			b.LogTraffic()
 		}
 		if now.Sub(trimmed) > trimInterval {
 			trimmed = now
-			n.log.Flush()
-			n.trim(now)
+			b.log.Flush()
+			b.trim(now)
 		}
 	}
 }
 
-func (n *Backends) trim(now time.Time) {
-	n.Servers.Range(func(_, value any) bool {
+func (b *Backends) trim(now time.Time) {
+	b.Servers.Range(func(_, value any) bool {
 		value.(*Server).Pool.Trim(now.Add(-trimAge))
 		return true
 	})
@@ -96,13 +96,13 @@
 		s.health = leaderHealth{leader: leader, results: make(chan standing, 1)}
 	}
 	s.takePing()
-	target := s.node.Server(leader)
+	target := s.backends.Server(leader)
 	down := target != nil && s.health.missed >= pingsToDown
 	s.reportHealth(down)
 	if target != nil && !s.health.asking && s.wantsPing(target, now) {
 		s.ping(target)
 	}
-	if s.node.Tenures == nil && (target == nil || down) {
+	if s.backends.Tenures == nil && (target == nil || down) {
 		s.seek()
 	}
 	s.Outage.note(now, target != nil && !down)
@@ -123,7 +123,7 @@
 	if down {
 		event = eventlog.ServerUnreachable
 	}
-	s.node.log.Write(event, zap.String("service", s.Name), zap.String("server", s.health.leader), zap.Int("missed", s.health.missed))
+	s.backends.log.Write(event, zap.String("service", s.Name), zap.String("server", s.health.leader), zap.Int("missed", s.health.missed))
 }
 
 func (s *Service) takePing() {
@@ -172,11 +172,11 @@
 
 func (s *Service) observe(leader string, down bool) failover.Observation {
 	observation := failover.Observation{
-		Leader: leader, LeaderDown: down, SynchronousReplicas: s.synchronousReplicas(), Degraded: s.node.Degraded.Load(),
+		Leader: leader, LeaderDown: down, SynchronousReplicas: s.synchronousReplicas(), Degraded: s.backends.Degraded.Load(),
 	}
 	// A primary whose entry vanished so long ago that it was forgotten is gone all the same.
 	observation.LeaderGone = leader != ""
-	for _, entry := range s.node.catalog.Current().ByService[s.Name] {
+	for _, entry := range s.backends.catalog.Current().ByService[s.Name] {
 		if entry.ID == leader {
 			observation.LeaderDraining = entry.Draining
 			observation.LeaderGone = entry.Gone
@@ -186,14 +186,14 @@
 		}
 		observation.Servers = append(observation.Servers, failover.Server{ID: entry.ID, Leaving: entry.Leaving()})
 	}
-	if s.node.Tenures != nil {
+	if s.backends.Tenures != nil {
 		s.observeTenure(&observation, time.Now())
 	}
 	return observation
 }
 
 func (s *Service) synchronousReplicas() int {
-	if configuration := s.node.catalog.Current().Configuration; configuration != nil {
+	if configuration := s.backends.catalog.Current().Configuration; configuration != nil {
 		return configuration.Services[s.Name].SynchronousReplicas
 	}
 	return 0
@@ -208,12 +208,12 @@
 		defer s.seeking.Unlock()
 		now := time.Now()
 		believed := s.Belief.Leader()
-		for _, entry := range s.node.catalog.Current().ByService[s.Name] {
-			target := s.node.Server(entry.ID)
+		for _, entry := range s.backends.catalog.Current().ByService[s.Name] {
+			target := s.backends.Server(entry.ID)
 			if entry.ID == believed || entry.Gone || target == nil || s.Belief.Refuted(entry.ID, now) || target.Stats.Avoided(now) {
 				continue
 			}
-			if s.prove(target, s.node.lendOwn, time.Now().Add(seekLimit)) == leading {
+			if s.prove(target, s.backends.lendOwn, time.Now().Add(seekLimit)) == leading {
 				return
 			}
 		}
--- a/internal/proxy/backends/leases.go
+++ b/internal/proxy/backends/leases.go
@@ -25,25 +25,25 @@
 
 // ReadLeases learns, at the start, of leases that an earlier life of this node
 // holds. Leases that are missing are made once the members are known.
-func (n *Backends) ReadLeases(ctx context.Context) {
+func (b *Backends) ReadLeases(ctx context.Context) {
 	for ctx.Err() == nil {
-		objects, ok := n.listLeases(ctx)
+		objects, ok := b.listLeases(ctx)
 		if !ok {
 			time.Sleep(leaseRetry)
 			continue
 		}
-		for n.catalog.Current().Configuration == nil && ctx.Err() == nil {
+		for b.catalog.Current().Configuration == nil && ctx.Err() == nil {
 			time.Sleep(configurationLook)
 		}
-		n.leasesKnown(objects)
+		b.leasesKnown(objects)
 		return
 	}
 }
 
 // leasesKnown tells the failover machines who holds the leases.
-func (n *Backends) leasesKnown(objects []objectstore.Object) {
+func (b *Backends) leasesKnown(objects []objectstore.Object) {
 	for _, object := range objects {
-		n.Service(object.Name).submit(decodeLease(object))
+		b.Service(object.Name).submit(decodeLease(object))
 	}
 }
 
@@ -53,23 +53,23 @@
 
 // RefreshLeases lists the leases soon; the calls of many nodes are spread, and changes
 // in a row make one call.
-func (n *Backends) RefreshLeases() {
-	if !n.refreshingLeases.CompareAndSwap(false, true) {
+func (b *Backends) RefreshLeases() {
+	if !b.refreshingLeases.CompareAndSwap(false, true) {
 		return
 	}
 	time.AfterFunc(leaseRefresh/2+rand.N(leaseRefresh), func() {
-		n.refreshingLeases.Store(false)
-		if n.Stopping.Load() {
+		b.refreshingLeases.Store(false)
+		if b.Stopping.Load() {
 			return
 		}
-		n.LookAtLeases(context.Background())
+		b.LookAtLeases(context.Background())
 	})
 }
 
 // LookAtLeases learns who holds the leases and who the deputies are.
-func (n *Backends) LookAtLeases(ctx context.Context) {
-	if objects, ok := n.listLeases(ctx); ok {
-		n.leasesKnown(objects)
+func (b *Backends) LookAtLeases(ctx context.Context) {
+	if objects, ok := b.listLeases(ctx); ok {
+		b.leasesKnown(objects)
 	}
 }
 
@@ -80,26 +80,26 @@
 // leaseRetry is the pause before leases are listed again.
 const leaseRetry = time.Second
 
-func (n *Backends) listLeases(ctx context.Context) ([]objectstore.Object, bool) {
+func (b *Backends) listLeases(ctx context.Context) ([]objectstore.Object, bool) {
 	limited, cancel := context.WithTimeout(ctx, network.StoreCallLimit)
 	defer cancel()
-	objects, err := n.ports.Store.ListStale(limited, n.options.Kinds.Leases)
+	objects, err := b.ports.Store.ListStale(limited, b.options.Kinds.Leases)
 	return objects, err == nil
 }
 
 // MakeLeases makes the missing leases of the services for which this node ranks
 // first among the members, so that holders are spread over the nodes and a fleet
 // that starts makes each lease about once. Views that differ cost a conflict.
-func (n *Backends) MakeLeases(ctx context.Context) bool {
-	configuration := n.catalog.Current().Configuration
+func (b *Backends) MakeLeases(ctx context.Context) bool {
+	configuration := b.catalog.Current().Configuration
 	if configuration == nil {
 		return false
 	}
-	own := n.rankedFirst(configuration)
+	own := b.rankedFirst(configuration)
 	if len(own) == 0 {
 		return true
 	}
-	objects, ok := n.listLeases(ctx)
+	objects, ok := b.listLeases(ctx)
 	if !ok {
 		return false
 	}
@@ -109,21 +109,21 @@
 	}
 	for _, name := range own {
 		if !made[name] {
-			n.Service(name).submit(failover.LeaseKnown{Missing: true})
+			b.Service(name).submit(failover.LeaseKnown{Missing: true})
 		}
 	}
 	return true
 }
 
 // rankedFirst returns the services for which this node ranks first among the members.
-func (n *Backends) rankedFirst(configuration *catalog.Configuration) []string {
-	candidates := []placement.Candidate{{ID: n.options.Name}}
-	for _, member := range *n.Members.Load() {
+func (b *Backends) rankedFirst(configuration *catalog.Configuration) []string {
+	candidates := []placement.Candidate{{ID: b.options.Name}}
+	for _, member := range *b.Members.Load() {
 		candidates = append(candidates, placement.Candidate{ID: member.Name})
 	}
 	var first []string
 	for name := range configuration.Services {
-		if placement.Rank(name, "", candidates, 1)[0] == n.options.Name {
+		if placement.Rank(name, "", candidates, 1)[0] == b.options.Name {
 			first = append(first, name)
 		}
 	}
@@ -141,15 +141,15 @@
 
 // deputies returns the nodes that may act for this one while the store is silent: the
 // first of other zones, since a zone may be lost as a whole, then any.
-func (n *Backends) deputies(service string) []string {
-	known := n.Members.Load()
+func (b *Backends) deputies(service string) []string {
+	known := b.Members.Load()
 	if known == nil {
 		return nil
 	}
 	var elsewhere, near []placement.Candidate
 	for _, member := range *known {
 		candidate := placement.Candidate{ID: member.Name}
-		if member.Zone == n.options.Zone {
+		if member.Zone == b.options.Zone {
 			near = append(near, candidate)
 		} else {
 			elsewhere = append(elsewhere, candidate)
@@ -161,12 +161,12 @@
 
 func (s *Service) readLease() {
 	limit := network.StoreCallLimit
-	if s.node.StoreDown.Load() {
+	if s.backends.StoreLost() {
 		limit = silentStoreLimit
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	object, err := s.node.ports.Store.Get(ctx, s.node.options.Kinds.Leases, s.Name)
+	object, err := s.backends.ports.Store.Get(ctx, s.backends.options.Kinds.Leases, s.Name)
 	switch {
 	case err == nil:
 		s.submit(decodeLease(object))
@@ -178,7 +178,7 @@
 }
 
 func (s *Service) writeLease(effect failover.WriteLease) {
-	effect.Lease.Deputies = s.node.deputies(s.Name)
+	effect.Lease.Deputies = s.backends.deputies(s.Name)
 	content, err := json.Marshal(effect.Lease)
 	if err != nil {
 		s.submit(failover.LeaseWritten{Result: failover.Uncertain})
@@ -190,12 +190,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	kind := s.node.options.Kinds.Leases
+	kind := s.backends.options.Kinds.Leases
 	var object objectstore.Object
 	if effect.Create {
-		object, err = s.node.ports.Store.Create(ctx, kind, s.Name, content)
+		object, err = s.backends.ports.Store.Create(ctx, kind, s.Name, content)
 	} else {
-		object, err = s.node.ports.Store.Replace(ctx, kind, s.Name, effect.Revision, content)
+		object, err = s.backends.ports.Store.Replace(ctx, kind, s.Name, effect.Revision, content)
 	}
 	result := failover.Written
 	if err != nil {
@@ -204,7 +204,7 @@
 			result = failover.Superseded
 		}
 	}
-	s.node.log.Write(eventlog.FailoverLease, zap.String("service", s.Name),
+	s.backends.log.Write(eventlog.FailoverLease, zap.String("service", s.Name),
 		zap.Uint64("epoch", effect.Lease.Epoch), zap.Bool("written", result == failover.Written), zap.Error(err))
 	s.submit(failover.LeaseWritten{Result: result, Revision: object.Revision})
 }
--- a/internal/proxy/backends/owners.go
+++ b/internal/proxy/backends/owners.go
@@ -50,15 +50,15 @@
 
 // Lend lends a principal's connection to a server for callers' work: one of this node's
 // own, or one of the server's owner.
-func (n *Backends) Lend(target *Server, principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
-	if !n.AwaitMembers(deadline) {
+func (b *Backends) Lend(target *Server, principal upstream.Principal, deadline time.Time) (*upstream.Lease, error) {
+	if !b.AwaitMembers(deadline) {
 		return nil, upstream.ErrNoConnection
 	}
-	owners := n.OwnersBefore(target)
+	owners := b.OwnersBefore(target)
 	if len(owners) == 0 {
 		return target.Pool.Get(principal, deadline)
 	}
-	link, address := n.links.Pick(target.notShunned(owners, time.Now()), deadline)
+	link, address := b.links.Pick(target.notShunned(owners, time.Now()), deadline)
 	if link == nil {
 		return target.Pool.Get(principal, deadline)
 	}
@@ -67,20 +67,20 @@
 
 // OwnersBefore returns the nodes that this one goes through to a server, best
 // first; none if it has connections of its own.
-func (n *Backends) OwnersBefore(target *Server) []string {
-	members := n.Members.Load()
-	if members == nil || n.ports.Peers == nil || n.sharesConnections(target.service, len(*members)+1) {
+func (b *Backends) OwnersBefore(target *Server) []string {
+	members := b.Members.Load()
+	if members == nil || b.ports.Peers == nil || b.sharesConnections(target.service, len(*members)+1) {
 		return nil
 	}
-	placed := n.placements(members)
+	placed := b.placements(members)
 	ranked := target.owners.Load()
 	if ranked == nil || ranked.placed != placed {
 		previous := ranked
-		ranked = n.rankOwners(target.ID, placed)
+		ranked = b.rankOwners(target.ID, placed)
 		target.owners.Store(ranked)
 		if previous != nil && previous.first != ranked.first {
-			n.metrics.ownerMoves.Inc()
-			n.log.Write(eventlog.OwnerMoved, zap.String("service", target.service), zap.String("server", target.ID),
+			b.metrics.ownerMoves.Inc()
+			b.log.Write(eventlog.OwnerMoved, zap.String("service", target.service), zap.String("server", target.ID),
 				zap.String("from", previous.first), zap.String("to", ranked.first))
 		}
 	}
@@ -88,20 +88,20 @@
 }
 
 // sharesConnections reports whether a service's connections suffice for all nodes.
-func (n *Backends) sharesConnections(service string, nodes int) bool {
-	return n.connectionCeiling(service) >= directShare*nodes
+func (b *Backends) sharesConnections(service string, nodes int) bool {
+	return b.connectionCeiling(service) >= directShare*nodes
 }
 
 // rankOwners ranks nodes in the server's zone first, then those in its region: whoever owns
 // the connections, the way to the server is hardly longer. The one that was assigned the
 // server comes first.
-func (n *Backends) rankOwners(id string, placed *placements) *ranking {
+func (b *Backends) rankOwners(id string, placed *placements) *ranking {
 	ranked := &ranking{placed: placed, first: placed.owners[id]}
 	var names []string
 	if ranked.first != "" {
 		names = append(names, ranked.first)
 	}
-	for _, tier := range n.tiersOf(id, placed) {
+	for _, tier := range b.tiersOf(id, placed) {
 		for _, name := range placement.Rank(id, "", tier, ownersRanked) {
 			if name != ranked.first {
 				names = append(names, name)
@@ -112,7 +112,7 @@
 		ranked.first = names[0]
 	}
 	for _, name := range names {
-		if name == n.options.Name || len(ranked.before) >= ownersRanked {
+		if name == b.options.Name || len(ranked.before) >= ownersRanked {
 			break
 		}
 		ranked.before = append(ranked.before, placed.addresses[name])
@@ -121,17 +121,17 @@
 }
 
 // tiersOf returns the nodes by their distance from a server, the nearest first.
-func (n *Backends) tiersOf(id string, placed *placements) [][]placement.Candidate {
+func (b *Backends) tiersOf(id string, placed *placements) [][]placement.Candidate {
 	zone, known := placed.zones[id]
 	if !known {
-		if entry := n.catalog.Current().Servers[id]; entry != nil {
+		if entry := b.catalog.Current().Servers[id]; entry != nil {
 			zone = entry.Zone
 		}
 	}
 	if tiers, made := placed.tiers[zone]; made {
 		return tiers
 	}
-	return n.tiersFrom(zone, placed.members)
+	return b.tiersFrom(zone, placed.members)
 }
 
 // notShunned leaves out an owner that does not reach the server, if there is
@@ -160,31 +160,31 @@
 const unreachedPause = 100 * time.Millisecond
 
 // ownerProved takes what an owner tells of a primary.
-func (n *Backends) ownerProved(id string, at time.Time, covers position.Position) {
-	if target := n.Server(id); target != nil {
-		n.Service(target.service).Proofs.Add(freshness.Proof{At: at, Position: covers})
+func (b *Backends) ownerProved(id string, at time.Time, covers position.Position) {
+	if target := b.Server(id); target != nil {
+		b.Service(target.service).Proofs.Add(freshness.Proof{At: at, Position: covers})
 	}
 }
 
 // ServeLink implements relay.Handler: it serves operations on this node's connections.
-func (n *Backends) ServeLink(conn net.Conn) {
-	n.log.Write(eventlog.LinkOpened, zap.Stringer("from", conn.RemoteAddr()))
-	n.Owner.Serve(conn)
-	n.log.Write(eventlog.LinkEnded, zap.Stringer("from", conn.RemoteAddr()))
+func (b *Backends) ServeLink(conn net.Conn) {
+	b.log.Write(eventlog.LinkOpened, zap.Stringer("from", conn.RemoteAddr()))
+	b.Owner.Serve(conn)
+	b.log.Write(eventlog.LinkEnded, zap.Stringer("from", conn.RemoteAddr()))
 }
 
 // dialOwner opens the connection of a link to an owner.
-func (n *Backends) dialOwner(ctx context.Context, address string) (net.Conn, error) {
-	return n.ports.Peers.Link(ctx, address)
+func (b *Backends) dialOwner(ctx context.Context, address string) (net.Conn, error) {
+	return b.ports.Peers.Link(ctx, address)
 }
 
 // Owned implements remote.Host.
-func (n *Backends) Owned(id string) remote.Server {
-	target := n.Server(id)
+func (b *Backends) Owned(id string) remote.Server {
+	target := b.Server(id)
 	if target == nil {
 		return nil
 	}
-	owned := &ownedServer{Server: target, service: n.Service(target.service)}
+	owned := &ownedServer{Server: target, service: b.Service(target.service)}
 	owned.service.Used(time.Now())
 	return owned
 }
--- a/internal/proxy/backends/placements.go
+++ b/internal/proxy/backends/placements.go
@@ -43,30 +43,30 @@
 const zoneTiers = 3
 
 // placements returns who owns what by the present members and directory.
-func (n *Backends) placements(members *[]network.Member) *placements {
-	snapshot := n.catalog.Current()
-	known := n.placed.Load()
+func (b *Backends) placements(members *[]network.Member) *placements {
+	snapshot := b.catalog.Current()
+	known := b.placed.Load()
 	now := time.Now()
 	if known != nil && known.members == members && (known.snapshot == snapshot || now.Sub(known.at) < placementsPause) {
 		return known.placements
 	}
-	zones := n.ownedZones(snapshot, len(*members)+1)
+	zones := b.ownedZones(snapshot, len(*members)+1)
 	// Listings may come in any order.
 	inOrder := slices.SortedFunc(slices.Values(*members), func(a, b network.Member) int { return strings.Compare(a.Name, b.Name) })
 	if known != nil && maps.Equal(known.zones, zones) && slices.Equal(known.placements.members, inOrder) {
 		// Nothing changed that matters: rankings that were made of it stand.
-		n.placed.Store(&placedAt{known.placements, members, snapshot, now})
+		b.placed.Store(&placedAt{known.placements, members, snapshot, now})
 		return known.placements
 	}
-	made := n.place(zones, inOrder)
-	n.placed.Store(&placedAt{made, members, snapshot, now})
+	made := b.place(zones, inOrder)
+	b.placed.Store(&placedAt{made, members, snapshot, now})
 	return made
 }
 
 // place ranks the nodes for servers in some zones.
-func (n *Backends) place(zones map[string]string, members []network.Member) *placements {
+func (b *Backends) place(zones map[string]string, members []network.Member) *placements {
 	made := &placements{
-		members: members, zones: zones, addresses: map[string]string{n.options.Name: ""},
+		members: members, zones: zones, addresses: map[string]string{b.options.Name: ""},
 		tiers: map[string][][]placement.Candidate{}, owners: map[string]string{},
 	}
 	servers := map[string][]string{}
@@ -77,7 +77,7 @@
 		made.addresses[member.Name] = member.Address
 	}
 	for zone, ids := range servers {
-		made.tiers[zone] = n.tiersFrom(zone, members)
+		made.tiers[zone] = b.tiersFrom(zone, members)
 		for _, tier := range made.tiers[zone] {
 			if len(tier) > 0 {
 				maps.Copy(made.owners, placement.Assign(ids, tier))
@@ -90,10 +90,10 @@
 
 // ownedZones returns the zones of the servers that have too few connections for each node to
 // keep its own.
-func (n *Backends) ownedZones(snapshot *catalog.Snapshot, nodes int) map[string]string {
+func (b *Backends) ownedZones(snapshot *catalog.Snapshot, nodes int) map[string]string {
 	zones := map[string]string{}
 	for service, entries := range snapshot.ByService {
-		if n.sharesConnections(service, nodes) {
+		if b.sharesConnections(service, nodes) {
 			continue
 		}
 		for _, entry := range entries {
@@ -104,13 +104,13 @@
 }
 
 // tiersFrom sorts all nodes by their distance from a zone.
-func (n *Backends) tiersFrom(zone string, members []network.Member) [][]placement.Candidate {
+func (b *Backends) tiersFrom(zone string, members []network.Member) [][]placement.Candidate {
 	tiers := make([][]placement.Candidate, zoneTiers)
 	sort := func(name, memberZone string, capacity network.Capacity) {
-		tier := n.ZoneDistance(memberZone, zone)
+		tier := b.ZoneDistance(memberZone, zone)
 		tiers[tier] = append(tiers[tier], placement.Candidate{ID: name, Weight: capacity.Weight()})
 	}
-	sort(n.options.Name, n.options.Zone, n.options.Capacity)
+	sort(b.options.Name, b.options.Zone, b.options.Capacity)
 	for _, member := range members {
 		sort(member.Name, member.Zone, member.Capacity)
 	}
@@ -118,14 +118,14 @@
 }
 
 // owned returns how many servers' connections this node owns.
-func (n *Backends) owned() float64 {
-	placed := n.placed.Load()
+func (b *Backends) owned() float64 {
+	placed := b.placed.Load()
 	if placed == nil {
 		return 0
 	}
 	count := 0
 	for _, owner := range placed.owners {
-		if owner == n.options.Name {
+		if owner == b.options.Name {
 			count++
 		}
 	}
--- a/internal/proxy/backends/server_metrics.go
+++ b/internal/proxy/backends/server_metrics.go
@@ -10,7 +10,7 @@
 // serverCollector tells what this node has in use of each server. The servers come
 // and go, so they are counted when the metrics are asked for.
 type serverCollector struct {
-	node        *Backends
+	backends    *Backends
 	connections *prometheus.Desc
 	running     *prometheus.Desc
 	waiting     *prometheus.Desc
@@ -25,7 +25,7 @@
 		return prometheus.NewDesc(prometheus.BuildFQName(network.MetricsNamespace, "server", name), help, []string{"service", "server"}, nil)
 	}
 	return &serverCollector{
-		node:        node,
+		backends:    node,
 		connections: desc("connections", "Connections of this node open to the server."),
 		running:     desc("statements_running", "Statements that this node has running on the server."),
 		waiting:     desc("statements_waiting", "Statements that wait at this node for the server."),
@@ -47,7 +47,7 @@
 // Collect implements prometheus.Collector.
 func (c *serverCollector) Collect(out chan<- prometheus.Metric) {
 	now := time.Now()
-	c.node.Servers.Range(func(_, value any) bool {
+	c.backends.Servers.Range(func(_, value any) bool {
 		s := value.(*Server)
 		running, waiting := s.Gate.Load()
 		for desc, value := range map[*prometheus.Desc]float64{
@@ -58,7 +58,7 @@
 		}
 		return true
 	})
-	c.node.services.Range(func(_, value any) bool {
+	c.backends.services.Range(func(_, value any) bool {
 		s := value.(*Service)
 		if proof := s.Proofs.Newest(); !proof.At.IsZero() {
 			out <- prometheus.MustNewConstMetric(c.proofAge, prometheus.GaugeValue, now.Sub(proof.At).Seconds(), s.Name)
--- a/internal/proxy/backends/server_room.go
+++ b/internal/proxy/backends/server_room.go
@@ -32,8 +32,8 @@
 }
 
 // OwnerReported takes what an owner tells of a server.
-func (n *Backends) OwnerReported(id string, sent time.Time, report *told.Report) {
-	target := n.Server(id)
+func (b *Backends) OwnerReported(id string, sent time.Time, report *told.Report) {
+	target := b.Server(id)
 	if target == nil {
 		return
 	}
@@ -53,7 +53,7 @@
 	now := time.Now()
 	seen := o.Gate.Outlook(now)
 	report := told.Report{
-		Sequence: o.service.node.reports.Add(1), Running: uint16(seen.Running), Waiting: uint16(seen.Waiting), Limit: uint16(seen.Limit),
+		Sequence: o.service.backends.reports.Add(1), Running: uint16(seen.Running), Waiting: uint16(seen.Waiting), Limit: uint16(seen.Limit),
 	}
 	for level := range report.Waits {
 		report.Waits[level], report.Kept[level] = told.Milliseconds(seen.Anywhere[level]), told.Milliseconds(seen.OnlyHere[level])
@@ -121,11 +121,11 @@
 // lookAtRoom logs that the service turns no work away any longer.
 func (s *Service) lookAtRoom(now time.Time) {
 	if count, lasted, most, ended := s.TurnedAway.Over(now); ended {
-		s.node.log.Write(eventlog.RoomRegained, zap.String("service", s.Name), zap.Int("refused", count), zap.Duration("lasted", lasted), zap.Uint8("level", uint8(most)))
+		s.backends.log.Write(eventlog.RoomRegained, zap.String("service", s.Name), zap.Int("refused", count), zap.Duration("lasted", lasted), zap.Uint8("level", uint8(most)))
 	}
 }
 
 // Count counts what became of work of a level for want of room.
 func (s *Service) Count(level urgency.Level, decision string) {
-	s.node.metrics.room.WithLabelValues(s.Name, level.String(), decision).Inc()
+	s.backends.metrics.room.WithLabelValues(s.Name, level.String(), decision).Inc()
 }
--- a/internal/proxy/backends/service.go
+++ b/internal/proxy/backends/service.go
@@ -41,10 +41,10 @@
 
 // Service is the runtime state of a service.
 type Service struct {
-	node   *Backends
-	Name   string
-	Belief *leadership.Belief
-	Proofs freshness.Proofs
+	backends *Backends
+	Name     string
+	Belief   *leadership.Belief
+	Proofs   freshness.Proofs
 
 	// refresh lets one goroutine at a time ask the primary for a proof.
 	refresh refresher
@@ -71,19 +71,20 @@
 	lastSeen failover.Phase
 }
 
-func (n *Backends) Service(name string) *Service {
-	if found, ok := n.services.Load(name); ok {
+// Service returns a service's runtime state, which is made when it is first asked for.
+func (b *Backends) Service(name string) *Service {
+	if found, ok := b.services.Load(name); ok {
 		return found.(*Service)
 	}
-	rank := n.takeoverRank(name)
+	rank := b.takeoverRank(name)
 	created := &Service{
-		node: n, Name: name, Belief: leadership.NewBelief(), replication: make(chan struct{}, 1),
-		machine: failover.New(failover.Config{Node: n.options.Name, Life: n.options.Life, Rank: rank, Agreed: n.Tenures != nil}),
+		backends: b, Name: name, Belief: leadership.NewBelief(), replication: make(chan struct{}, 1),
+		machine: failover.New(failover.Config{Node: b.options.Name, Life: b.options.Life, Rank: rank, Agreed: b.Tenures != nil}),
 	}
-	if n.ports.Trace != nil {
-		created.trace = n.ports.Trace(name, rank)
+	if b.ports.Trace != nil {
+		created.trace = b.ports.Trace(name, rank)
 	}
-	found, _ := n.services.LoadOrStore(name, created)
+	found, _ := b.services.LoadOrStore(name, created)
 	return found.(*Service)
 }
 
@@ -92,7 +93,7 @@
 const attentionSpan = 10 * time.Second
 
 // Used notes that a statement asks for the service.
-func (s *Service) Used(now time.Time) { s.lastUsed.Store(int64(now.Sub(s.node.started))) }
+func (s *Service) Used(now time.Time) { s.lastUsed.Store(int64(now.Sub(s.backends.started))) }
 
 // attended reports whether this node looks at the service: it holds the lease,
 // acts, or serves callers of the service. Of many services, a node looks at few.
@@ -101,7 +102,7 @@
 	acting := s.machine.Holding() || s.machine.Phase() != failover.Watching
 	s.mutex.Unlock()
 	lastUsed := s.lastUsed.Load()
-	return acting || (lastUsed > 0 && now.Sub(s.node.started)-time.Duration(lastUsed) < attentionSpan)
+	return acting || (lastUsed > 0 && now.Sub(s.backends.started)-time.Duration(lastUsed) < attentionSpan)
 }
 
 // Takeovers of different nodes are spread over this span, in steps.
@@ -110,29 +111,29 @@
 	takeoverStep  = 250 * time.Millisecond
 )
 
-func (n *Backends) takeoverRank(service string) time.Duration {
+func (b *Backends) takeoverRank(service string) time.Duration {
 	hash := fnv.New32a()
-	_, _ = hash.Write([]byte(n.options.Name + "/" + service))
+	_, _ = hash.Write([]byte(b.options.Name + "/" + service))
 	return time.Duration(hash.Sum32()%takeoverSteps) * takeoverStep
 }
 
 // catalogChanged brings the runtime in line with a new snapshot.
-func (n *Backends) catalogChanged(previous, current *catalog.Snapshot) {
+func (b *Backends) catalogChanged(previous, current *catalog.Snapshot) {
 	if previous.Configuration != current.Configuration {
-		n.setCeilings()
+		b.setCeilings()
 	}
 	if Complete(current) && !Complete(previous) {
-		n.informedOnce.Do(func() { close(n.Informed) })
+		b.informedOnce.Do(func() { close(b.Informed) })
 	}
 	for id, entry := range current.Servers {
 		if previous.Servers[id] == entry {
 			continue
 		}
-		n.serverChanged(entry)
+		b.serverChanged(entry)
 	}
 	for id := range previous.Servers {
 		if _, kept := current.Servers[id]; !kept {
-			n.forgetServer(id)
+			b.forgetServer(id)
 		}
 	}
 }
@@ -142,28 +143,28 @@
 	return snapshot.Configuration != nil && len(snapshot.Servers) > 0
 }
 
-func (n *Backends) serverChanged(entry *catalog.Server) {
-	if found, ok := n.Servers.Load(entry.ID); !ok {
+func (b *Backends) serverChanged(entry *catalog.Server) {
+	if found, ok := b.Servers.Load(entry.ID); !ok {
 		stats := upstream.NewStats()
 		created := &Server{
 			ID: entry.ID, service: entry.Service, Stats: stats,
-			Pool: upstream.NewPool(n.ports.Dialer, upstream.Target{Address: entry.Address, Service: entry.Service, Server: entry.ID}, n.connectionCeiling(entry.Service), stats),
+			Pool: upstream.NewPool(b.ports.Dialer, upstream.Target{Address: entry.Address, Service: entry.Service, Server: entry.ID}, b.connectionCeiling(entry.Service), stats),
 			Gate: newGate(entry.Slots),
 		}
 		created.Gate.Share(pooled{created.Pool})
 		created.Pool.OnFree(created.Gate.Wake)
-		n.Servers.Store(entry.ID, created)
+		b.Servers.Store(entry.ID, created)
 	} else if entry.Leaving() {
 		found.(*Server).Pool.Trim(time.Now())
 	}
-	if entry.Role == catalog.Primary && !entry.Gone && n.Tenures == nil {
-		service := n.Service(entry.Service)
+	if entry.Role == catalog.Primary && !entry.Gone && b.Tenures == nil {
+		service := b.Service(entry.Service)
 		replaced := service.Belief.Leader() != ""
 		if service.Belief.Announce(entry.ID, entry.Revision) {
 			if replaced {
-				n.RefreshLeases()
+				b.RefreshLeases()
 			}
-			n.log.Write(eventlog.PrimaryAnnounced, zap.String("service", entry.Service),
+			b.log.Write(eventlog.PrimaryAnnounced, zap.String("service", entry.Service),
 				zap.String("server", entry.ID), zap.Uint64("revision", entry.Revision))
 		}
 	}
@@ -204,8 +205,8 @@
 }
 
 // connectionCeiling returns the most connections this node opens to one server.
-func (n *Backends) connectionCeiling(service string) int {
-	configuration := n.catalog.Current().Configuration
+func (b *Backends) connectionCeiling(service string) int {
+	configuration := b.catalog.Current().Configuration
 	if configuration == nil {
 		return defaultConnections
 	}
@@ -216,22 +217,23 @@
 	return max(1, int(connectionShare*float64(known.MaxConnections)))
 }
 
-func (n *Backends) setCeilings() {
-	n.Servers.Range(func(_, value any) bool {
+func (b *Backends) setCeilings() {
+	b.Servers.Range(func(_, value any) bool {
 		known := value.(*Server)
-		known.Pool.SetCeiling(n.connectionCeiling(known.service))
+		known.Pool.SetCeiling(b.connectionCeiling(known.service))
 		return true
 	})
 }
 
-func (n *Backends) forgetServer(id string) {
-	if found, ok := n.Servers.LoadAndDelete(id); ok {
+func (b *Backends) forgetServer(id string) {
+	if found, ok := b.Servers.LoadAndDelete(id); ok {
 		found.(*Server).Pool.Shut()
 	}
 }
 
-func (n *Backends) Server(id string) *Server {
-	if found, ok := n.Servers.Load(id); ok {
+// Server returns a server's runtime state, nil if the directory does not name it.
+func (b *Backends) Server(id string) *Server {
+	if found, ok := b.Servers.Load(id); ok {
 		return found.(*Server)
 	}
 	return nil
@@ -243,10 +245,10 @@
 	if id == "" || !s.Usable(id, now) || !s.leased(now) {
 		return nil
 	}
-	if s.node.Tenures != nil && s.Belief.Refuted(id, now) {
+	if s.backends.Tenures != nil && s.Belief.Refuted(id, now) {
 		return nil
 	}
-	return s.node.Server(id)
+	return s.backends.Server(id)
 }
 
 // leavingShare is the part of the drain bound during which a leaving server may
@@ -255,14 +257,14 @@
 
 // Usable reports whether a server may receive new work.
 func (s *Service) Usable(id string, now time.Time) bool {
-	entry := s.node.catalog.Current().Servers[id]
+	entry := s.backends.catalog.Current().Servers[id]
 	if entry == nil {
 		return false
 	}
 	if !entry.Leaving() {
 		return true
 	}
-	limit := time.Duration(leavingShare * float64(s.node.options.DrainBound))
+	limit := time.Duration(leavingShare * float64(s.backends.options.DrainBound))
 	return now.Sub(entry.LeavingSince) < limit
 }
 
@@ -272,13 +274,13 @@
 	now := time.Now()
 	effects := s.machine.Step(now, event)
 	if s.trace != nil {
-		s.trace.Step(now.Sub(s.node.started), event, effects)
+		s.trace.Step(now.Sub(s.backends.started), event, effects)
 	}
 	phase := s.machine.Phase()
 	if phase != s.lastSeen {
-		s.node.log.Write(eventlog.FailoverPhase, zap.String("service", s.Name), zap.Stringer("phase", phase),
+		s.backends.log.Write(eventlog.FailoverPhase, zap.String("service", s.Name), zap.Stringer("phase", phase),
 			zap.String("leader", s.Belief.Leader()), zap.Bool("holding", s.machine.Holding()))
-		s.node.metrics.failovers.WithLabelValues(s.Name, phase.String()).Inc()
+		s.backends.metrics.failovers.WithLabelValues(s.Name, phase.String()).Inc()
 		s.lastSeen = phase
 	}
 	s.mutex.Unlock()
@@ -289,7 +291,7 @@
 
 // perform carries out an effect that was decided at a time.
 func (s *Service) perform(effect failover.Effect, decided time.Time) {
-	if s.node.Tenures != nil && s.performTenure(effect) {
+	if s.backends.Tenures != nil && s.performTenure(effect) {
 		return
 	}
 	switch effect := effect.(type) {
@@ -309,7 +311,7 @@
 		s.order(effect, decided)
 	case failover.LeaderFound:
 		if s.Belief.Confirm(effect.ID, s.Belief.Term()) {
-			s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "survey"), zap.String("service", s.Name), zap.String("server", effect.ID))
+			s.backends.log.Write(eventlog.PrimaryProved, zap.String("by", "survey"), zap.String("service", s.Name), zap.String("server", effect.ID))
 		}
 	}
 }
@@ -325,8 +327,8 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
 	defer cancel()
-	outcome := s.node.ports.Promoter.Promote(ctx, s.Name, effect.Target, s.node.options.Name, effect.Token)
-	s.node.log.Write(eventlog.FailoverOrder, zap.String("service", s.Name), zap.String("leader", s.Belief.Leader()),
+	outcome := s.backends.ports.Promoter.Promote(ctx, s.Name, effect.Target, s.backends.options.Name, effect.Token)
+	s.backends.log.Write(eventlog.FailoverOrder, zap.String("service", s.Name), zap.String("leader", s.Belief.Leader()),
 		zap.String("target", effect.Target), zap.Uint64("token", effect.Token), zap.Stringer("outcome", outcome))
 	s.submit(failover.Ordered{Outcome: outcome})
 }
--- a/internal/proxy/backends/survey.go
+++ b/internal/proxy/backends/survey.go
@@ -34,11 +34,11 @@
 	var reports []failover.Report
 	var mutex sync.Mutex
 	var asked sync.WaitGroup
-	for _, entry := range s.node.catalog.Current().ByService[s.Name] {
+	for _, entry := range s.backends.catalog.Current().ByService[s.Name] {
 		if entry.ID == effect.Except || entry.Gone {
 			continue
 		}
-		target := s.node.Server(entry.ID)
+		target := s.backends.Server(entry.ID)
 		if target == nil {
 			continue
 		}
@@ -62,7 +62,7 @@
 		})
 	}
 	asked.Wait()
-	s.node.log.Write(eventlog.FailoverSurvey, zap.String("service", s.Name), zap.Any("reports", reports))
+	s.backends.log.Write(eventlog.FailoverSurvey, zap.String("service", s.Name), zap.Any("reports", reports))
 	return reports
 }
 
@@ -86,8 +86,8 @@
 	defer func() { <-s.replication }()
 	deadline := time.Now().Add(resumeLimit)
 	var asked sync.WaitGroup
-	for _, entry := range s.node.catalog.Current().ByService[s.Name] {
-		target := s.node.Server(entry.ID)
+	for _, entry := range s.backends.catalog.Current().ByService[s.Name] {
+		target := s.backends.Server(entry.ID)
 		if target == nil || entry.Gone {
 			continue
 		}
@@ -152,8 +152,8 @@
 type lender func(target *Server, deadline time.Time) (*upstream.Lease, error)
 
 // lendOwn lends a connection for a question that may go through the server's owner.
-func (n *Backends) lendOwn(target *Server, deadline time.Time) (*upstream.Lease, error) {
-	return n.Lend(target, upstream.Own, deadline)
+func (b *Backends) lendOwn(target *Server, deadline time.Time) (*upstream.Lease, error) {
+	return b.Lend(target, upstream.Own, deadline)
 }
 
 // reserve lends a connection of this node's own for a question about the server.
@@ -196,7 +196,7 @@
 		return true
 	case upstream.NotPrimary:
 		if s.Deny(target.ID, time.Now()) {
-			s.node.log.Write(eventlog.PrimaryDenied, zap.String("service", s.Name), zap.String("server", target.ID))
+			s.backends.log.Write(eventlog.PrimaryDenied, zap.String("service", s.Name), zap.String("server", target.ID))
 		}
 	default:
 	}
@@ -206,8 +206,8 @@
 // Proved takes an answer that only the primary gives to a question sent at a time. Where
 // nodes agree on tenures, it has been confirmed.
 func (s *Service) Proved(target *Server, sentAt time.Time, result *upstream.Result) {
-	if s.node.Tenures == nil && s.Belief.Confirm(target.ID, result.Position.Term) {
-		s.node.log.Write(eventlog.PrimaryProved, zap.String("by", "answer"), zap.String("service", s.Name),
+	if s.backends.Tenures == nil && s.Belief.Confirm(target.ID, result.Position.Term) {
+		s.backends.log.Write(eventlog.PrimaryProved, zap.String("by", "answer"), zap.String("service", s.Name),
 			zap.String("server", target.ID), zap.Stringer("position", result.Position))
 	}
 	if !result.Position.IsZero() {
@@ -257,7 +257,7 @@
 	if deadline.Before(limit) {
 		limit = deadline
 	}
-	if s.prove(target, s.node.lendOwn, limit) != leading {
+	if s.prove(target, s.backends.lendOwn, limit) != leading {
 		time.Sleep(LeaderPause)
 	}
 }
--- a/internal/proxy/backends/tenures.go
+++ b/internal/proxy/backends/tenures.go
@@ -18,15 +18,15 @@
 // covered by this node's leases when the answer came.
 
 // newTenures returns the node's part in the agreement; nil if the platform checks fences.
-func (n *Backends) newTenures() *tenure.Keeper {
-	if !n.options.Agreed || n.ports.Messages == nil {
+func (b *Backends) newTenures() *tenure.Keeper {
+	if !b.options.Agreed || b.ports.Messages == nil {
 		return nil
 	}
 	return tenure.New(tenure.Config{
-		Name: n.options.Name, Zone: n.options.Zone, Address: n.options.MessageAddress, Life: LifeNumber(n.options.Life),
-		Capacity: n.options.Capacity.Weight(),
-		Store:    n.ports.Store, Kind: n.options.Kinds.Voters, Sender: n.ports.Messages, Peers: n.votingPeers,
-		Changed: n.tenureChanged, Voiced: n.lookSoon, Log: n.log,
+		Name: b.options.Name, Zone: b.options.Zone, Address: b.options.MessageAddress, Life: LifeNumber(b.options.Life),
+		Capacity: b.options.Capacity.Weight(),
+		Store:    b.ports.Store, Kind: b.options.Kinds.Voters, Sender: b.ports.Messages, Peers: b.votingPeers,
+		Changed: b.tenureChanged, Voiced: b.lookSoon, Log: b.log,
 	})
 }
 
@@ -38,8 +38,8 @@
 }
 
 // votingPeers returns the other nodes that take messages.
-func (n *Backends) votingPeers() []tenure.Peer {
-	known := n.Members.Load()
+func (b *Backends) votingPeers() []tenure.Peer {
+	known := b.Members.Load()
 	if known == nil {
 		return nil
 	}
@@ -53,29 +53,29 @@
 }
 
 // ReceiveMessage takes a message from the node at an address.
-func (n *Backends) ReceiveMessage(from string, m *quorum.Message) {
-	if n.Tenures != nil {
-		n.Tenures.Receive(from, m)
+func (b *Backends) ReceiveMessage(from string, m *quorum.Message) {
+	if b.Tenures != nil {
+		b.Tenures.Receive(from, m)
 	}
 }
 
 // tenureChanged leads callers' work to the primary of a service's open tenure.
-func (n *Backends) tenureChanged(name string) {
-	s := n.Service(name)
+func (b *Backends) tenureChanged(name string) {
+	s := b.Service(name)
 	primary := ""
-	if view := n.Tenures.View(name); view.Open {
+	if view := b.Tenures.View(name); view.Open {
 		primary = view.Tenure.Primary
 	}
 	before := s.Belief.Leader()
 	if s.Belief.Follow(primary) && before != "" {
-		n.RefreshLeases()
+		b.RefreshLeases()
 	}
 }
 
 // lookSoon makes the next look at the services come at once.
-func (n *Backends) lookSoon() {
+func (b *Backends) lookSoon() {
 	select {
-	case n.nudged <- struct{}{}:
+	case b.nudged <- struct{}{}:
 	default:
 	}
 }
@@ -83,10 +83,10 @@
 // Hold returns the tenure under which a server is asked for what only the primary may
 // answer, and whether there is one. Where fences are checked, the answer itself tells.
 func (s *Service) Hold(server string) (quorum.Tenure, bool) {
-	if s.node.Tenures == nil {
+	if s.backends.Tenures == nil {
 		return quorum.Tenure{}, true
 	}
-	view := s.node.Tenures.View(s.Name)
+	view := s.backends.Tenures.View(s.Name)
 	if view == nil || !view.Open || view.Tenure.Primary != server {
 		return quorum.Tenure{}, false
 	}
@@ -96,14 +96,14 @@
 // leased reports whether this node may use the primary now. If its leases have run out
 // it asks for new ones.
 func (s *Service) leased(now time.Time) bool {
-	if s.node.Tenures == nil {
+	if s.backends.Tenures == nil {
 		return true
 	}
-	view := s.node.Tenures.View(s.Name)
+	view := s.backends.Tenures.View(s.Name)
 	if view != nil && view.Covers(now) {
 		return true
 	}
-	s.node.Tenures.Renew(now)
+	s.backends.Tenures.Renew(now)
 	return false
 }
 
@@ -114,33 +114,33 @@
 // Confirmed reports whether an answer that has just come, and was asked for under a
 // tenure, is the primary's: no other server can have been ordered to lead before.
 func (s *Service) Confirmed(held quorum.Tenure, arrived, deadline time.Time) bool {
-	if s.node.Tenures == nil {
+	if s.backends.Tenures == nil {
 		return true
 	}
 	if limit := arrived.Add(confirmLimit); limit.Before(deadline) {
 		deadline = limit
 	}
-	if s.node.Tenures.Confirm(s.Name, held, arrived, deadline) {
+	if s.backends.Tenures.Confirm(s.Name, held, arrived, deadline) {
 		return true
 	}
-	s.node.metrics.unproved.Inc()
-	s.node.log.Write(eventlog.AnswerUnproved, zap.String("service", s.Name), zap.String("server", held.Primary),
+	s.backends.metrics.unproved.Inc()
+	s.backends.log.Write(eventlog.AnswerUnproved, zap.String("service", s.Name), zap.String("server", held.Primary),
 		zap.Uint64("ballot", held.Ballot), zap.Duration("waited", time.Since(arrived)))
 	return false
 }
 
 // Covered is confirmed without a wait, for answers that only add to what is known.
 func (s *Service) Covered(held quorum.Tenure, arrived time.Time) bool {
-	if s.node.Tenures == nil {
+	if s.backends.Tenures == nil {
 		return true
 	}
-	view := s.node.Tenures.View(s.Name)
+	view := s.backends.Tenures.View(s.Name)
 	return view != nil && view.Tenure == held && view.Covers(arrived)
 }
 
 // Deny takes a server's own word that it does not lead.
 func (s *Service) Deny(server string, now time.Time) bool {
-	if s.node.Tenures == nil {
+	if s.backends.Tenures == nil {
 		return s.Belief.Refute(server, now)
 	}
 	return s.Belief.Deny(server, now)
@@ -148,8 +148,8 @@
 
 // observeTenure tells the failover machine what the nodes agree on.
 func (s *Service) observeTenure(observation *failover.Observation, now time.Time) {
-	observation.LeastBallot, observation.Voiceless = s.node.Tenures.Standing()
-	view := s.node.Tenures.View(s.Name)
+	observation.LeastBallot, observation.Voiceless = s.backends.Tenures.Standing()
+	view := s.backends.Tenures.View(s.Name)
 	if view == nil {
 		observation.Closed = true
 		return
@@ -161,10 +161,10 @@
 // lastPrimary returns the server whose health is looked at: the primary of the last
 // tenure known, also while that is closed, or the one believed in.
 func (s *Service) lastPrimary() string {
-	if s.node.Tenures == nil {
+	if s.backends.Tenures == nil {
 		return s.Belief.Leader()
 	}
-	if view := s.node.Tenures.View(s.Name); view != nil {
+	if view := s.backends.Tenures.View(s.Name); view != nil {
 		return view.Tenure.Primary
 	}
 	return ""
--- a/internal/proxy/backends/warm.go
+++ b/internal/proxy/backends/warm.go
@@ -12,13 +12,13 @@
 	if s.warmed.Swap(true) {
 		return
 	}
-	for _, entry := range s.node.catalog.Current().ByService[s.Name] {
-		target := s.node.Server(entry.ID)
+	for _, entry := range s.backends.catalog.Current().ByService[s.Name] {
+		target := s.backends.Server(entry.ID)
 		if target == nil || entry.Gone {
 			continue
 		}
 		for range entry.Slots + spareConnections {
-			go s.node.warmOne(target, principal)
+			go s.backends.warmOne(target, principal)
 		}
 	}
 }
@@ -32,8 +32,8 @@
 const warmTime = 100 * time.Millisecond
 
 // warmOne opens a connection, or the link to the node that owns those to the server.
-func (n *Backends) warmOne(target *Server, principal upstream.Principal) {
-	lease, err := n.Lend(target, principal, time.Now().Add(stepDownLimit))
+func (b *Backends) warmOne(target *Server, principal upstream.Principal) {
+	lease, err := b.Lend(target, principal, time.Now().Add(stepDownLimit))
 	if err != nil {
 		return
 	}
--- a/internal/proxy/backends/witnesses.go
+++ b/internal/proxy/backends/witnesses.go
@@ -23,19 +23,19 @@
 // Reaches reports whether this node reaches a server directly: by a fresh answer,
 // by work that has waited too long for one, or else by asking it. A node that goes
 // through another one reaches nothing for a third.
-func (n *Backends) Reaches(id string) bool {
-	target := n.Server(id)
+func (b *Backends) Reaches(id string) bool {
+	target := b.Server(id)
 	if target == nil {
 		return false
 	}
 	now := time.Now()
-	if _, detour := n.DetourTo(id); detour || target.Stats.Unanswered(now) > SilenceLimit {
+	if _, detour := b.DetourTo(id); detour || target.Stats.Unanswered(now) > SilenceLimit {
 		return false
 	}
 	if failures, _ := target.Stats.Failures(); failures == 0 && target.Stats.SinceAnswer(now) < reachedWithin {
 		return true
 	}
-	return n.Service(target.service).prove(target, reserve, now.Add(pingLimit)) != silent
+	return b.Service(target.service).prove(target, reserve, now.Add(pingLimit)) != silent
 }
 
 // witnessesAsked is how many nodes are asked whether they reach a primary.
@@ -44,15 +44,15 @@
 // witnesses returns the nodes to ask whether they reach a primary, at random but of
 // different zones in turn: those of one zone may all be cut off. Nodes that were silent
 // lately come last.
-func (n *Backends) witnesses() []network.Member {
-	members := n.SomeMembers(math.MaxInt)
+func (b *Backends) witnesses() []network.Member {
+	members := b.SomeMembers(math.MaxInt)
 	now := time.Now()
 	seen := map[string]int{}
 	turns := make(map[string]int, len(members))
 	for _, member := range members {
 		turns[member.Name] = seen[member.Zone]
 		seen[member.Zone]++
-		if n.SilentMembers.Lately(member.Address, now) {
+		if b.SilentLately(member.Address, now) {
 			turns[member.Name] += len(members)
 		}
 	}
@@ -63,7 +63,7 @@
 // corroborate asks other nodes, and the holder of the lease, whether they reach
 // the primary.
 func (s *Service) corroborate(effect failover.Corroborate) failover.Corroborated {
-	node := s.node
+	node := s.backends
 	ctx, cancel := context.WithTimeout(context.Background(), pingLimit+network.MemberAnswerLimit)
 	defer cancel()
 	question := relay.Question{Server: effect.Server}
@@ -89,7 +89,7 @@
 	outcome := failover.Corroborated{Asked: len(witnesses), Answers: len(answers)}
 	elsewhere := map[string]bool{}
 	for _, witness := range witnesses {
-		if witness.Zone != s.node.options.Zone {
+		if witness.Zone != s.backends.options.Zone {
 			elsewhere[witness.Address] = true
 			outcome.AskedElsewhere++
 		}
@@ -107,9 +107,9 @@
 }
 
 // membersNamed returns the members with some names that are known and other nodes.
-func (n *Backends) membersNamed(names []string) []network.Member {
-	known := n.Members.Load()
-	if known == nil || n.ports.Peers == nil {
+func (b *Backends) membersNamed(names []string) []network.Member {
+	known := b.Members.Load()
+	if known == nil || b.ports.Peers == nil {
 		return nil
 	}
 	var named []network.Member
--- a/internal/proxy/network/network.go
+++ b/internal/proxy/network/network.go
@@ -100,10 +100,10 @@
 	Catalog *catalog.Catalog
 	Started time.Time
 
-	StoreDown    atomic.Bool
-	Reachability *reachability
-	// SilentMembers are the nodes that did not answer lately.
-	SilentMembers silences
+	storeDown    atomic.Bool
+	reachability *reachability
+	// silentMembers are the nodes that did not answer lately.
+	silentMembers silences
 	// caches hold the objects of the kinds that other nodes may ask for.
 	caches map[string]*objectstore.Cache
 	// transfers fetches large objects from other nodes.
@@ -141,7 +141,7 @@
 		n.ports.Traffic = new(traffic.Meter)
 	}
 	n.ports.Traffic.Locate(n.distanceTo)
-	n.Reachability = newReachability(started)
+	n.reachability = newReachability(started)
 	n.transfers = newTransfers(n)
 	n.caches = map[string]*objectstore.Cache{
 		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{n}),
