--- a/internal/proxy/backends/metrics.go
+++ b/internal/proxy/backends/metrics.go
@@ -8,8 +8,6 @@
 	"dewknot/internal/proxy/network"
 )
 
-import "github.com/prometheus/client_golang/prometheus"
-
 // DurationBuckets are seconds; latency objectives lie between them.
 var DurationBuckets = []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 2, 4}
 
