--- a/internal/proxy/tenure/keeper_test.go
+++ b/internal/proxy/tenure/keeper_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -226,14 +225,10 @@
 	}
 	table := &quorum.Table{Era: 1, Seats: []quorum.Seat{{Name: "n01"}, {Name: "n39"}}}
 	chosen := asked(peers, table, inquiredPeers)
-	must.SliceContainsAll(t, []string{"n01", "n30", "n31", "n32", "n33", "n34", "n39"}, intersection(chosen, "n01", "n30", "n31", "n32", "n33", "n34", "n39"))
+	must.SliceContainsSubset(t, chosen, []string{"n01", "n30", "n31", "n32", "n33", "n34", "n39"})
 	must.Between(t, inquiredPeers, len(chosen), inquiredPeers+2)
 	k := New(Config{Name: "n99", Zone: "z0", Peers: func() []Peer { return peers }})
 	for _, seat := range k.seats(nil, peers) {
 		must.SliceContains(t, []string{"n30", "n31", "n32", "n33", "n34"}, seat.Name)
 	}
 }
-
-func intersection(names []string, of ...string) []string {
-	return slices.DeleteFunc(of, func(name string) bool { return !slices.Contains(names, name) })
-}
