network: at a fleet's first start the second look at the members comes at a set time

Cause: the second list, which is now awaited before readers are chosen, came 1.3 to 4 s after the start, so a small fleet served a second or two later than before.

Ruled out: the test's 3 s made longer; the first list alone (204 of 300 nodes then list).

Change: the second look is 2.2 to 2.8 s after the start, when lists of up to a second of age hold all.

Figures: that test and TestFirstStartWithOldLists 25 times each: pass.

--- a/internal/proxy/network/members.go
+++ b/internal/proxy/network/members.go
@@ -42,6 +42,12 @@
 	// that were late.
 	firstMemberLook  = 700 * time.Millisecond
 	secondMemberLook = 2 * time.Second
+	// firstStartLook is when, after its start, a node looks the second time while a whole
+	// fleet starts for the first time, within firstStartSpread: all have entered themselves
+	// after about 1.1 s, and a list may be a second old. A node that looks later serves
+	// later.
+	firstStartLook   = 2200 * time.Millisecond
+	firstStartSpread = 600 * time.Millisecond
 	MemberLook       = 40 * time.Second
 	// settleLimit bounds the wait, from a node's start, for a list of members that is
 	// likely complete, firstSettleLimit the same while a whole fleet starts for the first
@@ -66,7 +72,7 @@
 		n.waitAbout(ctx, memberRetry)
 	}
 	n.settledUnlessFirst()
-	n.waitAbout(ctx, secondMemberLook)
+	n.awaitSecondLook(ctx)
 	for ctx.Err() == nil && !n.completeStart(ctx) {
 		n.waitAbout(ctx, memberRetry)
 	}
@@ -81,6 +87,15 @@
 	}
 }
 
+// awaitSecondLook waits until it is time for the second look at the members.
+func (n *Network) awaitSecondLook(ctx context.Context) {
+	if !n.options.FirstStart {
+		n.waitAbout(ctx, secondMemberLook)
+		return
+	}
+	n.wait(ctx, time.Until(n.Started.Add(firstStartLook+rand.N(firstStartSpread))))
+}
+
 // completeStart takes the second list of members and what depends on it, and reports
 // whether all is done.
 func (n *Network) completeStart(ctx context.Context) bool {
@@ -99,7 +114,11 @@
 // waitAbout waits for half to one and a half times a span, so that the calls of
 // many nodes are spread.
 func (n *Network) waitAbout(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span/2 + rand.N(span))
+	n.wait(ctx, span/2+rand.N(span))
+}
+
+func (n *Network) wait(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
