--- a/internal/proxy/backends/placements_test.go
+++ b/internal/proxy/backends/placements_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"dewknot/internal/base/bubbletest"
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/network"
@@ -169,3 +170,25 @@
 	t.Fatalf("there is no metric %s", name)
 	return 0
 }
+
+// TestPlacementsStandWhileServersEnter: servers that enter one by one do not make all be
+// placed anew for each. One that has no place yet is ranked by itself, and gets its place
+// within placementsPause.
+func TestPlacementsStandWhileServersEnter(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		node, _, target := sizedFleet(t)
+		defer node.log.Close()
+		node.OwnersBefore(target)
+		before := node.placed.Load().placements
+		for i := range 50 {
+			node.catalog.MergeDirectory([]catalog.Server{{
+				ID: fmt.Sprintf("late%d", i), Service: "bookings", Address: "s", Zone: "b", Revision: uint64(100 + i),
+			}}, time.Now())
+			must.SliceNotEmpty(t, node.OwnersBefore(node.Server(fmt.Sprintf("late%d", i))))
+			must.True(t, before == node.placed.Load().placements, must.Sprint("placed anew"))
+		}
+		time.Sleep(placementsPause)
+		node.OwnersBefore(target)
+		must.MapContainsKey(t, node.placed.Load().owners, "late49")
+	})
+}
