--- a/internal/proxy/backends/outage.go
+++ b/internal/proxy/backends/outage.go
@@ -15,7 +15,7 @@
 	outageWeight = 0.3
 )
 
-// Outage tells how long a service is usually without a primary that answers. It is safe
+// outage tells how long a service is usually without a primary that answers. It is safe
 // for concurrent use.
 type outage struct {
 	mu    sync.Mutex
--- a/internal/proxy/network/reachability.go
+++ b/internal/proxy/network/reachability.go
@@ -21,7 +21,7 @@
 	storeProbePause = time.Second
 )
 
-// Reachability is what a node has lately heard of other nodes and of the store. It is
+// reachability is what a node has lately heard of other nodes and of the store. It is
 // safe for concurrent use.
 type reachability struct {
 	mu sync.Mutex
