--- a/internal/proxy/routing/routing.go
+++ b/internal/proxy/routing/routing.go
@@ -131,8 +131,8 @@
 // objective, -1 if there is none. draw returns a random number from 0 to below n.
 //
 // It draws twice among the servers that may be the best, each as often as it has slots, and
-// takes the better; it may draw one twice. The least loaded by reports that are as old as all nodes' would get
-// everybody's work until the next report.
+// takes the better; it may draw one twice. The server that reports call the least loaded
+// would get all nodes' work until the next report.
 func Choose(candidates []Candidate, left time.Duration, draw func(n int) int) int {
 	if len(candidates) == 0 {
 		return -1
