placement: names are compared for equal scores only

Cause: assigning 1,800 servers takes each node of a large fleet tens of milliseconds. Change: the order's comparison looks at names only if scores are equal.

--- a/internal/base/placement/bounded.go
+++ b/internal/base/placement/bounded.go
@@ -33,7 +33,11 @@
 		}
 	}
 	slices.SortFunc(pairs, func(a, b pair) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.key, b.key), cmp.Compare(resolved[a.candidate].ID, resolved[b.candidate].ID))
+		// Names are compared for equal scores only, of which there are hardly any.
+		if byScore := cmp.Compare(b.score, a.score); byScore != 0 {
+			return byScore
+		}
+		return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(resolved[a.candidate].ID, resolved[b.candidate].ID))
 	})
 	owners := make(map[string]string, len(keys))
 	for _, p := range pairs {
