proxy: a statement's urgency is read from its work, made once

Cause: the level was worked out from the route's priority again in six places, beside the value that newRun makes for this; and the wait that an owner tells was read past the server's method for it.

Seen and left: placements works out who owns what though beyond 5,000 pairs nothing is assigned; the constructors of network and backends take options that repeat those of the node; MeteredStore is wired by hand in proxy.New.

Change: run.work.Level and Server.Wait are used. Behaviour is the same.

--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -12,7 +12,6 @@
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/routing"
 	"dewknot/internal/proxy/upstream"
-	"dewknot/internal/proxy/urgency"
 )
 
 // readCurrent runs a read that must see every acknowledged commit: in a
@@ -167,7 +166,7 @@
 			if r.tried[target.ID] || !r.elsewhere(target, floor) {
 				break
 			}
-			r.service.Count(urgency.Of(r.session.bound.Priority), "sent_elsewhere")
+			r.service.Count(r.work.Level, "sent_elsewhere")
 			r.markTried(target)
 			continue
 		}
@@ -265,6 +264,6 @@
 // toldWait returns how long new work like this is expected to wait at a server's owner; 0 if
 // it has not lately told.
 func (r *run) toldWait(target *backends.Server, now time.Time) time.Duration {
-	wait, _ := target.Told.Wait(now, urgency.Of(r.session.bound.Priority))
+	wait, _ := target.Wait(admission.Anywhere, r.work.Level, now)
 	return wait
 }
--- a/internal/proxy/room.go
+++ b/internal/proxy/room.go
@@ -82,7 +82,7 @@
 		return true
 	}
 	now := time.Now()
-	wait, known := target.Wait(class, urgency.Of(r.session.bound.Priority), now)
+	wait, known := target.Wait(class, r.work.Level, now)
 	return known && admission.Overfull(wait, r.allowed(now))
 }
 
@@ -119,7 +119,7 @@
 // that is not known of any. One for which work waits for longer than allowed is of no use.
 func (r *run) catchUp(primary *backends.Server, floor freshness.Floor, now time.Time, allowed time.Duration) (time.Duration, bool) {
 	first, found := time.Duration(0), false
-	level := urgency.Of(r.session.bound.Priority)
+	level := r.work.Level
 	for _, entry := range r.session.node.catalog.Current().ByService[r.service.Name] {
 		target := r.session.node.Server(entry.ID)
 		if target == nil || target == primary || !r.service.Usable(entry.ID, now) || target.Stats.Avoided(now) {
@@ -150,7 +150,7 @@
 // see, and room.
 func (r *run) elsewhere(declined *backends.Server, floor freshness.Floor) bool {
 	now := time.Now()
-	level := urgency.Of(r.session.bound.Priority)
+	level := r.work.Level
 	for _, entry := range r.session.node.catalog.Current().ByService[r.service.Name] {
 		target := r.session.node.Server(entry.ID)
 		if target == nil || target == declined || r.tried[entry.ID] || !r.service.Usable(entry.ID, now) || target.Stats.Avoided(now) {
@@ -174,7 +174,7 @@
 	default:
 		room.rule = timePassed
 	}
-	level := urgency.Of(r.session.bound.Priority)
+	level := r.work.Level
 	r.service.Count(level, string(room.rule))
 	if r.service.TurnedAway.Refused(now, level) {
 		r.log().Write(eventlog.RoomShort, zap.String("service", r.service.Name), zap.Uint8("level", uint8(level)), zap.String("rule", string(room.rule)),
