Servers that start again under their ID, and entries of other writers

Cause: a server's identity was its ID alone, so connections, load, lag and the word that it leads went over into a life that holds nothing; entries with an unknown state counted as ready, and an unreadable one left the known server in use. Ruled out: comparing every position with the newest proof (answers overtake each other). Change: identity is (ID, born); what an earlier life answers changes nothing; a server that lacks the log known at its restart neither leads nor counts in a survey; entries are decoded strictly, with a typed error, one log line a revision and a counter; they name no server.

--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -52,7 +52,9 @@
 	DirectoryListed       Event = "directory_listed"
 	ServerChanged         Event = "server_changed"
 	ServerGone            Event = "server_gone"
-	ServerEntryRefused    Event = "server_entry_refused"
+	EntryRefused          Event = "entry_refused"
+	ServerReborn          Event = "server_reborn"
+	PrimaryLacksLog       Event = "primary_lacks_log"
 	ServerUnreachable     Event = "server_unreachable"
 	ServerReachable       Event = "server_reachable"
 	DetourTaken           Event = "detour_taken"
@@ -98,7 +100,7 @@
 var Vocabulary = map[Event]Class{
 	NodeStarted: Belief, NodeStopping: Belief, NodeStopped: Belief, SettingsRead: Belief, SettingsRefused: Belief,
 	StoreLost: Belief, StoreRegained: Belief, StoreRestored: Belief, ConfigurationApplied: Belief, ConfigurationRefused: Belief,
-	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, ServerEntryRefused: Belief,
+	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, EntryRefused: Belief, ServerReborn: Belief, PrimaryLacksLog: Belief,
 	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, OwnerMoved: Belief, TrafficTold: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
 	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, NodeDegraded: Belief,
--- a/internal/lab/standin/managed/managed.go
+++ b/internal/lab/standin/managed/managed.go
@@ -111,6 +111,8 @@
 	Draining bool
 	Primary  bool
 	Gone     bool
+	// Born is the time of the server's start, in milliseconds since 1970.
+	Born int64
 }
 
 // NewGroup starts a service; publish is called for each change of the directory.
@@ -131,7 +133,7 @@
 	g.serial++
 	server := &Server{
 		group: g, id: fmt.Sprintf("%s-%d", g.settings.Name, g.serial), zone: zone,
-		up: true, reachable: true, sessions: map[*Session]struct{}{}, applyDelay: g.settings.ApplyDelay,
+		born: time.Now().UnixMilli(), up: true, reachable: true, sessions: map[*Session]struct{}{}, applyDelay: g.settings.ApplyDelay,
 	}
 	g.servers = append(g.servers, server)
 	return server
@@ -151,7 +153,7 @@
 func (g *Group) announce(server *Server) {
 	g.publish(Entry{
 		ID: server.id, Service: g.settings.Name, Address: server.id, Zone: server.zone, Slots: g.settings.Slots,
-		Draining: server.draining, Primary: server.leads(), Gone: !server.up,
+		Draining: server.draining, Primary: server.leads(), Gone: !server.up, Born: server.born,
 	})
 }
 
--- a/internal/lab/standin/managed/server.go
+++ b/internal/lab/standin/managed/server.go
@@ -12,6 +12,8 @@
 	group *Group
 	id    string
 	zone  string
+	// born is the time of the process's start, in milliseconds since 1970.
+	born int64
 
 	up bool
 	// reachable is false while the server is dark to the nodes.
@@ -80,11 +82,19 @@
 // Restart starts a crashed server with its log.
 func (s *Server) Restart() {
 	defer s.lock()()
-	s.up, s.reachable = true, true
+	s.up, s.reachable, s.born = true, true, time.Now().UnixMilli()
 	s.group.announce(s)
 	s.group.replicateTo(s)
 }
 
+// RestartEmpty starts a crashed server under its id, without its log.
+func (s *Server) RestartEmpty() {
+	unlock := s.lock()
+	s.log, s.applied, s.held, s.deaf = nil, 0, false, false
+	unlock()
+	s.Restart()
+}
+
 // SetReachable cuts the server off from the nodes, or heals the cut.
 func (s *Server) SetReachable(reachable bool) {
 	defer s.lock()()
--- a/internal/lab/standin/managed/store.go
+++ b/internal/lab/standin/managed/store.go
@@ -406,7 +406,7 @@
 	err := json.Unmarshal(object.Content, &entry)
 	server := catalog.Server{
 		ID: entry.ID, Service: entry.Service, Address: entry.Address, Zone: entry.Zone, Slots: entry.Slots,
-		Draining: entry.Draining, Revision: object.Revision,
+		Draining: entry.Draining, Revision: object.Revision, Born: entry.Born,
 	}
 	if entry.Primary {
 		server.Role = catalog.Primary
--- a/internal/proxy/backends/health.go
+++ b/internal/proxy/backends/health.go
@@ -105,7 +105,7 @@
 	if s.backends.Tenures == nil && (target == nil || down) {
 		s.seek()
 	}
-	s.Outage.note(now, target != nil && !down)
+	s.Outage.Note(now, target != nil && !down)
 	observation := s.observe(leader, down)
 	if observation.Voiceless && s.holding() {
 		s.Warm(upstream.Own)
--- a/internal/proxy/backends/leases.go
+++ b/internal/proxy/backends/leases.go
@@ -44,7 +44,7 @@
 // leasesKnown tells the failover machines who holds the leases.
 func (b *Backends) leasesKnown(objects []objectstore.Object) {
 	for _, object := range objects {
-		b.Service(object.Name).submit(decodeLease(object))
+		b.Service(object.Name).submit(b.decodeLease(object))
 	}
 }
 
@@ -141,10 +141,11 @@
 	return failover.LeaseKnown{Missing: true, Revision: present}
 }
 
-func decodeLease(object objectstore.Object) failover.LeaseKnown {
+func (b *Backends) decodeLease(object objectstore.Object) failover.LeaseKnown {
 	event := failover.LeaseKnown{Revision: object.Revision}
 	if err := json.Unmarshal(object.Content, &event.Lease); err != nil {
 		// An unreadable lease is replaced at its revision.
+		b.RefuseEntry(b.options.Kinds.Leases, &object, err)
 		event.Lease = failover.Lease{}
 	}
 	return event
@@ -180,7 +181,7 @@
 	object, err := s.backends.ports.Store.Get(ctx, s.backends.options.Kinds.Leases, s.Name)
 	switch {
 	case err == nil:
-		s.submit(decodeLease(object))
+		s.submit(s.backends.decodeLease(object))
 	case objectstore.OutcomeOf(err) == objectstore.NotFound:
 		s.submit(s.backends.missingLease())
 	default:
--- a/internal/proxy/backends/metrics.go
+++ b/internal/proxy/backends/metrics.go
@@ -22,6 +22,8 @@
 	unproved prometheus.Counter
 	// ownerMoves are the changes of owners as this node sees them.
 	ownerMoves prometheus.Counter
+	// rebirths are the servers that have started again under their ID.
+	rebirths prometheus.Counter
 }
 
 func newBackendMetrics() *backendMetrics {
@@ -44,6 +46,9 @@
 			Namespace: network.MetricsNamespace, Name: "owner_moves_total",
 			Help: "Servers whose connections another node owns than before, as this node sees it.",
 		}),
+		rebirths: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: network.MetricsNamespace, Name: "servers_reborn_total", Help: "Servers that have started again under their ID.",
+		}),
 	}
 }
 
@@ -51,7 +56,7 @@
 func (b *Backends) Collectors() []prometheus.Collector {
 	m := b.metrics
 	collectors := []prometheus.Collector{
-		m.failovers, m.room, m.rounds, m.unproved, m.ownerMoves, newServerCollector(b),
+		m.failovers, m.room, m.rounds, m.unproved, m.ownerMoves, m.rebirths, newServerCollector(b),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: network.MetricsNamespace, Name: "owned_servers", Help: "Servers whose connections are assigned to this node; none are while a zone has too many to bound them.",
 		}, b.owned),
--- a/internal/proxy/backends/service.go
+++ b/internal/proxy/backends/service.go
@@ -24,9 +24,12 @@
 type Server struct {
 	ID      string
 	service string
-	Stats   *upstream.Stats
-	Pool    *upstream.Pool
-	Gate    *admission.Gate
+	// born tells the server's life, lacks what its log may lack if an earlier one is known.
+	born  int64
+	lacks lostLog
+	Stats *upstream.Stats
+	Pool  *upstream.Pool
+	Gate  *admission.Gate
 	// detour is how the server is reached while it cannot be reached directly.
 	detour atomic.Pointer[detour]
 	// owners are the nodes whose connections callers' work uses, shunned one of
@@ -55,7 +58,7 @@
 	// witness is the address of a node that lately reached the primary.
 	witness atomic.Pointer[string]
 	health  leaderHealth
-	Outage  outage
+	Outage  leadership.Outage
 	// TurnedAway follows whether the service turns work away for want of room.
 	TurnedAway TurnedAway
 	// warmed is set once connections for a survey were opened ahead.
@@ -144,10 +147,11 @@
 }
 
 func (b *Backends) serverChanged(entry *catalog.Server) {
+	lacks := b.endEarlierLife(entry)
 	if found, ok := b.Servers.Load(entry.ID); !ok {
 		stats := upstream.NewStats()
 		created := &Server{
-			ID: entry.ID, service: entry.Service, Stats: stats,
+			ID: entry.ID, service: entry.Service, born: entry.Born, lacks: lacks, Stats: stats,
 			Pool: upstream.NewPool(b.ports.Dialer, upstream.Target{Address: entry.Address, Service: entry.Service, Server: entry.ID}, b.connectionCeiling(entry.Service), stats),
 			Gate: newGate(entry.Slots),
 		}
--- a/internal/proxy/backends/survey.go
+++ b/internal/proxy/backends/survey.go
@@ -58,7 +58,7 @@
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			reports = append(reports, failover.Report{ID: target.ID, Primary: status.Primary, Term: status.Term, Received: status.Received, Assumed: assumed})
+			reports = append(reports, failover.Report{ID: target.ID, Primary: status.Primary, Term: status.Term, Received: status.Received, Assumed: assumed, Lost: target.lacks.lacks(status.Received)})
 		})
 	}
 	asked.Wait()
@@ -191,6 +191,10 @@
 // JudgeBegin reports whether a server has accepted a transaction as the primary, and
 // takes its word that it does not lead.
 func (s *Service) JudgeBegin(target *Server, begin *upstream.Result) bool {
+	if !s.backends.present(target) {
+		return false
+	}
+	s.disown(target, begin)
 	switch begin.Outcome {
 	case upstream.Succeeded:
 		return true
@@ -206,6 +210,9 @@
 // Proved takes an answer that only the primary gives to a question sent at a time. Where
 // nodes agree on tenures, it has been confirmed.
 func (s *Service) Proved(target *Server, sentAt time.Time, result *upstream.Result) {
+	if !s.backends.present(target) {
+		return
+	}
 	if s.backends.Tenures == nil && s.Belief.Confirm(target.ID, result.Position.Term) {
 		s.backends.log.Write(eventlog.PrimaryProved, zap.String("by", "answer"), zap.String("service", s.Name),
 			zap.String("server", target.ID), zap.Stringer("position", result.Position))
--- a/internal/proxy/catalog/catalog.go
+++ b/internal/proxy/catalog/catalog.go
@@ -89,11 +89,13 @@
 
 // Server is an entry of the directory.
 type Server struct {
-	ID       string
-	Service  string
-	Address  string
-	Zone     string
-	Slots    int
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// ColdFor is for how long after the entry was written the server is slow from its start.
+	ColdFor  time.Duration
 	Draining bool
 	Role     Role
 	// Revision is the store's revision of the entry.
--- a/internal/proxy/failover/choice.go
+++ b/internal/proxy/failover/choice.go
@@ -15,6 +15,9 @@
 	// Assumed is set if the server has not reported, and Received is what it was known
 	// to have applied.
 	Assumed bool `json:",omitempty"`
+	// Lost is set if the server has started again and its log lacks what was known to be in it
+	// before: that it leads, or what it holds, proves nothing of acknowledged commits.
+	Lost bool `json:",omitempty"`
 }
 
 // surveyed chooses the target: the server that has received most.
@@ -27,7 +30,7 @@
 		return m.decide(now)
 	}
 	for _, report := range event.Reports {
-		if report.Primary && report.ID != m.observation.Leader {
+		if report.Primary && !report.Lost && report.ID != m.observation.Leader {
 			m.rest(now, pauseAfterFailure)
 			return append(m.resume(), LeaderFound{ID: report.ID})
 		}
@@ -79,11 +82,22 @@
 }
 
 // furthest returns the report of the eligible server that has received most,
-// nil if there is none. Of equal ones every holder chooses the same.
+// nil if there is none. Of equal ones every holder chooses the same. One that has lost its log
+// is chosen only if all have.
 func (m *Machine) furthest(now time.Time, reports []Report) *Report {
+	if best := m.furthestOf(now, reports, false); best != nil {
+		return best
+	}
+	return m.furthestOf(now, reports, true)
+}
+
+func (m *Machine) furthestOf(now time.Time, reports []Report, lost bool) *Report {
 	var best *Report
 	for i := range reports {
 		report := &reports[i]
+		if report.Lost != lost {
+			continue
+		}
 		if !m.eligible(report.ID, now) || (m.bound() && report.ID != m.target) || (m.agreed && m.replacedBefore(report)) {
 			continue
 		}
@@ -118,15 +132,19 @@
 	if m.observation.SynchronousReplicas == 0 {
 		return true
 	}
+	leader := m.lastPrimary(reports)
 	replicas := 0
 	for _, server := range m.observation.Servers {
-		if server.ID != m.observation.Leader {
+		if server.ID != leader {
 			replicas++
 		}
 	}
 	reported := 0
 	for _, report := range reports {
-		if report.ID == m.observation.Leader {
+		if report.Lost {
+			continue
+		}
+		if report.ID == leader {
 			if best.Received.Covers(report.Received) {
 				return true
 			}
@@ -140,6 +158,20 @@
 	return reported >= replicas-m.observation.SynchronousReplicas+1
 }
 
+// lastPrimary returns the server that led last, as far as it is known: the one that this node
+// believes in, or one that leads without the log that it had.
+func (m *Machine) lastPrimary(reports []Report) string {
+	if m.observation.Leader != "" {
+		return m.observation.Leader
+	}
+	for i := range reports {
+		if reports[i].Lost && reports[i].Primary {
+			return reports[i].ID
+		}
+	}
+	return ""
+}
+
 func (m *Machine) eligible(id string, now time.Time) bool {
 	if id == m.observation.Leader && !m.openingOnly() {
 		return false
--- a/internal/proxy/failover/terms.go
+++ b/internal/proxy/failover/terms.go
@@ -6,7 +6,7 @@
 // known to have led, and none has reported a newer term.
 func (m *Machine) claims(id string) bool {
 	report := m.reportOf(id)
-	return report != nil && report.Primary && report.Term == m.newestTerm() && report.Term >= m.leastTerm(id)
+	return report != nil && report.Primary && !report.Lost && report.Term == m.newestTerm() && report.Term >= m.leastTerm(id)
 }
 
 // reportOf returns a server's own report, nil if it has not reported.
--- a/internal/proxy/backends/outage.go
+++ b/internal/proxy/leadership/outage.go
@@ -1,4 +1,4 @@
-package backends
+package leadership
 
 import (
 	"sync"
@@ -15,16 +15,16 @@
 	outageWeight = 0.3
 )
 
-// outage tells how long a service is usually without a primary that answers. It is safe
+// Outage tells how long a service is usually without a primary that answers. It is safe
 // for concurrent use.
-type outage struct {
+type Outage struct {
 	mu    sync.Mutex
 	since time.Time
 	usual time.Duration
 }
 
-// note takes a look at the service: whether it has a primary that answers.
-func (o *outage) note(now time.Time, served bool) {
+// Note takes a look at the service: whether it has a primary that answers.
+func (o *Outage) Note(now time.Time, served bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
@@ -42,7 +42,7 @@
 
 // Left returns how long the present outage is expected to go on: what is left of the
 // usual length, and after that half of what it has lasted so far.
-func (o *outage) Left(now time.Time) time.Duration {
+func (o *Outage) Left(now time.Time) time.Duration {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	usual := o.usual
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -24,7 +24,9 @@
 	refusals  *prometheus.CounterVec
 	// storeCalls are the calls to the store.
 	storeCalls *prometheus.CounterVec
-	tenants    *tenantCollector
+	// entriesRefused are entries of the store that cannot be read.
+	entriesRefused *prometheus.CounterVec
+	tenants        *tenantCollector
 	// tokens are the operations that asked for a token of their tenant's quota.
 	tokens *prometheus.CounterVec
 	// ways are reads by how far the server was.
@@ -50,16 +52,17 @@
 			Namespace: network.MetricsNamespace, Name: "read_floor_age_seconds", Buckets: backends.DurationBuckets,
 			Help: "Age of the position that a read on any server had to see, when it was answered.",
 		}, []string{"freshness"}),
-		reads:      counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
-		refusals:   counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
-		storeCalls: counter("store_calls_total", "Calls to the store.", "call", "kind", "outcome"),
-		tokens:     counter("tokens_total", "Operations that asked for a token of their tenant's quota, by the level of their route's urgency (0 is the most urgent).", "level", "outcome"),
-		ways:       counter("read_ways_total", "Servers chosen for reads, by their distance and role. A read that is tried again counts again.", "distance", "role"),
+		reads:          counter("reads_total", "Reads served, by the role of the server that ran them.", "freshness", "role"),
+		refusals:       counter("server_refusals_total", "Answers of servers that they did not run an operation.", "outcome"),
+		storeCalls:     counter("store_calls_total", "Calls to the store.", "call", "kind", "outcome"),
+		entriesRefused: counter("entries_refused_total", "Entries of the store that cannot be read, by kind.", "kind"),
+		tokens:         counter("tokens_total", "Operations that asked for a token of their tenant's quota, by the level of their route's urgency (0 is the most urgent).", "level", "outcome"),
+		ways:           counter("read_ways_total", "Servers chosen for reads, by their distance and role. A read that is tried again counts again.", "distance", "role"),
 	}
 	gauge := func(name, help string, value func() float64) prometheus.Collector {
 		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: network.MetricsNamespace, Name: name, Help: help}, value)
 	}
-	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.storeCalls, m.ways, m.tokens,
+	m.registry.MustRegister(m.commands, m.durations, m.reads, m.floorAges, m.refusals, m.storeCalls, m.entriesRefused, m.ways, m.tokens,
 		gauge("sessions", "Sessions open.", func() float64 { return float64(node.sessionCount.Load()) }),
 		gauge("configuration_version", "Version of the configuration in force.", func() float64 { return float64(node.configurationVersion()) }),
 		m.tenants,
--- a/internal/proxy/network/follow.go
+++ b/internal/proxy/network/follow.go
@@ -109,6 +109,8 @@
 		}
 		server, ok := s.decode(event)
 		if !ok {
+			// An entry that cannot be read names no server to use, whatever it named before.
+			changes = append(changes, catalog.Server{ID: event.Name, Gone: true, Revision: event.Revision})
 			continue
 		}
 		s.Log.Write(eventlog.ServerChanged, zap.String("server", server.ID), zap.String("service", server.Service),
@@ -121,7 +123,7 @@
 func (s *directorySink) decode(object objectstore.Object) (catalog.Server, bool) {
 	server, err := s.ports.Decoder.Server(object)
 	if err != nil {
-		s.Log.Write(eventlog.ServerEntryRefused, zap.String("server", object.Name), zap.Error(err))
+		s.RefuseEntry(s.options.Kinds.Servers, &object, err)
 		return server, false
 	}
 	return server, true
--- a/internal/proxy/network/members.go
+++ b/internal/proxy/network/members.go
@@ -206,12 +206,15 @@
 	for i := range objects {
 		listedEra = max(listedEra, objects[i].Revision.Era())
 		member := Member{Name: objects[i].Name, Revision: objects[i].Revision}
-		switch {
-		case member.Name == n.options.Name:
+		if member.Name == n.options.Name {
 			own = &objects[i]
-		case json.Unmarshal(objects[i].Content, &member) == nil:
-			members = append(members, member)
+			continue
 		}
+		if err := member.decode(objects[i].Content); err != nil {
+			n.RefuseEntry(n.options.Kinds.Members, &objects[i], err)
+			continue
+		}
+		members = append(members, member)
 	}
 	members = n.keepMembers(members, listedEra)
 	n.placeMembers(members)
@@ -222,6 +225,17 @@
 	return own
 }
 
+// decode reads a member's entry.
+func (m *Member) decode(content []byte) error {
+	if err := json.Unmarshal(content, m); err != nil {
+		return &EntryError{Kind: "members", Name: m.Name, Reason: err.Error()}
+	}
+	if m.Address == "" {
+		return &EntryError{Kind: "members", Name: m.Name, Reason: "it has no address"}
+	}
+	return nil
+}
+
 // AwaitMembers waits, but not past a deadline, until a node that has just started
 // knows how many others there are: one that does not know would open connections
 // as if it were alone. It reports whether connections may be opened.
@@ -275,3 +289,34 @@
 	rand.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
 	return chosen[:min(count, len(chosen))]
 }
+
+// Capacity is what a node may use of its machine; zero for what is not known.
+type Capacity struct {
+	// Processors is how many processors' time it may use.
+	Processors float64 `json:"processors,omitempty"`
+	// LinkMbps is what its link carries, in Mbit/s.
+	LinkMbps float64 `json:"link,omitempty"`
+	// MemoryMB is its memory in MiB.
+	MemoryMB int `json:"memory,omitempty"`
+}
+
+// What work on a server's connections uses beside a whole processor: about 5,000 statements
+// a second take one at the owner, and with 300 bytes of request and answer each way they
+// fill 25 Mbit/s. Sessions and answers that wait for slow askers are held in memory; a quarter
+// of a GiB bears as many as a processor.
+const (
+	linkMbpsPerProcessor = 25
+	memoryMBPerProcessor = 256
+)
+
+// Weight is how much of other nodes' work a node can own: the scarcest of what it tells, as
+// the number of processors of which the rest would be in proportion. Zero if it tells none.
+func (c Capacity) Weight() float64 {
+	weight := 0.0
+	for _, part := range []float64{c.Processors, c.LinkMbps / linkMbpsPerProcessor, float64(c.MemoryMB) / memoryMBPerProcessor} {
+		if part > 0 && (weight == 0 || part < weight) {
+			weight = part
+		}
+	}
+	return weight
+}
--- a/internal/proxy/network/network.go
+++ b/internal/proxy/network/network.go
@@ -90,7 +90,9 @@
 	Store objectstore.Store
 	// StoreCalls counts the calls to the store by call, kind and outcome; nil if nobody counts.
 	StoreCalls *prometheus.CounterVec
-	Decoder    Decoder
+	// EntriesRefused counts entries that cannot be read, by kind; nil if nobody counts.
+	EntriesRefused *prometheus.CounterVec
+	Decoder        Decoder
 	// Peers asks other nodes; nil if there are none.
 	Peers Peers
 	// Traffic counts the bytes of the node's ports; nil if nobody counts.
@@ -142,6 +144,8 @@
 	// configurationHeard is since when, after the node's start, a newer configuration may
 	// have been missed, in nanoseconds.
 	configurationHeard atomic.Int64
+	// refused keeps entries of other writers from being logged at each listing.
+	refused refusedEntries
 	// listedOnce is done once the store itself has told the configuration.
 	listedOnce sync.Once
 	// newer is the search for a configuration that holds an unknown key.
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -154,7 +154,7 @@
 	}
 	node.metrics = newMetrics(node)
 	ways := network.Ports{
-		Store: ports.Store, StoreCalls: node.metrics.storeCalls, Decoder: ports.Decoder, Peers: ports.Peers, Traffic: ports.Traffic,
+		Store: ports.Store, StoreCalls: node.metrics.storeCalls, EntriesRefused: node.metrics.entriesRefused, Decoder: ports.Decoder, Peers: ports.Peers, Traffic: ports.Traffic,
 	}
 	known := network.New(networkOptions(&options), ways, duties{node}, node.catalog, node.started, log)
 	ways.Store = known.Store()
