--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -54,6 +54,7 @@
 	ServerGone            Event = "server_gone"
 	EntryRefused          Event = "entry_refused"
 	ServerReborn          Event = "server_reborn"
+	ZonesEvacuated        Event = "zones_evacuated"
 	PrimaryLacksLog       Event = "primary_lacks_log"
 	ServerUnreachable     Event = "server_unreachable"
 	ServerReachable       Event = "server_reachable"
@@ -100,7 +101,7 @@
 var Vocabulary = map[Event]Class{
 	NodeStarted: Belief, NodeStopping: Belief, NodeStopped: Belief, SettingsRead: Belief, SettingsRefused: Belief,
 	StoreLost: Belief, StoreRegained: Belief, StoreRestored: Belief, ConfigurationApplied: Belief, ConfigurationRefused: Belief,
-	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, EntryRefused: Belief, ServerReborn: Belief, PrimaryLacksLog: Belief,
+	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, EntryRefused: Belief, ServerReborn: Belief, ZonesEvacuated: Belief, PrimaryLacksLog: Belief,
 	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, OwnerMoved: Belief, TrafficTold: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
 	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, NodeDegraded: Belief,
--- a/internal/base/failure/failure.go
+++ b/internal/base/failure/failure.go
@@ -74,6 +74,8 @@
 	UnknownKey
 	// OverQuota: the tenant has used up what its quota allows.
 	OverQuota
+	// OutsideHomes: no server that may run the work stands where it may go.
+	OutsideHomes
 )
 
 type description struct {
@@ -111,6 +113,7 @@
 	TooManyValues:       {"too_many_values", "54000", "the session keeps as many values or statements as a node allows", "deallocate what is no longer used, or open another session", false},
 	UnknownKey:          {"unknown_key", "28000", "the key is not known, or was taken away", "use a key that the operator has given to your tenant; operators see its keys in the configuration", true},
 	OverQuota:           {"over_quota", "53400", "request refused: the tenant has used up its quota", "send the request again after the time given in the detail, or ask the operator for a larger quota", false},
+	OutsideHomes:        {"outside_homes", "57P03", "request refused: no server that can run it stands in a region to which it may go", "send the request again after the time given in the detail; operators see the regions of route and tenant in the configuration", false},
 	TooLarge:            {"too_large", "54000", "message exceeds the size limit", "send less in one message, or raise max_message_bytes in the settings", true},
 }
 
--- a/internal/base/settings/proxy.go
+++ b/internal/base/settings/proxy.go
@@ -50,6 +50,13 @@
 	ConfigurationBound Duration `toml:"configuration_bound"`
 	// DrainBound is within how long a leaving server must receive no new work.
 	DrainBound Duration `toml:"drain_bound"`
+	// EvacuationBound is within how long the servers of an evacuated zone must receive nothing.
+	// Zero where zones are not evacuated: evacuations are not followed then.
+	EvacuationBound Duration `toml:"evacuation_bound"`
+	// ColdOverage and ColdSlack are by how much the requests to a cold server may pass its rate
+	// in a second: as a factor, and as a number.
+	ColdOverage float64 `toml:"cold_overage" validate:"min=0,max=1000"`
+	ColdSlack   float64 `toml:"cold_slack" validate:"min=0,max=1000000"`
 	// StopGrace is the time from SIGTERM until the process is killed.
 	StopGrace Duration `toml:"stop_grace"`
 	// MemoryLimitMB is the memory that the process may use, in MiB.
@@ -109,6 +116,9 @@
 			lines = append(lines, fmt.Sprintf("%s = %s: use %s to %s", bound.key, bound.value, minimumBound, maximumBound))
 		}
 	}
+	if evacuation := p.EvacuationBound.Duration; evacuation != 0 && (evacuation < minimumBound || evacuation > maximumBound) {
+		lines = append(lines, fmt.Sprintf("evacuation_bound = %s: use %s to %s, or 0s if zones are not evacuated", p.EvacuationBound, minimumBound, maximumBound))
+	}
 	if window := p.QuotaWindow.Duration; window != 0 && (window < minimumBound || window > maximumBound) {
 		lines = append(lines, fmt.Sprintf("quota_window = %s: use %s to %s, or 0s for no quotas", p.QuotaWindow, minimumBound, maximumBound))
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -147,7 +147,8 @@
 	}
 	return proxy.Options{
 		Name: loaded.Name, Zone: loaded.Zone, PeerAddress: advertised, Seeds: loaded.Seeds, Regions: loaded.Regions, Life: rand.Text(),
-		ConfigurationBound: loaded.ConfigurationBound.Duration, DrainBound: loaded.DrainBound.Duration,
+		ConfigurationBound: loaded.ConfigurationBound.Duration, DrainBound: loaded.DrainBound.Duration, EvacuationBound: loaded.EvacuationBound.Duration,
+		ColdOverage: loaded.ColdOverage, ColdSlack: loaded.ColdSlack,
 		StopGrace: loaded.StopGrace.Duration, Kinds: platform.Kinds,
 		Agreed: loaded.UnfencedPromotions, MessageAddress: loaded.Messages,
 		Quotas:       quota.Bounds{Window: loaded.QuotaWindow.Duration, Overage: loaded.QuotaOverage, Slack: loaded.QuotaSlack},
--- a/internal/lab/standin/managed/server.go
+++ b/internal/lab/standin/managed/server.go
@@ -40,11 +40,22 @@
 	// crashes counts the crashes, so that an entry lapses for the newest only.
 	crashes int
 
-	log      []entry
-	applied  int
-	running  int
-	queued   int
-	sessions map[*Session]struct{}
+	log     []entry
+	applied int
+	// statements counts the callers' statements that have run.
+	statements int
+	running    int
+	queued     int
+	sessions   map[*Session]struct{}
+}
+
+// Zone returns the server's zone.
+func (s *Server) Zone() string { return s.zone }
+
+// Statements returns how many statements of callers have run on the server.
+func (s *Server) Statements() int {
+	defer s.lock()()
+	return s.statements
 }
 
 // ID returns the server's id.
--- a/internal/lab/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -210,6 +210,9 @@
 	if !s.alive() || !s.server.up {
 		return upstream.Result{}, true
 	}
+	if operation.RequestID != "" {
+		s.server.statements++
+	}
 	result := s.apply(operation)
 	lost := false
 	if takesSlot(operation.Kind) && s.server.loseAnswers > 0 {
--- a/internal/lab/standin/managed/store.go
+++ b/internal/lab/standin/managed/store.go
@@ -22,6 +22,8 @@
 	LeaseKind         = "leases"
 	MemberKind        = "members"
 	VoterKind         = "voters"
+	ReaderKind        = "readers"
+	EvacuationKind    = "evacuations"
 )
 
 // storeDelay is the time of an answer.
--- a/internal/proxy/backends/backends.go
+++ b/internal/proxy/backends/backends.go
@@ -41,11 +41,18 @@
 	Regions map[string]string
 	// DrainBound is within how long a leaving server must receive no new work.
 	DrainBound time.Duration
+	// EvacuationBound is within how long the servers of an evacuated zone must receive nothing.
+	EvacuationBound time.Duration
+	// ColdOverage and ColdSlack are by how much the requests to a cold server may pass its rate.
+	ColdOverage float64
+	ColdSlack   float64
 	// Agreed makes nodes agree on tenures, since the platform checks no fences.
 	// MessageAddress is where messages of the agreement reach this node.
 	Agreed         bool
 	MessageAddress string
 	Kinds          network.Kinds
+	// FirstStart is set while the whole fleet starts for the first time.
+	FirstStart bool
 	// Capacity is what the node may use of its machine.
 	Capacity network.Capacity
 }
--- a/internal/proxy/backends/health.go
+++ b/internal/proxy/backends/health.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/failover"
 	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/upstream"
@@ -176,15 +177,19 @@
 	}
 	// A primary whose entry vanished so long ago that it was forgotten is gone all the same.
 	observation.LeaderGone = leader != ""
+	homes := s.routesHomes()
 	for _, entry := range s.backends.catalog.Current().ByService[s.Name] {
 		if entry.ID == leader {
-			observation.LeaderDraining = entry.Draining
+			observation.LeaderDraining = entry.Draining || entry.Evacuated()
 			observation.LeaderGone = entry.Gone
+			observation.LeaderAway = !s.backends.Allows(entry.Zone, homes...)
 		}
 		if entry.Gone {
 			continue
 		}
-		observation.Servers = append(observation.Servers, failover.Server{ID: entry.ID, Leaving: entry.Leaving()})
+		observation.Servers = append(observation.Servers, failover.Server{
+			ID: entry.ID, Leaving: entry.Leaving(), Away: !s.backends.Allows(entry.Zone, homes...),
+		})
 	}
 	if s.backends.Tenures != nil {
 		s.observeTenure(&observation, time.Now())
@@ -192,6 +197,22 @@
 	return observation
 }
 
+// routesHomes returns the homes of the service's routes: a primary where all of them may send
+// their work serves all.
+func (s *Service) routesHomes() []catalog.Homes {
+	configuration := s.backends.catalog.Current().Configuration
+	if configuration == nil || !configuration.HasHomes {
+		return nil
+	}
+	var homes []catalog.Homes
+	for _, route := range configuration.Routes {
+		if route.Service == s.Name && len(route.Homes) > 0 {
+			homes = append(homes, route.Homes)
+		}
+	}
+	return homes
+}
+
 func (s *Service) synchronousReplicas() int {
 	if configuration := s.backends.catalog.Current().Configuration; configuration != nil {
 		return configuration.Services[s.Name].SynchronousReplicas
--- a/internal/proxy/backends/leases.go
+++ b/internal/proxy/backends/leases.go
@@ -25,8 +25,12 @@
 )
 
 // ReadLeases learns, at the start, of leases that an earlier life of this node
-// holds. Leases that are missing are made once the members are known.
+// holds. Leases that are missing are made once the members are known. A node of a fleet that
+// starts for the first time has had no earlier life.
 func (b *Backends) ReadLeases(ctx context.Context) {
+	if b.options.FirstStart {
+		return
+	}
 	for ctx.Err() == nil {
 		objects, ok := b.listLeases(ctx)
 		if !ok {
@@ -99,14 +103,10 @@
 	if len(own) == 0 {
 		return true
 	}
-	objects, ok := b.listLeases(ctx)
+	made, ok := b.madeLeases(ctx, own)
 	if !ok {
 		return false
 	}
-	made := map[string]bool{}
-	for _, object := range objects {
-		made[object.Name] = true
-	}
 	for _, name := range own {
 		if !made[name] {
 			b.Service(name).submit(b.missingLease())
@@ -115,6 +115,32 @@
 	return true
 }
 
+// askedSingly is up to how many leases are asked for one by one: in a fleet with as many
+// services as nodes each makes about one, and a listing of 1,000 is five calls.
+const askedSingly = 4
+
+// madeLeases returns which of some services have a lease.
+func (b *Backends) madeLeases(ctx context.Context, services []string) (map[string]bool, bool) {
+	made := map[string]bool{}
+	if len(services) > askedSingly {
+		objects, ok := b.listLeases(ctx)
+		for _, object := range objects {
+			made[object.Name] = true
+		}
+		return made, ok
+	}
+	limited, cancel := context.WithTimeout(ctx, network.StoreCallLimit)
+	defer cancel()
+	for _, name := range services {
+		_, err := b.ports.Store.GetStale(limited, b.options.Kinds.Leases, name)
+		if err != nil && objectstore.OutcomeOf(err) != objectstore.NotFound {
+			return nil, false
+		}
+		made[name] = err == nil
+	}
+	return made, true
+}
+
 // rankedFirst returns the services for which this node ranks first among the members.
 func (b *Backends) rankedFirst(configuration *catalog.Configuration) []string {
 	candidates := []placement.Candidate{{ID: b.options.Name}}
--- a/internal/proxy/backends/owners.go
+++ b/internal/proxy/backends/owners.go
@@ -11,6 +11,7 @@
 	"dewknot/internal/base/placement"
 	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/cold"
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/remote"
 	"dewknot/internal/proxy/upstream"
@@ -36,6 +37,8 @@
 // ranking is the order of a server's owners, made of placements.
 type ranking struct {
 	placed *placements
+	// homes is set if it was made while work may be bound to regions.
+	homes bool
 	// first names the node that owns the server's connections.
 	first string
 	// before are the addresses of the nodes that come before this one, best first.
@@ -59,6 +62,9 @@
 		return target.Pool.Get(principal, deadline)
 	}
 	link, address := b.links.Pick(target.notShunned(owners, time.Now()), deadline)
+	if link == nil && len(owners) >= cold.Senders && b.bounded(target, time.Now()) {
+		return nil, upstream.ErrNoConnection
+	}
 	if link == nil {
 		return target.Pool.Get(principal, deadline)
 	}
@@ -69,12 +75,16 @@
 // first; none if it has connections of its own.
 func (b *Backends) OwnersBefore(target *Server) []string {
 	members := b.Members.Load()
-	if members == nil || b.ports.Peers == nil || b.sharesConnections(target.service, len(*members)+1) {
+	if members == nil || b.ports.Peers == nil {
+		return nil
+	}
+	// To a cold server all go through its owner, who counts what it may be sent.
+	if b.sharesConnections(target.service, len(*members)+1) && !b.bounded(target, time.Now()) {
 		return nil
 	}
 	placed := b.placements(members)
 	ranked := target.owners.Load()
-	if ranked == nil || ranked.placed != placed {
+	if ranked == nil || ranked.placed != placed || ranked.homes != b.bindsHomes() {
 		previous := ranked
 		ranked = b.rankOwners(target.ID, placed)
 		target.owners.Store(ranked)
@@ -96,19 +106,27 @@
 // the connections, the way to the server is hardly longer. The one that was assigned the
 // server comes first.
 func (b *Backends) rankOwners(id string, placed *placements) *ranking {
-	ranked := &ranking{placed: placed, first: placed.owners[id]}
+	ranked := &ranking{placed: placed, homes: b.bindsHomes(), first: placed.owners[id]}
+	if ranked.homes && !b.inRegionOf(id, ranked.first, placed) {
+		ranked.first = ""
+	}
 	var names []string
 	if ranked.first != "" {
 		names = append(names, ranked.first)
 	}
-	for _, tier := range b.tiersOf(id, placed) {
+	tiers := b.tiersOf(id, placed)
+	if b.bindsHomes() {
+		// Where work has homes, it passes only through nodes of the server's own region.
+		tiers = tiers[:zoneTiers-1]
+	}
+	for _, tier := range tiers {
 		for _, name := range placement.Rank(id, "", tier, ownersRanked) {
 			if name != ranked.first {
 				names = append(names, name)
 			}
 		}
 	}
-	if ranked.first == "" {
+	if ranked.first == "" && len(names) > 0 {
 		ranked.first = names[0]
 	}
 	for _, name := range names {
@@ -120,6 +138,12 @@
 	return ranked
 }
 
+// bindsHomes reports whether work may be bound to regions.
+func (b *Backends) bindsHomes() bool {
+	configuration := b.catalog.Current().Configuration
+	return configuration != nil && configuration.HasHomes
+}
+
 // tiersOf returns the nodes by their distance from a server, the nearest first.
 func (b *Backends) tiersOf(id string, placed *placements) [][]placement.Candidate {
 	zone, known := placed.zones[id]
@@ -223,7 +247,7 @@
 	if place.Class != admission.Continuation && admission.Overfull(o.Gate.Wait(place), time.Until(deadline)) {
 		return false
 	}
-	return o.Gate.Enter(place, deadline)
+	return o.service.backends.Admit(o.Server, place, deadline)
 }
 
 // Leave implements remote.Server.
--- a/internal/proxy/backends/placements.go
+++ b/internal/proxy/backends/placements.go
@@ -17,8 +17,9 @@
 	members []network.Member
 	// zones holds the zone of each server whose connections are owned.
 	zones map[string]string
-	// addresses holds the nodes' by name.
+	// addresses holds the nodes' by name, regions theirs.
 	addresses map[string]string
+	regions   map[string]string
 	// tiers are the nodes by their distance from each zone of servers, the nearest first.
 	tiers map[string][][]placement.Candidate
 	// owners holds the name of each server's owner.
@@ -90,7 +91,8 @@
 func (b *Backends) place(zones map[string]string, members []network.Member) *placements {
 	made := &placements{
 		members: members, zones: zones, addresses: map[string]string{b.options.Name: ""},
-		tiers: map[string][][]placement.Candidate{}, owners: map[string]string{},
+		regions: map[string]string{b.options.Name: b.options.Regions[b.options.Zone]},
+		tiers:   map[string][][]placement.Candidate{}, owners: map[string]string{},
 	}
 	servers := map[string][]string{}
 	for id, zone := range zones {
@@ -98,6 +100,7 @@
 	}
 	for _, member := range members {
 		made.addresses[member.Name] = member.Address
+		made.regions[member.Name] = b.options.Regions[member.Zone]
 	}
 	for zone, ids := range servers {
 		made.tiers[zone] = b.tiersFrom(zone, members)
@@ -114,6 +117,12 @@
 	return made
 }
 
+// inRegionOf reports whether a node is in the region of a server.
+func (b *Backends) inRegionOf(id, node string, placed *placements) bool {
+	entry := b.catalog.Current().Servers[id]
+	return entry != nil && placed.regions[node] == b.options.Regions[entry.Zone]
+}
+
 // ownedZones returns the zones of the servers that have too few connections for each node to
 // keep its own.
 func (b *Backends) ownedZones(snapshot *catalog.Snapshot, nodes int) map[string]string {
--- a/internal/proxy/backends/server_room.go
+++ b/internal/proxy/backends/server_room.go
@@ -8,6 +8,7 @@
 
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/admission"
+	"dewknot/internal/proxy/cold"
 	"dewknot/internal/proxy/told"
 	"dewknot/internal/proxy/urgency"
 )
@@ -31,6 +32,29 @@
 	return t.Told.WaitOnlyHere(now, level)
 }
 
+// Admit lets work run on this node's own connections to a server, or refuses it. What a cold
+// server may be sent is counted first.
+func (b *Backends) Admit(target *Server, place admission.Request, deadline time.Time) bool {
+	if !target.cold.Take(time.Now(), b.coldBound(target.service), place.Class == admission.Continuation) {
+		return false
+	}
+	return target.Gate.Enter(place, deadline)
+}
+
+// coldBound returns how much may be sent to a cold server of a service.
+func (b *Backends) coldBound(service string) cold.Bound {
+	configuration := b.catalog.Current().Configuration
+	if configuration == nil {
+		return cold.Bound{}
+	}
+	return cold.Bound{PerSecond: configuration.Services[service].ColdPerSecond, Overage: b.options.ColdOverage, Slack: b.options.ColdSlack}
+}
+
+// bounded reports whether a server is cold and what it may be sent is bounded.
+func (b *Backends) bounded(target *Server, now time.Time) bool {
+	return target.cold.Cold(now) && b.coldBound(target.service).PerSecond > 0
+}
+
 // OwnerReported takes what an owner tells of a server.
 func (b *Backends) OwnerReported(id string, sent time.Time, report *told.Report) {
 	target := b.Server(id)
--- a/internal/proxy/backends/service.go
+++ b/internal/proxy/backends/service.go
@@ -12,6 +12,7 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/admission"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/cold"
 	"dewknot/internal/proxy/failover"
 	"dewknot/internal/proxy/freshness"
 	"dewknot/internal/proxy/leadership"
@@ -27,6 +28,8 @@
 	// born tells the server's life, lacks what its log may lack if an earlier one is known.
 	born  int64
 	lacks lostLog
+	// cold counts what this node sends to the server while it is slow from its start.
+	cold  cold.Limiter
 	Stats *upstream.Stats
 	Pool  *upstream.Pool
 	Gate  *admission.Gate
@@ -161,6 +164,9 @@
 	} else if entry.Leaving() {
 		found.(*Server).Pool.Trim(time.Now())
 	}
+	if entry.ColdFor > 0 {
+		b.Server(entry.ID).cold.Observe(time.Now(), entry.ColdFor)
+	}
 	if entry.Role == catalog.Primary && !entry.Gone && b.Tenures == nil {
 		service := b.Service(entry.Service)
 		replaced := service.Belief.Leader() != ""
@@ -268,10 +274,56 @@
 	if !entry.Leaving() {
 		return true
 	}
+	if s.withdrawn(entry, now) {
+		return false
+	}
+	if !entry.Draining && !entry.Gone {
+		return true
+	}
 	limit := time.Duration(leavingShare * float64(s.backends.options.DrainBound))
 	return now.Sub(entry.LeavingSince) < limit
 }
 
+// evacuatedShare is the part of the evacuation bound during which a server of an evacuated zone
+// may still receive work that no other can take, and transactions may end: a planned change of
+// the primary takes less, and what the change of the zones takes to reach a node is left.
+const evacuatedShare = 0.2
+
+// withdrawn reports whether a server may receive nothing any more, since its zone is evacuated.
+func (s *Service) withdrawn(entry *catalog.Server, now time.Time) bool {
+	limit := time.Duration(evacuatedShare * float64(s.backends.options.EvacuationBound))
+	return entry.Evacuated() && now.Sub(entry.EvacuatedSince) >= limit
+}
+
+// Withdrawn reports whether open transactions on a server have to end, since its zone is
+// evacuated.
+func (s *Service) Withdrawn(id string, now time.Time) bool {
+	entry := s.backends.catalog.Current().Servers[id]
+	return entry != nil && s.withdrawn(entry, now)
+}
+
+// Servable reports whether the service has a server whose zone is not evacuated, and to whose
+// region work with some homes may go. One that is gone or down may come back.
+func (s *Service) Servable(now time.Time, homes ...catalog.Homes) bool {
+	for _, entry := range s.backends.catalog.Current().ByService[s.Name] {
+		if !s.withdrawn(entry, now) && s.backends.Allows(entry.Zone, homes...) {
+			return true
+		}
+	}
+	return len(s.backends.catalog.Current().ByService[s.Name]) == 0
+}
+
+// Allows reports whether work with some homes may go to a zone.
+func (b *Backends) Allows(zone string, homes ...catalog.Homes) bool {
+	region := b.options.Regions[zone]
+	for _, each := range homes {
+		if !each.Allow(region) {
+			return false
+		}
+	}
+	return true
+}
+
 // submit gives the failover machine an event and carries out its effects.
 func (s *Service) submit(event failover.Event) {
 	s.mutex.Lock()
--- a/internal/proxy/backends/witnesses.go
+++ b/internal/proxy/backends/witnesses.go
@@ -98,7 +98,9 @@
 		switch {
 		case answer.Reached:
 			outcome.Reached++
-			s.witness.Store(&answer.From)
+			if s.mayTunnel(witnesses, answer.From) {
+				s.witness.Store(&answer.From)
+			}
 		case elsewhere[answer.From]:
 			outcome.ConfirmedElsewhere++
 		}
@@ -106,6 +108,17 @@
 	return outcome
 }
 
+// mayTunnel reports whether connections to the primary may go through a witness: where work has
+// homes, only through one of the primary's own region.
+func (s *Service) mayTunnel(witnesses []network.Member, address string) bool {
+	if !s.backends.bindsHomes() {
+		return true
+	}
+	entry := s.backends.catalog.Current().Servers[s.lastPrimary()]
+	i := slices.IndexFunc(witnesses, func(m network.Member) bool { return m.Address == address })
+	return entry != nil && i >= 0 && s.backends.ZoneDistance(witnesses[i].Zone, entry.Zone) < zoneTiers-1
+}
+
 // membersNamed returns the members with some names that are known and other nodes.
 func (b *Backends) membersNamed(names []string) []network.Member {
 	known := b.Members.Load()
--- a/internal/proxy/calls_test.go
+++ b/internal/proxy/calls_test.go
@@ -58,7 +58,7 @@
 
 // TestNodesMakeFewCallsToTheStore: of a fleet of 60 that starts, only the six readers list
 // and watch; each node enters itself once, and makes some cheap listings. A node that
-// starts again in the running fleet makes cheap listings only.
+// starts again in the running fleet makes cheap calls only.
 func TestNodesMakeFewCallsToTheStore(t *testing.T) {
 	bubbletest.Test(t, func(t *testing.T) {
 		const nodes, readers = 60, 6
@@ -94,6 +94,9 @@
 		must.True(t, fleet.nodes[again].Ready())
 		time.Sleep(10 * time.Second)
 		calls := callsByName(t, fleet.nodes[again])
+		// Cheap calls only: listings, and two questions for one object each.
+		must.LessEq(t, 2, calls["get_stale"], must.Sprint(calls))
+		delete(calls, "get_stale")
 		must.MapLen(t, 1, calls, must.Sprint(calls))
 		must.LessEq(t, 6, calls["list_stale"], must.Sprint(calls))
 		fleet.end()
--- a/internal/proxy/catalog/catalog.go
+++ b/internal/proxy/catalog/catalog.go
@@ -44,6 +44,8 @@
 	Priority int
 	// Public routes serve callers without a key.
 	Public bool
+	// Homes are the regions to which the route's work may go.
+	Homes Homes
 }
 
 // Service is a group of one primary and its replicas.
@@ -53,6 +55,9 @@
 	MaxConnections int
 	// SynchronousReplicas must have received a commit before it is acknowledged.
 	SynchronousReplicas int
+	// ColdPerSecond bounds the requests of all nodes together to a server that is cold; 0
+	// means that there is no bound.
+	ColdPerSecond float64
 }
 
 // Configuration is a whole version of the operators' configuration.
@@ -64,8 +69,9 @@
 	// need no key. Keys holds the tenant of each key.
 	Tenants map[string]Tenant
 	Keys    map[KeyDigest]string
-	// HasQuotas is set if some tenant has a quota.
+	// HasQuotas is set if some tenant has a quota, HasHomes if a route or a tenant has homes.
 	HasQuotas bool
+	HasHomes  bool
 	// TransactionIdle is how long a transaction may rest before it may be ended.
 	TransactionIdle time.Duration
 }
@@ -108,10 +114,16 @@
 	LeavingSince time.Time
 	// Gone is set while the entry has vanished from the directory.
 	Gone bool
+	// EvacuatedSince is when this node learned that the server's zone is evacuated; zero while
+	// it is not.
+	EvacuatedSince time.Time
 }
 
+// Evacuated reports whether the server's zone is evacuated.
+func (s *Server) Evacuated() bool { return !s.EvacuatedSince.IsZero() }
+
 // Leaving reports whether the server drains or has left the directory.
-func (s *Server) Leaving() bool { return s.Draining || s.Gone }
+func (s *Server) Leaving() bool { return s.Draining || s.Gone || s.Evacuated() }
 
 // Snapshot is an immutable view of configuration and directory.
 type Snapshot struct {
@@ -120,6 +132,8 @@
 	Servers map[string]*Server
 	// ByService lists the same servers by service, ordered by ID.
 	ByService map[string][]*Server
+	// Evacuated holds the zones that are evacuated, by since when this node knows.
+	Evacuated map[string]time.Time
 }
 
 // Catalog is the node's knowledge, safe for concurrent use.
@@ -232,6 +246,7 @@
 		directory[id] = server
 	}
 	change(directory)
+	previous.evacuate(directory)
 	next := *previous
 	next.Servers = directory
 	next.ByService = indexByService(directory)
--- a/internal/proxy/catalog/tenant.go
+++ b/internal/proxy/catalog/tenant.go
@@ -44,6 +44,8 @@
 	Keys []KeyDigest
 	// Quota is nil for a tenant without a limit.
 	Quota *Quota
+	// Homes are the regions to which the tenant's work may go.
+	Homes Homes
 }
 
 // SetTenants gives the configuration its tenants, from whom on callers need a key. It
@@ -78,6 +80,7 @@
 	}
 	c.Tenants[tenant.Name] = *tenant
 	c.HasQuotas = c.HasQuotas || tenant.Quota != nil
+	c.HasHomes = c.HasHomes || len(tenant.Homes) > 0
 	return nil
 }
 
--- /dev/null
+++ b/internal/proxy/cold/cold_test.go
@@ -0,0 +1,68 @@
+package cold
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// TestBoundHoldsInAnySecond: whatever two senders are asked to send that do not know of each
+// other, no second holds more than the bound, and once the server is warm nothing is held back.
+func TestBoundHoldsInAnySecond(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := Bound{
+			PerSecond: rapid.Float64Range(1, 60).Draw(t, "per second"), Overage: rapid.Float64Range(1, 2).Draw(t, "overage"),
+			Slack: rapid.Float64Range(0, 8).Draw(t, "slack"),
+		}
+		began := time.Unix(1000, 0)
+		senders := make([]Limiter, Senders)
+		for i := range senders {
+			senders[i].Observe(began, 5*time.Second)
+		}
+		var sent []time.Time
+		now := began
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond)
+			sender := &senders[rapid.IntRange(0, Senders-1).Draw(t, "sender")]
+			if !sender.Cold(now) {
+				must.True(t, sender.Take(now, bound, false))
+				continue
+			}
+			if sender.Take(now, bound, rapid.Bool().Draw(t, "continues")) {
+				sent = append(sent, now)
+			}
+		}
+		for first, from := range sent {
+			last := first
+			for last < len(sent) && sent[last].Sub(from) < time.Second {
+				last++
+			}
+			must.LessEq(t, bound.PerSecond*bound.Overage+bound.Slack, float64(last-first))
+		}
+	})
+}
+
+func TestNewWorkLeavesRoomForTransactions(t *testing.T) {
+	var l Limiter
+	now := time.Unix(1000, 0)
+	l.Observe(now, time.Minute)
+	bound := Bound{PerSecond: 20, Overage: 1}
+	fresh := 0
+	for l.Take(now, bound, false) {
+		fresh++
+	}
+	must.Eq(t, 7, fresh)
+	must.True(t, l.Take(now, bound, true))
+	must.True(t, l.Take(now.Add(2*window), bound, false))
+}
+
+func TestNoBound(t *testing.T) {
+	var l Limiter
+	now := time.Unix(1000, 0)
+	l.Observe(now, time.Minute)
+	for range 1000 {
+		must.True(t, l.Take(now, Bound{Slack: 5}, false))
+	}
+}
--- a/internal/proxy/comeback.go
+++ b/internal/proxy/comeback.go
@@ -31,7 +31,7 @@
 	switch kind {
 	case failure.Overloaded:
 		return spread(r.expectedWait(now))
-	case failure.NoPrimary:
+	case failure.NoPrimary, failure.NoServer, failure.OutsideHomes:
 		return spread(r.service.Outage.Left(now))
 	default:
 		return spread(leastComeBack)
--- a/internal/proxy/failover/choice.go
+++ b/internal/proxy/failover/choice.go
@@ -101,7 +101,7 @@
 		if !m.eligible(report.ID, now) || (m.bound() && report.ID != m.target) || (m.agreed && m.replacedBefore(report)) {
 			continue
 		}
-		if best == nil || best.Received.Less(report.Received) || (best.Received == report.Received && report.ID < best.ID) {
+		if best == nil || best.Received.Less(report.Received) || (best.Received == report.Received && m.preferred(report.ID, best.ID)) {
 			best = report
 		}
 	}
@@ -181,7 +181,25 @@
 	}
 	for _, server := range m.observation.Servers {
 		if server.ID == id {
-			return !server.Leaving
+			return !server.Leaving && !(server.Away && m.movesHome())
+		}
+	}
+	return false
+}
+
+// preferred reports whether one of two servers that have received as much is chosen: the one
+// to whose region all work may go, else the first by name.
+func (m *Machine) preferred(id, other string) bool {
+	if away := m.away(id); away != m.away(other) {
+		return !away
+	}
+	return id < other
+}
+
+func (m *Machine) away(id string) bool {
+	for _, server := range m.observation.Servers {
+		if server.ID == id {
+			return server.Away
 		}
 	}
 	return false
--- a/internal/proxy/failover/machine.go
+++ b/internal/proxy/failover/machine.go
@@ -38,6 +38,9 @@
 	// goneDelay is how long a primary that vanished from the directory, but
 	// still answers, is left in office.
 	goneDelay = 2 * time.Second
+	// awayDelay is how long a primary stays in office where work of some route may not go: a
+	// change of the configuration reaches all nodes by then.
+	awayDelay = 2 * time.Second
 	// settleLimit bounds the wait for a promoted server to take the lead.
 	settleLimit = 3 * time.Second
 	// unansweredLimit is the same after an order that was not answered.
@@ -89,6 +92,8 @@
 	// it has vanished from the directory.
 	LeaderDraining bool
 	LeaderGone     bool
+	// LeaderAway is set if work of some route may not go to the leader's region.
+	LeaderAway bool `json:",omitempty"`
 	// Servers are all servers of the service known to the node.
 	Servers []Server
 	// SynchronousReplicas is how many replicas hold a commit when it is acknowledged.
@@ -110,6 +115,8 @@
 type Server struct {
 	ID      string
 	Leaving bool
+	// Away is set if work of some route may not go to the server's region.
+	Away bool `json:",omitempty"`
 }
 
 // Machine is the reducer of one service on one node.
@@ -247,6 +254,8 @@
 		return m.otherServer(), 0
 	case seen.LeaderGone:
 		return m.otherServer(), goneDelay
+	case seen.LeaderAway:
+		return m.otherHome(), awayDelay
 	default:
 		return false, 0
 	}
@@ -261,6 +270,22 @@
 	return false
 }
 
+// otherHome reports whether there is a server that stays, and to whose region all work may go.
+func (m *Machine) otherHome() bool {
+	for _, server := range m.observation.Servers {
+		if server.ID != m.observation.Leader && !server.Leaving && !server.Away {
+			return true
+		}
+	}
+	return false
+}
+
+// movesHome reports whether a primary is replaced only to lead where all work may go.
+func (m *Machine) movesHome() bool {
+	seen := &m.observation
+	return seen.LeaderAway && !seen.LeaderDown && !seen.LeaderDraining && !seen.LeaderGone
+}
+
 func (m *Machine) observed(now time.Time) []Effect {
 	if m.phase == Settling && !m.agreed {
 		if m.observation.Leader == m.target && !m.observation.LeaderDown {
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -82,6 +82,8 @@
 	// quotas are the bounds of the tenants' quotas.
 	quotas           quota.Bounds
 	strictRevocation bool
+	// evacuationBound is 0 where zones are not evacuated.
+	evacuationBound time.Duration
 	// agreed is set if the nodes agree on tenures, since the platform checks no tokens.
 	agreed bool
 	// apart holds the nodes that no other node reaches, or that reach none.
@@ -129,6 +131,7 @@
 	// quotas are the bounds of the tenants' quotas, if there are any.
 	quotas           quota.Bounds
 	strictRevocation bool
+	evacuationBound  time.Duration
 	// disagreed lets the nodes believe what servers say of themselves all the same.
 	disagreed bool
 }
@@ -158,7 +161,7 @@
 func prepareFleet(cfg fleetConfig) *simulatedFleet {
 	nodes, synchronousReplicas := cfg.nodes, cfg.synchronousReplicas
 	fleet := &simulatedFleet{
-		store: managed.NewStore(), check: judge.New(), zones: []string{"a", "b", "c"}, agreed: cfg.unfenced && !cfg.disagreed, quotas: cfg.quotas, strictRevocation: cfg.strictRevocation,
+		store: managed.NewStore(), check: judge.New(), zones: []string{"a", "b", "c"}, agreed: cfg.unfenced && !cfg.disagreed, quotas: cfg.quotas, strictRevocation: cfg.strictRevocation, evacuationBound: cfg.evacuationBound,
 		broken: cfg.broken, nodes: map[string]*proxy.Node{}, muted: map[string]bool{}, apart: map[string]bool{},
 		links: newSlowLinks(),
 	}
@@ -201,8 +204,8 @@
 	node := proxy.New(proxy.Options{
 		Name: name, Zone: f.zones[i%len(f.zones)], PeerAddress: name, Life: strconv.Itoa(f.life), Seeds: f.seeds(),
 		Regions:            map[string]string{"a": "r1", "b": "r2", "c": "r3"},
-		ConfigurationBound: 4 * time.Second, DrainBound: 7 * time.Second, StopGrace: 6 * time.Second,
-		Kinds:            network.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind, Voters: managed.VoterKind},
+		ConfigurationBound: 4 * time.Second, DrainBound: 7 * time.Second, EvacuationBound: f.evacuationBound, StopGrace: 6 * time.Second,
+		Kinds:            network.Kinds{Configuration: managed.ConfigurationKind, Servers: managed.ServerKind, Leases: managed.LeaseKind, Members: managed.MemberKind, Voters: managed.VoterKind, Readers: managed.ReaderKind, Evacuations: managed.EvacuationKind},
 		StrictRevocation: f.strictRevocation, RevocationBound: 5 * time.Second,
 		Agreed: f.agreed, MessageAddress: name, Quotas: f.quotas, TokenAddress: name, FirstStart: f.life <= len(f.listeners),
 	}, proxy.Ports{
--- a/internal/proxy/network/follow.go
+++ b/internal/proxy/network/follow.go
@@ -23,9 +23,11 @@
 // Follow starts the watches on configuration and directory.
 func (n *Network) Follow(ctx context.Context) {
 	kinds := n.options.Kinds
-	for kind, bound := range map[string]time.Duration{
-		kinds.Configuration: n.options.ConfigurationBound, kinds.Servers: n.options.DrainBound,
-	} {
+	bounds := map[string]time.Duration{kinds.Configuration: n.options.ConfigurationBound, kinds.Servers: n.options.DrainBound}
+	if n.options.EvacuationBound > 0 {
+		bounds[kinds.Evacuations] = n.options.EvacuationBound
+	}
+	for kind, bound := range bounds {
 		var heard func(time.Time)
 		if kind == kinds.Configuration {
 			heard = n.heardConfiguration
@@ -39,6 +41,66 @@
 	go n.duties.ReadLeases(ctx)
 }
 
+// evacuationSink takes the zones that are evacuated.
+type evacuationSink struct{ *Network }
+
+// evacuationGrace is for how long after the store has come back from an older copy zones stay
+// evacuated that it does not name: the operator writes again what was lost within some seconds.
+const evacuationGrace = 10 * time.Second
+
+// Confirmed implements objectstore.Sink.
+func (s *evacuationSink) Confirmed(time.Time) {}
+
+// Reset implements objectstore.Sink.
+func (s *evacuationSink) Reset([]objectstore.Object, era.Revision) { s.bringInForce() }
+
+// Apply implements objectstore.Sink.
+func (s *evacuationSink) Apply(events []objectstore.Object, _ era.Revision) {
+	if len(events) > 0 {
+		s.bringInForce()
+	}
+}
+
+// bringInForce brings the zones that the cache holds into force.
+func (s *evacuationSink) bringInForce() {
+	objects, _, err := s.caches[s.options.Kinds.Evacuations].List()
+	if err != nil {
+		return
+	}
+	var zones []string
+	for _, object := range objects {
+		zones = append(zones, object.Name)
+	}
+	if left := s.graceLeft(); left > 0 {
+		for zone := range s.Catalog.Current().Evacuated {
+			zones = append(zones, zone)
+		}
+		time.AfterFunc(left, s.bringInForce)
+	}
+	if s.Catalog.Evacuate(zones, time.Now()) {
+		s.Log.Write(eventlog.ZonesEvacuated, zap.Strings("zones", zones))
+	}
+}
+
+// graceLeft is for how much longer evacuations stay that the store does not name.
+func (s *evacuationSink) graceLeft() time.Duration {
+	restored := s.restoredAt.Load()
+	if restored == 0 {
+		return 0
+	}
+	return evacuationGrace - time.Since(s.Started.Add(time.Duration(restored)))
+}
+
+// Lost implements objectstore.Sink.
+func (s *evacuationSink) Lost(err error) {
+	s.Log.Write(eventlog.StoreLost, zap.String("watch", "evacuations"), zap.Error(err))
+}
+
+// Regained implements objectstore.Sink.
+func (s *evacuationSink) Regained() {
+	s.Log.Write(eventlog.StoreRegained, zap.String("watch", "evacuations"))
+}
+
 type configurationSink struct{ *Network }
 
 // Confirmed implements objectstore.Sink.
--- a/internal/proxy/network/network.go
+++ b/internal/proxy/network/network.go
@@ -62,6 +62,8 @@
 	Voters string
 	// Readers names the object that tells who the readers of a large fleet are.
 	Readers string
+	// Evacuations names an object for each zone that is evacuated, of that name.
+	Evacuations string
 }
 
 // Options are the settings of a Network.
@@ -78,9 +80,12 @@
 	// of the directory have to be in force.
 	ConfigurationBound time.Duration
 	DrainBound         time.Duration
-	StrictRevocation   bool
-	RevocationBound    time.Duration
-	Kinds              Kinds
+	// EvacuationBound is within how long the servers of an evacuated zone must receive nothing;
+	// 0 where zones are not evacuated.
+	EvacuationBound  time.Duration
+	StrictRevocation bool
+	RevocationBound  time.Duration
+	Kinds            Kinds
 	// FirstStart is set while the whole fleet starts for the first time.
 	FirstStart bool
 	// Capacity is what the node tells others of its machine.
@@ -181,6 +186,9 @@
 		options.Kinds.Configuration: objectstore.NewCache(&configurationSink{n}),
 		options.Kinds.Servers:       objectstore.NewCache(&directorySink{n}),
 	}
+	if options.EvacuationBound > 0 {
+		n.caches[options.Kinds.Evacuations] = objectstore.NewCache(&evacuationSink{n})
+	}
 	n.caches[options.Kinds.Configuration].KeepNewest(n.outdatesConfiguration)
 	return n
 }
--- a/internal/proxy/network/readers.go
+++ b/internal/proxy/network/readers.go
@@ -44,8 +44,9 @@
 	restartRounds = 3
 	restartWait   = 1500 * time.Millisecond
 	// firstReadersWait is how long a node that starts waits for the store to tell whether the
-	// fleet is large, and who its readers are: two round trips between regions.
-	firstReadersWait = 100 * time.Millisecond
+	// fleet is large, and who its readers are: a connection and a call between regions, on a
+	// machine that starts slowly.
+	firstReadersWait = 200 * time.Millisecond
 	// firstMembersWait is how long a node that starts waits for the list of members, from
 	// which it learns who the readers are: a good store has told it by then.
 	firstMembersWait = 30 * time.Millisecond
--- a/internal/proxy/network/shared.go
+++ b/internal/proxy/network/shared.go
@@ -74,9 +74,10 @@
 	byKind map[string]*heldListing
 }
 
-// heldListing lets those who ask at the same time share one call to the store.
+// heldListing lets those who ask at the same time share one call to the store: who has the
+// token uses the listing, or makes a new one.
 type heldListing struct {
-	mu sync.Mutex
+	token chan struct{}
 	listing
 }
 
@@ -87,7 +88,7 @@
 		l.byKind = map[string]*heldListing{}
 	}
 	if l.byKind[kind] == nil {
-		l.byKind[kind] = &heldListing{}
+		l.byKind[kind] = &heldListing{token: make(chan struct{}, 1)}
 	}
 	return l.byKind[kind]
 }
@@ -135,6 +136,7 @@
 }
 
 func (n *Network) listShared(ctx context.Context, kind string, limit time.Duration, after era.Revision) (objects []objectstore.Object, changed bool, err error) {
+	n.awaitReadersFound(firstListLimit)
 	readers, reads := n.sharedReaders()
 	if len(readers) == 0 || reads {
 		objects, err = n.listStale(ctx, kind, limit)
@@ -195,12 +197,7 @@
 // bootReaders returns the readers that the store has named to this node, while it knows no
 // members; nil if there are none, or it knows some.
 func (n *Network) bootReaders(wait time.Duration) *readerSet {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-n.readersFound:
-	case <-timer.C:
-	}
+	n.awaitReadersFound(wait)
 	if n.Members.Load() != nil {
 		return nil
 	}
@@ -211,6 +208,16 @@
 	return &readerSet{others: readers, reads: reads}
 }
 
+// awaitReadersFound waits, but not for long, until it is known whether the store names readers.
+func (n *Network) awaitReadersFound(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-n.readersFound:
+	case <-timer.C:
+	}
+}
+
 // findReaders learns from the store who the readers of a large fleet are: before this node
 // knows any members.
 func (n *Network) findReaders(ctx context.Context, limit time.Duration) {
@@ -254,8 +261,12 @@
 // answerListing answers a question for a listing that is not older than the question allows.
 func (n *Network) answerListing(ctx context.Context, question *relay.Question) relay.Answer {
 	held := n.listings.of(question.Kind)
-	held.mu.Lock()
-	defer held.mu.Unlock()
+	select {
+	case held.token <- struct{}{}:
+		defer func() { <-held.token }()
+	case <-ctx.Done():
+		return relay.Answer{Failed: true, Outcome: objectstore.NotDone}
+	}
 	if time.Since(held.at) > question.Within {
 		began := time.Now()
 		objects, err := n.listStale(ctx, question.Kind, StoreCallLimit)
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -85,6 +85,13 @@
 	ConfigurationBound time.Duration
 	// DrainBound is within how long a leaving server must receive no new work.
 	DrainBound time.Duration
+	// EvacuationBound is within how long the servers of an evacuated zone must receive nothing;
+	// 0 where zones are not evacuated.
+	EvacuationBound time.Duration
+	// ColdOverage and ColdSlack are by how much the requests to a cold server may pass its rate
+	// in a second.
+	ColdOverage float64
+	ColdSlack   float64
 	// StopGrace is the time from the signal to stop until the process is killed.
 	StopGrace time.Duration
 	// Quotas are the bounds of the tenants' quotas; a zero window means that there are none.
@@ -172,15 +179,15 @@
 		Name: options.Name, Zone: options.Zone, PeerAddress: options.PeerAddress,
 		MessageAddress: options.MessageAddress, TokenAddress: options.TokenAddress,
 		Seeds: options.Seeds, Regions: options.Regions,
-		ConfigurationBound: options.ConfigurationBound, DrainBound: options.DrainBound,
+		ConfigurationBound: options.ConfigurationBound, DrainBound: options.DrainBound, EvacuationBound: options.EvacuationBound,
 		StrictRevocation: options.StrictRevocation, RevocationBound: options.RevocationBound, Kinds: options.Kinds, FirstStart: options.FirstStart, Capacity: options.Capacity,
 	}
 }
 
 func backendOptions(options *Options) backends.Options {
 	return backends.Options{
-		Name: options.Name, Zone: options.Zone, Life: options.Life, Regions: options.Regions, DrainBound: options.DrainBound,
-		Agreed: options.Agreed, MessageAddress: options.MessageAddress, Kinds: options.Kinds, Capacity: options.Capacity,
+		Name: options.Name, Zone: options.Zone, Life: options.Life, Regions: options.Regions, DrainBound: options.DrainBound, EvacuationBound: options.EvacuationBound,
+		ColdOverage: options.ColdOverage, ColdSlack: options.ColdSlack, FirstStart: options.FirstStart, Agreed: options.Agreed, MessageAddress: options.MessageAddress, Kinds: options.Kinds, Capacity: options.Capacity,
 	}
 }
 
--- /dev/null
+++ b/internal/proxy/places_test.go
@@ -0,0 +1,121 @@
+package proxy_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/standin/managed"
+	"dewknot/internal/proxy/catalog"
+)
+
+// TestEvacuatedZone: the zone of the primary is evacuated, with the store down soon after, and
+// later taken back. Within the bound its server receives nothing more, transactions included;
+// the primary is replaced elsewhere and callers are served on.
+func TestEvacuatedZone(t *testing.T) {
+	for name, unfenced := range map[string]bool{"fenced": false, "without fences": true} {
+		t.Run(name, func(t *testing.T) { bubbletest.Test(t, func(t *testing.T) { testEvacuatedZone(t, unfenced) }) })
+	}
+}
+
+func testEvacuatedZone(t *testing.T, unfenced bool) {
+	const nodes, bound = 6, 5 * time.Second
+	fleet := prepareFleet(fleetConfig{nodes: nodes, unfenced: unfenced, evacuationBound: bound})
+	fleet.startNodes()
+	time.Sleep(20 * time.Second)
+	until := time.Now().Add(20 * time.Second)
+	var working sync.WaitGroup
+	for i := range 4 * nodes {
+		caller := fleet.caller(fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(7, uint64(i))))
+		working.Go(func() { caller.Run(until) })
+	}
+	time.Sleep(2 * time.Second)
+	evacuated := fleet.group.Primary()
+	fleet.store.Put(managed.EvacuationKind, evacuated.Zone(), struct{}{})
+	time.Sleep(200 * time.Millisecond)
+	fleet.store.SetDown(true)
+	time.Sleep(bound - 200*time.Millisecond)
+	must.NotEq(t, evacuated.ID(), fleet.group.Primary().ID())
+	before, served := evacuated.Statements(), fleet.group.Primary().Statements()
+	time.Sleep(3 * time.Second)
+	must.Eq(t, before, evacuated.Statements(), must.Sprint("statements that reached the evacuated server"))
+	must.Greater(t, served, fleet.group.Primary().Statements())
+	fleet.store.SetDown(false)
+	fleet.store.Remove(managed.EvacuationKind, evacuated.Zone())
+	time.Sleep(3 * time.Second)
+	must.Greater(t, before, evacuated.Statements(), must.Sprint("the zone was taken back"))
+	working.Wait()
+	must.SliceEmpty(t, fleet.check.Violations)
+	fleet.end()
+}
+
+// TestAllZonesEvacuated: no server is left. Callers are told at once, and served again after one
+// zone is taken back.
+func TestAllZonesEvacuated(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const nodes, bound = 6, 5 * time.Second
+		fleet := prepareFleet(fleetConfig{nodes: nodes, evacuationBound: bound})
+		fleet.startNodes()
+		time.Sleep(20 * time.Second)
+		for _, zone := range fleet.zones {
+			fleet.store.Put(managed.EvacuationKind, zone, struct{}{})
+		}
+		time.Sleep(bound)
+		statements := 0
+		for i := range 3 {
+			statements += fleet.group.Server(i).Statements()
+		}
+		began := time.Now()
+		caller := fleet.caller("c0", rand.New(rand.NewPCG(7, 7)))
+		caller.Run(began.Add(2 * time.Second))
+		for i := range 3 {
+			statements -= fleet.group.Server(i).Statements()
+		}
+		must.Zero(t, statements)
+		fleet.store.Remove(managed.EvacuationKind, "b")
+		time.Sleep(4 * time.Second)
+		must.Eq(t, "b", fleet.group.Primary().Zone())
+		must.SliceEmpty(t, fleet.check.Violations)
+		fleet.end()
+	})
+}
+
+// TestHomes: a route's homes are narrower than the places of its servers. Its statements reach
+// servers of its homes only, through nodes of the homes' regions only, and the primary moves
+// where they may go.
+func TestHomes(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		const nodes = 9
+		fleet := prepareFleet(fleetConfig{nodes: nodes})
+		fleet.group.SetConnections(8)
+		configuration := testConfiguration(2, testTenants)
+		configuration.Services[testService] = catalog.Service{Name: testService, MaxConnections: 8}
+		configuration.HasHomes = true
+		configuration.Routes = map[string]catalog.Route{}
+		for name, route := range testRoutes {
+			route.Homes = catalog.Homes{"r2"}
+			configuration.Routes[name] = route
+		}
+		fleet.store.Put(managed.ConfigurationKind, "main", configuration)
+		fleet.startNodes()
+		time.Sleep(20 * time.Second)
+		must.Eq(t, "b", fleet.group.Primary().Zone())
+		before := []int{fleet.group.Server(0).Statements(), fleet.group.Server(2).Statements()}
+		until := time.Now().Add(5 * time.Second)
+		var working sync.WaitGroup
+		for i := range nodes {
+			caller := fleet.caller(fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(7, uint64(i))))
+			working.Go(func() { caller.Run(until) })
+		}
+		working.Wait()
+		must.Eq(t, before, []int{fleet.group.Server(0).Statements(), fleet.group.Server(2).Statements()})
+		must.Positive(t, fleet.group.Server(1).Statements())
+		must.SliceEmpty(t, fleet.check.Violations)
+		fleet.end()
+	})
+}
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -156,6 +156,9 @@
 		r.session.account.floor = floor
 		target := r.choose(floor)
 		if target == nil {
+			if !r.servable() {
+				break
+			}
 			r.pause(behindPause)
 			continue
 		}
@@ -237,7 +240,7 @@
 	var candidates []routing.Candidate
 	for _, entry := range node.catalog.Current().ByService[r.service.Name] {
 		target := node.Server(entry.ID)
-		if target == nil || !r.service.Usable(entry.ID, now) {
+		if target == nil || !r.service.Usable(entry.ID, now) || !node.Allows(entry.Zone, r.session.homes...) {
 			continue
 		}
 		servers = append(servers, target)
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -63,6 +63,8 @@
 	charged bool
 	spent   bool
 	token   quota.Token
+	// unservable is the reason why no server can run the statement, None while one may.
+	unservable failure.Kind
 	// fruitless counts attempts on servers that had already failed to run it.
 	fruitless int
 }
@@ -116,7 +118,7 @@
 		if wait := target.Gate.Wait(place); class != admission.Continuation && (r.hopeless(wait) || admission.Overfull(wait, deadline.Sub(now))) {
 			return false
 		}
-		return target.Gate.Enter(place, deadline)
+		return r.session.node.Admit(target, place, deadline)
 	}
 	if session, queues := lease.Connection.(queuer); queues {
 		age := now.Sub(r.arrived)
@@ -174,6 +176,9 @@
 		return r.session.fail(failure.New(failure.OutcomeUnknown, ""))
 	}
 	r.putBack()
+	if r.unservable != failure.None {
+		kind = r.unservable
+	}
 	if kind == failure.Overloaded {
 		r.turnAway()
 	}
@@ -219,6 +224,9 @@
 	for time.Now().Before(r.deadline) && !r.session.node.secluded() {
 		now := time.Now()
 		target := r.service.Leader(now)
+		if !r.servable() || (target != nil && !r.atHome(target)) {
+			return nil, nil, r.unservable
+		}
 		if target == nil || target.Stats.Avoided(now) {
 			r.awaitLeader()
 			continue
@@ -245,6 +253,30 @@
 	return nil, nil, failure.NoPrimary
 }
 
+// servable reports whether any server stays that may run the statement. If not, it notes why:
+// a caller who waits would wait in vain.
+func (r *run) servable() bool {
+	now := time.Now()
+	if r.service.Servable(now, r.session.homes...) {
+		return true
+	}
+	r.unservable = failure.NoServer
+	if r.service.Servable(now) {
+		r.unservable = failure.OutsideHomes
+	}
+	return false
+}
+
+// atHome reports whether the statement may go to a server's region, and notes it if not.
+func (r *run) atHome(target *backends.Server) bool {
+	entry := r.session.node.catalog.Current().Servers[target.ID]
+	if entry == nil || r.session.node.Allows(entry.Zone, r.session.homes...) {
+		return true
+	}
+	r.unservable = failure.OutsideHomes
+	return false
+}
+
 // lacksConnections reports whether new work has waited for a connection as long
 // as it may.
 func (r *run) lacksConnections(target *backends.Server) bool {
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -29,7 +29,9 @@
 	// principal is in whose name the session's work runs; it changes with the route.
 	principal upstream.Principal
 	// bound is the route of the session; it changes between transactions only.
-	bound    catalog.Route
+	bound catalog.Route
+	// homes are where the session's work may go, of its route and its tenant.
+	homes    []catalog.Homes
 	values   map[string]string
 	prepared map[string]command.PreparedStatement
 	// own is the session's newest commit.
@@ -102,6 +104,10 @@
 		return &failure.Error{Kind: failure.Isolated, Detail: "which keys are in force is not known", RetryAfter: spread(uncertainPause)}
 	}
 	s.bound, s.principal = route, upstream.Principal(tenant)
+	s.homes = nil
+	if configuration.HasHomes {
+		s.homes = []catalog.Homes{route.Homes, configuration.Tenants[tenant].Homes}
+	}
 	return nil
 }
 
--- a/internal/proxy/slowlink_test.go
+++ b/internal/proxy/slowlink_test.go
@@ -25,6 +25,8 @@
 	// stale is how old a stale listing of the store may be, lists the last ones by kind.
 	stale time.Duration
 	lists map[string]staleList
+	// listings counts the listings at the store by kind.
+	listings map[string]int
 }
 
 // staleList is a listing that the store answers with until it is too old.
@@ -56,7 +58,7 @@
 const windowBytes = 16 << 10
 
 func newSlowLinks() *slowLinks {
-	return &slowLinks{rates: map[string]int{}, busy: map[string]time.Time{}, lists: map[string]staleList{}}
+	return &slowLinks{rates: map[string]int{}, busy: map[string]time.Time{}, lists: map[string]staleList{}, listings: map[string]int{}}
 }
 
 func (l *slowLinks) limit(node string, rate int) {
@@ -102,6 +104,25 @@
 	return nil
 }
 
+// storeLink names the store's own link.
+const storeLink = "store"
+
+// listed counts a listing at the store.
+func (l *slowLinks) listed(kind string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.listings[kind]++
+}
+
+// takeListings returns the listings at the store since it was last called.
+func (l *slowLinks) takeListings() map[string]int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	taken := l.listings
+	l.listings = map[string]int{}
+	return taken
+}
+
 // linkedStore is the store behind a node's link.
 type linkedStore struct {
 	*managed.Client
@@ -111,20 +132,22 @@
 
 // List implements objectstore.Store.
 func (s *linkedStore) List(ctx context.Context, kind string) ([]objectstore.Object, era.Revision, error) {
+	s.links.listed(kind)
 	objects, revision, err := s.Client.List(ctx, kind)
 	if err == nil {
-		err = s.links.carry(ctx, contentBytes(objects), s.node)
+		err = s.links.carry(ctx, contentBytes(objects), s.node, storeLink)
 	}
 	return objects, revision, err
 }
 
 // ListStale implements objectstore.Store.
 func (s *linkedStore) ListStale(ctx context.Context, kind string) ([]objectstore.Object, error) {
+	s.links.listed(kind)
 	objects, err := s.links.older(kind, func() ([]objectstore.Object, error) { return s.Client.ListStale(ctx, kind) })
 	if err == nil {
 		// The answer's head comes at once.
 		stall.Received(ctx, 0)
-		err = s.links.carry(ctx, contentBytes(objects), s.node)
+		err = s.links.carry(ctx, contentBytes(objects), s.node, storeLink)
 	}
 	return objects, err
 }
@@ -133,7 +156,7 @@
 func (s *linkedStore) Watch(ctx context.Context, kind string, after era.Revision, wait time.Duration) ([]objectstore.Object, era.Revision, error) {
 	objects, revision, err := s.Client.Watch(ctx, kind, after, wait)
 	if err == nil {
-		err = s.links.carry(ctx, contentBytes(objects), s.node)
+		err = s.links.carry(ctx, contentBytes(objects), s.node, storeLink)
 	}
 	return objects, revision, err
 }
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -151,7 +151,7 @@
 		if reply, opened := t.open(r); !opened {
 			return reply
 		}
-	} else if !t.lease.Alive() {
+	} else if !t.lease.Alive() || r.service.Withdrawn(t.server.ID, time.Now()) {
 		return t.lost(r)
 	}
 	for r.goesOn() {
@@ -251,7 +251,7 @@
 }
 
 func (t *transaction) commit(r *run, received *command.Command) Reply {
-	if !t.lease.Alive() {
+	if !t.lease.Alive() || r.service.Withdrawn(t.server.ID, time.Now()) {
 		return t.lost(r)
 	}
 	for r.goesOn() {
