--- a/internal/proxy/network/reader_set_test.go
+++ b/internal/proxy/network/reader_set_test.go
@@ -53,3 +53,31 @@
 		}
 	})
 }
+
+// TestReadersHaveGoodLinks: of a zone with a few machines on good links, those read the store;
+// only if there are fewer of them than readers do others.
+func TestReadersHaveGoodLinks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes, good := rapid.IntRange(1, 60).Draw(t, "nodes"), rapid.IntRange(0, 5).Draw(t, "good")
+		count := rapid.IntRange(1, 2).Draw(t, "readers")
+		zone := make([]Member, nodes)
+		for i := range zone {
+			zone[i] = Member{Name: fmt.Sprintf("n%d", i), Capacity: Capacity{LinkMbps: 20}}
+			if i < good {
+				zone[i].Capacity.LinkMbps = 1000
+			}
+		}
+		chosen := rankReaders(zone, count)
+		must.Len(t, min(count, nodes), chosen)
+		strong := 0
+		for _, name := range chosen {
+			var number int
+			_, err := fmt.Sscanf(name, "n%d", &number)
+			must.NoError(t, err)
+			if number < good {
+				strong++
+			}
+		}
+		must.Eq(t, min(good, count, nodes), strong)
+	})
+}
