upstream: spare idle connections stay where a server has plenty

Ruled out: a longer span everywhere (pools of 30 connections that many nodes share). Change: an eighth of a pool's limit stays for 30 s unless the server was short of connections lately. Figures: 12 openings to 1 for 12 operations five seconds apart (TestSpareConnectionsStay); pools of up to 63 connections keep none, or few.

--- a/internal/proxy/backends/health.go
+++ b/internal/proxy/backends/health.go
@@ -29,10 +29,8 @@
 	// pingsToDown is how many questions in a row have to go unanswered. Other
 	// nodes are asked as well before the primary is replaced.
 	pingsToDown = 1
-	// trimInterval is the pause between closing idle connections, trimAge how
-	// long they must have been idle.
+	// trimInterval is the pause between closing idle connections.
 	trimInterval = time.Second
-	trimAge      = 3 * time.Second
 	// seekLimit bounds one round of asking all servers who is the primary.
 	seekLimit = 300 * time.Millisecond
 )
@@ -85,7 +83,7 @@
 
 func (b *Backends) trim(now time.Time) {
 	b.Servers.Range(func(_, value any) bool {
-		value.(*Server).Pool.Trim(now.Add(-trimAge))
+		value.(*Server).Pool.TrimIdle(now)
 		return true
 	})
 }
--- a/internal/proxy/upstream/limit.go
+++ b/internal/proxy/upstream/limit.go
@@ -18,8 +18,32 @@
 	// several own some of them for a moment, and one's idle ones are what another's
 	// callers wait for.
 	scarceIdle = 150 * time.Millisecond
+	// idleSpan is how long a connection may be idle that others may want, spareIdleSpan one of
+	// the spareShare part of the limit that is kept while the pool has no more open. Callers of
+	// a server that gets work every few seconds would else wait for an opening, which takes a
+	// slot of the server: 12 of 12 operations five seconds apart opened one, with this 1
+	// (TestSpareConnectionsStay). Servers close what has been idle for a minute.
+	idleSpan      = 3 * time.Second
+	spareIdleSpan = 30 * time.Second
+	spareShare    = 8
 )
 
+// TrimIdle closes connections that have been idle for long; some stay longer where there are
+// plenty.
+func (p *Pool) TrimIdle(now time.Time) {
+	p.Trim(now.Add(-spareIdleSpan))
+	p.trim(now.Add(-idleSpan), func() int { return p.spare(now) })
+}
+
+// spare is how many idle connections stay for spareIdleSpan; the lock is held.
+func (p *Pool) spare(now time.Time) int {
+	if p.scarce(now) {
+		return 0
+	}
+	used := p.open - len(p.idle)
+	return max(0, p.limit/spareShare-used)
+}
+
 // firstShare is the part of the ceiling that is open to a new pool. After a
 // restart of all nodes, more would meet the server's limit.
 const firstShare = 8
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -369,14 +369,19 @@
 }
 
 // Trim closes connections that have been idle since before a time.
-func (p *Pool) Trim(before time.Time) {
+func (p *Pool) Trim(before time.Time) { p.trim(before, func() int { return 0 }) }
+
+// trim closes connections that have been idle since before a time, but leaves as many open as
+// spare returns, which is called with the lock held.
+func (p *Pool) trim(before time.Time, spare func() int) {
 	p.mutex.Lock()
-	kept := 0
-	for kept < len(p.idle) && !p.idle[kept].returned.After(before) {
-		kept++
+	most := len(p.idle) - spare()
+	closed := 0
+	for closed < most && !p.idle[closed].returned.After(before) {
+		closed++
 	}
-	old := append([]*Lease(nil), p.idle[:kept]...)
-	p.idle = append(p.idle[:0], p.idle[kept:]...)
+	old := append([]*Lease(nil), p.idle[:closed]...)
+	p.idle = append(p.idle[:0], p.idle[closed:]...)
 	for _, lease := range old {
 		p.noLongerIdle(lease)
 	}
--- a/internal/proxy/upstream/pool_test.go
+++ b/internal/proxy/upstream/pool_test.go
@@ -197,3 +197,53 @@
 		must.Eq(t, 0, dialer.open)
 	})
 }
+
+// littleTraffic runs operations some seconds apart on a pool whose server has room for 360
+// connections, or is scarce, and returns how many connections were opened.
+func littleTraffic(t *testing.T, ceiling, operations int, apart time.Duration) (opened int) {
+	t.Helper()
+	bubbletest.Test(t, func(t *testing.T) {
+		dialer := &limitedDialer{limit: 1000}
+		pool := newTestPool(dialer, ceiling)
+		for range operations {
+			lease, err := pool.Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			lease.Return()
+			for end := time.Now().Add(apart); time.Now().Before(end); time.Sleep(time.Second) {
+				pool.TrimIdle(time.Now())
+			}
+		}
+		opened, _ = dialer.counts()
+		time.Sleep(spareIdleSpan)
+		pool.TrimIdle(time.Now())
+		must.Eq(t, 0, pool.Open())
+	})
+	return opened
+}
+
+// TestSpareConnectionsStay replays one operation every five seconds, as a server of a large fleet
+// gets them: the connection stays open between them where connections are plenty, and is let go
+// where they are few, since other nodes need them.
+func TestSpareConnectionsStay(t *testing.T) {
+	must.Eq(t, 1, littleTraffic(t, 360, 12, 5*time.Second))
+	must.Eq(t, 12, littleTraffic(t, 30, 12, 5*time.Second))
+}
+
+// TestSpareConnectionsAreFew: of many that were in use at a time, the spare ones stay only.
+func TestSpareConnectionsAreFew(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		pool := newTestPool(&limitedDialer{limit: 1000}, 360)
+		var leases []*Lease
+		for range 20 {
+			lease, err := pool.Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			leases = append(leases, lease)
+		}
+		for _, lease := range leases {
+			lease.Return()
+		}
+		time.Sleep(idleSpan)
+		pool.TrimIdle(time.Now())
+		must.Eq(t, firstLimit(360)/spareShare, pool.Open())
+	})
+}
