proxy: a test of transactions on an evacuated server

The test keeps the primary in office, so only the rule can end the transaction; it fails with the rule taken out, at the statement and at the commit.

--- a/internal/proxy/places_test.go
+++ b/internal/proxy/places_test.go
@@ -10,8 +10,10 @@
 	"github.com/shoenig/test/must"
 
 	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/failure"
 	"dewknot/internal/lab/standin/managed"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
 )
 
 // TestEvacuatedZone: the zone of the primary is evacuated, with the store down soon after, and
@@ -119,3 +121,36 @@
 		fleet.end()
 	})
 }
+
+// TestTransactionOnAnEvacuatedServer: a transaction is open on the primary when its zone is
+// evacuated. Once the server may receive nothing more, the next statement, or the commit, does not
+// reach it, also if no other server takes the lead: the caller is told that nothing is kept.
+func TestTransactionOnAnEvacuatedServer(t *testing.T) {
+	for _, last := range []command.Kind{command.Read, command.Commit} {
+		bubbletest.Test(t, func(t *testing.T) {
+			const nodes, bound = 3, 5 * time.Second
+			fleet := prepareFleet(fleetConfig{nodes: nodes, evacuationBound: bound})
+			fleet.startNodes()
+			time.Sleep(20 * time.Second)
+			client, refusal := fleet.open(t, 0, "current", testTenants["amber"][0])
+			must.Nil(t, refusal)
+			must.Nil(t, ask(client, command.Begin, "r0", "BEGIN"))
+			must.Nil(t, ask(client, command.Write, "r1", "WRITE a 1"))
+			evacuated := fleet.group.Primary()
+			fleet.store.Put(managed.EvacuationKind, evacuated.Zone(), struct{}{})
+			fleet.promoter.SetLate(time.Minute)
+			for range 2 {
+				time.Sleep(400 * time.Millisecond)
+				must.Nil(t, ask(client, command.Read, "r1", "READ a"))
+			}
+			time.Sleep(400 * time.Millisecond)
+			before := evacuated.Statements()
+			reason := ask(client, last, "r2", "READ a")
+			must.Eq(t, failure.TransactionLost, kindOf(reason))
+			must.True(t, reason.Kind.NotRun())
+			must.Eq(t, before, evacuated.Statements())
+			close(client.commands)
+			fleet.end()
+		})
+	}
+}
