--- a/internal/base/era/era_test.go
+++ b/internal/base/era/era_test.go
@@ -5,6 +5,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 func TestRevisionsAreOrderedByEraFirst(t *testing.T) {
--- a/internal/proxy/admission/early_test.go
+++ b/internal/proxy/admission/early_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 	"dewknot/internal/proxy/urgency"
 )
 
--- a/internal/proxy/backends/placements_test.go
+++ b/internal/proxy/backends/placements_test.go
@@ -14,6 +14,7 @@
 	"dewknot/internal/base/bubbletest"
 	"dewknot/internal/base/era"
 	"dewknot/internal/base/eventlog"
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/objectstore"
--- a/internal/proxy/cold/cold_test.go
+++ b/internal/proxy/cold/cold_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 // TestBoundHoldsInAnySecond: whatever two senders are asked to send that do not know of each
--- a/internal/proxy/delta/delta_test.go
+++ b/internal/proxy/delta/delta_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"dewknot/internal/base/codec"
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 // TestPatchMakesTheTarget: whatever the texts, the patch of two makes the second of
--- a/internal/proxy/freshness/freshness_test.go
+++ b/internal/proxy/freshness/freshness_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"dewknot/internal/base/position"
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 var epoch = time.Unix(1_000_000, 0)
--- a/internal/proxy/network/reader_set_test.go
+++ b/internal/proxy/network/reader_set_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 // TestReadersOfAnyFleet: whatever the zones and their sizes, all nodes that know the same
--- a/internal/proxy/objectstore/guarded_test.go
+++ b/internal/proxy/objectstore/guarded_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"dewknot/internal/base/era"
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 func revisionOf(t must.T, epoch, number uint64) era.Revision {
--- a/internal/proxy/told/told_test.go
+++ b/internal/proxy/told/told_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"dewknot/internal/base/codec"
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 	"dewknot/internal/proxy/urgency"
 )
 
--- a/internal/proxy/urgency/urgency_test.go
+++ b/internal/proxy/urgency/urgency_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
 // TestLevelsFollowPriorities: a higher priority is never less urgent than a lower one, and
