network: a node whose entry a restored store has lost enters itself again

Cause: enterAgain went through ensureEntry, which leaves out a missing entry for 40 s after the node's last one and notes the time in a field of another goroutine. The test removed the entry after the copy, so the copy held it and nothing was proved. Change: the entry is written at once if the store lacks it; the test removes it before the copy, and fails without the change.

--- a/internal/proxy/network/restored.go
+++ b/internal/proxy/network/restored.go
@@ -33,15 +33,13 @@
 func (n *Network) enterAgain() {
 	ctx, cancel := context.WithTimeout(context.Background(), StoreCallLimit)
 	defer cancel()
-	own, err := n.ports.Store.Get(ctx, n.options.Kinds.Members, n.options.Name)
-	switch {
-	case err == nil:
-		n.ensureEntry(ctx, &own)
-	case objectstore.OutcomeOf(err) == objectstore.NotFound:
-		n.ensureEntry(ctx, nil)
-	default:
+	_, err := n.ports.Store.Get(ctx, n.options.Kinds.Members, n.options.Name)
+	if err != nil && objectstore.OutcomeOf(err) == objectstore.NotFound && n.enter(ctx, nil) {
+		return
+	}
+	if err != nil {
 		// The next look at the members enters the node.
-		n.Log.Write(eventlog.StoreLost, zap.String("call", "get own entry"), zap.Error(err))
+		n.Log.Write(eventlog.StoreLost, zap.String("call", "enter again"), zap.Error(err))
 	}
 }
 
--- a/internal/proxy/restored_test.go
+++ b/internal/proxy/restored_test.go
@@ -35,12 +35,13 @@
 		caller := fleet.caller(fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(1, uint64(i))))
 		working.Go(func() { caller.Run(until) })
 	}
+	// This node's entry is not in the copy either: it has to write it again.
+	fleet.store.Remove(managed.MemberKind, fleet.name(4))
 	fleet.store.Copy()
 	second := testConfiguration(2, testTenants)
 	fleet.store.Put(managed.ConfigurationKind, "main", second)
 	fleet.stopListening(5)
 	fleet.stopNode(5)
-	fleet.store.Remove(managed.MemberKind, fleet.name(4))
 	fleet.group.Primary().Crash()
 	time.Sleep(8 * time.Second)
 	before := fleet.promoter.Orders()
