network: one loop decodes the servers of a listing; an era is learned without a wrapper

Cause: confirming the directory repeated the loop that takes a listing, and learnEra only renamed one call. Behaviour is unchanged; the tests of network, architecture and the fleets concerned pass.

--- a/internal/proxy/network/follow.go
+++ b/internal/proxy/network/follow.go
@@ -150,12 +150,7 @@
 
 // Reset implements objectstore.Sink.
 func (s *directorySink) Reset(objects []objectstore.Object, revision era.Revision) {
-	servers := make([]catalog.Server, 0, len(objects))
-	for _, object := range objects {
-		if server, ok := s.decode(object); ok {
-			servers = append(servers, server)
-		}
-	}
+	servers := s.decodeAll(objects)
 	s.Catalog.ReplaceDirectory(servers, revision, time.Now())
 	s.Log.Write(eventlog.DirectoryListed, zap.Int("servers", len(servers)))
 }
@@ -182,6 +177,17 @@
 	s.Catalog.MergeDirectory(changes, time.Now())
 }
 
+// decodeAll returns the servers that a listing names; entries that name none are left out.
+func (s *directorySink) decodeAll(objects []objectstore.Object) []catalog.Server {
+	servers := make([]catalog.Server, 0, len(objects))
+	for _, object := range objects {
+		if server, ok := s.decode(object); ok {
+			servers = append(servers, server)
+		}
+	}
+	return servers
+}
+
 func (s *directorySink) decode(object objectstore.Object) (catalog.Server, bool) {
 	server, err := s.ports.Decoder.Server(object)
 	if err != nil {
--- a/internal/proxy/network/restored.go
+++ b/internal/proxy/network/restored.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/eventlog"
-	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/objectstore"
 )
 
@@ -17,9 +16,6 @@
 // 1,000. Entries of members are needed by nodes that start, which ask other nodes first.
 const restoreSpread = 3 * time.Second
 
-// learnEra takes note of the era in which another node's knowledge of the store stands.
-func (n *Network) learnEra(told uint64) { n.store.Learn(told) }
-
 // storeRestored is told that the store has come back from an older copy.
 func (n *Network) storeRestored(earlier, later uint64) {
 	n.restoredAt.Store(int64(max(1, time.Since(n.Started))))
@@ -50,14 +46,7 @@
 	if err != nil {
 		return
 	}
-	sink := &directorySink{n}
-	servers := make([]catalog.Server, 0, len(objects))
-	for _, object := range objects {
-		if server, ok := sink.decode(object); ok {
-			servers = append(servers, server)
-		}
-	}
-	n.Catalog.ConfirmDirectory(servers, time.Now())
+	n.Catalog.ConfirmDirectory((&directorySink{n}).decodeAll(objects), time.Now())
 }
 
 // outdatesConfiguration reports whether a listed configuration is older than the known one:
--- a/internal/proxy/network/sources.go
+++ b/internal/proxy/network/sources.go
@@ -97,7 +97,7 @@
 		return answer, err
 	}
 	if !answer.Failed {
-		n.learnEra(answer.Revision.Era())
+		n.store.Learn(answer.Revision.Era())
 	}
 	expanded, err := n.caches[question.Kind].Expand(answer.Patched)
 	if err != nil {
