Logs: unproved answers and failed requests tell the node's leases

answer_unproved and request_failed said nothing of why leases were missing: too few voters, voters that had not told their records, a higher ballot, or a slow way looked the same. Both now carry the tenure's ballot, the highest promised, how many voters' leases run of how many, how many voters have told all, and the way to the slowest.

--- a/internal/proxy/backends/tenures.go
+++ b/internal/proxy/backends/tenures.go
@@ -125,10 +125,20 @@
 	}
 	s.backends.metrics.unproved.Inc()
 	s.backends.log.Write(eventlog.AnswerUnproved, zap.String("service", s.Name), zap.String("server", held.Primary),
-		zap.Uint64("ballot", held.Ballot), zap.Duration("waited", time.Since(arrived)))
+		zap.Uint64("ballot", held.Ballot), zap.Duration("waited", time.Since(arrived)),
+		zap.Any("leases", s.backends.Tenures.Account(s.Name, arrived)))
 	return false
 }
 
+// LeaseAccount returns what this node knows of its leases for a service; false where fences are
+// checked.
+func (b *Backends) LeaseAccount(service string, now time.Time) (tenure.Account, bool) {
+	if b.Tenures == nil {
+		return tenure.Account{}, false
+	}
+	return b.Tenures.Account(service, now), true
+}
+
 // Covered is confirmed without a wait, for answers that only add to what is known.
 func (s *Service) Covered(held quorum.Tenure, arrived time.Time) bool {
 	if s.backends.Tenures == nil {
--- a/internal/proxy/quorum/member.go
+++ b/internal/proxy/quorum/member.go
@@ -27,17 +27,20 @@
 // Covers reports whether the tenure was surely the newest at a time: a majority of
 // voters has granted leases that run beyond it.
 func (v *View) Covers(at time.Time) bool {
-	if !v.Open {
-		return false
-	}
+	covering, needed := v.Leases(at)
+	return v.Open && covering >= needed
+}
+
+// Leases returns how many voters' leases of the open tenure run beyond a time, and how many
+// are needed to use its primary.
+func (v *View) Leases(at time.Time) (covering, needed int) {
 	since := int64(at.Sub(v.base))
-	covering := 0
 	for _, lease := range v.leases {
 		if lease.until.Load() > since {
 			covering++
 		}
 	}
-	return covering >= v.needed
+	return covering, v.needed
 }
 
 // renewalsKept is how many renewals to a voter may await their answers.
--- a/internal/proxy/report.go
+++ b/internal/proxy/report.go
@@ -59,6 +59,9 @@
 	if reply.Failure != nil {
 		fields = append(fields, zap.Stringer("outcome", reply.Failure.Kind), zap.String("detail", reply.Failure.FullDetail()),
 			zap.Bool("promised_not_kept", reply.Failure.Kind.NotRun()))
+		if leases, agreed := s.node.LeaseAccount(s.bound.Service, now); agreed {
+			fields = append(fields, zap.Any("leases", leases))
+		}
 	}
 	s.node.log.Write(event, fields...)
 }
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -416,6 +416,40 @@
 	return table != nil && k.member.Whole() >= table.Majority()
 }
 
+// Account is what a node knows of its leases for a service, for logs.
+type Account struct {
+	// Ballot is that of the last tenure known, Highest the highest that a voter has promised.
+	Ballot  uint64 `json:"ballot"`
+	Highest uint64 `json:"highest"`
+	Open    bool   `json:"open"`
+	// Covering is how many voters' leases run, of Needed.
+	Covering int `json:"covering"`
+	Needed   int `json:"needed"`
+	// Voters is the size of the table, Whole how many voters have told all records.
+	Voters int `json:"voters"`
+	Whole  int `json:"whole"`
+	// Trip is the longest smoothed time until a voter's answer, Misses the questions in a row
+	// without an answer in time of the voter with most of them.
+	Trip   time.Duration `json:"trip"`
+	Misses int           `json:"misses"`
+}
+
+// Account returns what is known of this node's leases for a service at a time.
+func (k *Keeper) Account(service string, at time.Time) Account {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var a Account
+	if table := k.member.Table(); table != nil {
+		a.Voters, a.Whole = len(table.Seats), k.member.Whole()
+	}
+	a.Trip, a.Misses = k.member.Delay()
+	if view := k.View(service); view != nil {
+		a.Ballot, a.Highest, a.Open = view.Tenure.Ballot, view.Highest, view.Open
+		a.Covering, a.Needed = view.Leases(at)
+	}
+	return a
+}
+
 // Renew asks for leases as soon as voters may be asked again.
 func (k *Keeper) Renew(now time.Time) {
 	k.mu.Lock()
