tenure: an era with many records can be ended

Cause: to end an era, the node in charge reads the sealed voters' records, 12 a message, one message a question, asked only after pauses of 30 ms that double, all within 1 s: six questions, 72 records. With more, the attempt ended, the next one began at the first record again, and the voters stayed sealed: nobody got a lease again. Any change of the table did it: a voter lost for 4 s, or a first table of less than five seats, which grows 10 s later. Change: a question is answered by up to eight messages, the next one follows the last of them at once, the pause doubles only while nothing new comes, and an attempt that ends keeps what was told (each voter has to answer again, since one that restarted may have taken part in decisions).

--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -80,6 +80,7 @@
 	TenureRound           Event = "tenure_round"
 	VotersChanged         Event = "voters_changed"
 	VotersRefused         Event = "voters_refused"
+	EraNotEnded           Event = "era_not_ended"
 	VoterRecovered        Event = "voter_recovered"
 	StepDown              Event = "step_down"
 	NodeIsolated          Event = "node_isolated"
@@ -104,7 +105,7 @@
 	DirectoryListed: Belief, ServerChanged: Belief, ServerGone: Belief, EntryRefused: Belief, ServerReborn: Belief, ZonesEvacuated: Belief, PrimaryLacksLog: Belief,
 	ServerUnreachable: Belief, ServerReachable: Belief, DetourTaken: Belief, PeerSilent: Belief, MemberRemoved: Belief, OwnerMoved: Belief, TrafficTold: Belief, LinkOpened: Belief, LinkEnded: Belief, PrimaryAnnounced: Belief, PrimaryProved: Belief,
 	PrimaryDenied: Belief, FailoverPhase: Belief, FailoverLease: Belief, FailoverSurvey: Belief, FailoverWitnesses: Belief, FailoverOrder: Belief,
-	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, NodeDegraded: Belief,
+	TenureChanged: Belief, TenureRound: Belief, VotersChanged: Belief, VotersRefused: Belief, EraNotEnded: Belief, VoterRecovered: Belief, StepDown: Belief, NodeIsolated: Belief, NodeDegraded: Belief,
 	TransferDone: Belief, TransferInterrupted: Belief, MessageLost: Belief, QuotaShare: Belief, QuotaHeldBack: Belief, RoomShort: Belief, RoomRegained: Belief, AnswerUnproved: Failure,
 	SessionRefused: Failure, RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure, TransactionRolledBack: Failure,
 	LinesDropped: Belief,
--- a/internal/proxy/quorum/change.go
+++ b/internal/proxy/quorum/change.go
@@ -19,49 +19,95 @@
 	whole    bool
 	age      time.Duration
 	records  map[string]Record
+	// awaited is how many pages the last question may still bring.
+	awaited int
 }
 
+// sealPages is how many pages a sealed voter tells at one question: about 8 kB, so that 820
+// services pass in nine round trips.
+const sealPages = 8
+
 // NewSealing returns the end of a table's era.
 func NewSealing(table *Table) *Sealing {
 	return &Sealing{table: table, parts: map[string]*sealedPart{}}
 }
 
+// Ends reports whether it is a table's era that ends.
+func (s *Sealing) Ends(table *Table) bool { return s.table == table }
+
+// Resume begins another attempt with the records that the voters have told. All have to answer
+// again: one that has restarted since may have taken part in decisions.
+func (s *Sealing) Resume() {
+	for _, part := range s.parts {
+		part.whole = false
+	}
+}
+
 // Questions asks the voters that have not told all, and those without memory for
 // their age.
 func (s *Sealing) Questions(from string, life, sequence uint64) []Envelope {
 	var out []Envelope
 	for _, seat := range s.table.Seats {
-		part := s.parts[seat.Name]
-		if part != nil && part.whole && part.normal {
-			continue
-		}
-		question := Message{Kind: Seal, From: from, Life: life, Era: s.table.Era, Sequence: sequence}
-		if part != nil {
-			question.Known, question.KnownLife = part.revision, part.life
+		if part := s.parts[seat.Name]; part == nil || !part.whole || !part.normal {
+			out = append(out, s.question(&seat, from, life, sequence))
 		}
-		out = append(out, Envelope{seat.Address, question})
 	}
 	return out
 }
 
-// Take takes a voter's answer.
-func (s *Sealing) Take(m *Message) {
+// question asks a voter for the pages that follow those it has told.
+func (s *Sealing) question(seat *Seat, from string, life, sequence uint64) Envelope {
+	question := Message{Kind: Seal, From: from, Life: life, Era: s.table.Era, Sequence: sequence, More: true}
+	if part := s.parts[seat.Name]; part != nil {
+		question.Known, question.KnownLife = part.revision, part.life
+		part.awaited = sealPages
+	}
+	return Envelope{seat.Address, question}
+}
+
+// Next asks the sender of an answer that was just taken for more, if it was the last one to its
+// question.
+func (s *Sealing) Next(m *Message, from string, life, sequence uint64) []Envelope {
+	part, seat := s.parts[m.From], s.table.Seat(m.From)
+	if part == nil || part.whole || part.awaited > 0 {
+		return nil
+	}
+	return []Envelope{s.question(seat, from, life, sequence)}
+}
+
+// Take takes a voter's answer, and reports whether it has brought anything new.
+func (s *Sealing) Take(m *Message) bool {
 	if m.Kind != Sealed || m.Era != s.table.Era || s.table.Seat(m.From) == nil {
-		return
+		return false
 	}
 	part := s.parts[m.From]
 	if part == nil || part.life != m.Life {
-		part = &sealedPart{life: m.Life, records: map[string]Record{}}
+		part = &sealedPart{life: m.Life, records: map[string]Record{}, awaited: sealPages}
 		s.parts[m.From] = part
 	}
 	part.age, part.normal = m.Age, m.Normal
-	if m.Revision < part.revision {
-		return
+	if m.Known > part.revision || m.Revision < part.revision {
+		// A page before it was lost, or it came late.
+		return false
 	}
+	news := m.Revision > part.revision || part.whole == m.More
 	for _, record := range m.Records {
 		part.records[record.Service] = record
 	}
 	part.revision, part.whole = m.Revision, !m.More
+	if news {
+		part.awaited--
+	}
+	return news
+}
+
+// Told returns how many records each voter that has answered has told.
+func (s *Sealing) Told() map[string]int {
+	told := map[string]int{}
+	for name, part := range s.parts {
+		told[name] = len(part.records)
+	}
+	return told
 }
 
 // Outcome returns the records for the next era and whether the era has ended. If a
--- a/internal/proxy/quorum/message.go
+++ b/internal/proxy/quorum/message.go
@@ -83,7 +83,8 @@
 	KnownLife uint64
 	// Revision is that of a voter's newest record told so far.
 	Revision uint64
-	// More is set if further records follow on the next question.
+	// More is set if further records follow on the next question; with Seal, if several
+	// messages may answer it. Each answer to Seal holds what follows the revision Known.
 	More bool
 	// Recall asks for an answer to Push.
 	Recall   bool
--- a/internal/proxy/quorum/voter.go
+++ b/internal/proxy/quorum/voter.go
@@ -191,16 +191,8 @@
 	return append([]Envelope{v.grant(now, m.From, g)}, out...)
 }
 
-// page returns the oldest records that a sealed voter has not told, the revision up to
-// which they are known then, and whether there are more.
-func (v *Voter) page(m *Message) ([]Record, uint64, bool) {
-	known := m.Known
-	if m.KnownLife != v.life {
-		known = 0
-	}
-	return v.pageAfter(known, pageRecords)
-}
-
+// pageAfter returns the oldest records that have changed after a revision, the revision up to
+// which they are known with them, and whether there are more.
 func (v *Voter) pageAfter(known uint64, most int) ([]Record, uint64, bool) {
 	first, _ := slices.BinarySearchFunc(v.changes, known+1, func(c change, revision uint64) int { return cmp.Compare(c.revision, revision) })
 	var records []Record
@@ -376,9 +368,24 @@
 	if v.standing == normal {
 		v.standing = sealed
 	}
-	if v.standing == sealed {
-		reply.Normal = true
-		reply.Records, reply.Revision, reply.More = v.page(m)
+	if v.standing != sealed {
+		return []Envelope{{from, reply}}
 	}
-	return []Envelope{{from, reply}}
+	reply.Normal = true
+	known := m.Known
+	if m.KnownLife != v.life {
+		known = 0
+	}
+	pages := 1
+	if m.More {
+		pages = sealPages
+	}
+	var out []Envelope
+	for more := true; more && len(out) < pages; known = reply.Revision {
+		reply.Known = known
+		reply.Records, reply.Revision, reply.More = v.pageAfter(known, pageRecords)
+		out = append(out, Envelope{from, reply})
+		more = reply.More
+	}
+	return out
 }
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -87,6 +87,9 @@
 	lives map[string]uint64
 	// fetching is set while the table is read from the store.
 	fetching bool
+	// ending is the end of the present era, nil if none was begun. It belongs to the goroutine
+	// that keeps the table.
+	ending *quorum.Sealing
 	// sealings takes the answers of voters while an era is ended; nil otherwise.
 	sealings chan quorum.Message
 
--- a/internal/proxy/tenure/keeper_test.go
+++ b/internal/proxy/tenure/keeper_test.go
@@ -27,6 +27,8 @@
 	lives   uint64
 	// links limit what nodes send; nil if they do not.
 	links *links
+	// way is how long each message takes besides.
+	way time.Duration
 }
 
 // end is one keeper's end of the network.
@@ -47,7 +49,7 @@
 		}
 		delay = took
 	}
-	time.AfterFunc(delay+2*time.Millisecond, func() {
+	time.AfterFunc(delay+e.way, func() {
 		e.mu.Lock()
 		receiver := e.keepers[address]
 		lost := e.silent[address] || e.silent[e.name]
@@ -61,6 +63,7 @@
 func newNetwork(nodes int) *network {
 	n := &network{
 		keepers: map[string]*Keeper{}, cancels: map[string]context.CancelFunc{}, silent: map[string]bool{}, store: managed.NewStore(),
+		way: 2 * time.Millisecond,
 		log: eventlog.New(io.Discard, eventlog.Config{Node: "test", LinesPerSecond: 1}),
 	}
 	for i := range nodes {
--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -51,6 +51,8 @@
 	// doubles: what is late for want of room on a link is not hastened by more of it.
 	sealLimit    = time.Second
 	sealInterval = 30 * time.Millisecond
+	// answersKept is how many answers to the end of an era may wait: some pages of each voter.
+	answersKept = 128
 	// firstEraPause is the pause after an era that could not be ended or begun, which
 	// doubles up to longestEraPause: each attempt seals voters and asks many nodes.
 	firstEraPause   = 25 * time.Millisecond
@@ -447,10 +449,15 @@
 	}, revision)
 }
 
-// seal ends an era. It reports false if too few voters answered.
+// seal ends an era. It reports false if too few voters answered; what they have told is kept
+// for the next attempt.
 func (k *Keeper) seal(ctx context.Context, table *quorum.Table) ([]quorum.Record, bool) {
-	sealing := quorum.NewSealing(table)
-	answers := make(chan quorum.Message, 2*len(table.Seats))
+	if k.ending == nil || !k.ending.Ends(table) {
+		k.ending = quorum.NewSealing(table)
+	}
+	sealing := k.ending
+	sealing.Resume()
+	answers := make(chan quorum.Message, answersKept)
 	k.mu.Lock()
 	k.sequence++
 	sequence := k.sequence
@@ -463,21 +470,33 @@
 	}()
 	limited, cancel := context.WithTimeout(ctx, sealLimit)
 	defer cancel()
-	for pause := sealInterval; limited.Err() == nil; pause *= 2 {
-		k.send(sealing.Questions(k.cfg.Name, k.cfg.Life, sequence))
-		timer := time.NewTimer(pause)
-		for waiting := true; waiting; {
-			select {
-			case m := <-answers:
-				sealing.Take(&m)
-				if records, ended := sealing.Outcome(); ended {
-					timer.Stop()
-					return records, true
-				}
-			case <-timer.C:
-				waiting = false
+	pause := sealInterval
+	k.send(sealing.Questions(k.cfg.Name, k.cfg.Life, sequence))
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		select {
+		case m := <-answers:
+			if m.Sequence != sequence {
+				// It answers an earlier attempt.
+				continue
+			}
+			news := sealing.Take(&m)
+			if records, ended := sealing.Outcome(); ended {
+				return records, true
 			}
+			if !news {
+				continue
+			}
+			k.send(sealing.Next(&m, k.cfg.Name, k.cfg.Life, sequence))
+			pause = sealInterval
+		case <-timer.C:
+			k.send(sealing.Questions(k.cfg.Name, k.cfg.Life, sequence))
+			pause *= 2
+		case <-limited.Done():
+			k.cfg.Log.Write(eventlog.EraNotEnded, zap.Uint64("era", table.Era), zap.Any("told", sealing.Told()))
+			return nil, false
 		}
+		timer.Reset(pause)
 	}
-	return nil, false
 }
