tenure: an era is not ended for better voters while no table can be written

Cause: voters were sealed first; only then was the next table written, which failed, and sealed voters give no leases. Change: a table that would only get better (silent voters, more seats) is changed if nodes for it answer and the store tells the present table; one whose voters decide nothing any more, at once, as before. An inquiry counts answers by their time in place of forgetting them all at each look. The choice of seats is a file of its own, with regions told to it; what follows uses them.

--- a/internal/proxy/backends/tenures.go
+++ b/internal/proxy/backends/tenures.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	return tenure.New(tenure.Config{
-		Name: b.options.Name, Zone: b.options.Zone, Address: b.options.MessageAddress, Life: LifeNumber(b.options.Life),
+		Name: b.options.Name, Zone: b.options.Zone, Region: b.options.Regions[b.options.Zone], Address: b.options.MessageAddress, Life: LifeNumber(b.options.Life),
 		Capacity: b.options.Capacity.Weight(),
 		Store:    b.ports.Store, StoreEra: b.StoreEra, Kind: b.options.Kinds.Voters, Sender: b.ports.Messages, Peers: b.votingPeers,
 		Changed: b.tenureChanged, Voiced: b.lookSoon, Log: b.log,
@@ -37,7 +37,7 @@
 	return hash.Sum64()
 }
 
-// votingPeers returns the other nodes that take messages.
+// votingPeers returns the other nodes that take messages; nil while no list of members has come.
 func (b *Backends) votingPeers() []tenure.Peer {
 	known := b.Members.Load()
 	if known == nil {
@@ -46,7 +46,10 @@
 	peers := make([]tenure.Peer, 0, len(*known))
 	for _, member := range *known {
 		if member.Messages != "" {
-			peers = append(peers, tenure.Peer{Name: member.Name, Address: member.Messages, Zone: member.Zone, Capacity: member.Capacity.Weight()})
+			peers = append(peers, tenure.Peer{
+				Name: member.Name, Address: member.Messages, Zone: member.Zone, Region: b.options.Regions[member.Zone],
+				Capacity: member.Capacity.Weight(),
+			})
 		}
 	}
 	return peers
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -35,6 +35,8 @@
 	Name    string
 	Address string
 	Zone    string
+	// Region is the zone's; "" if it is not known.
+	Region string
 	// Capacity is how much work the node takes compared with others; 0 if it is not known.
 	Capacity float64
 }
@@ -47,8 +49,9 @@
 
 // Config configures a keeper.
 type Config struct {
-	Name string
-	Zone string
+	Name   string
+	Zone   string
+	Region string
 	// Address is where other nodes' messages reach this one.
 	Address string
 	// Capacity is this node's, as Peer has the others'.
@@ -60,7 +63,7 @@
 	StoreEra func() uint64
 	Kind     string
 	Sender   Sender
-	// Peers returns the other nodes that are known.
+	// Peers returns the other nodes that are known; nil while no list of them has come.
 	Peers func() []Peer
 	// Changed is called when a service's view has changed, Voiced when a majority of
 	// voters has become known to take part.
@@ -84,7 +87,7 @@
 	sequence uint64
 	rounds   map[uint64]*round
 	// lives are the processes of peers that have answered an inquiry.
-	lives map[string]uint64
+	lives map[string]peerLife
 	// fetching is set while the table is read from the store.
 	fetching bool
 	// ending is the end of the present era, nil if none was begun. It belongs to the goroutine
@@ -107,7 +110,7 @@
 	return &Keeper{
 		cfg: cfg, started: now, voter: quorum.NewVoter(cfg.Name, cfg.Life, now),
 		member: quorum.NewMember(cfg.Name, cfg.Life, now), sequence: quorum.FirstSequence(cfg.Life),
-		rounds: map[uint64]*round{}, lives: map[string]uint64{},
+		rounds: map[uint64]*round{}, lives: map[string]peerLife{},
 		granted: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
@@ -249,7 +252,7 @@
 // learn takes what a message tells of tables and of its sender; the lock is held.
 func (k *Keeper) learn(from string, m *quorum.Message) []quorum.Envelope {
 	if m.Kind == quorum.Announce {
-		k.lives[m.From] = m.Life
+		k.lives[m.From] = peerLife{m.Life, time.Now()}
 	}
 	known := k.voter.Table()
 	if m.Table != nil && (known == nil || m.Table.Era > known.Era) {
--- a/internal/proxy/tenure/keeper_test.go
+++ b/internal/proxy/tenure/keeper_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -29,6 +31,8 @@
 	links *links
 	// way is how long each message takes besides.
 	way time.Duration
+	// placeOf returns a node's zone and region; nil if each has a zone of its own.
+	placeOf func(name string) (zone, region string)
 }
 
 // end is one keeper's end of the network.
@@ -49,7 +53,10 @@
 		}
 		delay = took
 	}
-	time.AfterFunc(delay+e.way, func() {
+	e.mu.Lock()
+	delay += e.way
+	e.mu.Unlock()
+	time.AfterFunc(delay, func() {
 		e.mu.Lock()
 		receiver := e.keepers[address]
 		lost := e.silent[address] || e.silent[e.name]
@@ -77,14 +84,28 @@
 	defer n.mu.Unlock()
 	n.lives++
 	ctx, cancel := context.WithCancel(context.Background())
+	zone, region := n.place(name)
 	k := New(Config{
-		Name: name, Zone: name, Address: name, Life: n.lives, Store: n.store.Client(name), Kind: managed.VoterKind,
+		Name: name, Zone: zone, Region: region, Address: name, Life: n.lives, Store: n.store.Client(name), Kind: managed.VoterKind,
 		Sender: &end{n, name}, Peers: func() []Peer { return n.peersOf(name) }, StoreEra: n.store.Era, Changed: func(string) {}, Voiced: func() {}, Log: n.log,
 	})
 	n.keepers[name], n.cancels[name] = k, cancel
 	go k.Run(ctx)
 }
 
+func (n *network) place(name string) (zone, region string) {
+	if n.placeOf == nil {
+		return name, ""
+	}
+	return n.placeOf(name)
+}
+
+func (n *network) setWay(way time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.way = way
+}
+
 // setSilent loses all messages to and from a keeper, or lets them pass again.
 func (n *network) setSilent(name string, silent bool) {
 	n.mu.Lock()
@@ -105,12 +126,18 @@
 	var peers []Peer
 	for other := range n.keepers {
 		if other != name {
-			peers = append(peers, Peer{Name: other, Address: other, Zone: other})
+			zone, region := n.place(other)
+			peers = append(peers, Peer{Name: other, Address: other, Zone: zone, Region: region})
 		}
 	}
 	return peers
 }
 
+// anyKeeper returns the first keeper that runs.
+func (n *network) anyKeeper() *Keeper {
+	return n.keepers[slices.Min(slices.Collect(maps.Keys(n.keepers)))]
+}
+
 func (n *network) end() {
 	for name := range n.cancels {
 		n.cancels[name]()
--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -12,7 +12,6 @@
 
 	"dewknot/internal/base/era"
 	"dewknot/internal/base/eventlog"
-	"dewknot/internal/base/placement"
 	"dewknot/internal/proxy/objectstore"
 	"dewknot/internal/proxy/quorum"
 )
@@ -21,9 +20,6 @@
 const (
 	// tableName is the object's name.
 	tableName = "voters"
-	// createAfter is how long after its start a fleet makes its first table: its nodes
-	// have entered themselves and know each other by then.
-	createAfter = 2500 * time.Millisecond
 	// reviewInterval is the pause between looks at the voters.
 	reviewInterval = 200 * time.Millisecond
 	// lossInterval is the same while this node's voter has no memory or is sealed: an era may
@@ -40,13 +36,6 @@
 	firstAnswerSpan = 600 * time.Millisecond
 	// growInterval is the pause between looks whether there are nodes for more seats.
 	growInterval = 10 * time.Second
-	// inquiryWait is the wait for the answers to inquiries: a round trip between regions
-	// and some.
-	inquiryWait = 120 * time.Millisecond
-	// inquiryLook is the pause between looks at the answers.
-	inquiryLook = 10 * time.Millisecond
-	// inquiredPeers is how many peers are asked for the table, or whether they live.
-	inquiredPeers = 12
 	// sealLimit bounds the end of an era. sealInterval is the pause between questions, which
 	// doubles: what is late for want of room on a link is not hastened by more of it.
 	sealLimit    = time.Second
@@ -79,9 +68,13 @@
 		switch now := time.Now(); {
 		case k.table() == nil:
 			k.seek(ctx, now)
-		case k.inCharge(now) && k.lacking(now, &grown):
+		case k.inCharge(now):
+			need := k.lacking(now, &grown)
+			if need == nothing {
+				continue
+			}
 			era := k.table().Era
-			k.change(ctx)
+			k.change(ctx, need)
 			if k.table().Era > era {
 				pause = 0
 			} else {
@@ -152,154 +145,6 @@
 	k.install(time.Now(), table)
 }
 
-// seek asks other nodes for the table, and makes the first one if there is none.
-func (k *Keeper) seek(ctx context.Context, now time.Time) {
-	peers := k.inquire(ctx, inquiredPeers)
-	if k.table() != nil || now.Sub(k.started) < createAfter {
-		return
-	}
-	if !k.fetch(ctx) || k.table() != nil || !k.first(peers) {
-		return
-	}
-	var none *quorum.Table
-	storeEra := k.cfg.StoreEra()
-	k.write(ctx, &quorum.Table{Era: none.NextEra(storeEra), StoreEra: storeEra, Seats: k.seats(nil, peers)}, 0)
-}
-
-// first reports whether this node is the one to make the table: of nodes with the same
-// view one, and with views that differ the store's condition decides.
-func (k *Keeper) first(peers []Peer) bool {
-	candidates := []placement.Candidate{{ID: k.cfg.Name}}
-	for _, peer := range peers {
-		candidates = append(candidates, placement.Candidate{ID: peer.Name})
-	}
-	return placement.Rank(tableName, "", candidates, 1)[0] == k.cfg.Name
-}
-
-// inquire asks up to count peers whether they live and what table they know, and
-// returns those that answered.
-func (k *Keeper) inquire(ctx context.Context, count int) []Peer {
-	peers := k.cfg.Peers()
-	chosen := asked(peers, k.table(), count)
-	k.mu.Lock()
-	clear(k.lives)
-	k.mu.Unlock()
-	for _, peer := range peers {
-		if slices.Contains(chosen, peer.Name) {
-			k.cfg.Sender.SendMessage(peer.Address, &quorum.Message{Kind: quorum.Inquire, From: k.cfg.Name, Life: k.cfg.Life})
-		}
-	}
-	k.awaitLives(ctx, len(chosen))
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var living []Peer
-	for _, peer := range peers {
-		if _, lives := k.lives[peer.Name]; lives {
-			living = append(living, peer)
-		}
-	}
-	return living
-}
-
-// asked chooses the peers of an inquiry: those with most capacity for one half, any others,
-// the same for all nodes, for the rest, and the voters of the table besides.
-func asked(peers []Peer, table *quorum.Table, count int) []string {
-	candidates := make([]placement.Candidate, 0, len(peers))
-	capacity := map[string]float64{}
-	for _, peer := range peers {
-		candidates = append(candidates, placement.Candidate{ID: peer.Name})
-		capacity[peer.Name] = peer.Capacity
-	}
-	ranked := placement.Rank(tableName, "", candidates, len(candidates))
-	strong := slices.Clone(ranked)
-	slices.SortStableFunc(strong, func(a, b string) int { return cmp.Compare(capacity[b], capacity[a]) })
-	chosen := strong[:min(count/2, len(strong))]
-	for _, name := range ranked {
-		if len(chosen) < count && !slices.Contains(chosen, name) {
-			chosen = append(chosen, name)
-		}
-	}
-	if table == nil {
-		return chosen
-	}
-	for _, peer := range peers {
-		if table.Seat(peer.Name) != nil && !slices.Contains(chosen, peer.Name) {
-			chosen = append(chosen, peer.Name)
-		}
-	}
-	return chosen
-}
-
-// awaitLives waits until a number of peers have answered an inquiry, but not for long.
-func (k *Keeper) awaitLives(ctx context.Context, count int) {
-	deadline := time.Now().Add(inquiryWait)
-	for ctx.Err() == nil && time.Now().Before(deadline) {
-		k.mu.Lock()
-		answered := len(k.lives)
-		k.mu.Unlock()
-		if answered >= count {
-			return
-		}
-		time.Sleep(inquiryLook)
-	}
-}
-
-// seats chooses the voters of a new table: those of the table before that live, then
-// nodes of the zones that have the fewest, of a zone's the ones with most capacity, then
-// silent ones of the table before: they may return, and a table that shrinks bears fewer
-// losses.
-func (k *Keeper) seats(before *quorum.Table, living []Peer) []quorum.Seat {
-	wanted := seatsFor(len(k.cfg.Peers()) + 1)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	available := map[string]quorum.Seat{k.cfg.Name: {Name: k.cfg.Name, Address: k.cfg.Address, Life: k.cfg.Life}}
-	zones := map[string]string{k.cfg.Name: k.cfg.Zone}
-	capacity := map[string]float64{k.cfg.Name: k.cfg.Capacity}
-	for _, peer := range living {
-		available[peer.Name] = quorum.Seat{Name: peer.Name, Address: peer.Address, Life: k.lives[peer.Name]}
-		zones[peer.Name] = peer.Zone
-		capacity[peer.Name] = peer.Capacity
-	}
-	var seats []quorum.Seat
-	inZone := map[string]int{}
-	add := func(name string) {
-		seats = append(seats, available[name])
-		inZone[zones[name]]++
-		delete(available, name)
-	}
-	var silent []quorum.Seat
-	if before != nil {
-		for _, seat := range before.Seats {
-			if _, lives := available[seat.Name]; !lives {
-				silent = append(silent, quorum.Seat{Name: seat.Name, Address: seat.Address})
-			} else if len(seats) < wanted {
-				add(seat.Name)
-			}
-		}
-	}
-	for len(seats) < wanted && len(available) > 0 {
-		names := make([]string, 0, len(available))
-		for name := range available {
-			names = append(names, name)
-		}
-		add(slices.MinFunc(names, func(a, b string) int {
-			return cmp.Or(cmp.Compare(inZone[zones[a]], inZone[zones[b]]), cmp.Compare(capacity[b], capacity[a]), cmp.Compare(a, b))
-		}))
-	}
-	for _, seat := range silent {
-		if len(seats) < wanted {
-			seats = append(seats, seat)
-		}
-	}
-	return seats
-}
-
-// seatsFor returns how many voters a number of nodes has: an odd one, since an even one
-// bears no more losses.
-func seatsFor(nodes int) int {
-	return min(quorum.MaxVoters, nodes-(nodes+1)%2)
-}
-
 // write writes a table and tells it to the other nodes. Era 1 is created.
 func (k *Keeper) write(ctx context.Context, table *quorum.Table, revision era.Revision) {
 	content, err := json.Marshal(table)
@@ -392,52 +237,80 @@
 	return false
 }
 
-// lacking reports whether the table needs a new era: voters are gone or have lost their
-// memory, there are nodes for more seats, or the store has come back from an older copy and
-// may hold an earlier table, whose voters nodes that start would ask.
-func (k *Keeper) lacking(now time.Time, grown *time.Time) bool {
+// need tells why a table needs a new era.
+type need uint8
+
+const (
+	nothing need = iota
+	// better: voters are silent or too few, or one zone or region has a majority of them. The
+	// present ones go on meanwhile.
+	better
+	// broken: the present voters decide nothing any more.
+	broken
+)
+
+// lacking returns whether the table needs a new era: voters are gone or have lost their
+// memory, there are nodes for more or better seats, or the store has come back from an older
+// copy and may hold an earlier table, whose voters nodes that start would ask.
+func (k *Keeper) lacking(now time.Time, grown *time.Time) need {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	table := k.voter.Table()
 	if table.StoreEra < k.cfg.StoreEra() {
-		return true
+		return broken
 	}
 	lost := k.member.Lost(now, deputySpan)
 	if k.voter.Recovering() {
 		if k.voter.Age(now) < quorum.LostSpan {
-			return false
+			return nothing
 		}
 		lost++
 	}
 	if len(table.Seats)-lost < table.Majority() || k.voter.Sealed() {
-		return true
+		return broken
 	}
 	if !k.voter.Normal() {
-		return false
+		return nothing
 	}
-	if now.Sub(*grown) < growInterval && len(k.member.Silent(now, silentSpan, silentSpan)) == 0 {
-		return false
+	silent := len(k.member.Silent(now, silentSpan, silentSpan)) > 0
+	if now.Sub(*grown) < growInterval && !silent {
+		return nothing
 	}
 	first := grown.IsZero()
 	*grown = now
 	nodes := len(k.cfg.Peers()) + 1
-	return len(k.member.Silent(now, silentSpan, silentSpan)) > 0 && nodes > len(table.Seats) || (!first && len(table.Seats) < seatsFor(nodes))
+	if (silent && nodes > len(table.Seats)) || (!first && len(table.Seats) < seatsFor(nodes)) {
+		return better
+	}
+	return nothing
 }
 
-// change moves the table to its next era.
-func (k *Keeper) change(ctx context.Context) {
+// change moves the table to its next era. What only gets better waits until there are nodes for
+// it and the store answers: between the end of an era and the next table no leases are given.
+func (k *Keeper) change(ctx context.Context, need need) {
 	k.mu.Lock()
-	known := k.tableRevision > 0
+	known, before := k.tableRevision > 0, k.voter.Table()
 	k.mu.Unlock()
-	if !known && !k.fetch(ctx) {
+	var living []Peer
+	if need == better {
+		living = k.inquire(ctx, inquiredPeers, time.Now())
+		if sameVoters(before.Seats, k.seats(before, living)) {
+			return
+		}
+	}
+	if (!known || need == better) && !k.fetch(ctx) {
 		return
 	}
 	k.mu.Lock()
 	table, revision := k.voter.Table(), k.tableRevision
 	k.mu.Unlock()
-	var living []Peer
+	if table != before {
+		return
+	}
 	var inquiring sync.WaitGroup
-	inquiring.Go(func() { living = k.inquire(ctx, inquiredPeers) })
+	if need == broken {
+		inquiring.Go(func() { living = k.inquire(ctx, inquiredPeers, time.Now()) })
+	}
 	records, ended := k.seal(ctx, table)
 	inquiring.Wait()
 	if !ended {
@@ -449,6 +322,19 @@
 	}, revision)
 }
 
+// sameVoters reports whether two tables have the same voters.
+func sameVoters(a, b []quorum.Seat) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if !slices.ContainsFunc(b, func(seat quorum.Seat) bool { return seat.Name == a[i].Name }) {
+			return false
+		}
+	}
+	return true
+}
+
 // seal ends an era. It reports false if too few voters answered; what they have told is kept
 // for the next attempt.
 func (k *Keeper) seal(ctx context.Context, table *quorum.Table) ([]quorum.Record, bool) {
