tenure: the first table waits for voters enough, in several regions

Cause: 2.5 s after the start a node asks 12 others and takes what has answered within 120 ms; in a fleet of 294 nodes that all start, most are busy and answer later, and answers that came between two inquiries were forgotten.

--- a/internal/proxy/tenure/seats.go
+++ b/internal/proxy/tenure/seats.go
@@ -15,6 +15,10 @@
 	// createAfter is how long after its start a fleet makes its first table: its nodes
 	// have entered themselves and know each other by then.
 	createAfter = 2500 * time.Millisecond
+	// createPatience is how long after its start a fleet makes do with fewer voters than its
+	// size asks for, or with voters that one loss may leave without a majority. Nodes that are
+	// busy with their start answer late.
+	createPatience = 5 * time.Second
 	// inquiryWait is the wait for the answers to inquiries: a round trip between regions
 	// and some.
 	inquiryWait = 120 * time.Millisecond
@@ -34,11 +38,15 @@
 
 // seek asks other nodes for the table, and makes the first one if there is none.
 func (k *Keeper) seek(ctx context.Context, now time.Time) {
+	known := k.cfg.Peers()
 	peers := k.inquire(ctx, inquiredPeers, now.Add(-livesSpan))
 	if k.table() != nil || now.Sub(k.started) < createAfter {
 		return
 	}
 	seats := k.seats(nil, peers)
+	if now.Sub(k.started) < createPatience && (known == nil || len(seats) < seatsFor(len(known)+1) || k.crowded(seats)) {
+		return
+	}
 	if !k.fetch(ctx) || k.table() != nil || !k.first(peers) {
 		return
 	}
