tenure: voters of which one region has a majority are spread

What callers would see: a region is lost or cut off, and with it the majority of voters, though nodes of other regions could have had seats (TestCrowdedTableIsSpread: five voters of one region stay before). Nothing looked at where voters stand once a table was made. TestVotersBearALoss: no region has more voters than it must, whatever nodes live where.

--- a/internal/proxy/tenure/seats_test.go
+++ b/internal/proxy/tenure/seats_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"dewknot/internal/base/bubbletest"
 	"dewknot/internal/proxy/quorum"
@@ -52,6 +53,37 @@
 	})
 }
 
+// TestCrowdedTableIsSpread guards against voters of which one region has a majority: the loss or
+// the cut of that region leaves no majority. Nodes of other regions that come later get seats.
+func TestCrowdedTableIsSpread(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		n := newNetwork(0)
+		n.placeOf = thirds
+		for i := 0; i < 30; i += 3 {
+			n.start(fmt.Sprintf("k%d", i))
+		}
+		time.Sleep(6 * time.Second)
+		must.Len(t, quorum.MaxVoters, n.keepers["k0"].table().Seats)
+		opened(t, n.keepers["k0"], n.keepers["k0"].table().LeastBallot()+1, "a")
+		for i := range 30 {
+			if i%3 != 0 {
+				n.start(fmt.Sprintf("k%d", i))
+			}
+		}
+		time.Sleep(2*growInterval + changeLimit)
+		table := n.keepers["k0"].table()
+		must.Len(t, quorum.MaxVoters, table.Seats)
+		for region, voters := range inRegions(table) {
+			must.Less(t, table.Majority(), voters, must.Sprint(region))
+		}
+		must.True(t, n.keepers["k1"].View("s").Covers(time.Now()))
+		// It stays as it is then.
+		time.Sleep(3 * growInterval)
+		must.Eq(t, table.Era, n.keepers["k0"].table().Era)
+		n.end()
+	})
+}
+
 // TestLostVoterWhileStoreIsDown guards against an era that is ended while no table can be written:
 // no node had leases then until the store was back, though a majority of voters was there.
 func TestLostVoterWhileStoreIsDown(t *testing.T) {
@@ -81,3 +113,56 @@
 		n.end()
 	})
 }
+
+// TestVotersBearALoss: whatever nodes live where, the voters are as many as their number asks
+// for, and no zone or region has more of them than it must.
+func TestVotersBearALoss(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		regions := rapid.IntRange(1, 4).Draw(t, "regions")
+		var peers []Peer
+		count := map[string]int{}
+		for i := range rapid.IntRange(1, 30).Draw(t, "nodes") {
+			region := fmt.Sprintf("r%d", rapid.IntRange(1, regions).Draw(t, "region"))
+			zone := region + fmt.Sprintf("z%d", rapid.IntRange(1, 3).Draw(t, "zone"))
+			peers = append(peers, Peer{Name: fmt.Sprintf("n%02d", i), Zone: zone, Region: region})
+			count[region]++
+		}
+		own := peers[len(peers)-1]
+		k := New(Config{Name: own.Name, Zone: own.Zone, Region: own.Region, Peers: func() []Peer { return peers[:len(peers)-1] }})
+		before := &quorum.Table{}
+		for i := range rapid.IntRange(0, 5).Draw(t, "before") {
+			if i < len(peers) {
+				before.Seats = append(before.Seats, quorum.Seat{Name: peers[i].Name})
+			}
+		}
+		seats := k.seats(before, peers[:len(peers)-1])
+		must.Len(t, seatsFor(len(peers)), seats)
+		room := 0
+		for _, nodes := range count {
+			room += min(nodes, (len(seats)-1)/2)
+		}
+		if room >= len(seats) {
+			inRegion := map[string]int{}
+			for _, seat := range seats {
+				peer := k.places(peers)[seat.Name]
+				inRegion[peer.Region]++
+				must.LessEq(t, max(1, (len(seats)-1)/2), inRegion[peer.Region])
+			}
+			must.False(t, k.crowded(seats) && fits(k, peers, len(seats)))
+		}
+	})
+}
+
+// fits reports whether the bounds of zones and regions can be met at the same time by taking one
+// node after the other, which is how the voters are chosen.
+func fits(k *Keeper, peers []Peer, wanted int) bool {
+	c := newChoice(k.places(peers), wanted)
+	for len(c.chosen) < wanted {
+		name := c.best()
+		if !c.fits(name) {
+			return false
+		}
+		c.choose(name)
+	}
+	return true
+}
--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -279,7 +279,7 @@
 	first := grown.IsZero()
 	*grown = now
 	nodes := len(k.cfg.Peers()) + 1
-	if (silent && nodes > len(table.Seats)) || (!first && len(table.Seats) < seatsFor(nodes)) {
+	if (silent && nodes > len(table.Seats)) || (!first && (len(table.Seats) < seatsFor(nodes) || k.crowded(table.Seats))) {
 		return better
 	}
 	return nothing
