proxy: work for a primary that is lost for longer than a change takes is refused at once

Cause: work waits for a primary until the statement's time is over, which is right while a change is under way, and nothing told it that this outage is none of the usual kind. Change: an outage that has lasted longer than usual (2 s at least), and is expected to go on past the statement's deadline, is told at once, with the time that it is expected to go on as Retry-After. Missing leases count as an outage of the node's own. A node that nobody asks knows nothing yet: its first callers still wait.

--- a/internal/proxy/backends/health.go
+++ b/internal/proxy/backends/health.go
@@ -104,7 +104,11 @@
 	if s.backends.Tenures == nil && (target == nil || down) {
 		s.seek()
 	}
-	s.Outage.Note(now, target != nil && !down)
+	s.outage.Note(now, target != nil && !down)
+	if s.backends.Tenures != nil {
+		view := s.backends.Tenures.View(s.Name)
+		s.leaseless.Note(now, view != nil && view.Covers(now))
+	}
 	observation := s.observe(leader, down)
 	if observation.Voiceless && s.holding() {
 		s.Warm(upstream.Own)
--- a/internal/proxy/backends/service.go
+++ b/internal/proxy/backends/service.go
@@ -61,7 +61,10 @@
 	// witness is the address of a node that lately reached the primary.
 	witness atomic.Pointer[string]
 	health  leaderHealth
-	Outage  leadership.Outage
+	// outage follows whether a primary answers, leaseless whether this node has leases to use it,
+	// where nodes agree on primaries.
+	outage    leadership.Outage
+	leaseless leadership.Outage
 	// TurnedAway follows whether the service turns work away for want of room.
 	TurnedAway TurnedAway
 	// warmed is set once connections for a survey were opened ahead.
@@ -261,6 +264,27 @@
 	return s.backends.Server(id)
 }
 
+// OutageLeft returns how long the service is expected to stay without a primary that this node
+// can use.
+func (s *Service) OutageLeft(now time.Time) time.Duration {
+	left := s.outage.Left(now)
+	if _, overdue := s.leaseless.Overdue(now); overdue {
+		left = max(left, s.leaseless.Left(now))
+	}
+	return left
+}
+
+// OutageOutlasts reports whether an outage has lasted longer than usual and is expected to go on
+// past a deadline.
+func (s *Service) OutageOutlasts(now, deadline time.Time) bool {
+	for _, outage := range []*leadership.Outage{&s.outage, &s.leaseless} {
+		if left, overdue := outage.Overdue(now); overdue && now.Add(left).After(deadline) {
+			return true
+		}
+	}
+	return false
+}
+
 // leavingShare is the part of the drain bound during which a leaving server may
 // still receive work that no other server can take.
 const leavingShare = 0.7
--- a/internal/proxy/comeback.go
+++ b/internal/proxy/comeback.go
@@ -32,7 +32,7 @@
 	case failure.Overloaded:
 		return spread(r.expectedWait(now))
 	case failure.NoPrimary, failure.NoServer, failure.OutsideHomes:
-		return spread(r.service.Outage.Left(now))
+		return spread(r.service.OutageLeft(now))
 	default:
 		return spread(leastComeBack)
 	}
@@ -55,7 +55,7 @@
 		if leader := r.service.Leader(now); leader != nil {
 			return leader.ExpectedWait(request, now)
 		}
-		return r.service.Outage.Left(now)
+		return r.service.OutageLeft(now)
 	}
 	request.Class = admission.Anywhere
 	shortest := mostComeBack
--- a/internal/proxy/leadership/outage.go
+++ b/internal/proxy/leadership/outage.go
@@ -59,3 +59,12 @@
 	}
 	return lasted / 2
 }
+
+// Overdue reports whether the present outage has lasted longer than usual, and how long it is
+// expected to go on.
+func (o *Outage) Overdue(now time.Time) (left time.Duration, overdue bool) {
+	left = o.Left(now)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return left, !o.since.IsZero() && now.Sub(o.since) >= max(o.usual, firstOutage)
+}
--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -149,6 +149,10 @@
 		if r.session.node.Degraded.Load() || (!found && r.session.node.secluded()) {
 			break
 		}
+		if !found && r.service.OutageOutlasts(time.Now(), r.deadline) {
+			r.unservable = failure.NoPrimary
+			break
+		}
 		if !found {
 			r.service.RefreshProof(r.deadline)
 			continue
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -227,6 +227,9 @@
 		if !r.servable() || (target != nil && !r.atHome(target)) {
 			return nil, nil, r.unservable
 		}
+		if target == nil && r.service.OutageOutlasts(now, r.deadline) {
+			return nil, nil, failure.NoPrimary
+		}
 		if target == nil || target.Stats.Avoided(now) {
 			r.awaitLeader()
 			continue
