--- a/internal/lab/judge/caller.go
+++ b/internal/lab/judge/caller.go
@@ -38,6 +38,8 @@
 	Tenant string
 	Seed   *rand.Rand
 	Judge  *Judge
+	// Stays makes the caller keep each session until it ends by itself.
+	Stays bool
 	// Connect opens a session on some node and tells its route; nil if it was
 	// refused.
 	Connect func(r *rand.Rand) (Session, *catalog.Route)
@@ -90,7 +92,7 @@
 )
 
 func (c *Caller) operate(session Session, route *catalog.Route, until time.Time) {
-	for range c.Seed.IntN(maxOperations) + 1 {
+	for operations := c.Seed.IntN(maxOperations) + 1; operations > 0 || c.Stays; operations-- {
 		if !time.Now().Before(until) {
 			return
 		}
--- a/internal/proxy/backends/health.go
+++ b/internal/proxy/backends/health.go
@@ -9,7 +9,6 @@
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/failover"
-	"dewknot/internal/proxy/network"
 	"dewknot/internal/proxy/upstream"
 )
 
@@ -69,7 +68,7 @@
 			}
 			return true
 		})
-		if now.Sub(told) > network.TrafficLook {
+		if b.TrafficDue(now.Sub(told)) {
 			told = now
 			b.LogTraffic()
 		}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"runtime"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -75,6 +76,7 @@
 			}
 			return 0
 		}),
+		gauge("goroutines", "Goroutines of the process.", func() float64 { return float64(runtime.NumGoroutine()) }),
 		gauge("store_lost", "1 while the store does not answer.", node.lostStore),
 	)
 	return m
--- a/internal/proxy/network/network.go
+++ b/internal/proxy/network/network.go
@@ -141,6 +141,8 @@
 	memberZones atomic.Pointer[map[string]string]
 	// Calls counts the calls to the store.
 	calls storeCalls
+	// toldSent are the bytes sent until the last log line of them.
+	toldSent uint64
 	// readersFound is closed once it is known whether the store names readers.
 	readersFound chan struct{}
 	// membersKnown is closed once members has a value.
--- a/internal/proxy/network/traffic_metrics.go
+++ b/internal/proxy/network/traffic_metrics.go
@@ -12,8 +12,18 @@
 )
 
 // TrafficLook is the pause between two log lines of what a node has exchanged with others:
-// the log alone then tells which kind fills a link.
-const TrafficLook = time.Minute
+// the log alone then tells which kind fills a link. A node that sends busyBytes in less than that
+// tells so from busyLook on.
+const (
+	TrafficLook = time.Minute
+	busyLook    = 4 * time.Second
+	busyBytes   = 256 << 10
+)
+
+// TrafficDue reports whether the next log line is due, some time after the last one.
+func (n *Network) TrafficDue(since time.Duration) bool {
+	return since > TrafficLook || (since > busyLook && n.ports.Traffic.Sent() >= n.toldSent+busyBytes)
+}
 
 // distanceTo tells how far an address is: a member's, a server's, or one of their machines'.
 func (n *Network) distanceTo(address string) traffic.Distance {
@@ -96,7 +106,7 @@
 	})
 }
 
-// LogTraffic writes the bytes sent so far by kind and distance, those received from the
+// LogTraffic is called by one goroutine. It writes the bytes sent so far by kind and distance, those received from the
 // store, and the calls to it.
 func (n *Network) LogTraffic() {
 	var fields []zap.Field
@@ -106,5 +116,6 @@
 		}
 	})
 	fields = append(fields, zap.Any("store_calls", n.calls.told()))
+	n.toldSent = n.ports.Traffic.Sent()
 	n.Log.Write(eventlog.TrafficTold, fields...)
 }
--- a/internal/proxy/traffic/traffic.go
+++ b/internal/proxy/traffic/traffic.go
@@ -109,6 +109,17 @@
 	}
 }
 
+// Sent returns the bytes sent so far.
+func (m *Meter) Sent() uint64 {
+	sent := uint64(0)
+	m.Each(func(_ Kind, _ Distance, direction Direction, bytes uint64) {
+		if direction == Sent {
+			sent += bytes
+		}
+	})
+	return sent
+}
+
 // Conn counts the bytes of a connection.
 type Conn struct {
 	net.Conn
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -47,7 +47,7 @@
 		supervise "$node" 2>/dev/null &
 	done
 	wait "$driver" || status=$?
-	grep -E 'seed [0-9]+,|served|--- FAIL|violat' "$dir/soak.log" | head -20 || true
+	grep -E 'seed [0-9]+,|served|sizes|--- FAIL|violat' "$dir/soak.log" | head -20 || true
 	if [ "$status" -ne 0 ]; then
 		echo "soak failed with seed $seed ($nodes nodes, $seconds s); logs: $dir" >&2
 		exit 1
