quorum: records are learned from the nearest majority of voters

Cause: each member learned all records from each of five voters, though it uses leases of three: 592 services x 294 members x 40 bytes is 7 MB a voter, most of them of other regions. Change: a member that is no voter asks the nearest majority (by zone and region, then in an order of its own, which spreads members); another one as soon as one of these does not answer in time, takes no part, or answers too late for renewals; and all while a request waits for a tenure that some, but too few of them have had open for 150 ms.

--- a/internal/proxy/backends/tenures.go
+++ b/internal/proxy/backends/tenures.go
@@ -106,7 +106,7 @@
 	if view != nil && view.Covers(now) {
 		return true
 	}
-	s.backends.Tenures.Renew(now)
+	s.backends.Tenures.RenewFor(s.Name, now)
 	return false
 }
 
--- a/internal/proxy/quorum/member.go
+++ b/internal/proxy/quorum/member.go
@@ -22,6 +22,15 @@
 	leases  []*Lease
 	needed  int
 	base    time.Time
+	// partialSince is since when some voters, but too few, give leases for one tenure; zero if
+	// they do not.
+	partialSince time.Time
+}
+
+// Partial reports whether some voters, but too few, have given leases for one tenure for a span:
+// others may as well.
+func (v *View) Partial(now time.Time, span time.Duration) bool {
+	return !v.partialSince.IsZero() && now.Sub(v.partialSince) >= span
 }
 
 // Covers reports whether the tenure was surely the newest at a time: a majority of
@@ -73,6 +82,8 @@
 	met   bool
 	// lost is the age of a voter's process that has no memory, when it was heard.
 	lost time.Duration
+	// unable is set while the voter's last answer was that it takes no part.
+	unable bool
 }
 
 // Member keeps a node's leases. It is a reducer, not safe for concurrent use; the
@@ -85,6 +96,8 @@
 	mirrors  []*mirror
 	sequence uint64
 	services map[string]*View
+	// distances are how far the voters are by name; nil if that is not known.
+	distances map[string]int
 }
 
 // NewMember returns a member that knows no table yet. base is a time before all
@@ -123,7 +136,7 @@
 	}
 	var changed []string
 	for service := range n.services {
-		n.look(service)
+		n.look(now, service)
 		changed = append(changed, service)
 	}
 	return changed
@@ -136,8 +149,11 @@
 func (n *Member) Due(now time.Time, haste Haste) ([]Envelope, time.Time) {
 	var out []Envelope
 	next := now.Add(RenewInterval)
-	spares := n.spares(now, haste)
+	spares, resting := n.spares(now, haste), n.resting(haste)
 	for _, of := range n.mirrors {
+		if slices.Contains(resting, of) {
+			continue
+		}
 		pause := time.Duration(0)
 		if slices.Contains(spares, of) {
 			pause = spareInterval - RenewInterval
@@ -209,7 +225,7 @@
 	case Granted:
 		return n.granted(now, from, of, m)
 	case Push:
-		return n.pushed(from, of, m)
+		return n.pushed(now, from, of, m)
 	case Unable:
 		of.heard, of.met = now, true
 		if asked := of.answered(m.Sequence); asked != nil {
@@ -218,7 +234,7 @@
 		if !m.Normal {
 			of.lost = m.Age
 		}
-		of.wholeAt = time.Time{}
+		of.wholeAt, of.unable = time.Time{}, true
 	default:
 	}
 	return nil, nil
@@ -234,7 +250,7 @@
 }
 
 func (n *Member) granted(now time.Time, from string, of *mirror, m *Message) ([]Envelope, []string) {
-	of.heard, of.met = now, true
+	of.heard, of.met, of.unable = now, true, false
 	asked := of.answered(m.Sequence)
 	if asked == nil {
 		return nil, nil
@@ -248,7 +264,7 @@
 		// The answer leaves out what was known then, and is not any more.
 		return nil, nil
 	}
-	changed := n.take(of, m.Records)
+	changed := n.take(now, of, m.Records)
 	of.revision = max(of.revision, m.Revision)
 	if m.More {
 		return []Envelope{n.renewal(now, of)}, changed
@@ -285,9 +301,9 @@
 // pushed takes changed records. They are all that have changed after the revision Known:
 // if this one is not known, others may have changed before, and the revision up to which all
 // are known stays. The answer tells it.
-func (n *Member) pushed(from string, of *mirror, m *Message) ([]Envelope, []string) {
+func (n *Member) pushed(now time.Time, from string, of *mirror, m *Message) ([]Envelope, []string) {
 	of.meet(m.Life)
-	changed := n.take(of, m.Records)
+	changed := n.take(now, of, m.Records)
 	if m.Known <= of.revision {
 		of.revision = max(of.revision, m.Revision)
 	}
@@ -298,21 +314,21 @@
 }
 
 // take notes a voter's records and returns the services whose views have changed.
-func (n *Member) take(of *mirror, records []Record) []string {
+func (n *Member) take(now time.Time, of *mirror, records []Record) []string {
 	var changed []string
 	for _, record := range records {
 		if known, found := of.records[record.Service]; found && known.Revision >= record.Revision {
 			continue
 		}
 		of.records[record.Service] = record
-		n.look(record.Service)
+		n.look(now, record.Service)
 		changed = append(changed, record.Service)
 	}
 	return changed
 }
 
 // look makes a service's view anew. A tenure that is no longer open stays known.
-func (n *Member) look(service string) {
+func (n *Member) look(now time.Time, service string) {
 	before := n.services[service]
 	view := &View{needed: n.table.Majority(), base: n.base}
 	if before != nil {
@@ -334,6 +350,12 @@
 			view.Tenure, view.Open, view.leases = tenure, true, leases
 		}
 	}
+	if !view.Open && len(open) > 0 {
+		view.partialSince = now
+		if before != nil && !before.partialSince.IsZero() {
+			view.partialSince = before.partialSince
+		}
+	}
 	n.services[service] = view
 }
 
@@ -346,8 +368,8 @@
 	return trip, misses
 }
 
-// Settled reports whether the records of all voters are known whole.
-func (n *Member) Settled() bool { return n.Whole() == len(n.mirrors) }
+// Settled reports whether the records of all voters that are asked are known whole.
+func (n *Member) Settled() bool { return n.Whole()+len(n.resting(Calm)) >= len(n.mirrors) }
 
 // Whole counts the voters whose records are known whole.
 func (n *Member) Whole() int {
--- a/internal/proxy/quorum/pacer.go
+++ b/internal/proxy/quorum/pacer.go
@@ -10,6 +10,8 @@
 	Calm Haste = iota
 	// Eager is for something that waits for leases or records.
 	Eager
+	// Wide is Eager where the nearest voters do not suffice: all are asked.
+	Wide
 	// Urgent is for a voter that needs the others' records to take part again. It asks
 	// four others at the most.
 	Urgent
@@ -80,7 +82,7 @@
 		return of.askedAt.Add(of.trip.timeout(of.misses, most))
 	case haste == Urgent:
 		return of.askedAt.Add(urgentPause)
-	case haste == Eager || unknown:
+	case haste == Eager || haste == Wide || unknown:
 		return of.askedAt.Add(doubled(eagerPause, of.vain, most))
 	default:
 		return of.askedAt.Add(RenewInterval)
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -26,6 +26,9 @@
 	busyInterval = 40 * time.Millisecond
 	// eagerSpan is how long after a request has asked for leases voters are asked eagerly.
 	eagerSpan = 100 * time.Millisecond
+	// partialSpan is how long the nearest voters may disagree on an open tenure until all are
+	// asked: news of it reach them within some round trips.
+	partialSpan = 150 * time.Millisecond
 	// storeLimit bounds a call to the store.
 	storeLimit = 1500 * time.Millisecond
 )
@@ -82,8 +85,10 @@
 	member *quorum.Member
 	// tableRevision is the store's revision of the table.
 	tableRevision era.Revision
-	// wantedAt is when a request last asked for leases.
+	// wantedAt is when a request last asked for leases, widelyAt when one did for which the
+	// nearest voters do not suffice.
 	wantedAt time.Time
+	widelyAt time.Time
 	sequence uint64
 	rounds   map[uint64]*round
 	// lives are the processes of peers that have answered an inquiry.
@@ -155,10 +160,15 @@
 
 // due asks the voters that are to be asked now; the lock is held.
 func (k *Keeper) due(now time.Time) ([]quorum.Envelope, time.Time) {
+	if table := k.member.Table(); table != nil && !k.member.Placed() {
+		k.member.SetDistances(k.distances(table))
+	}
 	haste := quorum.Calm
 	switch {
 	case k.voter.Recovering():
 		haste = quorum.Urgent
+	case now.Sub(k.widelyAt) < eagerSpan:
+		haste = quorum.Wide
 	case now.Sub(k.wantedAt) < eagerSpan:
 		haste = quorum.Eager
 	}
@@ -282,6 +292,7 @@
 		return
 	}
 	k.voter.Install(now, table)
+	k.member.SetDistances(k.distances(table))
 	changed := k.publish(k.member.SetTable(now, table))
 	go k.tellChanged(changed)
 	k.rouse()
@@ -337,7 +348,7 @@
 		if settled || covered || left <= 0 {
 			return 0
 		}
-		k.Renew(time.Now())
+		k.RenewFor(service, time.Now())
 		return min(left, confirmInterval)
 	})
 	return covered
@@ -431,9 +442,9 @@
 	// Covering is how many voters' leases run, of Needed.
 	Covering int `json:"covering"`
 	Needed   int `json:"needed"`
-	// Voters is the size of the table, Whole how many voters have told all records.
-	Voters int `json:"voters"`
-	Whole  int `json:"whole"`
+	// Voters is the size of the table, Known the voters that have told all records.
+	Voters int      `json:"voters"`
+	Known  []string `json:"known"`
 	// Trip is the longest smoothed time until a voter's answer, Misses the questions in a row
 	// without an answer in time of the voter with most of them.
 	Trip   time.Duration `json:"trip"`
@@ -446,7 +457,7 @@
 	defer k.mu.Unlock()
 	var a Account
 	if table := k.member.Table(); table != nil {
-		a.Voters, a.Whole = len(table.Seats), k.member.Whole()
+		a.Voters, a.Known = len(table.Seats), k.member.KnownVoters()
 	}
 	a.Trip, a.Misses = k.member.Delay()
 	if view := k.View(service); view != nil {
@@ -464,3 +475,13 @@
 	k.mu.Unlock()
 	k.send(out)
 }
+
+// RenewFor is Renew for a request that needs leases for a service.
+func (k *Keeper) RenewFor(service string, now time.Time) {
+	if view := k.View(service); view != nil && view.Partial(now, partialSpan) {
+		k.mu.Lock()
+		k.widelyAt = now
+		k.mu.Unlock()
+	}
+	k.Renew(now)
+}
--- a/internal/proxy/tenure/seats.go
+++ b/internal/proxy/tenure/seats.go
@@ -150,6 +150,30 @@
 	return known
 }
 
+// distances returns how far a table's voters are from this node; nil if no place is known.
+func (k *Keeper) distances(table *quorum.Table) map[string]int {
+	known := k.places(k.cfg.Peers())
+	var distances map[string]int
+	for _, seat := range table.Seats {
+		peer, found := known[seat.Name]
+		if !found {
+			continue
+		}
+		distance := 2
+		switch {
+		case peer.Zone == k.cfg.Zone:
+			distance = 0
+		case peer.Region == k.cfg.Region:
+			distance = 1
+		}
+		if distances == nil {
+			distances = map[string]int{}
+		}
+		distances[seat.Name] = distance
+	}
+	return distances
+}
+
 func zoneOf(p Peer) string   { return p.Zone }
 func regionOf(p Peer) string { return p.Region }
 
