--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays random faults against real processes: scripts/soak.sh [SECONDS [SEED [NODES]]].
+# Plays faults and series of them against real processes (docs/SOAK.md): scripts/soak.sh [SECONDS [SEED [NODES]]].
 # With DEWKNOT_SOAK_UNFENCED=1 the platform checks no tokens.
 # Each node is started again when it ends. Logs of a failed run are kept; their folder is
 # printed. Only processes started here are ended, by their ids.
