failover: a present primary that was ordered is opened in its own term

Cause: where voters have lost their memory and a server has not reported, the one that claims to lead is ordered, which changes nothing; the lease then named it with its own term as 'the newest before the order'. After a second loss of memory each candidate waited for a later term, which never comes, ordered again, and so on until 6 s had passed for one of them. Change: with no earlier target in the lease, a server that claims to lead is noted with the term before its own. The order given to any other server is noted as before; fenced platforms do not come here.

--- a/internal/proxy/failover/tenure.go
+++ b/internal/proxy/failover/tenure.go
@@ -273,12 +273,17 @@
 }
 
 // noteTarget puts the target into the lease, with the newest term before its order. That
-// of a server which may lead already by an earlier order stays.
+// of a server which may lead already by an earlier order stays. If none was ever ordered, a
+// server that claims to lead is the present primary as far as is known: its order changes
+// nothing, and it goes on in its own term.
 func (m *Machine) noteTarget() {
 	c := &m.campaign
 	report := m.reportOf(m.target)
 	leads := report != nil && report.Primary && report.Term == m.newestTerm()
-	if m.lease.Target != m.target || !leads {
+	switch {
+	case m.lease.Target == "" && m.claims(m.target):
+		m.lease.Term = max(report.Term, 1) - 1
+	case m.lease.Target != m.target || !leads:
 		m.lease.Term = max(c.term, m.newestTerm())
 	}
 	m.lease.Target, m.lease.Ballot = m.target, c.ballot
--- a/internal/proxy/failover/tenure_test.go
+++ b/internal/proxy/failover/tenure_test.go
@@ -230,6 +230,32 @@
 	must.Eq(t, []Effect{Open{Ballot: 4*tokensPerEpoch + 1, Primary: "b", Term: 5, Loose: true}}, effects)
 }
 
+// TestPresentPrimaryThatWasOrderedIsOpened guards against an outage after voters have lost their memory
+// twice: a server that leads is ordered, since not all have reported, which changes nothing. The
+// lease that names it must not make the next holder wait for a later term, which never comes.
+func TestPresentPrimaryThatWasOrderedIsOpened(t *testing.T) {
+	machine := agreed(t)
+	observation := Observation{Closed: true, Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}
+	reports := []Report{report("a", true, 1, 315), report("b", false, 1, 315)}
+	machine.Step(at(100), Observed{observation})
+	machine.Step(at(1700), Prepared{Agreed: true})
+	effects := machine.Step(at(1730), Surveyed{Reports: reports})
+	must.Eq(t, "a", effects[0].(Choose).Target)
+	effects = machine.Step(at(1760), Held{Agreed: true})
+	written := effects[1].(WriteLease).Lease
+	must.Eq(t, "a", written.Target)
+	next := New(Config{Node: "n1", Life: "y", Agreed: true})
+	next.Step(at(5000), LeaseKnown{Revision: 9, Lease: written})
+	next.Step(at(5020), LeaseWritten{Result: Written, Revision: 10})
+	next.Step(at(5100), Observed{observation})
+	next.Step(at(5130), Prepared{Agreed: true})
+	effects = next.Step(at(5160), Surveyed{Reports: reports})
+	opened, opens := effects[0].(Open)
+	must.True(t, opens, must.Sprintf("%+v", effects))
+	must.Eq(t, "a", opened.Primary)
+	must.Eq(t, 1, opened.Term)
+}
+
 // TestOrderOfAServerThatMayLeadKeepsItsTerm: a server that may lead already is ordered
 // again; the lease goes on naming the term before its first order.
 func TestOrderOfAServerThatMayLeadKeepsItsTerm(t *testing.T) {
