--- a/internal/proxy/tenure/voters_test.go
+++ b/internal/proxy/tenure/voters_test.go
@@ -133,19 +133,51 @@
 			n.start(name)
 		}
 		time.Sleep(2 * time.Second)
+		var unlisted, listed []*quorum.Table
 		for _, name := range names {
-			must.GreaterEq(t, quorum.MaxVoters, len(n.keepers[name].table().Entries), must.Sprint(name))
+			unlisted = append(unlisted, n.keepers[name].table())
 			n.setUnlisted(name, false)
 		}
 		time.Sleep(2 * time.Second)
+		withoutMajority := 0
 		for _, name := range names {
-			table := n.keepers[name].table()
-			must.Greater(t, before.Generation, table.Generation, must.Sprint(name))
-			must.Len(t, quorum.MaxVoters, table.Entries, must.Sprint(name))
-			_, noMajority := n.keepers[name].VoterStatus()
-			must.False(t, noMajority, must.Sprint(name))
+			listed = append(listed, n.keepers[name].table())
+			if _, noMajority := n.keepers[name].VoterStatus(); noMajority {
+				withoutMajority++
+			}
+		}
+		n.stop()
+		for i, name := range names {
+			must.Len(t, quorum.MaxVoters, unlisted[i].Entries, must.Sprint(name))
+			must.Len(t, quorum.MaxVoters, listed[i].Entries, must.Sprint(name))
+			must.Greater(t, before.Generation, listed[i].Generation, must.Sprint(name))
+		}
+		must.Zero(t, withoutMajority)
+	})
+}
+
+// fleetRecovery is the time after the loss of machines within which callers must be served again.
+const fleetRecovery = 12 * time.Second
+
+// TestMajorityOfVotersLostForGood guards against nodes that never have leases again once a majority of
+// the voters is gone for good.
+func TestMajorityOfVotersLostForGood(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		n := newNetwork(9)
+		time.Sleep(6 * time.Second)
+		before := n.anyKeeper().table()
+		for _, entry := range before.Entries[:before.Majority()] {
+			n.kill(entry.Name)
+		}
+		time.Sleep(fleetRecovery)
+		stuck := 0
+		for _, k := range n.keepers {
+			if _, noMajority := k.VoterStatus(); noMajority || k.table().Generation == before.Generation {
+				stuck++
+			}
 		}
 		n.stop()
+		must.Zero(t, stuck, must.Sprint("nodes without a majority of voters"))
 	})
 }
 
