tenure: a node without a list of the others keeps the number of voters

Cause: the number of voters of the next table was taken from the listed nodes. A node that starts has no list until the store or a seed has answered, counted itself as alone, and became the only voter. Its loss for good left a table that nobody could replace. Class: a missing list taken for an empty one.

Evidence: voters_changed era 2, voters 1, 7 ms after the store's return; node-0 was replaced 2 s later; every node was isolated until the end.

Fix: until the first list is loaded, the voters of the table count as the known nodes. They are asked, and stay voters. The next table has as many voters as the last one, with those alive first, and is announced to them.

--- a/internal/proxy/tenure/keeper_test.go
+++ b/internal/proxy/tenure/keeper_test.go
@@ -20,12 +20,12 @@
 
 // network delivers messages between keepers after a latency.
 type network struct {
-	mu           sync.Mutex
-	keepers      map[string]*Keeper
-	cancels      map[string]context.CancelFunc
-	silent       map[string]bool
+	mu      sync.Mutex
+	keepers map[string]*Keeper
+	cancels map[string]context.CancelFunc
+	silent  map[string]bool
 	// unlisted are the keepers that have no list of the other nodes yet.
-	unlisted map[string]bool
+	unlisted     map[string]bool
 	store        *managed.Store
 	log          *eventlog.Log
 	incarnations uint64
@@ -135,7 +135,7 @@
 	if n.unlisted[name] {
 		return nil
 	}
-	var peers []Peer
+	peers := []Peer{}
 	for other := range n.keepers {
 		if other != name {
 			zone, region := n.location(other)
--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -183,7 +183,7 @@
 // request to a voter.
 func (k *Keeper) announce(table *quorum.Table, written bool) {
 	var voters, others []Peer
-	for _, peer := range k.cfg.Peers() {
+	for _, peer := range k.peers() {
 		if table.VoterEntry(peer.Name) != nil {
 			voters = append(voters, peer)
 		} else {
--- a/internal/proxy/tenure/voters.go
+++ b/internal/proxy/tenure/voters.go
@@ -36,6 +36,26 @@
 	answeredAt time.Time
 }
 
+// peers returns the other nodes: those that are listed, or, before the first list is loaded, the other
+// voters of the table. A node that counted as alone until then would end a generation with itself as
+// the only voter. It returns nil if no other node is known. k.mu must not be held.
+func (k *Keeper) peers() []Peer {
+	if listed := k.cfg.Peers(); listed != nil {
+		return listed
+	}
+	table := k.table()
+	if table == nil {
+		return nil
+	}
+	var voters []Peer
+	for _, entry := range table.Entries {
+		if entry.Name != k.cfg.Name {
+			voters = append(voters, Peer{Name: entry.Name, Address: entry.Address})
+		}
+	}
+	return voters
+}
+
 // findTable asks other nodes for the table, and creates the first one if there is none.
 func (k *Keeper) findTable(ctx context.Context, now time.Time) {
 	knownPeers := k.cfg.Peers()
@@ -70,7 +90,7 @@
 // inquire asks up to count peers, and the voters, for their incarnations and tables. It returns the
 // peers that have answered since a time.
 func (k *Keeper) inquire(ctx context.Context, count int, since time.Time) []Peer {
-	peers := k.cfg.Peers()
+	peers := k.peers()
 	chosen := inquiryTargets(peers, k.table(), count)
 	for _, peer := range peers {
 		if slices.Contains(chosen, peer.Name) {
@@ -223,7 +243,7 @@
 // it keeps silent previous voters: they may return, and a smaller table tolerates fewer failures.
 // No zone or region gets a majority if there are enough nodes elsewhere.
 func (k *Keeper) selectVoters(before *quorum.Table, alive []Peer) []quorum.VoterEntry {
-	wanted := voterCountFor(len(k.cfg.Peers()) + 1)
+	wanted := voterCountFor(len(k.peers()) + 1)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	c := newSelection(k.locations(alive), wanted)
