tenure: no first table without a list of the nodes

Callers would see what the fault before has shown: a table with one voter, whose loss stops all work. Found by looking for the same cause elsewhere. 5 s after its start a node accepted fewer voters than the fleet's size requires, and also if it had no list at all: it then created the table with itself as the only voter.

Fix: it waits for a list. The table needs the store, from which the list comes too. TestFirstTableNeedsListOfNodes failed before (a table was there while no node had a list).

--- a/internal/proxy/tenure/voters.go
+++ b/internal/proxy/tenure/voters.go
@@ -63,8 +63,11 @@
 	if k.table() != nil || now.Sub(k.started) < createDelay {
 		return
 	}
+	if knownPeers == nil {
+		return
+	}
 	voters := k.selectVoters(nil, peers)
-	if now.Sub(k.started) < fallbackCreateDelay && (knownPeers == nil || len(voters) < voterCountFor(len(knownPeers)+1) || k.unbalanced(voters)) {
+	if now.Sub(k.started) < fallbackCreateDelay && (len(voters) < voterCountFor(len(knownPeers)+1) || k.unbalanced(voters)) {
 		return
 	}
 	if !k.fetch(ctx) || k.table() != nil || !k.createsTable(peers) {
--- a/internal/proxy/tenure/voters_test.go
+++ b/internal/proxy/tenure/voters_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/lab/standin/managed"
 	"dewknot/internal/proxy/quorum"
 )
 
@@ -156,6 +157,30 @@
 	})
 }
 
+// TestFirstTableNeedsListOfNodes guards against a first table with one voter, made by a node that has
+// no list of the other nodes long after its start.
+func TestFirstTableNeedsListOfNodes(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		n := newNetwork(0)
+		for i := range 6 {
+			name := fmt.Sprintf("k%d", i)
+			n.setUnlisted(name, true)
+			n.start(name)
+		}
+		time.Sleep(2 * fallbackCreateDelay)
+		early := n.store.Count(managed.VoterKind)
+		for i := range 6 {
+			n.setUnlisted(fmt.Sprintf("k%d", i), false)
+		}
+		time.Sleep(time.Second)
+		table := n.anyKeeper().table()
+		n.stop()
+		must.Zero(t, early)
+		must.NotNil(t, table)
+		must.Len(t, quorum.MaxVoters, table.Entries)
+	})
+}
+
 // fleetRecovery is the time after the loss of machines within which callers must be served again.
 const fleetRecovery = 12 * time.Second
 
