tenure: a table with too few voters grows within seconds

Callers would see what a table with one voter has shown: its loss stops all work. A table that is made while few nodes are known (a fleet that starts slowly, nodes that answer late) was checked every 10 s, and the first check did not count: up to 20 s with the loss of one node being an outage.

Fix: while there are fewer voters than the known nodes allow, the check comes every second.

--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -36,6 +36,8 @@
 	firstAnswerTimeout = 600 * time.Millisecond
 	// growInterval is the pause between checks whether the known nodes allow more or better voters.
 	growInterval = 10 * time.Second
+	// shortageInterval is the same while there are fewer voters than the known nodes allow.
+	shortageInterval = time.Second
 	// sealTimeout bounds an attempt to seal a generation. sealRetryInterval is the first pause
 	// between requests; it doubles, because more requests would delay the answers on a slow link
 	// further.
@@ -282,13 +284,17 @@
 		return noChange
 	}
 	silent := len(k.member.SilentVoters(now, silenceTimeout, silenceTimeout)) > 0
-	if now.Sub(*lastGrowthCheck) < growInterval && !silent {
+	nodes := len(k.cfg.Peers()) + 1
+	tooFew, interval := len(table.Entries) < voterCountFor(nodes), growInterval
+	if tooFew {
+		interval = shortageInterval
+	}
+	if now.Sub(*lastGrowthCheck) < interval && !silent {
 		return noChange
 	}
 	first := lastGrowthCheck.IsZero()
 	*lastGrowthCheck = now
-	nodes := len(k.cfg.Peers()) + 1
-	if (silent && nodes > len(table.Entries)) || (!first && (len(table.Entries) < voterCountFor(nodes) || k.unbalanced(table.Entries))) {
+	if (silent && nodes > len(table.Entries)) || (!first && (tooFew || k.unbalanced(table.Entries))) {
 		return improvement
 	}
 	return noChange
--- a/internal/proxy/tenure/voters_test.go
+++ b/internal/proxy/tenure/voters_test.go
@@ -181,6 +181,26 @@
 	})
 }
 
+// TestVotersJoinSoon guards against a table with one voter that stays for long after other nodes have
+// joined: the loss of that node would stop all work.
+func TestVotersJoinSoon(t *testing.T) {
+	const joinBound = 4 * time.Second
+	bubbletest.Test(t, func(t *testing.T) {
+		n := newNetwork(1)
+		time.Sleep(fallbackCreateDelay + time.Second)
+		first := n.anyKeeper().table()
+		for i := 1; i < 9; i++ {
+			n.start(fmt.Sprintf("k%d", i))
+		}
+		time.Sleep(joinBound)
+		table := n.keepers["k8"].table()
+		n.stop()
+		must.NotNil(t, first)
+		must.Len(t, 1, first.Entries)
+		must.Len(t, quorum.MaxVoters, table.Entries)
+	})
+}
+
 // fleetRecovery is the time after the loss of machines within which callers must be served again.
 const fleetRecovery = 12 * time.Second
 
