tenure: a voter that stops hands over its place

Callers saw: after planned work nothing was served any more, for good.

Cause: a voter that stops kept its place until others had missed it for 4 s. When three of five voters had ended for good by then, no majority was left to end the generation, and the table never changed again. Class: a membership that is repaired only after the loss, though the loss is announced.

Fix: a node that stops and is a voter ends the generation itself, at the start of its grace, once the store answers and others are alive. It selects neither itself nor nodes that did not answer, since these may be stopping as well, and its answers to inquiries say that it stops, so that another that stops doesn't select it. A table may get smaller that way, and grows again within seconds.

TestStoppingVotersHandOver failed before (6 of 6 nodes without leases).

--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -78,6 +78,7 @@
 	TenureChanged         Event = "tenure_changed"
 	TenureRound           Event = "tenure_round"
 	VotersSelected        Event = "voters_selected"
+	VoterLeaves           Event = "voter_leaves"
 	VotersChanged         Event = "voters_changed"
 	VotersRefused         Event = "voters_refused"
 	EraNotEnded           Event = "era_not_ended"
@@ -109,7 +110,7 @@
 	OwnerMoved: StateChange, TrafficTold: StateChange, LinkOpened: StateChange, LinkEnded: StateChange,
 	PrimaryAnnounced: StateChange, PrimaryProved: StateChange, PrimaryDenied: StateChange, FailoverPhase: StateChange,
 	FailoverLease: StateChange, FailoverSurvey: StateChange, FailoverWitnesses: StateChange,
-	FailoverOrder: StateChange, TenureChanged: StateChange, TenureRound: StateChange, VotersSelected: StateChange, VotersChanged: StateChange,
+	FailoverOrder: StateChange, TenureChanged: StateChange, TenureRound: StateChange, VotersSelected: StateChange, VoterLeaves: StateChange, VotersChanged: StateChange,
 	VotersRefused: StateChange, EraNotEnded: StateChange, VoterRecovered: StateChange, StepDown: StateChange,
 	NodeIsolated: StateChange, NodeDegraded: StateChange, TransferDone: StateChange, TransferInterrupted: StateChange,
 	MessageLost: StateChange, QuotaShare: StateChange, QuotaHeldBack: StateChange, RoomShort: StateChange,
--- a/internal/proxy/quorum/message.go
+++ b/internal/proxy/quorum/message.go
@@ -107,6 +107,29 @@
 	Age     time.Duration
 	Records []Record
 	Table   *Table
+	// Leaving is set, with Announce, if the sender stops and can't become a voter.
+	Leaving bool `msgpack:"-"`
+}
+
+// messageExtension holds the fields of Message that earlier versions don't have.
+type messageExtension struct{ Leaving bool }
+
+// Extension implements codec.Extended.
+func (m *Message) Extension() any {
+	if !m.Leaving {
+		return nil
+	}
+	return &messageExtension{m.Leaving}
+}
+
+// Extend implements codec.Extended.
+func (m *Message) Extend(decode func(extension any) error) error {
+	var extension messageExtension
+	if err := decode(&extension); err != nil {
+		return err
+	}
+	m.Leaving = extension.Leaving
+	return nil
 }
 
 // candidate returns the process that sent the message.
--- a/internal/proxy/quorum/quorum_test.go
+++ b/internal/proxy/quorum/quorum_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	"dewknot/internal/base/codec"
 	_ "dewknot/internal/base/propertytest" // fixes the seed
 )
 
@@ -317,3 +318,26 @@
 		must.True(t, !merged.Open || merged.Chosen.Ballot == merged.Promised)
 	})
 }
+
+// TestPreviousVersionReadsAnnouncements guards against announcements that nodes of the previous version
+// can't read, and against a stopping node that is taken for one that stays.
+func TestPreviousVersionReadsAnnouncements(t *testing.T) {
+	type previousMessage Message
+	table := &Table{Generation: 3, Entries: []VoterEntry{{Name: "a", Address: "1", Incarnation: 2}}}
+	for _, leaving := range []bool{false, true} {
+		sent := Message{Kind: Announce, From: "a", Incarnation: 2, Generation: 3, Table: table, Leaving: leaving}
+		data, err := codec.Append(nil, &sent)
+		must.NoError(t, err)
+		var received Message
+		must.NoError(t, codec.Decode(data, &received))
+		must.Eq(t, sent, received)
+		var previous previousMessage
+		must.NoError(t, codec.Decode(data, &previous))
+		must.Eq(t, table, previous.Table)
+		data, err = codec.Append(nil, &previous)
+		must.NoError(t, err)
+		received = Message{}
+		must.NoError(t, codec.Decode(data, &received))
+		must.False(t, received.Leaving)
+	}
+}
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -28,6 +28,9 @@
 	began := time.Now()
 	n.Stopping.Store(true)
 	n.Owner.AnnounceLeaving()
+	if n.Tenures != nil {
+		n.Tenures.Leave()
+	}
 	if n.quotas != nil {
 		n.quotas.Leave()
 	}
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -94,6 +94,8 @@
 	rounds               map[uint64]*round
 	// incarnations are the incarnations of the peers that answered an inquiry.
 	incarnations map[string]peerIncarnation
+	// leaving is set once the node stops.
+	leaving bool
 	// fetching is set while the table is being read from the store.
 	fetching bool
 	// activeSealing ends the current generation of the table, nil if none has begun. Only the
@@ -137,6 +139,15 @@
 	}
 }
 
+// Leave makes a node that stops hand over its place among the voters and take no new one. If several
+// voters stopped without that, a majority of them could be gone for good.
+func (k *Keeper) Leave() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.leaving = true
+	k.cfg.Log.Write(eventlog.VoterLeaves, zap.Bool("voter", k.voter.Table() != nil && k.voter.Table().VoterEntry(k.cfg.Name) != nil))
+}
+
 // wakeUp makes Run tick again at once.
 func (k *Keeper) wakeUp() {
 	select {
@@ -254,7 +265,7 @@
 
 // announcement returns a message with the table for a node. k.mu must be held.
 func (k *Keeper) announcement(name string, sequence uint64) quorum.Message {
-	m := quorum.Message{Kind: quorum.Announce, From: k.cfg.Name, Incarnation: k.cfg.Incarnation, Sequence: sequence}
+	m := quorum.Message{Kind: quorum.Announce, From: k.cfg.Name, Incarnation: k.cfg.Incarnation, Sequence: sequence, Leaving: k.leaving}
 	if table := k.voter.Table(); table != nil {
 		m.Generation, m.Table = table.Generation, table.ForNode(name)
 	}
@@ -264,7 +275,10 @@
 // handleTable records the sender's incarnation and adopts a newer table from a message. It answers
 // a sender with an older table. k.mu must be held.
 func (k *Keeper) handleTable(from string, m *quorum.Message) []quorum.Envelope {
-	if m.Kind == quorum.Announce {
+	switch {
+	case m.Kind == quorum.Announce && m.Leaving:
+		delete(k.incarnations, m.From)
+	case m.Kind == quorum.Announce:
 		k.incarnations[m.From] = peerIncarnation{m.Incarnation, time.Now()}
 	}
 	known := k.voter.Table()
--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -68,25 +68,38 @@
 			return
 		case <-timer.C:
 		}
-		switch now := time.Now(); {
-		case k.table() == nil:
+		now := time.Now()
+		if k.table() == nil {
 			k.findTable(ctx, now)
+			continue
+		}
+		reason := noChange
+		switch {
+		case k.leavesTable():
+			reason = handover
 		case k.maintainsTable(now):
-			reason := k.neededChange(now, &lastGrowthCheck)
-			if reason == noChange {
-				continue
-			}
-			generation := k.table().Generation
-			k.changeGeneration(ctx, reason)
-			if k.table().Generation > generation {
-				backoff = 0
-			} else {
-				backoff = min(max(minChangeBackoff, 2*backoff), maxChangeBackoff)
-			}
+			reason = k.neededChange(now, &lastGrowthCheck)
+		}
+		if reason == noChange {
+			continue
+		}
+		generation := k.table().Generation
+		k.changeGeneration(ctx, reason)
+		if k.table().Generation > generation {
+			backoff = 0
+		} else {
+			backoff = min(max(minChangeBackoff, 2*backoff), maxChangeBackoff)
 		}
 	}
 }
 
+// leavesTable reports whether this node stops and is a voter.
+func (k *Keeper) leavesTable() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.leaving && k.voter.Table().VoterEntry(k.cfg.Name) != nil
+}
+
 // reviewPause returns the pause until the next check of the table. It is short while voters that
 // lost their state may require a new generation.
 func (k *Keeper) reviewPause() time.Duration {
@@ -217,8 +230,13 @@
 }
 
 func (k *Keeper) sendTable(peers []Peer, table *quorum.Table) {
+	k.mu.Lock()
+	leaving := k.leaving
+	k.mu.Unlock()
 	for _, peer := range peers {
-		m := quorum.Message{Kind: quorum.Announce, From: k.cfg.Name, Incarnation: k.cfg.Incarnation, Generation: table.Generation, Table: table.ForNode(peer.Name)}
+		m := quorum.Message{
+			Kind: quorum.Announce, From: k.cfg.Name, Incarnation: k.cfg.Incarnation, Leaving: leaving, Generation: table.Generation, Table: table.ForNode(peer.Name),
+		}
 		k.cfg.Sender.SendMessage(peer.Address, &m)
 	}
 }
@@ -249,13 +267,15 @@
 	// improvement means that voters are silent or too few, or that one zone or region has a
 	// majority of them. The current voters continue until then.
 	improvement
+	// handover means that this node is a voter and stops. The current voters continue until then.
+	handover
 	// inoperable means that the current voters can't decide anything any more.
 	inoperable
 	// firstTable means that there is no table yet.
 	firstTable
 )
 
-var changeReasonNames = [...]string{noChange: "none", improvement: "improvement", inoperable: "inoperable", firstTable: "first_table"}
+var changeReasonNames = [...]string{noChange: "none", improvement: "improvement", handover: "handover", inoperable: "inoperable", firstTable: "first_table"}
 
 // String implements fmt.Stringer.
 func (r changeReason) String() string { return changeReasonNames[r] }
@@ -300,21 +320,21 @@
 	return noChange
 }
 
-// changeGeneration replaces the table by its next generation. An improvement waits until there are
-// nodes for it and the store answers, because no leases are granted between sealing and the next
-// table.
+// changeGeneration replaces the table by its next generation. While the current voters can continue,
+// it waits until there are nodes for the next table and the store answers, because no leases are
+// granted between sealing and the next table.
 func (k *Keeper) changeGeneration(ctx context.Context, reason changeReason) {
 	k.mu.Lock()
 	revisionKnown, before := k.tableRevision > 0, k.voter.Table()
 	k.mu.Unlock()
 	var alive []Peer
-	if reason == improvement {
+	if reason != inoperable {
 		alive = k.inquire(ctx, inquiryPeers, time.Now())
-		if sameVoters(before.Entries, k.selectVoters(before, alive)) {
+		if voters := k.selectVoters(before, alive); len(voters) == 0 || sameVoters(before.Entries, voters) {
 			return
 		}
 	}
-	if (!revisionKnown || reason == improvement) && !k.fetch(ctx) {
+	if (!revisionKnown || reason != inoperable) && !k.fetch(ctx) {
 		return
 	}
 	k.mu.Lock()
--- a/internal/proxy/tenure/voters.go
+++ b/internal/proxy/tenure/voters.go
@@ -244,12 +244,19 @@
 // selectVoters selects the voters of a new table. It takes the previous voters that are alive, then
 // nodes of the regions and zones with the fewest voters, in a zone those with most capacity. Then
 // it keeps silent previous voters: they may return, and a smaller table tolerates fewer failures.
-// No zone or region gets a majority if there are enough nodes elsewhere.
+// No zone or region gets a majority if there are enough nodes elsewhere. A node that stops selects
+// neither itself nor silent nodes, which may be stopping as well; the result is empty if no other node
+// is alive.
 func (k *Keeper) selectVoters(before *quorum.Table, alive []Peer) []quorum.VoterEntry {
 	wanted := voterCountFor(len(k.peers()) + 1)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	c := newSelection(k.locations(alive), wanted)
+	available := k.locations(alive)
+	if k.leaving {
+		delete(available, k.cfg.Name)
+		wanted = min(wanted, max(0, voterCountFor(len(available))))
+	}
+	c := newSelection(available, wanted)
 	var silent []quorum.VoterEntry
 	if before != nil {
 		for _, entry := range before.Entries {
--- a/internal/proxy/tenure/voters_test.go
+++ b/internal/proxy/tenure/voters_test.go
@@ -1,9 +1,11 @@
 package tenure
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -201,6 +203,56 @@
 	})
 }
 
+// TestStoppingVotersHandOver guards against the loss of a majority of voters by planned stops: machines that
+// are stopped for good at the same time would leave the others without leases for ever.
+func TestStoppingVotersHandOver(t *testing.T) {
+	const graceBeforeExit = 2 * time.Second
+	for name, tc := range map[string]struct{ stopping, pause int }{
+		"a majority at once":             {3, 0},
+		"a majority one after the other": {4, 300},
+		"all but two":                    {7, 50},
+	} {
+		bubbletest.Test(t, func(t *testing.T) {
+			n := newNetwork(9)
+			time.Sleep(6 * time.Second)
+			names := slices.Sorted(maps.Keys(n.keepers))
+			before := n.anyKeeper().table()
+			openTenure(t, n.anyKeeper(), before.LeastBallot()+1, "a")
+			// The voters stop first.
+			slices.SortStableFunc(names, func(a, b string) int {
+				return cmp.Compare(slices.IndexFunc(before.Entries, func(e quorum.VoterEntry) bool { return e.Name == b }),
+					slices.IndexFunc(before.Entries, func(e quorum.VoterEntry) bool { return e.Name == a }))
+			})
+			stopping := names[:tc.stopping]
+			var exits sync.WaitGroup
+			for _, name := range stopping {
+				n.keepers[name].Leave()
+				exits.Go(func() {
+					time.Sleep(graceBeforeExit)
+					n.kill(name)
+				})
+				time.Sleep(time.Duration(tc.pause) * time.Millisecond)
+			}
+			exits.Wait()
+			time.Sleep(time.Second)
+			uncovered, kept := 0, 0
+			for _, k := range n.keepers {
+				if view := k.View("s"); view == nil || !view.Covers(time.Now()) {
+					uncovered++
+				}
+				for _, entry := range k.table().Entries {
+					if slices.Contains(stopping, entry.Name) {
+						kept++
+					}
+				}
+			}
+			n.stop()
+			must.Zero(t, uncovered, must.Sprint(name, ": nodes without leases"))
+			must.Zero(t, kept, must.Sprint(name, ": voters that have stopped"))
+		})
+	}
+}
+
 // fleetRecovery is the time after the loss of machines within which callers must be served again.
 const fleetRecovery = 12 * time.Second
 
