proxy: a session's waits at its start are bounded together

Cause: a starting node lets a session wait for its configuration, up to 1.8 s, and then for the first tenure of its service, up to 1.5 s more, each counted from its own beginning.

Fix: both count from the session's arrival, as the constants' comments say. TestStartWaitsAreBoundedTogether failed before (3.41 s, with one of five voters after a store outage).

--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -71,7 +71,8 @@
 		return false
 	}
 	s.database, s.key = start.Database, start.Key
-	s.node.awaitConfiguration(time.Now())
+	arrived := time.Now()
+	s.node.awaitConfiguration(arrived)
 	refusal := s.lookUpRoute()
 	if refusal != nil && refusal.Kind == failure.UnknownKey {
 		s.node.FetchNewerConfiguration(time.Now())
@@ -85,7 +86,7 @@
 		_ = s.client.Refuse(refusal)
 		return false
 	}
-	s.node.awaitTenure(s.route.Service, s.principal, time.Now())
+	s.node.awaitTenure(s.route.Service, s.principal, arrived)
 	return s.client.Accept() == nil
 }
 
--- a/internal/proxy/start_test.go
+++ b/internal/proxy/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -47,3 +48,42 @@
 		fleet.end()
 	})
 }
+
+// TestStartWaitsAreBoundedTogether guards against callers that wait past their own timeout, first for the
+// configuration of a starting node and then for a primary.
+func TestStartWaitsAreBoundedTogether(t *testing.T) {
+	const callersTimeout = 2 * time.Second
+	bubbletest.Test(t, func(t *testing.T) {
+		fleet := newUnfencedFleet(fleetOfFive, 0)
+		time.Sleep(8 * time.Second)
+		for i := range fleetOfFive {
+			fleet.stopNode(i)
+		}
+		time.Sleep(8 * time.Second)
+		// One of five voters decides nothing.
+		fleet.store.SetDown(true)
+		fleet.startNode(0)
+		time.AfterFunc(3*time.Second, func() { fleet.store.SetDown(false) })
+		var mu sync.Mutex
+		var longest time.Duration
+		var starting sync.WaitGroup
+		for i := range 40 {
+			starting.Go(func() {
+				time.Sleep(time.Duration(i) * 100 * time.Millisecond)
+				client := newMemoryClient("current", testTenants["amber"][0])
+				fleet.listeners[0].pending <- client
+				began := time.Now()
+				select {
+				case <-client.replies:
+				case <-client.closed:
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				longest = max(longest, time.Since(began))
+			})
+		}
+		starting.Wait()
+		fleet.end()
+		must.Less(t, callersTimeout, longest)
+	})
+}
