tenure: a generation whose voters are gone for good is abandoned

Callers saw: nothing was served any more once three of five voters were gone for good within the 4 s after which a silent one is replaced. docs/PLATFORM.md had it as open: an operator had to remove the table. The users' rules ask for the loss of any number of machines. Class: a quorum that cannot be repaired without itself.

Why the voters could not simply be replaced: one that is only cut off goes on to grant leases to the nodes that it reaches, so two primaries would be in use where fencing tokens are not checked.

Fix: a voter acts only while its generation is supported, that is while a majority of up to 11 supporters (named in the table), or the store, has confirmed it for a question asked in the last 4 s. A node that has not heard a majority of the voters for 3 s marks the table in the store as abandoned, gets promises of a majority of the supporters that they confirm the generation no more, waits 5.52 s (4 s, and 1.5 s in which answers given before still count), and writes the next table from what remains, as after a loss of the voters' memory. A restarted supporter reads the table first, since it may have forgotten a promise. Tables with voters of an earlier version have no supporters and behave as before. While the store is away the supporters confirm, so long outages of it change nothing.

TestCutOffVotersStopFirst: 0 overlaps; 507 of 20 ms each with voters that ignore the support. TestAbandonedVotersStop fails if a confirmation counts from its arrival.

--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -79,6 +79,7 @@
 	TenureRound           Event = "tenure_round"
 	VotersSelected        Event = "voters_selected"
 	VoterLeaves           Event = "voter_leaves"
+	VotersAbandoned       Event = "voters_abandoned"
 	VotersChanged         Event = "voters_changed"
 	VotersRefused         Event = "voters_refused"
 	EraNotEnded           Event = "era_not_ended"
@@ -110,7 +111,7 @@
 	OwnerMoved: StateChange, TrafficTold: StateChange, LinkOpened: StateChange, LinkEnded: StateChange,
 	PrimaryAnnounced: StateChange, PrimaryProved: StateChange, PrimaryDenied: StateChange, FailoverPhase: StateChange,
 	FailoverLease: StateChange, FailoverSurvey: StateChange, FailoverWitnesses: StateChange,
-	FailoverOrder: StateChange, TenureChanged: StateChange, TenureRound: StateChange, VotersSelected: StateChange, VoterLeaves: StateChange, VotersChanged: StateChange,
+	FailoverOrder: StateChange, TenureChanged: StateChange, TenureRound: StateChange, VotersSelected: StateChange, VoterLeaves: StateChange, VotersAbandoned: StateChange, VotersChanged: StateChange,
 	VotersRefused: StateChange, EraNotEnded: StateChange, VoterRecovered: StateChange, StepDown: StateChange,
 	NodeIsolated: StateChange, NodeDegraded: StateChange, TransferDone: StateChange, TransferInterrupted: StateChange,
 	MessageLost: StateChange, QuotaShare: StateChange, QuotaHeldBack: StateChange, RoomShort: StateChange,
--- a/internal/proxy/quorum/message.go
+++ b/internal/proxy/quorum/message.go
@@ -42,11 +42,19 @@
 	Announce
 	// Inquire requests the table; Announce answers it.
 	Inquire
+	// Support asks a supporter whether it supports the voter's generation.
+	Support
+	// Supported answers Support. There is no answer if the generation is not supported.
+	Supported
+	// Abandon asks a supporter whether it agrees to abandon a generation. With Ordering it promises to.
+	Abandon
+	// AbandonAgreed answers Abandon.
+	AbandonAgreed
 )
 
 var kindNames = [...]string{
 	"none", "renew", "granted", "push", "released", "prepare", "promised", "cleared", "choose", "chosen", "open", "opened",
-	"denied", "unable", "seal", "sealed", "announce", "inquire",
+	"denied", "unable", "seal", "sealed", "announce", "inquire", "support", "supported", "abandon", "abandon_agreed",
 }
 
 // String returns the kind's name for logs.
@@ -60,7 +68,7 @@
 // ForVoter reports whether a message is a request to a voter.
 func (k Kind) ForVoter() bool {
 	switch k {
-	case Renew, Released, Prepare, Choose, Open, Seal:
+	case Renew, Released, Prepare, Choose, Open, Seal, Supported:
 		return true
 	default:
 		return false
@@ -109,17 +117,28 @@
 	Table   *Table
 	// Leaving is set, with Announce, if the sender stops and can't become a voter.
 	Leaving bool `msgpack:"-"`
+	// NeedsSupport is set, with Announce, if the sender's voter acts only while its generation is
+	// supported.
+	NeedsSupport bool `msgpack:"-"`
 }
 
-// messageExtension holds the fields of Message that earlier versions don't have.
-type messageExtension struct{ Leaving bool }
+// messageExtension holds the fields of Message and its table that earlier versions don't have.
+type messageExtension struct {
+	Leaving      bool
+	NeedsSupport bool
+	Supporters   []SupporterEntry
+}
 
 // Extension implements codec.Extended.
 func (m *Message) Extension() any {
-	if !m.Leaving {
+	extension := &messageExtension{Leaving: m.Leaving, NeedsSupport: m.NeedsSupport}
+	if m.Table != nil {
+		extension.Supporters = m.Table.Supporters
+	}
+	if !extension.Leaving && !extension.NeedsSupport && len(extension.Supporters) == 0 {
 		return nil
 	}
-	return &messageExtension{m.Leaving}
+	return extension
 }
 
 // Extend implements codec.Extended.
@@ -128,7 +147,10 @@
 	if err := decode(&extension); err != nil {
 		return err
 	}
-	m.Leaving = extension.Leaving
+	m.Leaving, m.NeedsSupport = extension.Leaving, extension.NeedsSupport
+	if m.Table != nil {
+		m.Table.Supporters = extension.Supporters
+	}
 	return nil
 }
 
--- a/internal/proxy/quorum/outbox.go
+++ b/internal/proxy/quorum/outbox.go
@@ -115,6 +115,9 @@
 
 // sendQueued sends queued messages as far as the window allows.
 func (v *Voter) sendQueued(now time.Time) []Envelope {
+	if !v.Supported(now) {
+		return nil
+	}
 	var out []Envelope
 	minGap := pushInterval * time.Duration(len(v.grants))
 	for range len(v.outbox.queue) {
--- a/internal/proxy/quorum/quorum.go
+++ b/internal/proxy/quorum/quorum.go
@@ -180,6 +180,12 @@
 	// send each other the records of short tables only.
 	Records []Record `json:"records,omitempty"`
 	Count   int      `json:"count,omitempty"`
+	// Supporters confirm to the voters that the generation goes on. Only voters and readers of the
+	// store know them.
+	Supporters []SupporterEntry `json:"supporters,omitempty" msgpack:"-"`
+	// Abandoned is set in the store while the generation is being ended without a majority of its
+	// voters.
+	Abandoned bool `json:"abandoned,omitempty" msgpack:"-"`
 }
 
 // generationsPerStoreEra exceeds the number of tables that a store can lose when it is
@@ -213,12 +219,16 @@
 // Complete reports whether the table contains all its records.
 func (t *Table) Complete() bool { return len(t.Records) == t.Count }
 
-// ForNode returns the table to send to a node. It contains the records only if they are few and
-// the node is a voter, which starts the generation with them. Otherwise the node reads them
-// from the store.
+// ForNode returns the table to send to a node. It contains the supporters only if the node is a voter,
+// and the records only if they are also few. Otherwise the node reads them from the store.
 func (t *Table) ForNode(name string) *Table {
-	if len(t.Records) == 0 || (len(t.Records) <= pageRecords && t.VoterEntry(name) != nil) {
-		return t
+	isVoter := t.VoterEntry(name) != nil
+	sent := &Table{Generation: t.Generation, Entries: t.Entries, StoreEra: t.StoreEra, Count: t.Count}
+	if isVoter {
+		sent.Supporters = t.Supporters
 	}
-	return &Table{Generation: t.Generation, Entries: t.Entries, StoreEra: t.StoreEra, Count: t.Count}
+	if isVoter && len(t.Records) <= pageRecords {
+		sent.Records = t.Records
+	}
+	return sent
 }
--- a/internal/proxy/quorum/sealing.go
+++ b/internal/proxy/quorum/sealing.go
@@ -135,7 +135,21 @@
 	return s.remainingRecords(recordSets), true
 }
 
-// remainingRecords returns what remains of a generation whose majority has lost its state: the
+// Remaining returns the records for the next generation after this one was abandoned.
+func (s *Sealing) Remaining() []Record {
+	if records, ended := s.Outcome(); ended {
+		return records
+	}
+	var recordSets [][]Record
+	for _, state := range s.states {
+		if state.normal && state.complete {
+			recordSets = append(recordSets, state.list())
+		}
+	}
+	return s.remainingRecords(recordSets)
+}
+
+// remainingRecords returns what remains of a generation whose majority is lost, or has lost its state: the
 // highest known ballots and the targets of orders that may be in flight. The last primary is not
 // known, since the lost voters may have made further decisions.
 func (s *Sealing) remainingRecords(recordSets [][]Record) []Record {
--- a/internal/proxy/quorum/voter.go
+++ b/internal/proxy/quorum/voter.go
@@ -60,6 +60,7 @@
 	changes []change
 	grants  map[string]*grant
 	outbox  outbox
+	support support
 	// unknownLeasesUntil is the time until which leases may be held that this voter does not
 	// know of.
 	unknownLeasesUntil time.Time
@@ -95,6 +96,7 @@
 		return
 	}
 	v.table = table
+	v.resetSupport()
 	v.changes = nil
 	v.services, v.grants, v.outbox = map[string]*serviceState{}, map[string]*grant{}, outbox{rtt: v.outbox.rtt}
 	entry := table.VoterEntry(v.name)
@@ -141,7 +143,11 @@
 	if m.Kind == Seal {
 		return v.seal(now, from, m)
 	}
-	if v.status != normal {
+	if m.Kind == Supported {
+		v.handleSupported(m)
+		return nil
+	}
+	if v.status != normal || (m.Kind != Released && !v.Supported(now)) {
 		return v.replyUnable(now, from, m)
 	}
 	switch m.Kind {
@@ -169,7 +175,7 @@
 }
 
 func (v *Voter) replyUnable(now time.Time, from string, m *Message) []Envelope {
-	if m.Kind == Released {
+	if m.Kind == Released || m.Kind == Supported {
 		return nil
 	}
 	reply := v.newMessage(Unable, m)
@@ -295,7 +301,7 @@
 
 // notifyCleared notifies the candidate once that no lease is outstanding.
 func (v *Voter) notifyCleared(now time.Time, state *serviceState) []Envelope {
-	if state.clearSent || state.Open || state.candidateAddress == "" || !v.clear(now, state) {
+	if state.clearSent || state.Open || state.candidateAddress == "" || !v.Supported(now) || !v.clear(now, state) {
 		return nil
 	}
 	state.clearSent = true
@@ -308,8 +314,8 @@
 	if v.status != normal {
 		return nil, false
 	}
-	out := v.resends(now)
-	waiting := v.outbox.busy()
+	out := append(v.supportQuestions(now), v.resends(now)...)
+	waiting := v.outbox.busy() || !v.Supported(now)
 	for _, service := range slices.Sorted(maps.Keys(v.services)) {
 		state := v.services[service]
 		if state.Open || state.clearSent || state.candidateAddress == "" {
--- /dev/null
+++ b/internal/proxy/tenure/abandon.go
@@ -0,0 +1,277 @@
+package tenure
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"dewknot/internal/base/era"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/quorum"
+)
+
+// A generation is abandoned if a majority of its voters is gone for good; see package quorum for why
+// that is safe. Any node may do it that reaches the store and a majority of the supporters.
+
+const (
+	// lostVotersTimeout is how long a majority of voters must be silent before their generation is
+	// abandoned. It is longer than a restart.
+	lostVotersTimeout = 3 * time.Second
+	// agreementTimeout bounds the wait for the supporters' answers, agreementRetryInterval is the pause
+	// before a question is repeated.
+	agreementTimeout       = 600 * time.Millisecond
+	agreementRetryInterval = 80 * time.Millisecond
+	// storeConfirmationInterval is the least interval at which a voter lets the store confirm the
+	// generation.
+	storeConfirmationInterval = time.Second
+	// unsupportedTimeout is how long a voter waits for support before the next generation is needed.
+	unsupportedTimeout = 1500 * time.Millisecond
+)
+
+// abandonment is the state of an abandonment by this node.
+type abandonment struct {
+	generation uint64
+	// agreedAt is when a majority of the supporters had promised.
+	agreedAt time.Time
+}
+
+// votersLost reports whether this node has not heard from a majority of the voters for long.
+func (k *Keeper) votersLost(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	table := k.member.Table()
+	return table != nil && k.member.ReachableVoters(now, lostVotersTimeout) < table.Majority()
+}
+
+// abandonGeneration takes the next step to abandon the generation of the table.
+func (k *Keeper) abandonGeneration(ctx context.Context) {
+	table := k.table()
+	agreed := k.abandoning.generation == table.Generation
+	if agreed && time.Since(k.abandoning.agreedAt) < quorum.AbandonWait {
+		return
+	}
+	alive := k.inquire(ctx, inquiryPeers, time.Now())
+	if !agreed && (k.votersAlive(table, alive) >= table.Majority() || !k.createsTable(alive)) {
+		return
+	}
+	stored, revision, known := k.readStored(ctx)
+	if !known || stored.Generation != table.Generation || len(stored.Supporters) == 0 {
+		return
+	}
+	if agreed {
+		k.endAbandoned(ctx, stored, alive, revision)
+		return
+	}
+	if !k.askSupporters(ctx, stored, false) {
+		return
+	}
+	if !stored.Abandoned {
+		flagged := *stored
+		flagged.Abandoned = true
+		if !k.replaceStored(ctx, &flagged, revision) {
+			return
+		}
+	}
+	if !k.askSupporters(ctx, stored, true) {
+		return
+	}
+	k.abandoning = abandonment{table.Generation, time.Now()}
+	k.cfg.Log.Write(eventlog.VotersAbandoned, zap.Uint64("era", table.Generation), zap.Int("alive", len(alive)))
+}
+
+// votersAlive returns how many voters are alive, this node included.
+func (k *Keeper) votersAlive(table *quorum.Table, alive []Peer) int {
+	count := 0
+	for _, entry := range table.Entries {
+		isAlive := entry.Name == k.cfg.Name || slices.ContainsFunc(alive, func(p Peer) bool { return p.Name == entry.Name })
+		if isAlive {
+			count++
+		}
+	}
+	return count
+}
+
+// readStored reads the table from the store. It installs the table if it is newer.
+func (k *Keeper) readStored(ctx context.Context) (table *quorum.Table, revision era.Revision, known bool) {
+	timeoutCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	readAt := time.Now()
+	object, err := k.cfg.Store.Get(timeoutCtx, k.cfg.Kind, tableName)
+	if err != nil {
+		return nil, 0, false
+	}
+	table = k.installStored(object, readAt)
+	return table, object.Revision, table != nil
+}
+
+// replaceStored replaces the table in the store.
+func (k *Keeper) replaceStored(ctx context.Context, table *quorum.Table, revision era.Revision) bool {
+	content, err := json.Marshal(table)
+	if err != nil {
+		return false
+	}
+	timeoutCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err = k.cfg.Store.Replace(timeoutCtx, k.cfg.Kind, tableName, revision, content)
+	return err == nil
+}
+
+// askSupporters asks the supporters to abandon a generation and reports whether a majority agrees.
+func (k *Keeper) askSupporters(ctx context.Context, table *quorum.Table, binding bool) bool {
+	asked := quorum.NewAbandonment(table)
+	answers := make(chan quorum.Message, maxQueuedAnswers)
+	k.mu.Lock()
+	k.sequence++
+	sequence := k.sequence
+	k.supporterAnswers = answers
+	k.mu.Unlock()
+	defer func() {
+		k.mu.Lock()
+		k.supporterAnswers = nil
+		k.mu.Unlock()
+	}()
+	timeoutCtx, cancel := context.WithTimeout(ctx, agreementTimeout)
+	defer cancel()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case m := <-answers:
+			if m.Sequence == sequence && m.Ordering == binding && asked.AddAnswer(&m) {
+				return true
+			}
+		case <-timer.C:
+			k.send(asked.Requests(k.cfg.Name, k.cfg.Incarnation, sequence, binding))
+			timer.Reset(agreementRetryInterval)
+		case <-timeoutCtx.Done():
+			return false
+		}
+	}
+}
+
+// endAbandoned writes the table after an abandoned generation. No voter acts in that any more.
+func (k *Keeper) endAbandoned(ctx context.Context, table *quorum.Table, alive []Peer, revision era.Revision) {
+	records, sealed := k.seal(ctx, table)
+	if !sealed {
+		records = k.activeSealing.Remaining()
+	}
+	k.writeNext(ctx, table, alive, records, revision, abandoned)
+}
+
+// handleSupporter handles the messages between voters, supporters and nodes that abandon a
+// generation. k.mu must be held.
+func (k *Keeper) handleSupporter(now time.Time, from string, m *quorum.Message) []quorum.Envelope {
+	var answer *quorum.Message
+	switch m.Kind {
+	case quorum.Support:
+		newest := uint64(0)
+		if table := k.voter.Table(); table != nil {
+			newest = table.Generation
+		}
+		var mustRead bool
+		if answer, mustRead = k.supporter.Confirm(m, newest); mustRead {
+			k.confirmSoon(now)
+		}
+	case quorum.Abandon:
+		if table := k.member.Table(); table != nil && table.Generation == m.Generation && k.member.ReachableVoters(now, isolationTimeout) < table.Majority() {
+			answer = k.supporter.Abandon(m)
+		}
+	case quorum.AbandonAgreed:
+		select {
+		case k.supporterAnswers <- *m:
+		default:
+			// Nobody waits for it, or it is repeated.
+		}
+	}
+	if answer == nil {
+		return nil
+	}
+	return []quorum.Envelope{{To: from, Message: *answer}}
+}
+
+// confirmSoon reads the table from the store in the background, to confirm its generation to this
+// node's voter or supporter. k.mu must be held.
+func (k *Keeper) confirmSoon(now time.Time) {
+	if k.confirming || now.Sub(k.confirmedAt) < storeConfirmationInterval {
+		return
+	}
+	k.confirming, k.confirmedAt = true, now
+	go func() {
+		_, _, _ = k.readStored(context.Background())
+		k.mu.Lock()
+		k.confirming = false
+		k.mu.Unlock()
+	}()
+}
+
+// supporterCountFor returns the number of supporters for a number of nodes.
+func supporterCountFor(nodes int) int { return min(quorum.MaxSupporters, voterLimit(nodes)) }
+
+// supporterShortage is how many supporters may be gone for good before the table needs others.
+const supporterShortage = 2
+
+// supportersOutdated reports whether several supporters of a table are no longer among the nodes, or
+// the table has too few.
+func (k *Keeper) supportersOutdated(table *quorum.Table) bool {
+	peers := k.cfg.Peers()
+	listed := 0
+	for _, supporter := range table.Supporters {
+		if supporter.Name == k.cfg.Name || slices.ContainsFunc(peers, func(p Peer) bool { return p.Name == supporter.Name }) {
+			listed++
+		}
+	}
+	return listed+supporterShortage < supporterCountFor(len(peers)+1)
+}
+
+// needSupport reports whether all voters act only while their generation is supported. Those of earlier
+// versions don't. k.mu must be held.
+func (k *Keeper) needSupport(before *quorum.Table, voters []quorum.VoterEntry) bool {
+	for _, entry := range voters {
+		known := before != nil && len(before.Supporters) > 0 && before.VoterEntry(entry.Name) != nil
+		if entry.Name != k.cfg.Name && !known && !k.incarnations[entry.Name].needsSupport {
+			return false
+		}
+	}
+	return true
+}
+
+// selectSupporters selects the supporters of a new table: its voters, then other nodes that are alive,
+// spread over regions and zones, then other known nodes. A table with voters of earlier versions has
+// none.
+func (k *Keeper) selectSupporters(before *quorum.Table, voters []quorum.VoterEntry, alive []Peer) []quorum.SupporterEntry {
+	peers := k.peers()
+	wanted := supporterCountFor(len(peers) + 1)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.needSupport(before, voters) {
+		return nil
+	}
+	var supporters []quorum.SupporterEntry
+	available := k.locations(alive)
+	if k.leaving {
+		delete(available, k.cfg.Name)
+	}
+	c := newSelection(available, wanted)
+	for _, entry := range voters {
+		supporters = append(supporters, quorum.SupporterEntry(entry))
+		if _, isAlive := available[entry.Name]; isAlive {
+			c.choose(entry.Name)
+		}
+	}
+	for len(supporters) < wanted && len(c.available) > 0 {
+		name := c.next()
+		peer := c.available[name]
+		c.choose(name)
+		supporters = append(supporters, quorum.SupporterEntry{Name: name, Address: peer.Address, Incarnation: k.incarnationOf(name)})
+	}
+	for _, peer := range peers {
+		isChosen := slices.ContainsFunc(supporters, func(s quorum.SupporterEntry) bool { return s.Name == peer.Name })
+		if len(supporters) < wanted && !isChosen {
+			supporters = append(supporters, quorum.SupporterEntry{Name: peer.Name, Address: peer.Address})
+		}
+	}
+	return supporters
+}
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -81,9 +81,21 @@
 	cfg     Config
 	started time.Time
 
-	mu     sync.Mutex
-	voter  *quorum.Voter
-	member *quorum.Member
+	mu        sync.Mutex
+	voter     *quorum.Voter
+	member    *quorum.Member
+	supporter *quorum.Supporter
+	// supportedAt is when this node's voter was last seen to be supported, or its table was installed.
+	supportedAt time.Time
+	// confirming is set while the table is being read to confirm its generation. confirmedAt is when
+	// that began.
+	confirming  bool
+	confirmedAt time.Time
+	// supporterAnswers receives the supporters' answers about an abandonment; nil if none are awaited.
+	supporterAnswers chan quorum.Message
+	// abandoning is the last abandonment that the supporters have agreed to. Only the goroutine of
+	// keepTable uses it.
+	abandoning abandonment
 	// tableRevision is the store's revision of the table.
 	tableRevision era.Revision
 	// leasesRequestedAt is when a request last asked for leases, allVotersRequestedAt when a
@@ -117,7 +129,7 @@
 	now := time.Now()
 	return &Keeper{
 		cfg: cfg, started: now, voter: quorum.NewVoter(cfg.Name, cfg.Incarnation, now),
-		member: quorum.NewMember(cfg.Name, cfg.Incarnation, now), sequence: quorum.FirstSequence(cfg.Incarnation),
+		member: quorum.NewMember(cfg.Name, cfg.Incarnation, now), supporter: quorum.NewSupporter(cfg.Name, cfg.Incarnation), sequence: quorum.FirstSequence(cfg.Incarnation),
 		rounds: map[uint64]*round{}, incarnations: map[string]peerIncarnation{},
 		progress: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
@@ -161,6 +173,9 @@
 	k.mu.Lock()
 	out, busy := k.voter.Tick(now)
 	requests, next := k.dueRequests(now)
+	if k.voter.NeedsStore(now) {
+		k.confirmSoon(now)
+	}
 	k.mu.Unlock()
 	k.send(append(out, requests...))
 	pause := max(next.Sub(now), time.Millisecond)
@@ -212,6 +227,8 @@
 		if m.Kind == quorum.Prepare || m.Kind == quorum.Open {
 			k.wakeUp()
 		}
+	case m.Kind == quorum.Support || m.Kind == quorum.Abandon || m.Kind == quorum.AbandonAgreed:
+		out = k.handleSupporter(now, from, m)
 	case m.Kind == quorum.Inquire:
 		out = []quorum.Envelope{{To: from, Message: k.announcement(m.From, m.Sequence)}}
 	default:
@@ -265,7 +282,7 @@
 
 // announcement returns a message with the table for a node. k.mu must be held.
 func (k *Keeper) announcement(name string, sequence uint64) quorum.Message {
-	m := quorum.Message{Kind: quorum.Announce, From: k.cfg.Name, Incarnation: k.cfg.Incarnation, Sequence: sequence, Leaving: k.leaving}
+	m := quorum.Message{Kind: quorum.Announce, From: k.cfg.Name, Incarnation: k.cfg.Incarnation, Sequence: sequence, Leaving: k.leaving, NeedsSupport: true}
 	if table := k.voter.Table(); table != nil {
 		m.Generation, m.Table = table.Generation, table.ForNode(name)
 	}
@@ -279,7 +296,7 @@
 	case m.Kind == quorum.Announce && m.Leaving:
 		delete(k.incarnations, m.From)
 	case m.Kind == quorum.Announce:
-		k.incarnations[m.From] = peerIncarnation{m.Incarnation, time.Now()}
+		k.incarnations[m.From] = peerIncarnation{m.Incarnation, time.Now(), m.NeedsSupport}
 	}
 	known := k.voter.Table()
 	if m.Table != nil && (known == nil || m.Table.Generation > known.Generation) {
@@ -291,11 +308,12 @@
 	return nil
 }
 
-// adopt installs a newer table from another node. If the table lacks its records and this node's
-// voter needs them to start the generation, adopt reads it from the store instead. k.mu must be
-// held.
+// adopt installs a newer table from another node. If the table lacks its supporters, or its records
+// and this node's voter needs them to start the generation, adopt reads it from the store instead.
+// k.mu must be held.
 func (k *Keeper) adopt(table *quorum.Table) {
-	if entry := table.VoterEntry(k.cfg.Name); entry != nil && entry.Incarnation == k.cfg.Incarnation && !table.Complete() {
+	entry := table.VoterEntry(k.cfg.Name)
+	if entry != nil && (len(table.Supporters) == 0 || (entry.Incarnation == k.cfg.Incarnation && !table.Complete())) {
 		k.fetchSoon()
 		return
 	}
@@ -310,6 +328,7 @@
 		return
 	}
 	k.voter.Install(now, table)
+	k.supportedAt = now
 	k.member.SetDistances(k.distances(table))
 	changed := k.publish(k.member.SetTable(now, table))
 	go k.notifyChanged(changed)
--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -80,6 +80,9 @@
 		case k.maintainsTable(now):
 			reason = k.neededChange(now, &lastGrowthCheck)
 		}
+		if k.votersLost(now) {
+			k.abandonGeneration(ctx)
+		}
 		if reason == noChange {
 			continue
 		}
@@ -141,25 +144,41 @@
 func (k *Keeper) fetch(ctx context.Context) bool {
 	timeoutCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	readAt := time.Now()
 	object, err := k.cfg.Store.Get(timeoutCtx, k.cfg.Kind, tableName)
 	if err != nil {
 		return objectstore.OutcomeOf(err) == objectstore.NotFound
 	}
-	k.installStored(object)
+	k.installStored(object, readAt)
 	return true
 }
 
-// installStored installs the table from its object in the store.
-func (k *Keeper) installStored(object objectstore.Object) {
+// installStored installs the table from its object in the store, read at a time or later. It returns
+// nil if the object can't be read.
+func (k *Keeper) installStored(object objectstore.Object, readAt time.Time) *quorum.Table {
 	table := &quorum.Table{}
 	if err := json.Unmarshal(object.Content, table); err != nil || len(table.Entries) == 0 {
 		k.cfg.Log.Write(eventlog.VotersRefused, zap.Stringer("revision", object.Revision), zap.Error(err))
-		return
+		return nil
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.tableRevision = max(k.tableRevision, object.Revision)
 	k.install(time.Now(), table)
+	k.confirmStored(table, object.Revision.Era(), readAt)
+	return table
+}
+
+// confirmStored notes that the store held a table at a time. A store that was restored from an older
+// copy may have lost that the generation was abandoned. k.mu must be held.
+func (k *Keeper) confirmStored(table *quorum.Table, storeEra uint64, readAt time.Time) {
+	if table.StoreEra != storeEra {
+		return
+	}
+	k.supporter.ReadTable(table)
+	if !table.Abandoned {
+		k.voter.ConfirmByStore(table.Generation, readAt)
+	}
 }
 
 // write writes a table to the store and announces it to the other nodes. Revision 0 creates it.
@@ -172,6 +191,7 @@
 	timeoutCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	var object objectstore.Object
+	writtenAt := time.Now()
 	if revision == 0 {
 		object, err = k.cfg.Store.Create(timeoutCtx, k.cfg.Kind, tableName, content)
 	} else {
@@ -188,6 +208,7 @@
 	k.mu.Lock()
 	k.tableRevision = object.Revision
 	k.install(time.Now(), table)
+	k.confirmStored(table, object.Revision.Era(), writtenAt)
 	k.mu.Unlock()
 	k.announce(table, true)
 }
@@ -235,7 +256,7 @@
 	k.mu.Unlock()
 	for _, peer := range peers {
 		m := quorum.Message{
-			Kind: quorum.Announce, From: k.cfg.Name, Incarnation: k.cfg.Incarnation, Leaving: leaving, Generation: table.Generation, Table: table.ForNode(peer.Name),
+			Kind: quorum.Announce, From: k.cfg.Name, Incarnation: k.cfg.Incarnation, Leaving: leaving, NeedsSupport: true, Generation: table.Generation, Table: table.ForNode(peer.Name),
 		}
 		k.cfg.Sender.SendMessage(peer.Address, &m)
 	}
@@ -271,11 +292,13 @@
 	handover
 	// inoperable means that the current voters can't decide anything any more.
 	inoperable
+	// abandoned means that a majority of the voters is gone for good.
+	abandoned
 	// firstTable means that there is no table yet.
 	firstTable
 )
 
-var changeReasonNames = [...]string{noChange: "none", improvement: "improvement", handover: "handover", inoperable: "inoperable", firstTable: "first_table"}
+var changeReasonNames = [...]string{noChange: "none", improvement: "improvement", handover: "handover", inoperable: "inoperable", abandoned: "abandoned", firstTable: "first_table"}
 
 // String implements fmt.Stringer.
 func (r changeReason) String() string { return changeReasonNames[r] }
@@ -303,6 +326,11 @@
 	if !k.voter.Normal() {
 		return noChange
 	}
+	if k.voter.Supported(now) {
+		k.supportedAt = now
+	} else if now.Sub(k.supportedAt) > unsupportedTimeout {
+		return inoperable
+	}
 	silent := len(k.member.SilentVoters(now, silenceTimeout, silenceTimeout)) > 0
 	nodes := len(k.cfg.Peers()) + 1
 	tooFew, interval := len(table.Entries) < voterCountFor(nodes), growInterval
@@ -314,7 +342,7 @@
 	}
 	first := lastGrowthCheck.IsZero()
 	*lastGrowthCheck = now
-	if (silent && nodes > len(table.Entries)) || (!first && (tooFew || k.unbalanced(table.Entries))) {
+	if (silent && nodes > len(table.Entries)) || (!first && (tooFew || k.unbalanced(table.Entries) || k.supportersOutdated(table))) {
 		return improvement
 	}
 	return noChange
@@ -330,7 +358,9 @@
 	var alive []Peer
 	if reason != inoperable {
 		alive = k.inquire(ctx, inquiryPeers, time.Now())
-		if voters := k.selectVoters(before, alive); len(voters) == 0 || sameVoters(before.Entries, voters) {
+		voters := k.selectVoters(before, alive)
+		betterSupport := k.supportersOutdated(before) && len(k.selectSupporters(before, voters, alive)) > 0
+		if len(voters) == 0 || (sameVoters(before.Entries, voters) && !betterSupport) {
 			return
 		}
 	}
@@ -352,9 +382,15 @@
 	if !sealed {
 		return
 	}
-	storeEra := k.cfg.StoreEra()
+	k.writeNext(ctx, table, alive, records, revision, reason)
+}
+
+// writeNext writes the table after another one, whose generation has ended with some records.
+func (k *Keeper) writeNext(ctx context.Context, table *quorum.Table, alive []Peer, records []quorum.Record, revision era.Revision, reason changeReason) {
+	storeEra, voters := k.cfg.StoreEra(), k.selectVoters(table, alive)
 	next := &quorum.Table{
-		Generation: table.NextGeneration(storeEra), StoreEra: storeEra, Entries: k.selectVoters(table, alive), Records: records, Count: len(records),
+		Generation: table.NextGeneration(storeEra), StoreEra: storeEra, Entries: voters, Records: records, Count: len(records),
+		Supporters: k.selectSupporters(table, voters, alive),
 	}
 	k.logSelection(next, table, alive, reason)
 	k.write(ctx, next, revision)
--- a/internal/proxy/tenure/voters.go
+++ b/internal/proxy/tenure/voters.go
@@ -34,6 +34,8 @@
 type peerIncarnation struct {
 	number     uint64
 	answeredAt time.Time
+	// needsSupport is set if the peer's voter acts only while its generation is supported.
+	needsSupport bool
 }
 
 // peers returns the other nodes: those that are listed, or, before the first list is loaded, the other
@@ -75,7 +77,7 @@
 	}
 	var noTable *quorum.Table
 	storeEra := k.cfg.StoreEra()
-	table := &quorum.Table{Generation: noTable.NextGeneration(storeEra), StoreEra: storeEra, Entries: voters}
+	table := &quorum.Table{Generation: noTable.NextGeneration(storeEra), StoreEra: storeEra, Entries: voters, Supporters: k.selectSupporters(noTable, voters, peers)}
 	k.logSelection(table, noTable, peers, firstTable)
 	k.write(ctx, table, 0)
 }
@@ -159,9 +161,10 @@
 
 // voterCountFor returns the number of voters for a number of nodes. It is odd because an even
 // number tolerates no more failures.
-func voterCountFor(nodes int) int {
-	return min(quorum.MaxVoters, nodes-(nodes+1)%2)
-}
+func voterCountFor(nodes int) int { return min(quorum.MaxVoters, voterLimit(nodes)) }
+
+// voterLimit returns the largest odd number that is not above a number of nodes.
+func voterLimit(nodes int) int { return nodes - (nodes+1)%2 }
 
 // locations are nodes by name, with their zones and regions.
 type locations map[string]Peer
