proxy: an isolated node refuses new sessions at once

Such a node already calls itself not ready and closes its idle sessions, but while no node is ready, callers are sent to all of them.

Fix: it refuses START with how long to wait, so that the caller tries another node or comes back.

--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -86,10 +86,20 @@
 		_ = s.client.Refuse(refusal)
 		return false
 	}
+	if s.node.Isolated.Load() {
+		_ = s.client.Refuse(&failure.Error{
+			Kind: failure.Isolated, Detail: "no majority of the voters answers", RetryAfter: withJitter(isolatedRetry),
+		})
+		return false
+	}
 	s.node.awaitTenure(s.route.Service, s.principal, arrived)
 	return s.client.Accept() == nil
 }
 
+// isolatedRetry is the retry delay for new sessions on a node that can use no primary. By then the
+// voters have probably answered again, or another node is chosen.
+const isolatedRetry = 500 * time.Millisecond
+
 // lookUpRoute looks up the current route and the caller's tenant.
 func (s *session) lookUpRoute() *failure.Error {
 	configuration := s.node.catalog.Current().Configuration
--- a/internal/proxy/start_test.go
+++ b/internal/proxy/start_test.go
@@ -9,7 +9,9 @@
 	"github.com/shoenig/test/must"
 
 	"dewknot/internal/base/bubbletest"
+	"dewknot/internal/base/failure"
 	"dewknot/internal/lab/judge"
+	"dewknot/internal/proxy"
 )
 
 // TestCallersWaitForStartingNode guards against rejected callers on a node that has not loaded
@@ -87,3 +89,32 @@
 		must.Less(t, callersTimeout, longest)
 	})
 }
+
+// TestIsolatedNodeRefusesSessions guards against callers that wait at a node that can't serve them, and whose
+// statements are rejected then.
+func TestIsolatedNodeRefusesSessions(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		fleet := newUnfencedFleet(fleetOfFive, 0)
+		time.Sleep(8 * time.Second)
+		for i := range fleetOfFive {
+			fleet.stopNode(i)
+		}
+		time.Sleep(8 * time.Second)
+		fleet.startNode(0)
+		time.Sleep(4 * time.Second)
+		client := newMemoryClient("current", testTenants["amber"][0])
+		fleet.listeners[0].pending <- client
+		began := time.Now()
+		var reply proxy.Reply
+		select {
+		case reply = <-client.replies:
+		case <-client.closed:
+		}
+		took := time.Since(began)
+		fleet.end()
+		must.NotNil(t, reply.Failure)
+		must.Eq(t, failure.Isolated, reply.Failure.Kind)
+		must.Positive(t, reply.Failure.RetryAfter)
+		must.Less(t, 50*time.Millisecond, took)
+	})
+}
