tenure: test of the loss of most supporters, listed

What remains of the loss of voters for good: with a majority of the table's supporters gone as well (5 of 9 nodes), the generation can't be abandoned, since whoever is left can't tell that from being cut off by the majority.

--- a/internal/proxy/tenure/abandon_test.go
+++ b/internal/proxy/tenure/abandon_test.go
@@ -64,6 +64,28 @@
 	})
 }
 
+// TestMajorityOfSupportersLostForGood guards against nodes that never have leases again once a majority of
+// the voters and of the supporters is gone for good.
+func TestMajorityOfSupportersLostForGood(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		n := newNetwork(9)
+		time.Sleep(6 * time.Second)
+		before := n.anyKeeper().table()
+		for _, name := range n.votersFirst()[:5] {
+			n.kill(name)
+		}
+		time.Sleep(fleetRecovery)
+		stuck := 0
+		for _, k := range n.keepers {
+			if _, noMajority := k.VoterStatus(); noMajority || k.table().Generation == before.Generation {
+				stuck++
+			}
+		}
+		n.stop()
+		must.Zero(t, stuck, must.Sprint("nodes without a majority of voters"))
+	})
+}
+
 // TestCutOffVotersStopFirst guards against two tenures in use: a majority of voters that is only cut off,
 // with a node that it serves, must grant no leases any more once the others have the next generation.
 func TestCutOffVotersStopFirst(t *testing.T) {
