tenure: voters that are lost among restarted ones don't stop the fleet for good

Cause: a voter that restarts needs the records of a majority of the others, and a generation is ended without them once a majority has lost its state. With one of five voters gone for good and two restarted, neither holds: two voters have their state, and the one that is gone might have it. The same with two gone and one restarted, or one and one of three. No timer ended that.

Fix: a generation is also abandoned while a majority of its voters is silent or without state, for 3 s in all. Supporters agree on the same condition. The records of the voters that are left are awaited for 0.3 s.

--- a/internal/proxy/quorum/member.go
+++ b/internal/proxy/quorum/member.go
@@ -427,6 +427,18 @@
 	return count
 }
 
+// OperableVoters returns the number of other voters that have their state and whose last answer is
+// within the window plus their measured delay, as in ReachableVoters.
+func (n *Member) OperableVoters(now time.Time, window time.Duration) int {
+	count := 0
+	for _, p := range n.peers {
+		if p.entry.Name != n.name && p.recoveringAge == 0 && now.Sub(p.lastAnswerAt)-p.rtt.excessDelay() < window {
+			count++
+		}
+	}
+	return count
+}
+
 // VotersWithoutState returns the number of other voters that have no state and answered within the
 // window.
 func (n *Member) VotersWithoutState(now time.Time, window time.Duration) int {
--- a/internal/proxy/tenure/abandon.go
+++ b/internal/proxy/tenure/abandon.go
@@ -17,13 +17,15 @@
 // that is safe. Any node may do it that reaches the store and a majority of the supporters.
 
 const (
-	// lostVotersTimeout is how long a majority of voters must be silent before their generation is
-	// abandoned. It is longer than a restart.
+	// lostVotersTimeout is how long a majority of the voters must have been silent or without state
+	// before their generation is abandoned. It is longer than a restart.
 	lostVotersTimeout = 3 * time.Second
 	// agreementTimeout bounds the wait for the supporters' answers, agreementRetryInterval is the pause
 	// before a question is repeated.
 	agreementTimeout       = 600 * time.Millisecond
 	agreementRetryInterval = 80 * time.Millisecond
+	// abandonedSealTimeout bounds the wait for the records of the voters that are left.
+	abandonedSealTimeout = 300 * time.Millisecond
 	// storeConfirmationInterval is the least interval at which a voter lets the store confirm the
 	// generation.
 	storeConfirmationInterval = time.Second
@@ -38,12 +40,29 @@
 	agreedAt time.Time
 }
 
-// votersLost reports whether this node has not heard from a majority of the voters for long.
+// inoperableFor returns how long the voters have been unable to decide anything, as far as this node
+// knows: a majority of them is silent or has lost its state. k.mu must be held.
+func (k *Keeper) inoperableFor(now time.Time) time.Duration {
+	table := k.member.Table()
+	if table == nil {
+		return 0
+	}
+	operable := k.member.OperableVoters(now, isolationTimeout)
+	if table.VoterEntry(k.cfg.Name) != nil && !k.voter.Recovering() {
+		operable++
+	}
+	if operable >= table.Majority() {
+		k.operableAt = now
+	}
+	return now.Sub(k.operableAt)
+}
+
+// votersLost reports whether the voters have been unable to decide anything for so long that their
+// generation is abandoned.
 func (k *Keeper) votersLost(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	table := k.member.Table()
-	return table != nil && k.member.ReachableVoters(now, lostVotersTimeout) < table.Majority()
+	return k.inoperableFor(now) >= lostVotersTimeout-isolationTimeout
 }
 
 // abandonGeneration takes the next step to abandon the generation of the table.
@@ -54,7 +73,7 @@
 		return
 	}
 	alive := k.inquire(ctx, inquiryPeers, time.Now())
-	if !agreed && (k.votersAlive(table, alive) >= table.Majority() || !k.createsTable(alive)) {
+	if !agreed && (!k.votersLost(time.Now()) || !k.createsTable(alive)) {
 		return
 	}
 	stored, revision, known := k.readStored(ctx)
@@ -82,18 +101,6 @@
 	k.cfg.Log.Write(eventlog.VotersAbandoned, zap.Uint64("era", table.Generation), zap.Int("alive", len(alive)))
 }
 
-// votersAlive returns how many voters are alive, this node included.
-func (k *Keeper) votersAlive(table *quorum.Table, alive []Peer) int {
-	count := 0
-	for _, entry := range table.Entries {
-		isAlive := entry.Name == k.cfg.Name || slices.ContainsFunc(alive, func(p Peer) bool { return p.Name == entry.Name })
-		if isAlive {
-			count++
-		}
-	}
-	return count
-}
-
 // readStored reads the table from the store. It installs the table if it is newer.
 func (k *Keeper) readStored(ctx context.Context) (table *quorum.Table, revision era.Revision, known bool) {
 	timeoutCtx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -154,7 +161,9 @@
 
 // endAbandoned writes the table after an abandoned generation. No voter acts in that any more.
 func (k *Keeper) endAbandoned(ctx context.Context, table *quorum.Table, alive []Peer, revision era.Revision) {
-	records, sealed := k.seal(ctx, table)
+	timeoutCtx, cancel := context.WithTimeout(ctx, abandonedSealTimeout)
+	defer cancel()
+	records, sealed := k.seal(timeoutCtx, table)
 	if !sealed {
 		records = k.activeSealing.Remaining()
 	}
@@ -176,7 +185,7 @@
 			k.confirmSoon(now)
 		}
 	case quorum.Abandon:
-		if table := k.member.Table(); table != nil && table.Generation == m.Generation && k.member.ReachableVoters(now, isolationTimeout) < table.Majority() {
+		if table := k.member.Table(); table != nil && table.Generation == m.Generation && k.inoperableFor(now) > 0 {
 			answer = k.supporter.Abandon(m)
 		}
 	case quorum.AbandonAgreed:
--- a/internal/proxy/tenure/abandon_test.go
+++ b/internal/proxy/tenure/abandon_test.go
@@ -64,6 +64,37 @@
 	})
 }
 
+// TestVotersLostAndRestarted guards against nodes that never have leases again after a voter is gone for good
+// while others have restarted: those that are left are too few to tell the restarted ones what was decided, and
+// the one that is gone might know.
+func TestVotersLostAndRestarted(t *testing.T) {
+	for name, tc := range map[string]struct{ lost, restarted int }{
+		"one lost, two restarted": {1, 2}, "one lost, three restarted": {1, 3}, "two lost, one restarted": {2, 1},
+	} {
+		bubbletest.Test(t, func(t *testing.T) {
+			n := newNetwork(9)
+			time.Sleep(6 * time.Second)
+			before := n.anyKeeper().table()
+			names := n.votersFirst()
+			for i, name := range names[:tc.lost+tc.restarted] {
+				n.kill(name)
+				if i >= tc.lost {
+					n.start(name)
+				}
+			}
+			time.Sleep(fleetRecovery)
+			stuck := 0
+			for _, k := range n.keepers {
+				if _, noMajority := k.VoterStatus(); noMajority || k.table().Generation == before.Generation {
+					stuck++
+				}
+			}
+			n.stop()
+			must.Zero(t, stuck, must.Sprint(name, ": nodes without a majority of voters"))
+		})
+	}
+}
+
 // TestMajorityOfSupportersLostForGood guards against nodes that never have leases again once a majority of
 // the voters and of the supporters is gone for good.
 func TestMajorityOfSupportersLostForGood(t *testing.T) {
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -87,6 +87,9 @@
 	supporter *quorum.Supporter
 	// supportedAt is when this node's voter was last seen to be supported, or its table was installed.
 	supportedAt time.Time
+	// operableAt is when this node last knew a majority of the voters with their state, or the table was
+	// installed.
+	operableAt time.Time
 	// confirming is set while the table is being read to confirm its generation. confirmedAt is when
 	// that began.
 	confirming  bool
@@ -328,7 +331,7 @@
 		return
 	}
 	k.voter.Install(now, table)
-	k.supportedAt = now
+	k.supportedAt, k.operableAt = now, now
 	k.member.SetDistances(k.distances(table))
 	changed := k.publish(k.member.SetTable(now, table))
 	go k.notifyChanged(changed)
