tenure: nodes that stop are replaced also if they don't reach the store

Six of nine machines were stopped for good within a second, four nodes were cut off from the store.

Cause: the table is handed over by the voter that stops, which needs the store; nobody else did it, and nobody replaced supporters that stop. After the exits three of five voters and five of nine supporters were gone.

Nodes that stop are not selected, whoever selects.

TestStoppingNodesWithoutStoreAreReplaced failed before (0 of 3 nodes with leases).

--- a/internal/proxy/tenure/abandon.go
+++ b/internal/proxy/tenure/abandon.go
@@ -235,6 +235,16 @@
 	return listed+supporterShortage < supporterCountFor(len(peers)+1)
 }
 
+// betterSupport reports whether the next table would have better supporters: some of the last one's are
+// gone or stop, and there are others.
+func (k *Keeper) betterSupport(before *quorum.Table, voters []quorum.VoterEntry, alive []Peer) bool {
+	selected := k.selectSupporters(before, voters, alive)
+	k.mu.Lock()
+	needsHandover := k.needsHandover(before, time.Now())
+	k.mu.Unlock()
+	return len(selected) > 0 && (needsHandover || k.supportersOutdated(before))
+}
+
 // needSupport reports whether all voters act only while their generation is supported. Those of earlier
 // versions don't. k.mu must be held.
 func (k *Keeper) needSupport(before *quorum.Table, voters []quorum.VoterEntry) bool {
@@ -278,7 +288,7 @@
 	}
 	for _, peer := range peers {
 		isChosen := slices.ContainsFunc(supporters, func(s quorum.SupporterEntry) bool { return s.Name == peer.Name })
-		if len(supporters) < wanted && !isChosen {
+		if len(supporters) < wanted && !isChosen && !k.isLeaving(peer.Name, time.Now()) {
 			supporters = append(supporters, quorum.SupporterEntry{Name: peer.Name, Address: peer.Address})
 		}
 	}
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -109,8 +109,9 @@
 	rounds               map[uint64]*round
 	// incarnations are the incarnations of the peers that answered an inquiry.
 	incarnations map[string]peerIncarnation
-	// leaving is set once the node stops.
-	leaving bool
+	// leaving is set once the node stops. leavingPeers are the other nodes that do.
+	leaving      bool
+	leavingPeers map[string]leavingPeer
 	// fetching is set while the table is being read from the store.
 	fetching bool
 	// activeSealing ends the current generation of the table, nil if none has begun. Only the
@@ -133,7 +134,7 @@
 	return &Keeper{
 		cfg: cfg, started: now, voter: quorum.NewVoter(cfg.Name, cfg.Incarnation, now),
 		member: quorum.NewMember(cfg.Name, cfg.Incarnation, now), supporter: quorum.NewSupporter(cfg.Name, cfg.Incarnation), sequence: quorum.FirstSequence(cfg.Incarnation),
-		rounds: map[uint64]*round{}, incarnations: map[string]peerIncarnation{},
+		rounds: map[uint64]*round{}, incarnations: map[string]peerIncarnation{}, leavingPeers: map[string]leavingPeer{},
 		progress: make(chan struct{}), wake: make(chan struct{}, 1),
 	}
 }
@@ -154,15 +155,6 @@
 	}
 }
 
-// Leave makes a node that stops hand over its place among the voters and take no new one. If several
-// voters stopped without that, a majority of them could be gone for good.
-func (k *Keeper) Leave() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.leaving = true
-	k.cfg.Log.Write(eventlog.VoterLeaves, zap.Bool("voter", k.voter.Table() != nil && k.voter.Table().VoterEntry(k.cfg.Name) != nil))
-}
-
 // wakeUp makes Run tick again at once.
 func (k *Keeper) wakeUp() {
 	select {
@@ -298,7 +290,9 @@
 	switch {
 	case m.Kind == quorum.Announce && m.Leaving:
 		delete(k.incarnations, m.From)
+		k.noteLeaving(m.From, time.Now())
 	case m.Kind == quorum.Announce:
+		delete(k.leavingPeers, m.From)
 		k.incarnations[m.From] = peerIncarnation{m.Incarnation, time.Now(), m.NeedsSupport}
 	}
 	known := k.voter.Table()
--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -73,6 +73,7 @@
 			k.findTable(ctx, now)
 			continue
 		}
+		k.announceLeaving()
 		reason := noChange
 		switch {
 		case k.leavesTable():
@@ -96,13 +97,6 @@
 	}
 }
 
-// leavesTable reports whether this node stops and is a voter.
-func (k *Keeper) leavesTable() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.leaving && k.voter.Table().VoterEntry(k.cfg.Name) != nil
-}
-
 // reviewPause returns the pause until the next check of the table. It is short while voters that
 // lost their state may require a new generation.
 func (k *Keeper) reviewPause() time.Duration {
@@ -331,6 +325,9 @@
 	} else if now.Sub(k.supportedAt) > unsupportedTimeout {
 		return inoperable
 	}
+	if k.needsHandover(table, now) {
+		return improvement
+	}
 	silent := len(k.member.SilentVoters(now, silenceTimeout, silenceTimeout)) > 0
 	nodes := len(k.cfg.Peers()) + 1
 	tooFew, interval := len(table.Entries) < voterCountFor(nodes), growInterval
@@ -359,7 +356,7 @@
 	if reason != inoperable {
 		alive = k.inquire(ctx, inquiryPeers, time.Now())
 		voters := k.selectVoters(before, alive)
-		betterSupport := k.supportersOutdated(before) && len(k.selectSupporters(before, voters, alive)) > 0
+		betterSupport := k.betterSupport(before, voters, alive)
 		if len(voters) == 0 || (sameVoters(before.Entries, voters) && !betterSupport) {
 			return
 		}
--- a/internal/proxy/tenure/voters.go
+++ b/internal/proxy/tenure/voters.go
@@ -278,7 +278,7 @@
 		voters = append(voters, quorum.VoterEntry{Name: peer.Name, Address: peer.Address, Incarnation: k.incarnationOf(peer.Name)})
 	}
 	for _, entry := range silent {
-		if len(voters) < wanted {
+		if len(voters) < wanted && !k.isLeaving(entry.Name, time.Now()) {
 			voters = append(voters, entry)
 		}
 	}
--- a/internal/proxy/tenure/voters_test.go
+++ b/internal/proxy/tenure/voters_test.go
@@ -253,6 +253,37 @@
 	}
 }
 
+// TestStoppingNodesWithoutStoreAreReplaced guards against voters that stop for good and can't hand over their
+// places, because they don't reach the store, and against supporters that stop unnoticed.
+func TestStoppingNodesWithoutStoreAreReplaced(t *testing.T) {
+	const graceBeforeExit = 2400 * time.Millisecond
+	bubbletest.Test(t, func(t *testing.T) {
+		n := newNetwork(9)
+		time.Sleep(6 * time.Second)
+		openTenure(t, n.anyKeeper(), n.anyKeeper().table().LeastBallot()+1, "a")
+		stopping := n.votersFirst()[1:7]
+		for _, name := range stopping {
+			n.store.SetIsolated(name, true)
+			n.keepers[name].Leave()
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(graceBeforeExit)
+		for _, name := range stopping {
+			n.kill(name)
+		}
+		time.Sleep(3 * time.Second)
+		table, covered := n.anyKeeper().table(), len(n.covered())
+		n.stop()
+		must.Eq(t, 3, covered, must.Sprint("nodes with leases"))
+		for _, entry := range table.Entries {
+			must.SliceNotContains(t, stopping, entry.Name)
+		}
+		for _, supporter := range table.Supporters {
+			must.SliceNotContains(t, stopping, supporter.Name)
+		}
+	})
+}
+
 // TestVotersSurviveLossOfRegion guards against too few voters, and against a zone or region with
 // more of them than necessary.
 func TestVotersSurviveLossOfRegion(t *testing.T) {
