tenure: supporters are nodes that are alive

The generation of three voters, of which one was gone and one restarted, was not abandoned.

Cause: the table was filled up with supporters that are only listed. It had been written while six of nine nodes were being replaced and the store was silent, so most of its supporters were gone, and no majority could promise anything.

Fix: supporters are nodes that have answered when the table is made. While a majority of them doesn't answer, or the known nodes allow more, the node that maintains the table looks for better ones every second, as for voters.

TestSupportersAreAlive failed before.

--- a/internal/proxy/quorum/support.go
+++ b/internal/proxy/quorum/support.go
@@ -39,8 +39,8 @@
 	Incarnation uint64 `json:"life"`
 }
 
-// supportMajority returns the number of supporters needed to confirm the generation.
-func (t *Table) supportMajority() int { return len(t.Supporters)/2 + 1 }
+// SupportMajority returns the number of supporters needed to confirm the generation.
+func (t *Table) SupportMajority() int { return len(t.Supporters)/2 + 1 }
 
 // question is a question to all supporters.
 type question struct {
@@ -72,12 +72,12 @@
 func (v *Voter) Supported(now time.Time) bool {
 	oldest := now.Add(-supportDuration)
 	return len(v.table.Supporters) == 0 || v.support.storeConfirmedAt.After(oldest) ||
-		v.support.confirmations(oldest) >= v.table.supportMajority()
+		v.support.confirmations(oldest) >= v.table.SupportMajority()
 }
 
 // NeedsStore reports whether the store has to confirm the generation, because supporters don't.
 func (v *Voter) NeedsStore(now time.Time) bool {
-	return v.status == normal && len(v.table.Supporters) > 0 && v.support.confirmations(now.Add(-weakSupportAge)) < v.table.supportMajority()
+	return v.status == normal && len(v.table.Supporters) > 0 && v.support.confirmations(now.Add(-weakSupportAge)) < v.table.SupportMajority()
 }
 
 // ConfirmByStore notes that the store, read at a time or later, had not abandoned the generation.
@@ -211,5 +211,5 @@
 	if m.Generation == a.table.Generation && slices.ContainsFunc(a.table.Supporters, func(s SupporterEntry) bool { return s.Name == m.From }) {
 		a.agreed[m.From] = true
 	}
-	return len(a.agreed) >= a.table.supportMajority()
+	return len(a.agreed) >= a.table.SupportMajority()
 }
--- a/internal/proxy/tenure/abandon.go
+++ b/internal/proxy/tenure/abandon.go
@@ -235,14 +235,30 @@
 	return listed+supporterShortage < supporterCountFor(len(peers)+1)
 }
 
-// betterSupport reports whether the next table would have better supporters: some of the last one's are
-// gone or stop, and there are others.
+// supportShort reports whether a table needs other supporters: a majority doesn't answer, or the known
+// nodes allow more. k.mu must be held.
+func (k *Keeper) supportShort(table *quorum.Table, now time.Time) bool {
+	return k.voter.NeedsStore(now) || len(table.Supporters)+supporterShortage < supporterCountFor(len(k.cfg.Peers())+1)
+}
+
+// betterSupport reports whether the next table would have better supporters: more of them, or others in
+// place of those that are gone or stop.
 func (k *Keeper) betterSupport(before *quorum.Table, voters []quorum.VoterEntry, alive []Peer) bool {
 	selected := k.selectSupporters(before, voters, alive)
+	if len(selected) == 0 {
+		return false
+	}
 	k.mu.Lock()
 	needsHandover := k.needsHandover(before, time.Now())
 	k.mu.Unlock()
-	return len(selected) > 0 && (needsHandover || k.supportersOutdated(before))
+	left := 0
+	for _, supporter := range before.Supporters {
+		if slices.ContainsFunc(selected, func(s quorum.SupporterEntry) bool { return s.Name == supporter.Name }) {
+			left++
+		}
+	}
+	grows := len(selected) > len(before.Supporters)+1
+	return grows || needsHandover || left < before.SupportMajority() || (left < len(selected) && k.supportersOutdated(before))
 }
 
 // needSupport reports whether all voters act only while their generation is supported. Those of earlier
@@ -257,40 +273,31 @@
 	return true
 }
 
-// selectSupporters selects the supporters of a new table: its voters, then other nodes that are alive,
-// spread over regions and zones, then other known nodes. A table with voters of earlier versions has
-// none.
+// selectSupporters selects the supporters of a new table among the nodes that are alive, its voters
+// first, spread over regions and zones. A table with voters of earlier versions has none.
 func (k *Keeper) selectSupporters(before *quorum.Table, voters []quorum.VoterEntry, alive []Peer) []quorum.SupporterEntry {
-	peers := k.peers()
-	wanted := supporterCountFor(len(peers) + 1)
+	wanted := supporterCountFor(len(k.peers()) + 1)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.needSupport(before, voters) {
 		return nil
 	}
-	var supporters []quorum.SupporterEntry
 	available := k.locations(alive)
 	if k.leaving {
 		delete(available, k.cfg.Name)
 	}
 	c := newSelection(available, wanted)
 	for _, entry := range voters {
-		supporters = append(supporters, quorum.SupporterEntry(entry))
 		if _, isAlive := available[entry.Name]; isAlive {
 			c.choose(entry.Name)
 		}
 	}
-	for len(supporters) < wanted && len(c.available) > 0 {
-		name := c.next()
-		peer := c.available[name]
-		c.choose(name)
-		supporters = append(supporters, quorum.SupporterEntry{Name: name, Address: peer.Address, Incarnation: k.incarnationOf(name)})
+	for len(c.chosen) < wanted && len(c.available) > 0 {
+		c.choose(c.next())
 	}
-	for _, peer := range peers {
-		isChosen := slices.ContainsFunc(supporters, func(s quorum.SupporterEntry) bool { return s.Name == peer.Name })
-		if len(supporters) < wanted && !isChosen && !k.isLeaving(peer.Name, time.Now()) {
-			supporters = append(supporters, quorum.SupporterEntry{Name: peer.Name, Address: peer.Address})
-		}
+	var supporters []quorum.SupporterEntry
+	for _, peer := range c.chosen {
+		supporters = append(supporters, quorum.SupporterEntry{Name: peer.Name, Address: peer.Address, Incarnation: k.incarnationOf(peer.Name)})
 	}
 	return supporters
 }
--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -36,7 +36,8 @@
 	firstAnswerTimeout = 600 * time.Millisecond
 	// growInterval is the pause between checks whether the known nodes allow more or better voters.
 	growInterval = 10 * time.Second
-	// shortageInterval is the same while there are fewer voters than the known nodes allow.
+	// shortageInterval is the same while there are fewer voters or supporters than the known nodes
+	// allow.
 	shortageInterval = time.Second
 	// sealTimeout bounds an attempt to seal a generation. sealRetryInterval is the first pause
 	// between requests; it doubles, because more requests would delay the answers on a slow link
@@ -331,7 +332,8 @@
 	silent := len(k.member.SilentVoters(now, silenceTimeout, silenceTimeout)) > 0
 	nodes := len(k.cfg.Peers()) + 1
 	tooFew, interval := len(table.Entries) < voterCountFor(nodes), growInterval
-	if tooFew {
+	supportShort := k.supportShort(table, now)
+	if tooFew || supportShort {
 		interval = shortageInterval
 	}
 	if now.Sub(*lastGrowthCheck) < interval && !silent {
@@ -339,7 +341,7 @@
 	}
 	first := lastGrowthCheck.IsZero()
 	*lastGrowthCheck = now
-	if (silent && nodes > len(table.Entries)) || (!first && (tooFew || k.unbalanced(table.Entries) || k.supportersOutdated(table))) {
+	if (silent && nodes > len(table.Entries)) || (!first && (tooFew || supportShort || k.unbalanced(table.Entries) || k.supportersOutdated(table))) {
 		return improvement
 	}
 	return noChange
--- a/internal/proxy/tenure/voters_test.go
+++ b/internal/proxy/tenure/voters_test.go
@@ -284,6 +284,36 @@
 	})
 }
 
+// TestSupportersAreAlive guards against a table whose supporters are mostly nodes that are gone: its generation
+// could not be abandoned if a voter is lost as well.
+func TestSupportersAreAlive(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		n := newNetwork(9)
+		time.Sleep(6 * time.Second)
+		openTenure(t, n.anyKeeper(), n.anyKeeper().table().LeastBallot()+1, "a")
+		names := n.votersFirst()
+		// The nodes that are gone are still listed.
+		for _, name := range names[5:] {
+			n.cutOff([]string{name})
+		}
+		n.cutOff(names[:1])
+		time.Sleep(12 * time.Second)
+		few := n.keepers[names[1]].table()
+		n.cutOff(names[1:2])
+		time.Sleep(fleetRecovery)
+		covered := 0
+		for _, name := range names[2:5] {
+			if _, found := n.covered()[name]; found {
+				covered++
+			}
+		}
+		n.stop()
+		must.Eq(t, 3, covered, must.Sprint("nodes with leases"))
+		must.SliceNotContains(t, names[5:], few.Supporters[0].Name)
+		must.Less(t, 5, len(few.Supporters))
+	})
+}
+
 // TestVotersSurviveLossOfRegion guards against too few voters, and against a zone or region with
 // more of them than necessary.
 func TestVotersSurviveLossOfRegion(t *testing.T) {
