tenure: a shortage of voters is looked into at once

A table of three voters, written by a node that stopped while the store was silent, became known when the store was back; 0.9 s later one of two voters that were left was killed, and no majority was left of voters or supporters (listed).

Cause: the first check for more voters by a node only set the time of the next one, 1 s later.

Fix: a shortage is not waited for; the checks for better balance still are. This makes the window smaller, it does not close it: 0.3 s remain from the store's return to the next table.

--- a/internal/proxy/tenure/table.go
+++ b/internal/proxy/tenure/table.go
@@ -341,7 +341,7 @@
 	}
 	first := lastGrowthCheck.IsZero()
 	*lastGrowthCheck = now
-	if (silent && nodes > len(table.Entries)) || (!first && (tooFew || supportShort || k.unbalanced(table.Entries) || k.supportersOutdated(table))) {
+	if (silent && nodes > len(table.Entries)) || tooFew || supportShort || (!first && (k.unbalanced(table.Entries) || k.supportersOutdated(table))) {
 		return improvement
 	}
 	return noChange
