backends: the direct path to a server is used again once it works

The primary itself was idle (1 of 3 slots busy).

Cause: a node that does not reach a primary uses it through another node. New connections go directly again after 10 s, but those that are in use stay, and on a busy owner of connections all of them are in use. Each operation then takes two round trips between regions more, and the owner's gate lets six run at a time: 6 of 6 were running in 25 of 25 samples, at a node in the primary's own zone, with the server idle. Class: a detour that ends for new work only. While the cut lasted, connections were also tried directly every 10 s, in vain.

Fix: every 2 s the node opens a connection on the direct path. Once that is answered, the connections of the detour are abandoned, as those of the direct path are when it begins; until then the detour stays.

TestIndirectPathEndsWithTheCut fails without the check.

--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -58,6 +58,7 @@
 	ServerUnreachable     Event = "server_unreachable"
 	ServerReachable       Event = "server_reachable"
 	DetourTaken           Event = "detour_taken"
+	DetourEnded           Event = "detour_ended"
 	PeerSilent            Event = "peer_silent"
 	MemberRemoved         Event = "member_removed"
 	TransferDone          Event = "transfer_done"
@@ -107,7 +108,7 @@
 	ConfigurationApplied: StateChange, ConfigurationRefused: StateChange, DirectoryListed: StateChange,
 	ServerChanged: StateChange, ServerGone: StateChange, EntryRefused: StateChange, ServerReborn: StateChange,
 	ZonesEvacuated: StateChange, PrimaryLacksLog: StateChange, ServerUnreachable: StateChange,
-	ServerReachable: StateChange, DetourTaken: StateChange, PeerSilent: StateChange, MemberRemoved: StateChange,
+	ServerReachable: StateChange, DetourTaken: StateChange, DetourEnded: StateChange, PeerSilent: StateChange, MemberRemoved: StateChange,
 	OwnerMoved: StateChange, TrafficTold: StateChange, LinkOpened: StateChange, LinkEnded: StateChange,
 	PrimaryAnnounced: StateChange, PrimaryProved: StateChange, PrimaryDenied: StateChange, FailoverPhase: StateChange,
 	FailoverLease: StateChange, FailoverSurvey: StateChange, FailoverWitnesses: StateChange,
--- a/internal/proxy/backends/health.go
+++ b/internal/proxy/backends/health.go
@@ -82,7 +82,9 @@
 
 func (b *Backends) trim(now time.Time) {
 	b.Servers.Range(func(_, value any) bool {
-		value.(*Server).Pool.TrimIdle(now)
+		target := value.(*Server)
+		target.Pool.TrimIdle(now)
+		b.checkDirectPath(target, now)
 		return true
 	})
 }
--- a/internal/proxy/backends/service.go
+++ b/internal/proxy/backends/service.go
@@ -36,6 +36,8 @@
 	Gate  *admission.Gate
 	// indirectPath is set while the server cannot be reached directly.
 	indirectPath atomic.Pointer[indirectPath]
+	// checkingPath is set while the direct path to the server is checked.
+	checkingPath atomic.Bool
 	// owners ranks the nodes whose connections are used for callers' work. skippedOwner is one of
 	// them that does not reach the server.
 	owners       atomic.Pointer[ranking]
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -63,6 +63,8 @@
 	zones    []string
 	log      *eventlog.Log
 	broken   brokenMechanism
+	// indirectConnections counts the open connections to servers through other nodes.
+	indirectConnections atomic.Int64
 	// written is the event log, if it is kept.
 	written *lockedBuffer
 
@@ -292,20 +294,41 @@
 func (d *simulatedDialer) Dial(
 	ctx context.Context, target upstream.Target,
 ) (upstream.Connection, position.Position, error) {
-	from := d.node
+	from, isIndirect := d.node, false
 	d.fleet.mutex.Lock()
 	node := d.fleet.nodes[fmt.Sprintf("node-%d", d.node)]
 	d.fleet.mutex.Unlock()
-	if node != nil {
+	if node != nil && !target.Direct {
 		if via, indirect := node.IndirectPathTo(target.Server); indirect {
 			_, _ = fmt.Sscanf(via, "node-%d", &from)
+			isIndirect = true
 		}
 	}
 	dialer := &managed.Dialer{
 		Groups: d.fleet.promoter.Groups,
 		Reach:  func(id string) bool { return d.fleet.reaches(from, id) },
 	}
-	return dialer.Dial(ctx, target)
+	connection, at, err := dialer.Dial(ctx, target)
+	if err == nil && isIndirect {
+		d.fleet.indirectConnections.Add(1)
+		return &indirectConnection{Connection: connection, count: &d.fleet.indirectConnections}, at, nil
+	}
+	return connection, at, err
+}
+
+// indirectConnection is a connection through another node, which is counted while it is open.
+type indirectConnection struct {
+	upstream.Connection
+	count  *atomic.Int64
+	closed atomic.Bool
+}
+
+// Close implements upstream.Connection.
+func (c *indirectConnection) Close() {
+	if c.closed.CompareAndSwap(false, true) {
+		c.count.Add(-1)
+	}
+	c.Connection.Close()
 }
 
 // memoryPeers carries requests between the fleet's nodes.
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -379,3 +379,40 @@
 		})
 	}
 }
+
+// TestIndirectPathEndsWithTheCut guards against a node that keeps using a server through another node after
+// it reaches the server again, and against one that leaves the indirect path while it does not.
+func TestIndirectPathEndsWithTheCut(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		fleet := newFleet(5, 0, nothingBroken)
+		time.Sleep(8 * time.Second)
+		primary := fleet.group.Primary().ID()
+		drive := func(duration time.Duration) {
+			fleet.runCaller("c", uint64(time.Now().UnixNano()), duration)
+		}
+		drive(3 * time.Second)
+		for i := range 4 {
+			fleet.sendNoCallers(i)
+		}
+		indirect := func() bool {
+			fleet.mutex.Lock()
+			node := fleet.nodes[fleet.name(4)]
+			fleet.mutex.Unlock()
+			_, found := node.IndirectPathTo(primary)
+			return found
+		}
+		fleet.setCut(4, primary, true)
+		drive(4 * time.Second)
+		early := indirect()
+		drive(15 * time.Second)
+		late := indirect()
+		fleet.setCut(4, primary, false)
+		drive(5 * time.Second)
+		after, open := indirect(), fleet.indirectConnections.Load()
+		fleet.end()
+		must.True(t, early)
+		must.True(t, late)
+		must.False(t, after)
+		must.Zero(t, open, must.Sprint("connections through other nodes"))
+	})
+}
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -190,6 +190,8 @@
 	Service   string
 	Server    string
 	Principal Principal
+	// Direct requests a connection that doesn't lead through another node.
+	Direct bool
 }
 
 // Principal is the identity under which a connection to a server is opened: a tenant's name, or Own
