tenure: a node tries to abandon a generation once a second at most

Found by reading the diff: while a fleet has lost its voters and the store, every node asked 12 others three times a second. At 410 nodes that is 5 KB/s a node, more than half of what control may send. The first attempt stays at once.

--- a/internal/proxy/tenure/abandon.go
+++ b/internal/proxy/tenure/abandon.go
@@ -20,6 +20,9 @@
 	// lostVotersTimeout is how long a majority of the voters must have been silent or without state
 	// before their generation is abandoned. It is longer than a restart.
 	lostVotersTimeout = 3 * time.Second
+	// abandonInterval is the pause between a node's attempts. Each asks many nodes, and all nodes may
+	// have lost the voters.
+	abandonInterval = time.Second
 	// agreementTimeout bounds the wait for the supporters' answers, agreementRetryInterval is the pause
 	// before a question is repeated.
 	agreementTimeout       = 600 * time.Millisecond
@@ -69,9 +72,10 @@
 func (k *Keeper) abandonGeneration(ctx context.Context) {
 	table := k.table()
 	agreed := k.abandoning.generation == table.Generation
-	if agreed && time.Since(k.abandoning.agreedAt) < quorum.AbandonWait {
+	if agreed && time.Since(k.abandoning.agreedAt) < quorum.AbandonWait || time.Since(k.abandonTriedAt) < abandonInterval {
 		return
 	}
+	k.abandonTriedAt = time.Now()
 	alive := k.inquire(ctx, inquiryPeers, time.Now())
 	if !agreed && (!k.votersLost(time.Now()) || !k.createsTable(alive)) {
 		return
--- a/internal/proxy/tenure/keeper.go
+++ b/internal/proxy/tenure/keeper.go
@@ -96,9 +96,10 @@
 	confirmedAt time.Time
 	// supporterAnswers receives the supporters' answers about an abandonment; nil if none are awaited.
 	supporterAnswers chan quorum.Message
-	// abandoning is the last abandonment that the supporters have agreed to. Only the goroutine of
-	// keepTable uses it.
-	abandoning abandonment
+	// abandoning is the last abandonment that the supporters have agreed to, abandonTriedAt the time of
+	// the last attempt. Only the goroutine of keepTable uses them.
+	abandoning     abandonment
+	abandonTriedAt time.Time
 	// tableRevision is the store's revision of the table.
 	tableRevision era.Revision
 	// leasesRequestedAt is when a request last asked for leases, allVotersRequestedAt when a
