tenure: any node abandons a generation if the first does not

Found by reading the diff: only the node that ranks first among those alive abandoned a generation. If it did not reach the store, nobody did, and nothing was served for good. After 1 s any node does; the store's condition and the supporters decide between them.

--- a/internal/proxy/tenure/abandon.go
+++ b/internal/proxy/tenure/abandon.go
@@ -23,6 +23,9 @@
 	// abandonInterval is the pause between a node's attempts. Each asks many nodes, and all nodes may
 	// have lost the voters.
 	abandonInterval = time.Second
+	// abandonPrecedence is how long the node that ranks first may take to abandon a generation before
+	// others do.
+	abandonPrecedence = time.Second
 	// agreementTimeout bounds the wait for the supporters' answers, agreementRetryInterval is the pause
 	// before a question is repeated.
 	agreementTimeout       = 600 * time.Millisecond
@@ -62,10 +65,20 @@
 
 // votersLost reports whether the voters have been unable to decide anything for so long that their
 // generation is abandoned.
-func (k *Keeper) votersLost(now time.Time) bool {
+func (k *Keeper) votersLost(now time.Time) bool { return k.votersLostFor(now) >= 0 }
+
+// votersLostFor returns how long that has been so; it is negative before.
+func (k *Keeper) votersLostFor(now time.Time) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.inoperableFor(now) >= lostVotersTimeout-isolationTimeout
+	return k.inoperableFor(now) - (lostVotersTimeout - isolationTimeout)
+}
+
+// abandons reports whether this node abandons the generation: the one that ranks first among those that
+// are alive, and any after abandonPrecedence, since the first may not reach the store.
+func (k *Keeper) abandons(alive []Peer) bool {
+	lostFor := k.votersLostFor(time.Now())
+	return lostFor >= abandonPrecedence || (lostFor >= 0 && k.createsTable(alive))
 }
 
 // abandonGeneration takes the next step to abandon the generation of the table.
@@ -77,7 +90,7 @@
 	}
 	k.abandonTriedAt = time.Now()
 	alive := k.inquire(ctx, inquiryPeers, time.Now())
-	if !agreed && (!k.votersLost(time.Now()) || !k.createsTable(alive)) {
+	if !agreed && !k.abandons(alive) {
 		return
 	}
 	stored, revision, known := k.readStored(ctx)
--- a/internal/proxy/tenure/abandon_test.go
+++ b/internal/proxy/tenure/abandon_test.go
@@ -64,6 +64,33 @@
 	})
 }
 
+// TestAnyNodeAbandonsGeneration guards against a generation that is not abandoned because the node that ranks
+// first among those that are left does not reach the store.
+func TestAnyNodeAbandonsGeneration(t *testing.T) {
+	bubbletest.Test(t, func(t *testing.T) {
+		n := newNetwork(9)
+		time.Sleep(6 * time.Second)
+		before := n.anyKeeper().table()
+		for _, entry := range before.Entries[:before.Majority()] {
+			n.kill(entry.Name)
+		}
+		for name, k := range n.keepers {
+			if k.createsTable(n.peersOf(name)) {
+				n.store.SetIsolated(name, true)
+			}
+		}
+		time.Sleep(fleetRecovery)
+		stuck := 0
+		for _, k := range n.keepers {
+			if k.table().Generation == before.Generation {
+				stuck++
+			}
+		}
+		n.stop()
+		must.Zero(t, stuck, must.Sprint("nodes with the generation of the lost voters"))
+	})
+}
+
 // TestVotersLostAndRestarted guards against nodes that never have leases again after a voter is gone for good
 // while others have restarted: those that are left are too few to tell the restarted ones what was decided, and
 // the one that is gone might know.
