--- a/internal/proxy/quorum/quorum.go
+++ b/internal/proxy/quorum/quorum.go
@@ -22,7 +22,8 @@
 // records of a majority of voters, itself not counted, and assumes that unknown leases are
 // held for LeaseDuration. If a majority has lost its state, or a voter is gone permanently, the
 // table moves to its next generation. A majority of the old generation is sealed first, so
-// that nothing is decided in two generations.
+// that nothing is decided in two generations. If a majority can't be sealed because voters are
+// gone for good, the generation is abandoned (Supporter).
 package quorum
 
 import (
--- a/internal/proxy/quorum/support.go
+++ b/internal/proxy/quorum/support.go
@@ -1,7 +1,6 @@
 package quorum
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -128,12 +127,6 @@
 	v.support = support{sequence: max(v.support.sequence, FirstSequence(v.incarnation)), confirmedAt: map[string]time.Time{}}
 }
 
-// Confirmations returns the names of the supporters that confirm the generation, for logs.
-func (v *Voter) Confirmations(now time.Time) []string {
-	names := slices.Sorted(maps.Keys(v.support.confirmedAt))
-	return slices.DeleteFunc(names, func(name string) bool { return now.Sub(v.support.confirmedAt[name]) >= supportDuration })
-}
-
 // Supporter is a node's part in supporting generations, whether it is a voter or not. It is a state
 // machine and not safe for concurrent use.
 type Supporter struct {
--- a/internal/proxy/tenure/abandon_test.go
+++ b/internal/proxy/tenure/abandon_test.go
@@ -39,6 +39,17 @@
 	return covered
 }
 
+// stuckIn returns how many nodes have the generation of a table still, or no majority of voters.
+func (n *network) stuckIn(table *quorum.Table) int {
+	stuck := 0
+	for _, k := range n.keepers {
+		if _, noMajority := k.VoterStatus(); noMajority || k.table().Generation == table.Generation {
+			stuck++
+		}
+	}
+	return stuck
+}
+
 // fleetRecovery is the time after the loss of machines within which callers must be served again.
 const fleetRecovery = 12 * time.Second
 
@@ -53,12 +64,7 @@
 			n.kill(entry.Name)
 		}
 		time.Sleep(fleetRecovery)
-		stuck := 0
-		for _, k := range n.keepers {
-			if _, noMajority := k.VoterStatus(); noMajority || k.table().Generation == before.Generation {
-				stuck++
-			}
-		}
+		stuck := n.stuckIn(before)
 		n.stop()
 		must.Zero(t, stuck, must.Sprint("nodes without a majority of voters"))
 	})
@@ -80,14 +86,9 @@
 			}
 		}
 		time.Sleep(fleetRecovery)
-		stuck := 0
-		for _, k := range n.keepers {
-			if k.table().Generation == before.Generation {
-				stuck++
-			}
-		}
+		stuck := n.stuckIn(before)
 		n.stop()
-		must.Zero(t, stuck, must.Sprint("nodes with the generation of the lost voters"))
+		must.Zero(t, stuck, must.Sprint("nodes without a majority of voters"))
 	})
 }
 
@@ -110,12 +111,7 @@
 				}
 			}
 			time.Sleep(fleetRecovery)
-			stuck := 0
-			for _, k := range n.keepers {
-				if _, noMajority := k.VoterStatus(); noMajority || k.table().Generation == before.Generation {
-					stuck++
-				}
-			}
+			stuck := n.stuckIn(before)
 			n.stop()
 			must.Zero(t, stuck, must.Sprint(name, ": nodes without a majority of voters"))
 		})
@@ -133,12 +129,7 @@
 			n.kill(name)
 		}
 		time.Sleep(fleetRecovery)
-		stuck := 0
-		for _, k := range n.keepers {
-			if _, noMajority := k.VoterStatus(); noMajority || k.table().Generation == before.Generation {
-				stuck++
-			}
-		}
+		stuck := n.stuckIn(before)
 		n.stop()
 		must.Zero(t, stuck, must.Sprint("nodes without a majority of voters"))
 	})
