--- a/internal/proxy/quorum/model_test.go
+++ b/internal/proxy/quorum/model_test.go
@@ -714,7 +714,7 @@
 // overrides it.
 func modelRuns(t *testing.T) uint64 {
 	t.Helper()
-	const defaultRuns = 150
+	const defaultRuns = 220
 	return propertytest.Runs(t, "DEWKNOT_QUORUM_PLAYS", defaultRuns)
 }
 
