--- a/review/standin/clients.go
+++ b/review/standin/clients.go
@@ -21,8 +21,10 @@
 type clients struct {
 	mu    sync.Mutex
 	acked []acked
-	stop  chan struct{}
-	done  sync.WaitGroup
+	// sent are the times of all requests.
+	sent []time.Time
+	stop chan struct{}
+	done sync.WaitGroup
 }
 
 func startClients(f *fleet, database string, count int) *clients {
@@ -53,6 +55,23 @@
 	}
 }
 
+// served returns how many requests were sent between two times, and how many of them were served.
+func (c *clients) served(from, to time.Time) (sent, served int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, at := range c.sent {
+		if !at.Before(from) && at.Before(to) {
+			sent++
+		}
+	}
+	for _, a := range c.acked {
+		if !a.sent.Before(from) && a.sent.Before(to) {
+			served++
+		}
+	}
+	return sent, served
+}
+
 // session writes until the connection ends, an answer takes longer than 2 s, or the clients stop.
 func (c *clients) session(n *node, database string, client int, written *int) {
 	connection, err := net.DialTimeout("tcp4", n.front, time.Second)
@@ -70,6 +89,9 @@
 		*written++
 		id := fmt.Sprintf("c%02dw%06d", client, *written)
 		sent := time.Now()
+		c.mu.Lock()
+		c.sent = append(c.sent, sent)
+		c.mu.Unlock()
 		record.add("sent", fmt.Sprintf("%s to %s", id, n.name))
 		_ = connection.SetDeadline(sent.Add(2 * time.Second))
 		_, _ = fmt.Fprintf(connection, "QUERY %s WRITE t%d d%s\r\n", id, client, id)
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,11 @@
 	mu    sync.Mutex
 	// lateFor, if not 0, is how much later a call is carried out. Such a call gets no answer.
 	lateFor time.Duration
+	// silent is set while calls get no answer and aren't carried out.
+	silent bool
+	// fenced makes the platform refuse tokens below the highest that it has seen.
+	fenced  bool
+	highest uint64
 	orders  []order
 }
 
@@ -48,9 +53,23 @@
 	received.token, _ = strconv.ParseUint(r.Header.Get("Dewknot-Fencing-Token"), 10, 64)
 	c.mu.Lock()
 	c.orders = append(c.orders, received)
-	lateFor := c.lateFor
+	lateFor, silent := c.lateFor, c.silent
+	lower := c.fenced && received.token < c.highest
+	if !silent {
+		c.highest = max(c.highest, received.token)
+	}
 	c.mu.Unlock()
 	text := fmt.Sprintf("%s by %s, token %d", received.ID, received.holder, received.token)
+	if silent {
+		record.add("order", text+": no answer, not carried out")
+		<-r.Context().Done()
+		return
+	}
+	if lower {
+		record.add("order", text+": 409, a higher token was seen")
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
 	if lateFor > 0 {
 		record.add("order", text+": no answer, to be carried out later")
 		time.AfterFunc(lateFor, func() {
@@ -68,6 +87,22 @@
 	record.add("order", text+": 200")
 }
 
+func (c *cloud) beSilent(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = silent
+}
+
+// lastHolder returns the name of the node that called last, or "".
+func (c *cloud) lastHolder() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.orders) == 0 {
+		return ""
+	}
+	return c.orders[len(c.orders)-1].holder
+}
+
 func (c *cloud) beLate(by time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,6 +155,7 @@
 
 func play(name, root, logs string, trouble bool) (bool, error) {
 	scenario, found := scenarios[name]
+	synchronous := name == "held-replicas"
 	if !found {
 		return false, fmt.Errorf("there is no case %q", name)
 	}
@@ -134,8 +170,9 @@
 	}
 	w := &world{store: newStore()}
 	w.group = newGroup(serviceName, w.store)
-	w.cloud = &cloud{group: w.group}
-	w.putConfiguration()
+	w.group.synchronous = synchronous
+	w.cloud = &cloud{group: w.group, fenced: synchronous}
+	w.putConfiguration(synchronous)
 	for _, s := range []struct {
 		id, zone string
 		primary  bool
@@ -153,7 +190,7 @@
 	if err != nil {
 		return false, err
 	}
-	w.fleet, err = newFleet(root, dir, storeAddress, cloudAddress, []string{"puget-a", "puget-a", "salish-a", "salish-a", "columbia-a", "columbia-a"})
+	w.fleet, err = newFleet(root, dir, storeAddress, cloudAddress, synchronous, []string{"puget-a", "puget-a", "salish-a", "salish-a", "columbia-a", "columbia-a"})
 	if err != nil {
 		return false, err
 	}
@@ -171,6 +208,9 @@
 		return false, fmt.Errorf("the clients weren't served")
 	}
 	time.Sleep(3 * time.Second)
+	if synchronous {
+		return playRecovery(w, callers, trouble)
+	}
 	if trouble {
 		if err := scenario(w); err != nil {
 			return false, err
@@ -196,18 +236,63 @@
 }
 
 // putConfiguration writes the operator's configuration, like that of soundline-charts.
-func (w *world) putConfiguration() {
+func (w *world) putConfiguration(synchronous bool) {
+	replicas := 0
+	if synchronous {
+		replicas = 1
+	}
 	w.store.put("config", "main", map[string]any{
 		"version": 3,
 		"routes": []map[string]any{{
 			"name": "r-charts1", "host": database, "service": serviceName, "kind": "primary", "timeout_ms": 800,
 			"target_latency_ms": 400, "max_staleness_ms": 1500, "priority": 1,
 		}},
-		"services": []map[string]any{{"name": serviceName, "max_connections": 23, "sync_replicas": 0}},
+		"services": []map[string]any{{"name": serviceName, "max_connections": 23, "sync_replicas": replicas}},
 		"limits":   map[string]any{"tx_idle_ms": 5000},
 	})
 }
 
+// recovery is the bound recovery_s, measuring how long requests are counted after it.
+const (
+	recovery  = 12 * time.Second
+	measuring = 8 * time.Second
+	downTime  = 1300 * time.Millisecond
+)
+
+// playRecovery plays a case that ends with the final fault: all processes are killed and started
+// again. It reports whether the rule RECOVER was broken.
+func playRecovery(w *world, callers *clients, trouble bool) (bool, error) {
+	began := time.Now()
+	time.Sleep(8 * time.Second)
+	if trouble {
+		if err := scenarios["held-replicas"](w); err != nil {
+			return false, err
+		}
+	}
+	final := time.Now()
+	record.add("fault", "all processes are killed")
+	for _, n := range w.fleet.nodes {
+		w.fleet.kill(n)
+	}
+	time.Sleep(downTime)
+	for _, n := range w.fleet.nodes {
+		if err := w.fleet.restart(n); err != nil {
+			return false, err
+		}
+	}
+	back := time.Now()
+	time.Sleep(recovery + measuring)
+	sent, served := callers.served(began, final)
+	sentAfter, servedAfter := callers.served(back.Add(recovery), back.Add(recovery+measuring-2*time.Second))
+	text := fmt.Sprintf("before the final fault %d of %d requests were served, %d of %d of those sent later than %v after the machines were back", served, sent, servedAfter, sentAfter, recovery)
+	record.add("result", text)
+	fmt.Println(text)
+	if 4*served < sent || sentAfter == 0 {
+		return false, fmt.Errorf("too little was served or sent: %s", text)
+	}
+	return 4*servedAfter < sentAfter, nil
+}
+
 // judge reports whether the rule ONE was broken: after a promote took effect, another server committed
 // a write that reached it later, and the client was told that it is done.
 func (w *world) judge(callers *clients) bool {
--- a/review/standin/nodes.go
+++ b/review/standin/nodes.go
@@ -18,6 +18,8 @@
 	name, zone, ip string
 	front, ready   string
 	settings       string
+	template       string
+	fields         map[string]any
 	process        *exec.Cmd
 	ended          chan struct{}
 }
@@ -33,7 +35,7 @@
 var zones = map[string]string{"puget-a": "puget", "salish-a": "salish", "columbia-a": "columbia"}
 
 // newFleet reads the deploy file and writes the settings of some nodes.
-func newFleet(root, dir, platform, cloud string, zonesOfNodes []string) (*fleet, error) {
+func newFleet(root, dir, platform, cloud string, fenced bool, zonesOfNodes []string) (*fleet, error) {
 	deploy, err := os.ReadFile(filepath.Join(root, "deploy", "system.toml"))
 	if err != nil {
 		return nil, err
@@ -44,7 +46,7 @@
 		return nil, err
 	}
 	f := &fleet{root: root, dir: dir, words: strings.Fields(run)}
-	ports, network, err := freeAddresses(len(zonesOfNodes))
+	ports, network, err := freeAddresses(len(zonesOfNodes) + 1)
 	if err != nil {
 		return nil, err
 	}
@@ -57,7 +59,7 @@
 	for i, zone := range zonesOfNodes {
 		n := &node{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: fmt.Sprintf("%s.%d", network, i+1)}
 		n.front, n.ready = fmt.Sprintf("%s:%d", n.ip, ports[0]), fmt.Sprintf("%s:%d", n.ip, ports[1])
-		n.settings = filepath.Join(dir, n.name+".toml")
+		n.settings, n.fields = filepath.Join(dir, n.name+".toml"), nil
 		fields := map[string]any{
 			"node": n.name, "zone": zone, "region": zones[zone], "ip": n.ip, "zones": zones, "seeds": seeds, "bootstrap": true,
 			"listen":         map[string]any{"front": n.front, "ready": n.ready, "control": fmt.Sprintf("%s:%d", n.ip, ports[2])},
@@ -66,10 +68,11 @@
 			"platform":       map[string]any{"address": platform},
 			"cloud":          map[string]any{"address": cloud},
 			"bounds": map[string]any{
-				"drain_ms": 7000, "grace_s": 6, "config_apply_ms": 3000, "require_fence": false,
+				"drain_ms": 7000, "grace_s": 6, "config_apply_ms": 3000, "require_fence": fenced,
 			},
 		}
-		if err := os.WriteFile(n.settings, []byte(fill(string(content), fields)), 0o600); err != nil {
+		n.fields, n.template = fields, string(content)
+		if err := n.writeSettings(); err != nil {
 			return nil, err
 		}
 		f.nodes = append(f.nodes, n)
@@ -77,6 +80,62 @@
 	return f, nil
 }
 
+func (n *node) writeSettings() error {
+	return os.WriteFile(n.settings, []byte(fill(n.template, n.fields)), 0o600)
+}
+
+// kill ends a node's process.
+func (f *fleet) kill(n *node) {
+	record.add("signal", "kill to "+n.name)
+	_ = n.process.Process.Kill()
+	<-n.ended
+}
+
+// restart starts a node's process again. It isn't the first start of the system any more.
+func (f *fleet) restart(n *node) error {
+	n.fields["bootstrap"] = false
+	if err := n.writeSettings(); err != nil {
+		return err
+	}
+	return f.startNode(n)
+}
+
+func (f *fleet) named(name string) *node {
+	for _, n := range f.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// replace starts a node on a new machine, at another address, in place of one that is gone for good.
+func (f *fleet) replace(gone *node) error {
+	number := len(f.nodes) + 1
+	network := gone.ip[:strings.LastIndex(gone.ip, ".")]
+	move := func(address string) string {
+		_, port, _ := net.SplitHostPort(address)
+		return fmt.Sprintf("%s.%d:%s", network, number, port)
+	}
+	n := &node{
+		name: fmt.Sprintf("front-%s-%d", gone.zone, number), zone: gone.zone, ip: fmt.Sprintf("%s.%d", network, number),
+		front: move(gone.front), ready: move(gone.ready), template: gone.template, fields: map[string]any{},
+	}
+	n.settings = filepath.Join(f.dir, n.name+".toml")
+	for key, field := range gone.fields {
+		n.fields[key] = field
+	}
+	listen := gone.fields["listen"].(map[string]any)
+	n.fields["node"], n.fields["ip"] = n.name, n.ip
+	n.fields["listen"] = map[string]any{"front": n.front, "ready": n.ready, "control": move(listen["control"].(string))}
+	for i := range f.nodes {
+		if f.nodes[i] == gone {
+			f.nodes[i] = n
+		}
+	}
+	return f.restart(n)
+}
+
 // value returns the text of a key of the deploy file.
 func value(deploy, key string) string {
 	for _, line := range strings.Split(deploy, "\n") {
@@ -149,7 +208,7 @@
 // stop ends all processes.
 func (f *fleet) stop() {
 	for _, n := range f.nodes {
-		if n.process != nil {
+		if n.process != nil && n.ended != nil {
 			_ = n.process.Process.Kill()
 			<-n.ended
 		}
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -1,10 +1,14 @@
 package main
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // scenarios bring the disruption of a case about.
 var scenarios = map[string]func(*world) error{
-	"late-order": lateOrder,
+	"late-order":    lateOrder,
+	"held-replicas": heldReplicas,
 }
 
 const (
@@ -32,3 +36,28 @@
 	time.Sleep(9 * time.Second)
 	return nil
 }
+
+// heldReplicas: the primary goes dark for 3 s while the platform answers no promotion. The node that
+// changes the primary has told the replicas to pause. Its machine is removed for good, and a new one
+// takes its place.
+func heldReplicas(w *world) error {
+	primary := w.group.servers[primaryID]
+	record.add("fault", "the platform answers no promotions")
+	w.cloud.beSilent(true)
+	w.group.goDark(primary, 3*time.Second)
+	time.Sleep(500 * time.Millisecond)
+	holder := w.fleet.named(w.cloud.lastHolder())
+	if holder == nil {
+		return fmt.Errorf("no node ordered a promotion")
+	}
+	record.add("fault", "the machine of "+holder.name+" is removed for good")
+	w.fleet.kill(holder)
+	time.Sleep(time.Second)
+	record.add("fault", "the platform answers promotions again")
+	w.cloud.beSilent(false)
+	if err := w.fleet.replace(holder); err != nil {
+		return err
+	}
+	time.Sleep(4 * time.Second)
+	return nil
+}
--- a/review/standin/servers.go
+++ b/review/standin/servers.go
@@ -29,6 +29,8 @@
 	log     []commit
 	paused  bool
 	delay   time.Duration
+	// dark is set while nothing reaches the server and it reaches nobody.
+	dark bool
 }
 
 // takeover is a promote that took effect.
@@ -51,6 +53,8 @@
 	takeovers []takeover
 	ran       map[string]ranCommit
 	store     *store
+	// synchronous makes the answer to a commit come once a replica has received it.
+	synchronous bool
 }
 
 // ranCommit is a write that a server ran.
@@ -228,7 +232,7 @@
 			return
 		}
 		leader := g.leader
-		if s != leader && !s.primary && leader.alive && leader.primary && !s.paused {
+		if s != leader && !s.primary && leader.alive && leader.primary && !leader.dark && !s.paused {
 			for len(s.log) < len(leader.log) {
 				next := leader.log[len(s.log)]
 				if time.Since(next.at) < s.delay {
@@ -249,9 +253,12 @@
 			return
 		}
 		g.mu.Lock()
+		dark := s.dark
 		s.connections[connection] = struct{}{}
 		g.mu.Unlock()
-		go g.serve(s, connection)
+		if !dark {
+			go g.serve(s, connection)
+		}
 	}
 }
 
@@ -290,17 +297,84 @@
 		if err != nil {
 			return
 		}
+		if g.isDark(s, connection) {
+			return
+		}
 		words := strings.SplitN(strings.TrimRight(line, "\r\n"), " ", 3)
 		if words[0] != "QUERY" || len(words) < 3 {
 			return
 		}
 		answer := g.run(s, state, words[1], words[2])
+		if !g.awaitReplica(s, connection, words[1]) {
+			return
+		}
 		if _, err := fmt.Fprintf(connection, "%sREADY %s %s\r\n", answer, state.letter(), g.position(s)); err != nil {
 			return
 		}
 	}
 }
 
+// goDark makes nothing reach a server for a while. What was sent to it meanwhile is lost.
+func (g *group) goDark(s *server, duration time.Duration) {
+	g.mu.Lock()
+	s.dark = true
+	g.mu.Unlock()
+	record.add("fault", "server "+s.id+" goes dark")
+	time.Sleep(duration)
+	g.mu.Lock()
+	s.dark = false
+	connections := s.connections
+	s.connections = map[net.Conn]struct{}{}
+	g.mu.Unlock()
+	for connection := range connections {
+		_ = connection.Close()
+	}
+	record.add("fault", "server "+s.id+" is reached again")
+}
+
+// isDark reports whether a message on a connection is lost because the server is dark. It waits until
+// the connection is closed.
+func (g *group) isDark(s *server, connection net.Conn) bool {
+	g.mu.Lock()
+	dark := s.dark
+	g.mu.Unlock()
+	for dark {
+		time.Sleep(10 * time.Millisecond)
+		g.mu.Lock()
+		_, dark = s.connections[connection]
+		g.mu.Unlock()
+		if !dark {
+			return true
+		}
+	}
+	return false
+}
+
+// awaitReplica waits until a replica has received the commit of a request, if there is one. It reports
+// false if the connection has been closed.
+func (g *group) awaitReplica(s *server, connection net.Conn, id string) bool {
+	for {
+		g.mu.Lock()
+		ran, found := g.ran[id]
+		_, open := s.connections[connection]
+		received := !g.synchronous || !found || ran.server != s.id
+		for _, replica := range g.servers {
+			if !received && replica != s && replica.alive && len(replica.log) > 0 {
+				last := replica.log[len(replica.log)-1]
+				received = last.term > ran.commit.term || (last.term == ran.commit.term && last.number >= ran.commit.number)
+			}
+		}
+		g.mu.Unlock()
+		if received {
+			return open
+		}
+		if !open {
+			return false
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
 func (c *connectionState) letter() string {
 	switch {
 	case c.failed:
@@ -399,9 +473,15 @@
 	defer g.mu.Unlock()
 	switch words[0] {
 	case "PAUSE":
-		s.paused = !s.primary
+		if !s.primary && !s.paused {
+			s.paused = true
+			record.add("server", s.id+" is told to pause receiving")
+		}
 	case "RESUME":
-		s.paused = false
+		if s.paused {
+			s.paused = false
+			record.add("server", s.id+" is told to resume receiving")
+		}
 	}
 	role := "replica"
 	if s.primary {
