--- /dev/null
+++ b/internal/proxy/upstream/repeated_test.go
@@ -0,0 +1,197 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"dewknot/internal/base/position"
+	_ "dewknot/internal/base/propertytest" // fixes the seed
+	"dewknot/internal/proxy/command"
+)
+
+// repeatingServer is a server that sends answers a second time, later, on the same connection.
+type repeatingServer struct {
+	// repeats draws the index of the earlier answer that is sent again before the next one, or -1.
+	repeats func(earlier int) int
+	// refuses reports whether a statement is answered with Busy, and does not run.
+	refuses func() bool
+	offset  uint64
+	signed  int
+	// ran counts how often each request ran.
+	ran         map[string]int
+	connections int
+}
+
+func (s *repeatingServer) Dial(context.Context, Target) (Connection, position.Position, error) {
+	s.connections++
+	return &repeatingConnection{server: s}, position.Position{}, nil
+}
+
+type repeatingConnection struct {
+	server *repeatingServer
+	given  []Result
+	queue  []Result
+	state  TransactionState
+}
+
+func (c *repeatingConnection) Send(operations []Operation, _ time.Time) error {
+	for i := range operations {
+		c.queue = append(c.queue, c.run(&operations[i]))
+	}
+	return nil
+}
+
+func (c *repeatingConnection) run(operation *Operation) Result {
+	s := c.server
+	s.offset++
+	result := Result{Position: position.Position{Term: 1, Offset: s.offset}}
+	switch operation.Kind {
+	case Begin, BeginReadOnly:
+		c.state = InTransaction
+	case Rollback:
+		c.state = Idle
+	case RunStatement, Commit:
+		if s.refuses() {
+			result.Outcome = Busy
+			break
+		}
+		if operation.Kind == Commit {
+			c.state = Idle
+		}
+		s.ran[operation.RequestID]++
+		s.signed++
+		result.Signature = fmt.Sprintf("%s#%d", operation.RequestID, s.signed)
+		result.Rows = [][]byte{[]byte(operation.RequestID)}
+	case ReportStatus:
+		result.Status = &Status{Received: result.Position}
+		result.Rows = [][]byte{[]byte("status")}
+	default:
+	}
+	result.State = c.state
+	return result
+}
+
+func (c *repeatingConnection) Receive(OperationKind, time.Time) (Result, error) {
+	if again := c.server.repeats(len(c.given)); again >= 0 {
+		return c.given[again], nil
+	}
+	if len(c.queue) == 0 {
+		return Result{}, os.ErrDeadlineExceeded
+	}
+	result := c.queue[0]
+	c.queue = c.queue[1:]
+	c.given = append(c.given, result)
+	return result, nil
+}
+
+func (c *repeatingConnection) Alive() bool { return true }
+
+func (c *repeatingConnection) Close() {}
+
+func newRepeatingServer(t *rapid.T) *repeatingServer {
+	return &repeatingServer{
+		repeats: func(earlier int) int {
+			if earlier == 0 || rapid.IntRange(0, 3).Draw(t, "repeats") > 0 {
+				return -1
+			}
+			return rapid.IntRange(max(0, earlier-8), earlier-1).Draw(t, "earlier answer")
+		},
+		refuses: func() bool { return rapid.IntRange(0, 4).Draw(t, "refuses") == 0 },
+		ran:     map[string]int{},
+	}
+}
+
+// checkAnswer checks the answer to a request that is sent once.
+func checkAnswer(t *rapid.T, server *repeatingServer, id string, result *Result) {
+	switch {
+	case result.Outcome == Succeeded:
+		must.Eq(t, 1, server.ran[id], must.Sprintf("request %s", id))
+		must.StrHasPrefix(t, id+"#", result.Signature)
+		must.Eq(t, [][]byte{[]byte(id)}, result.Rows)
+	case result.Outcome.NotRun():
+		must.Eq(t, 0, server.ran[id], must.Sprintf("request %s was answered with %s", id, result.Outcome))
+	}
+}
+
+// TestRepeatedAnswerIsNotTakenForTheNext: a server that sends an answer again later must not cause
+// a request to be answered with the rows, the signature or the refusal of an earlier one.
+func TestRepeatedAnswerIsNotTakenForTheNext(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		server := newRepeatingServer(t)
+		pool := NewPool(server, Target{}, 1, NewStats())
+		for i := range rapid.IntRange(2, 12).Draw(t, "requests") {
+			lease, err := pool.Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			id := fmt.Sprintf("r%d", i)
+			statement := &command.Statement{RequestID: id}
+			values := map[string]string{}
+			if rapid.Bool().Draw(t, "has a value") {
+				values["v"] = id
+			}
+			run := Operation{Kind: RunStatement, RequestID: id, Statement: statement}
+			inTransaction := rapid.Bool().Draw(t, "in a transaction")
+			operations := lease.Adapt(values, statement)
+			if inTransaction {
+				operations = append(operations, Operation{Kind: Begin}, run, Operation{Kind: Rollback})
+			} else {
+				operations = append(operations, run)
+			}
+			batch := lease.Run(operations, time.Now().Add(time.Second))
+			if batch.Err != nil {
+				lease.Discard()
+				continue
+			}
+			last := batch.Last()
+			if inTransaction {
+				checkAnswer(t, server, id, &batch.Results[len(batch.Results)-2])
+			} else {
+				checkAnswer(t, server, id, last)
+			}
+			lease.Settle(last)
+		}
+	})
+}
+
+// TestRepeatedAnswerProvesNothing: an answer to an earlier status request or BEGIN must not be taken
+// for a later one, which would show an old position as the current one.
+func TestRepeatedAnswerProvesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		server := newRepeatingServer(t)
+		// At most one answer is repeated for each request.
+		repeats, left := server.repeats, 0
+		server.repeats = func(earlier int) int {
+			if left == 0 {
+				return -1
+			}
+			again := repeats(earlier)
+			if again >= 0 {
+				left--
+			}
+			return again
+		}
+		pool := NewPool(server, Target{}, 1, NewStats())
+		for range rapid.IntRange(2, 10).Draw(t, "requests") {
+			left = 1
+			lease, err := pool.Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			operations := []Operation{{Kind: ReportStatus}}
+			if rapid.Bool().Draw(t, "begins") {
+				operations = []Operation{{Kind: Begin}, {Kind: Rollback}}
+			}
+			before := server.offset
+			batch := lease.Run(operations, time.Now().Add(time.Second))
+			if batch.Err != nil {
+				lease.Discard()
+				continue
+			}
+			must.Greater(t, before, batch.First().Position.Offset)
+			lease.Settle(batch.Last())
+		}
+	})
+}
