upstream: names of prepared statements are digests of their shapes

Cause: ServerName appended the shape, which callers choose and which may hold blanks, to r_ or w_. PREPARE "r_q1 READ s" READ "q1 READ s" prepares r_q1 with another shape, over the one of another caller; EXEC of it takes READ for the thing.

Change: the name is a digest of 128 bits of the shape, one field whatever the shape holds, and short. The stand-in servers keep statements by the name that was sent, as real ones do; they derived the shape from the name before.

--- a/internal/lab/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -376,10 +376,11 @@
 	statement := operation.Statement
 	text := statement.Text
 	if statement.Prepared {
-		definition, found := s.prepared[upstream.ServerName(statement.Definition)]
-		if !found || definition != statement.Definition {
+		definition, found := s.preparedStatement(operation)
+		if !found {
 			return s.result(upstream.StatementMissing)
 		}
+		statement.Definition, statement.Writes = definition, definition.Writes
 		text = "read " + statement.Arguments
 		if statement.Writes {
 			text = "write " + statement.Arguments
@@ -413,6 +414,18 @@
 	return result
 }
 
+// preparedStatement returns the statement that an operation executes. Over the line protocol, the
+// operation has only its name.
+func (s *Session) preparedStatement(operation *upstream.Operation) (command.PreparedStatement, bool) {
+	if operation.Name != "" {
+		definition, found := s.prepared[operation.Name]
+		return definition, found
+	}
+	wanted := operation.Statement.Definition
+	definition, found := s.prepared[upstream.ServerName(wanted)]
+	return definition, found && definition == wanted
+}
+
 // writable reports whether a write is allowed.
 func (s *Session) writable(readWrite bool) bool {
 	return s.server.isPrimary() && (s.state != upstream.InTransaction || readWrite)
--- a/internal/proxy/upstream/batch.go
+++ b/internal/proxy/upstream/batch.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
 	"errors"
 	"os"
 	"time"
@@ -182,11 +184,18 @@
 	return operations
 }
 
+// nameBytes is the length of the digests in the names of prepared statements. It makes collisions
+// infeasible, also between shapes that callers choose.
+const nameBytes = 16
+
 // ServerName returns the name under which a statement is prepared on server connections. It depends
-// only on the statement, not on the caller's name for it.
+// only on the statement, not on the caller's name for it, and is a single field whatever the shape
+// contains.
 func ServerName(definition command.PreparedStatement) string {
+	digest := sha256.Sum256([]byte(definition.Shape))
+	prefix := "r_"
 	if definition.Writes {
-		return "w_" + definition.Shape
+		prefix = "w_"
 	}
-	return "r_" + definition.Shape
+	return prefix + base64.RawURLEncoding.EncodeToString(digest[:nameBytes])
 }
