upstream: answers that cannot belong to their requests are counted and logged

Logs and metrics could not tell a repeated answer from any other: attempt_failed shows lost answers only. A connection now remembers the signatures it has received and the transaction state, and notes an answer whose signature is known (server_repeated_answers_total) or whose kind, signature, rows or state cannot be one to the request (answer_mismatched with the reason, server_mismatched_answers_total).

--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -89,6 +89,7 @@
 	StepDown              Event = "step_down"
 	NodeIsolated          Event = "node_isolated"
 	AnswerUnproved        Event = "answer_unproved"
+	AnswerMismatched      Event = "answer_mismatched"
 	MessageLost           Event = "message_lost"
 	QuotaShare            Event = "quota_share"
 	QuotaHeldBack         Event = "quota_held_back"
@@ -117,7 +118,7 @@
 	VotersRefused: StateChange, EraNotEnded: StateChange, VoterRecovered: StateChange, StepDown: StateChange,
 	NodeIsolated: StateChange, NodeDegraded: StateChange, TransferDone: StateChange, TransferInterrupted: StateChange,
 	MessageLost: StateChange, QuotaShare: StateChange, QuotaHeldBack: StateChange, RoomShort: StateChange,
-	RoomRegained: StateChange, AnswerUnproved: Failure, SessionRefused: Failure,
+	RoomRegained: StateChange, AnswerUnproved: Failure, AnswerMismatched: Failure, SessionRefused: Failure,
 	RequestServed: Success, RequestFailed: Failure, AttemptFailed: Failure,
 	TransactionRolledBack: Failure, LinesDropped: StateChange,
 }
--- a/internal/proxy/backends/metrics.go
+++ b/internal/proxy/backends/metrics.go
@@ -81,6 +81,8 @@
 	limit       *prometheus.Desc
 	remote      *prometheus.Desc
 	lag         *prometheus.Desc
+	repeated    *prometheus.Desc
+	mismatched  *prometheus.Desc
 	proofAge    *prometheus.Desc
 }
 
@@ -97,6 +99,8 @@
 		limit:       desc("statements_limit", "Statements that this node lets run on the server at a time."),
 		remote:      desc("statements_through_owner", "Statements of this node that run through the server's owner."),
 		lag:         desc("lag_seconds", "How far behind the primary this node expects the server to be."),
+		repeated:    desc("repeated_answers_total", "Answers of the server that were dropped, since nothing had asked for them."),
+		mismatched:  desc("mismatched_answers_total", "Answers of the server that did not match their requests; the connection was closed."),
 		proofAge: prometheus.NewDesc(prometheus.BuildFQName(network.MetricsNamespace, "service", "proof_age_seconds"),
 			"Age of the newest position that the primary is known to have had, from which reads on replicas get their floors.", []string{"service"}, nil),
 	}
@@ -104,7 +108,7 @@
 
 // Describe implements prometheus.Collector.
 func (c *serverCollector) Describe(out chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{c.connections, c.running, c.waiting, c.limit, c.remote, c.lag, c.proofAge} {
+	for _, desc := range []*prometheus.Desc{c.connections, c.running, c.waiting, c.limit, c.remote, c.lag, c.repeated, c.mismatched, c.proofAge} {
 		out <- desc
 	}
 }
@@ -121,6 +125,9 @@
 		} {
 			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, s.service, s.ID)
 		}
+		for desc, value := range map[*prometheus.Desc]uint64{c.repeated: s.Stats.Repeated(), c.mismatched: s.Stats.Mismatched()} {
+			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(value), s.service, s.ID)
+		}
 		return true
 	})
 	c.backends.services.Range(func(_, value any) bool {
--- a/internal/proxy/backends/service.go
+++ b/internal/proxy/backends/service.go
@@ -172,6 +172,10 @@
 		}
 		created.Gate.UseConnections(poolConnections{created.Pool})
 		created.Pool.OnFree(created.Gate.Wake)
+		created.Pool.OnMismatch(func(err *upstream.MismatchError) {
+			b.log.Write(eventlog.AnswerMismatched, zap.String("service", created.service),
+				zap.String("server", created.ID), zap.String("reason", err.Reason))
+		})
 		b.Servers.Store(entry.ID, created)
 	} else if entry.Leaving() {
 		found.(*Server).Pool.Trim(time.Now())
--- a/internal/proxy/upstream/batch.go
+++ b/internal/proxy/upstream/batch.go
@@ -39,6 +39,12 @@
 // TimedOut reports whether answers are missing because the deadline passed.
 func (b *Batch) TimedOut() bool { return errors.Is(b.Err, os.ErrDeadlineExceeded) }
 
+// mismatched reports whether an answer did not match its operation.
+func (b *Batch) mismatched() bool {
+	var mismatch *MismatchError
+	return errors.As(b.Err, &mismatch)
+}
+
 // Run sends operations and waits for all their answers.
 func (l *Lease) Run(operations []Operation, deadline time.Time) Batch {
 	batch := Batch{SentAt: time.Now(), Results: make([]Result, 0, len(operations))}
@@ -48,10 +54,10 @@
 		return batch
 	}
 	for i := range operations {
-		result, err := l.Receive(operations[i].Kind, deadline)
+		result, err := l.receive(&operations[i], deadline)
 		if err != nil {
 			batch.Err = err
-			if !batch.TimedOut() {
+			if !batch.TimedOut() && !batch.mismatched() {
 				l.recordBroken()
 			}
 			return batch
--- a/internal/proxy/upstream/lease.go
+++ b/internal/proxy/upstream/lease.go
@@ -15,6 +15,13 @@
 	// Prepared holds the statements prepared on the connection, by name.
 	Prepared map[string]command.PreparedStatement
 
+	// state is the connection's state after the last answer.
+	state TransactionState
+	// signatures are those of the answers received.
+	signatures signatureSet
+	// failed is set once an operation was answered with an error.
+	failed bool
+
 	stats *Stats
 	// principal is the identity under which the connection was opened.
 	principal Principal
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -45,6 +45,8 @@
 	closed  bool
 	// onFree, if not nil, is called when a connection or capacity for one becomes free.
 	onFree func()
+	// onMismatch, if not nil, is called when an answer does not match its operation.
+	onMismatch func(*MismatchError)
 }
 
 // dialTimeout limits the time for opening a connection.
@@ -63,6 +65,10 @@
 // for one becomes free. It must be called before the pool is used.
 func (p *Pool) OnFree(f func()) { p.onFree = f }
 
+// OnMismatch registers a function that is called, without any lock held, when an answer of the server
+// does not match its operation. It must be called before the pool is used.
+func (p *Pool) OnMismatch(f func(*MismatchError)) { p.onMismatch = f }
+
 // notifyFreed calls onFree. The lock must not be held.
 func (p *Pool) notifyFreed() {
 	if p.onFree != nil {
--- a/internal/proxy/upstream/stats.go
+++ b/internal/proxy/upstream/stats.go
@@ -27,6 +27,10 @@
 	lastAnswer         atomic.Int64 // nanoseconds since epoch
 	lastIndirectAnswer atomic.Int64 // nanoseconds since epoch, through another node
 	epoch              time.Time
+	// repeated counts the answers that were dropped, mismatched those that did not match their
+	// operations.
+	repeated   atomic.Uint64
+	mismatched atomic.Uint64
 
 	mutex sync.Mutex
 	// unansweredSince is when the first request was sent after the server's last answer; zero if
@@ -51,6 +55,16 @@
 	return &Stats{epoch: time.Now()}
 }
 
+func (s *Stats) recordRepeated() { s.repeated.Add(1) }
+
+func (s *Stats) recordMismatch() { s.mismatched.Add(1) }
+
+// Repeated returns the number of answers that were dropped because nothing asked for them.
+func (s *Stats) Repeated() uint64 { return s.repeated.Load() }
+
+// Mismatched returns the number of answers that did not match their operations.
+func (s *Stats) Mismatched() uint64 { return s.mismatched.Load() }
+
 // RecordRequest records that a request was sent.
 func (s *Stats) RecordRequest(now time.Time) {
 	s.mutex.Lock()
