upstream: an answer that may be an earlier one is not taken for the next

In tests also: "not run" for a write that ran, and an old position taken for the current one.

Cause: answers have no ID, and Lease.Run took whatever came next for the answer to its oldest operation. A server that sends an answer again later shifts all answers after it. Alive sees only copies that arrive before a connection is used again.

Any other answer must fit its operation: signed or not, rows, transaction state, position; else the outcome is unknown and the connection is closed. Only a connection's first error says whether a statement ran, and the connection is closed after it. A connection reports its status once. Probes have a length that differs from that of the three before. What arrives while nothing was asked is dropped before the next use, so that a transaction survives it.

--- a/internal/lab/standin/managed/managed.go
+++ b/internal/lab/standin/managed/managed.go
@@ -141,7 +141,7 @@
 	g.serial++
 	server := &Server{
 		group: g, id: fmt.Sprintf("%s-%d", g.settings.Name, g.serial), zone: zone,
-		incarnation: time.Now().UnixMilli(), up: true, reachable: true, sessions: map[*Session]struct{}{}, applyDelay: g.settings.ApplyDelay,
+		incarnation: time.Now().UnixMilli(), up: true, reachable: true, sessions: map[*Session]struct{}{}, runs: map[string]int{}, applyDelay: g.settings.ApplyDelay,
 	}
 	g.servers = append(g.servers, server)
 	return server
--- a/internal/lab/standin/managed/server.go
+++ b/internal/lab/standin/managed/server.go
@@ -46,9 +46,11 @@
 	applied int
 	// statements counts the callers' statements that ran.
 	statements int
-	running    int
-	queued     int
-	sessions   map[*Session]struct{}
+	// runs counts the signed answers to each request.
+	runs     map[string]int
+	running  int
+	queued   int
+	sessions map[*Session]struct{}
 }
 
 // Zone returns the server's zone.
--- a/internal/lab/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -6,6 +6,7 @@
 	"maps"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -298,7 +299,7 @@
 	case upstream.Rollback:
 		s.end()
 	case upstream.Commit:
-		return s.commit()
+		return s.commit(operation.RequestID)
 	case upstream.RunStatement:
 		return s.statement(operation)
 	case upstream.ReportStatus, upstream.HoldReplication, upstream.StepDown:
@@ -318,6 +319,18 @@
 	return s.result(upstream.Succeeded)
 }
 
+// signed returns the successful answer to a request. Its signature is the request's ID, with the
+// number of the run if the server has run the request before. The lock must be held.
+func (s *Session) signed(requestID string) upstream.Result {
+	result := s.result(upstream.Succeeded)
+	result.Signature = requestID
+	s.server.runs[requestID]++
+	if run := s.server.runs[requestID]; run > 1 {
+		result.Signature += "#" + strconv.Itoa(run)
+	}
+	return result
+}
+
 func (s *Session) end() {
 	s.state, s.writes, s.ran = upstream.Idle, nil, false
 }
@@ -338,7 +351,7 @@
 	s.awaitReplicas(s.server.group.commit(writes))
 }
 
-func (s *Session) commit() upstream.Result {
+func (s *Session) commit(requestID string) upstream.Result {
 	if s.state != upstream.InTransaction {
 		return s.result(upstream.Rejected)
 	}
@@ -351,9 +364,7 @@
 	if len(writes) > 0 {
 		s.commitWrites(writes)
 	}
-	result := s.result(upstream.Succeeded)
-	result.Signature = "committed"
-	return result
+	return s.signed(requestID)
 }
 
 // awaitReplicas waits until enough replicas have received a commit. The lock must be held and is
@@ -408,9 +419,8 @@
 		return s.write(write{requestID: operation.RequestID, key: key, data: data}, readWrite)
 	}
 	s.server.group.observer.ReadRan(operation.RequestID, time.Now(), s.server.hasApplied)
-	result := s.result(upstream.Succeeded)
+	result := s.signed(operation.RequestID)
 	result.Rows = [][]byte{[]byte(s.server.value(key)), []byte(sessionValues(s.values))}
-	result.Signature = operation.RequestID
 	return result
 }
 
@@ -437,9 +447,7 @@
 	} else {
 		s.commitWrites([]write{added})
 	}
-	result := s.result(upstream.Succeeded)
-	result.Signature = added.requestID
-	return result
+	return s.signed(added.requestID)
 }
 
 // sessionValues formats session values in a fixed order.
--- a/internal/proxy/backends/campaign.go
+++ b/internal/proxy/backends/campaign.go
@@ -93,9 +93,11 @@
 // least minTerm. It asks for the status, which shows the term, only after the cheaper check that
 // the server accepts a transaction.
 func (s *Service) awaitPrimary(id string, minTerm uint64, deadline time.Time) failover.Led {
+	var check beginCheck
+	defer check.end()
 	for time.Now().Before(deadline) {
 		target := s.backends.Server(id)
-		if target != nil && target.acceptsBegin(time.Now().Add(pingTimeout)) {
+		if target != nil && check.accepted(target, time.Now().Add(pingTimeout)) {
 			status := target.requestStatus(upstream.Operation{Kind: upstream.ReportStatus}, time.Now().Add(surveyTimeout))
 			if status != nil && status.Primary && status.Term >= minTerm {
 				return failover.Led{Leads: true, Term: status.Term}
@@ -106,21 +108,41 @@
 	return failover.Led{}
 }
 
-// acceptsBegin reports whether a server accepts a transaction that only a primary accepts.
-func (t *Server) acceptsBegin(deadline time.Time) bool {
-	lease, err := t.Pool.Reserve(deadline)
-	if err != nil {
-		return false
+// beginCheck checks repeatedly whether a server accepts a transaction that only a primary accepts. It
+// keeps its connection between the checks.
+type beginCheck struct {
+	server *Server
+	lease  *upstream.Lease
+}
+
+// accepted reports whether the server accepts the transaction.
+func (c *beginCheck) accepted(target *Server, deadline time.Time) bool {
+	if c.server != target {
+		c.end()
+	}
+	if c.lease == nil {
+		lease, err := target.Pool.Reserve(deadline)
+		if err != nil {
+			return false
+		}
+		c.server, c.lease = target, lease
 	}
-	batch := lease.Run([]upstream.Operation{{Kind: upstream.Begin}, {Kind: upstream.Rollback}}, deadline)
+	batch := c.lease.Run([]upstream.Operation{{Kind: upstream.Begin}, {Kind: upstream.Rollback}}, deadline)
 	if batch.Err != nil {
-		lease.Discard()
+		c.end()
 		return false
 	}
-	lease.Settle(batch.Last())
 	return batch.First().Outcome == upstream.Succeeded
 }
 
+// end closes the connection.
+func (c *beginCheck) end() {
+	if c.lease != nil {
+		c.lease.Discard()
+		c.lease = nil
+	}
+}
+
 // stepDownTimeout bounds the attempt to make a primary step down.
 const stepDownTimeout = 500 * time.Millisecond
 
--- a/internal/proxy/backends/survey.go
+++ b/internal/proxy/backends/survey.go
@@ -215,19 +215,19 @@
 	return position.Position{}, false
 }
 
-// requestStatus sends a request that returns a status until it is answered or the deadline passes.
+// requestStatus sends a request that returns a status until it is answered or the deadline passes. All
+// attempts use one connection, since any of their answers is one to the same request.
 func (t *Server) requestStatus(operation upstream.Operation, deadline time.Time) *upstream.Status {
+	lease, err := t.Pool.Reserve(deadline)
+	if err != nil {
+		return nil
+	}
+	defer lease.Discard()
 	for time.Now().Before(deadline) {
-		lease, err := t.Pool.Reserve(deadline)
-		if err != nil {
-			return nil
-		}
 		batch := lease.Run([]upstream.Operation{operation}, deadline)
 		if batch.Err != nil {
-			lease.Discard()
 			return nil
 		}
-		lease.Return()
 		if result := batch.Last(); result.Outcome == upstream.Succeeded {
 			return result.Status
 		}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -153,7 +153,7 @@
 		if reply, opened := t.open(r); !opened {
 			return reply
 		}
-	} else if !t.lease.Alive() || r.service.Withdrawn(t.server.ID, time.Now()) {
+	} else if !t.lease.DropSurplus() || r.service.Withdrawn(t.server.ID, time.Now()) {
 		return t.failLost(r)
 	}
 	for r.mayAttempt() {
@@ -255,7 +255,7 @@
 }
 
 func (t *transaction) commit(r *run, received *command.Command) Reply {
-	if !t.lease.Alive() || r.service.Withdrawn(t.server.ID, time.Now()) {
+	if !t.lease.DropSurplus() || r.service.Withdrawn(t.server.ID, time.Now()) {
 		return t.failLost(r)
 	}
 	for r.mayAttempt() {
--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -1,11 +1,27 @@
 package upstream
 
 import (
+	"errors"
 	"fmt"
 	"hash/maphash"
 	"time"
+
+	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/command"
 )
 
+// Answers have no ID, and a server may send an answer again at any later time on the same
+// connection. A Lease therefore accepts an answer only if it cannot be an earlier one:
+//
+//   - Signatures differ, so a signed answer with a known signature is a copy, and is dropped. So is
+//     an answer without a result, which is one to the opening of the connection.
+//   - An answer to a statement or commit is signed or an error, the others are unsigned. A copy that
+//     is accepted in place of another answer shifts the following ones, so it is noticed at the
+//     next signed answer at the latest.
+//   - Errors look alike, so only the first error of a connection is believed to say whether a
+//     statement ran, and the connection is closed afterwards.
+//   - A connection reports its status only once.
+
 // MismatchError reports an answer that cannot belong to the operation. What became of the operation
 // is unknown, and the connection must be closed.
 type MismatchError struct {
@@ -47,28 +63,36 @@
 	return true
 }
 
-// receive reads the answer to an operation, and records whether it can belong to it.
+// receive reads the answer to an operation. It drops copies of earlier answers, and returns a
+// MismatchError for an answer that cannot belong to the operation.
 func (l *Lease) receive(operation *Operation, deadline time.Time) (Result, error) {
-	result, err := l.Receive(operation.Kind, deadline)
-	if err != nil || l.Remote() {
-		return result, err
-	}
-	if result.Signature != "" && !l.signatures.add(result.Signature) {
-		l.stats.recordRepeated()
-	} else if reason := l.mismatch(operation, &result); reason != "" {
-		l.recordMismatch(reason)
+	for {
+		result, err := l.Receive(operation.Kind, deadline)
+		repeated := errors.Is(err, ErrNoResult)
+		if (err != nil && !repeated) || l.Remote() {
+			return result, err
+		}
+		if repeated || (result.Signature != "" && !l.signatures.add(result.Signature)) {
+			l.stats.recordRepeated()
+			continue
+		}
+		if reason := l.mismatch(operation, &result); reason != "" {
+			return result, l.recordMismatch(reason)
+		}
+		l.state = result.State
+		l.failed = l.failed || result.Outcome != Succeeded
+		l.spent = l.spent || l.failed || operation.Kind.controls()
+		return result, nil
 	}
-	l.state = result.State
-	l.failed = l.failed || result.Outcome != Succeeded
-	return result, nil
 }
 
-func (l *Lease) recordMismatch(reason string) {
+func (l *Lease) recordMismatch(reason string) error {
 	l.stats.recordMismatch()
 	err := &MismatchError{Reason: reason}
 	if l.pool.onMismatch != nil {
 		l.pool.onMismatch(err)
 	}
+	return err
 }
 
 // mismatch returns why an answer cannot belong to an operation, or "" if it can.
@@ -111,3 +135,66 @@
 
 // controls reports whether the operation asks for the server's status or directs its replication.
 func (k OperationKind) controls() bool { return k.ReportsStatus() || k == ResumeReplication }
+
+// maxProbePadding is the largest number of operations that pad a probe.
+const maxProbePadding = 4
+
+// probePadding is an operation without an effect on callers. Its name differs from those that
+// ServerName returns.
+var probePadding = Operation{Kind: PrepareStatement, Name: "p", Definition: command.PreparedStatement{Shape: "p"}}
+
+// isProbe reports whether operations begin a transaction only to learn whether the server is the
+// primary.
+func isProbe(operations []Operation) bool {
+	return len(operations) == 2 && operations[0].Kind == Begin && operations[1].Kind == Rollback
+}
+
+// padProbe returns the operations of a probe with a varying number of operations between them.
+// Without signed answers, only its length distinguishes a probe's answers from those of an earlier
+// one.
+func (l *Lease) padProbe(operations []Operation) []Operation {
+	padding := 1 + l.probes%maxProbePadding
+	l.probes++
+	padded := make([]Operation, 0, len(operations)+padding)
+	padded = append(padded, operations[0])
+	for range padding {
+		padded = append(padded, probePadding)
+	}
+	return append(padded, operations[1])
+}
+
+// probeResults returns the results of a probe without those of its padding. At least one answer is
+// no copy, so the newest position is not older than the probe.
+func probeResults(results []Result) []Result {
+	begin, rollback := results[0], results[len(results)-1]
+	for i := range results {
+		begin.Position = position.Max(begin.Position, results[i].Position)
+	}
+	return []Result{begin, rollback}
+}
+
+// surplusTimeout limits the wait for the rest of an answer that nothing asked for.
+const surplusTimeout = 20 * time.Millisecond
+
+// maxSurplusAnswers is how many answers that nothing asked for are dropped before the connection is
+// given up.
+const maxSurplusAnswers = 16
+
+// DropSurplus drops answers that have arrived although all operations were answered. It reports
+// whether the connection can be used.
+func (l *Lease) DropSurplus() bool {
+	for range maxSurplusAnswers {
+		if l.Alive() {
+			return true
+		}
+		if l.Remote() {
+			return false
+		}
+		_, err := l.Receive(RunStatement, time.Now().Add(surplusTimeout))
+		if err != nil && !errors.Is(err, ErrNoResult) {
+			return false
+		}
+		l.stats.recordRepeated()
+	}
+	return false
+}
--- a/internal/proxy/upstream/batch.go
+++ b/internal/proxy/upstream/batch.go
@@ -47,14 +47,18 @@
 
 // Run sends operations and waits for all their answers.
 func (l *Lease) Run(operations []Operation, deadline time.Time) Batch {
-	batch := Batch{SentAt: time.Now(), Results: make([]Result, 0, len(operations))}
+	sent, probes := operations, isProbe(operations) && !l.Remote()
+	if probes {
+		sent = l.padProbe(operations)
+	}
+	batch := Batch{SentAt: time.Now(), Results: make([]Result, 0, len(sent))}
 	l.recordSent(batch.SentAt)
-	if batch.Err = l.Send(operations, deadline); batch.Err != nil {
+	if batch.Err = l.Send(sent, deadline); batch.Err != nil {
 		l.recordBroken()
 		return batch
 	}
-	for i := range operations {
-		result, err := l.receive(&operations[i], deadline)
+	for i := range sent {
+		result, err := l.receive(&sent[i], deadline)
 		if err != nil {
 			batch.Err = err
 			if !batch.TimedOut() && !batch.mismatched() {
@@ -62,9 +66,12 @@
 			}
 			return batch
 		}
-		l.trackSessionState(&operations[i], &result)
+		l.trackSessionState(&sent[i], &result)
 		batch.Results = append(batch.Results, result)
 	}
+	if probes {
+		batch.Results = probeResults(batch.Results)
+	}
 	l.recordAnswers(operations, &batch)
 	return batch
 }
--- a/internal/proxy/upstream/lease.go
+++ b/internal/proxy/upstream/lease.go
@@ -19,8 +19,12 @@
 	state TransactionState
 	// signatures are those of the answers received.
 	signatures signatureSet
-	// failed is set once an operation was answered with an error.
+	// failed is set once an operation was answered with an error. spent is set once later answers
+	// may be confused with earlier ones, so that the connection must not be used again.
 	failed bool
+	spent  bool
+	// probes counts the probes sent.
+	probes int
 
 	stats *Stats
 	// principal is the identity under which the connection was opened.
@@ -47,13 +51,18 @@
 // on the server.
 func (l *Lease) Remote() bool { return l.pool == nil }
 
-// Return gives back a clean connection: it has no outstanding answer and no open transaction.
+// Return gives back a clean connection: it has no outstanding answer and no open transaction. A spent
+// connection is closed.
 func (l *Lease) Return() {
 	pool := l.pool
 	if pool == nil {
 		l.Close()
 		return
 	}
+	if l.spent {
+		l.Discard()
+		return
+	}
 	pool.mutex.Lock()
 	if l.generation != pool.generation {
 		pool.mutex.Unlock()
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -132,7 +132,7 @@
 			}
 			lease = result.lease
 		}
-		if lease.Alive() {
+		if lease.DropSurplus() {
 			return lease, nil
 		}
 		lease.Discard()
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -169,7 +169,9 @@
 type Connection interface {
 	// Send writes operations in one batch. Answers after the deadline are not needed.
 	Send(operations []Operation, deadline time.Time) error
-	// Receive reads the answer to the oldest unanswered operation.
+	// Receive reads the next answer, which belongs to the oldest unanswered operation unless the
+	// server sends answers twice. It returns ErrNoResult for an answer like that to the opening of
+	// the connection, which has no result.
 	Receive(kind OperationKind, deadline time.Time) (Result, error)
 	// Alive reports whether the connection is idle and not closed by the server.
 	Alive() bool
@@ -225,5 +227,8 @@
 	return Succeeded, false
 }
 
+// ErrNoResult is returned by Connection.Receive for an answer without a result.
+var ErrNoResult = errors.New("the answer has no result; read the next one")
+
 // ErrNoConnection is returned when the pool's limit allows no connection in time.
 var ErrNoConnection = errors.New("no connection to the server is free; wait, or raise its connection limit")
