--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -33,34 +33,52 @@
 	return fmt.Sprintf("the server's answer does not match the operation: %s; close the connection", e.Reason)
 }
 
-// maxSignatures is the number of signatures that a connection remembers.
+// maxSignatures is the number of signed answers that a connection remembers.
 const maxSignatures = 256
 
-// signatureSeed is the seed of the signatures' hashes.
+// signatureSeed is the seed of the hashes of signed answers.
 var signatureSeed = maphash.MakeSeed()
 
-// signatureSet holds the hashes of the newest signatures of a connection.
-type signatureSet struct {
-	hashes []uint64
-	// next is the index of the oldest hash once the set is full.
-	next int
+// signedAnswer holds the hashes of a signed answer.
+type signedAnswer struct {
+	signature uint64
+	rows      uint64
 }
 
-// add adds a signature. It returns false if the set contains it.
-func (s *signatureSet) add(signature string) bool {
-	hash := maphash.String(signatureSeed, signature)
-	for _, known := range s.hashes {
-		if known == hash {
-			return false
+func newSignedAnswer(result *Result) signedAnswer {
+	var rows maphash.Hash
+	rows.SetSeed(signatureSeed)
+	for _, row := range result.Rows {
+		maphash.WriteComparable(&rows, len(row))
+		_, _ = rows.Write(row)
+	}
+	return signedAnswer{signature: maphash.String(signatureSeed, result.Signature), rows: rows.Sum64()}
+}
+
+// signedAnswers holds the newest signed answers of a connection.
+type signedAnswers struct {
+	answers []signedAnswer
+	// oldest is the index of the oldest answer once the set is full.
+	oldest int
+}
+
+// find returns the answer with the same signature, or nil.
+func (s *signedAnswers) find(answer signedAnswer) *signedAnswer {
+	for i := range s.answers {
+		if s.answers[i].signature == answer.signature {
+			return &s.answers[i]
 		}
 	}
-	if len(s.hashes) < maxSignatures {
-		s.hashes = append(s.hashes, hash)
-		return true
+	return nil
+}
+
+func (s *signedAnswers) add(answer signedAnswer) {
+	if len(s.answers) < maxSignatures {
+		s.answers = append(s.answers, answer)
+		return
 	}
-	s.hashes[s.next] = hash
-	s.next = (s.next + 1) % maxSignatures
-	return true
+	s.answers[s.oldest] = answer
+	s.oldest = (s.oldest + 1) % maxSignatures
 }
 
 // receive reads the answer to an operation. It drops copies of earlier answers, and returns a
@@ -68,11 +86,14 @@
 func (l *Lease) receive(operation *Operation, deadline time.Time) (Result, error) {
 	for {
 		result, err := l.Receive(operation.Kind, deadline)
-		repeated := errors.Is(err, ErrNoResult)
-		if (err != nil && !repeated) || l.Remote() {
+		if l.Remote() {
 			return result, err
 		}
-		if repeated || (result.Signature != "" && !l.signatures.add(result.Signature)) {
+		repeated, err := l.isRepeated(&result, err)
+		if err != nil {
+			return result, err
+		}
+		if repeated {
 			l.stats.recordRepeated()
 			continue
 		}
@@ -86,6 +107,28 @@
 	}
 }
 
+// isRepeated reports whether what was received is a copy of an earlier answer. It remembers an answer
+// that is not. A copy with other rows was sent in the middle of another answer, which is lost.
+func (l *Lease) isRepeated(result *Result, err error) (bool, error) {
+	if errors.Is(err, ErrNoResult) {
+		return true, nil
+	}
+	if err != nil || result.Signature == "" {
+		return false, err
+	}
+	answer := newSignedAnswer(result)
+	known := l.signed.find(answer)
+	switch {
+	case known == nil:
+		l.signed.add(answer)
+		return false, nil
+	case known.rows != answer.rows:
+		return false, l.recordMismatch("a known signature with other rows")
+	default:
+		return true, nil
+	}
+}
+
 func (l *Lease) recordMismatch(reason string) error {
 	l.stats.recordMismatch()
 	err := &MismatchError{Reason: reason}
@@ -101,6 +144,8 @@
 	switch {
 	case result.Outcome != Succeeded && kind.UsesSlot() && l.failed:
 		return "an error after another error"
+	case result.Outcome.NotRun() && len(result.Rows) > 0:
+		return "rows of a statement that did not run"
 	case result.Outcome != Succeeded:
 		return ""
 	case kind.UsesSlot() && result.Signature == "":
--- a/internal/proxy/upstream/lease.go
+++ b/internal/proxy/upstream/lease.go
@@ -17,8 +17,8 @@
 
 	// state is the connection's state after the last answer.
 	state TransactionState
-	// signatures are those of the answers received.
-	signatures signatureSet
+	// signed holds the signed answers received.
+	signed signedAnswers
 	// failed is set once an operation was answered with an error. spent is set once later answers
 	// may be confused with earlier ones, so that the connection must not be used again.
 	failed bool
--- a/internal/proxy/upstream/repeated_test.go
+++ b/internal/proxy/upstream/repeated_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 type repeatingServer struct {
 	// repeats draws the index of the earlier answer that is sent again before the next one, or -1.
 	repeats func(earlier int) int
+	// interrupts reports whether a copy is sent in the middle of the next answer.
+	interrupts func() bool
 	// refuses reports whether a statement is answered with Busy, and does not run.
 	refuses func() bool
 	offset  uint64
@@ -79,7 +82,13 @@
 
 func (c *repeatingConnection) Receive(OperationKind, time.Time) (Result, error) {
 	if again := c.server.repeats(len(c.given)); again >= 0 {
-		return c.given[again], nil
+		repeated := c.given[again]
+		if len(c.queue) > 0 && len(c.queue[0].Rows) > 0 && c.server.interrupts() {
+			// The copy is sent between the rows and the end of the next answer.
+			repeated.Rows = append(slices.Clone(c.queue[0].Rows), repeated.Rows...)
+			c.queue[0].Rows = nil
+		}
+		return repeated, nil
 	}
 	if len(c.queue) == 0 {
 		return Result{}, os.ErrDeadlineExceeded
@@ -102,8 +111,9 @@
 			}
 			return rapid.IntRange(max(0, earlier-8), earlier-1).Draw(t, "earlier answer")
 		},
-		refuses: func() bool { return rapid.IntRange(0, 4).Draw(t, "refuses") == 0 },
-		ran:     map[string]int{},
+		interrupts: func() bool { return rapid.IntRange(0, 3).Draw(t, "interrupts") == 0 },
+		refuses:    func() bool { return rapid.IntRange(0, 4).Draw(t, "refuses") == 0 },
+		ran:        map[string]int{},
 	}
 }
 
