upstream: an answer to BEGIN from before is told by its position

What servers would see: a statement outside its transaction (PINNED).

Cause: a copy of an earlier BEGIN's answer hides that the server has refused the next one, so the first statement follows.

Change: the position of an unsigned success may not be before that of an earlier answer of the connection, or before that of its opening. Errors and signed answers are left out: a server that rolls back, since another was promoted, may go back.

Evidence: TestRefusedTransactionIsNotOpen failed on (state 0 instead of 1 after three tests) and passes, with 60,000 checks too. Open: a copy while the position has not moved.

--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -100,7 +100,7 @@
 		if reason := l.mismatch(operation, &result); reason != "" {
 			return result, l.recordMismatch(reason)
 		}
-		l.state = result.State
+		l.state, l.newest = result.State, position.Max(l.newest, result.Position)
 		l.failed = l.failed || result.Outcome != Succeeded
 		l.spent = l.spent || l.failed || operation.Kind.controls()
 		return result, nil
@@ -160,7 +160,13 @@
 	if expected := stateAfter(kind, l.state); result.State != expected {
 		return fmt.Sprintf("state %d instead of %d", result.State, expected)
 	}
-	if kind == BeginReadOnly && !result.Position.IsZero() && !result.Position.Covers(operation.MinimumPosition) {
+	if result.Position.IsZero() || kind.UsesSlot() {
+		return ""
+	}
+	switch {
+	case result.Position.Less(l.newest):
+		return "a position before that of an earlier answer"
+	case kind == BeginReadOnly && result.Position.Less(operation.MinimumPosition):
 		return "a position before the minimum"
 	}
 	return ""
--- a/internal/proxy/upstream/lease.go
+++ b/internal/proxy/upstream/lease.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/command"
 )
 
@@ -17,6 +18,8 @@
 
 	// state is the connection's state after the last answer.
 	state TransactionState
+	// newest is the newest position of all answers.
+	newest position.Position
 	// signed holds the signed answers received.
 	signed signedAnswers
 	// failed is set once an operation was answered with an error. spent is set once later answers
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -241,7 +241,7 @@
 	p.stats.RecordPosition(applied)
 	p.stats.recordDialTime(now.Sub(began))
 	lease := &Lease{
-		Connection: connection, principal: principal, stats: p.stats, pool: p, generation: generation,
+		Connection: connection, newest: applied, principal: principal, stats: p.stats, pool: p, generation: generation,
 		Values: map[string]string{}, Prepared: map[string]command.PreparedStatement{},
 	}
 	p.deliver(lease)
--- a/internal/proxy/upstream/repeated_test.go
+++ b/internal/proxy/upstream/repeated_test.go
@@ -56,6 +56,10 @@
 	result := Result{Position: position.Position{Term: 1, Offset: s.offset}}
 	switch operation.Kind {
 	case Begin, BeginReadOnly:
+		if s.refuses() {
+			result.Outcome = NotPrimary
+			break
+		}
 		c.state = InTransaction
 	case Rollback:
 		c.state = Idle
@@ -205,3 +209,27 @@
 		}
 	})
 }
+
+// TestRefusedTransactionIsNotOpen: an answer to an earlier BEGIN must not hide that a server has
+// refused a transaction, whose statements would run outside of one.
+func TestRefusedTransactionIsNotOpen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		server := newRepeatingServer(t)
+		pool := NewPool(server, Target{}, 1, NewStats())
+		for range rapid.IntRange(2, 10).Draw(t, "requests") {
+			lease, err := pool.Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			batch := lease.Run([]Operation{{Kind: Begin}}, time.Now().Add(time.Second))
+			if batch.Err != nil {
+				lease.Discard()
+				continue
+			}
+			if batch.Last().Outcome == Succeeded {
+				must.Eq(t, InTransaction, lease.Connection.(*repeatingConnection).state)
+				lease.RollBack()
+				continue
+			}
+			lease.Settle(batch.Last())
+		}
+	})
+}
