upstream: a statement's answer is read behind unsigned copies

What callers saw after: writes and commits ended as unknown when a server had repeated the answer to a BEGIN, ROLLBACK or SET before theirs.

Cause: an unsigned success in place of a signed one ended the connection, although it can only be a copy, or the answer to an earlier operation for which a copy was taken; the statement's own answer follows.

Change: it is dropped, like a signed copy, unless it has rows.

Evidence: TestStatementIsAnsweredBehindCopies failed before ("a success without a signature") and passes; the model's tests pass with 60,000 checks each.

--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -15,9 +15,8 @@
 //
 //   - Signatures differ, so a signed answer with a known signature is a copy, and is dropped. So is
 //     an answer without a result, which is one to the opening of the connection.
-//   - An answer to a statement or commit is signed or an error, the others are unsigned. A copy that
-//     is accepted in place of another answer shifts the following ones, so it is noticed at the
-//     next signed answer at the latest.
+//   - A success of a statement or commit is signed, all others are not. An unsigned copy may be
+//     accepted in place of another unsigned answer. That one is then dropped at the next statement.
 //   - Errors look alike, so only the first error of a connection is believed to say whether a
 //     statement ran, and the connection is closed afterwards.
 //   - A connection reports its status only once.
@@ -89,7 +88,7 @@
 		if l.Remote() {
 			return result, err
 		}
-		repeated, err := l.isRepeated(&result, err)
+		repeated, err := l.isRepeated(operation, &result, err)
 		if err != nil {
 			return result, err
 		}
@@ -107,14 +106,17 @@
 	}
 }
 
-// isRepeated reports whether what was received is a copy of an earlier answer. It remembers an answer
-// that is not. A copy with other rows was sent in the middle of another answer, which is lost.
-func (l *Lease) isRepeated(result *Result, err error) (bool, error) {
-	if errors.Is(err, ErrNoResult) {
+// isRepeated reports whether what was received is a copy of an earlier answer. It remembers a signed
+// answer that is not. A copy with other rows was sent in the middle of another answer, which is lost.
+func (l *Lease) isRepeated(operation *Operation, result *Result, err error) (bool, error) {
+	switch {
+	case errors.Is(err, ErrNoResult):
 		return true, nil
-	}
-	if err != nil || result.Signature == "" {
+	case err != nil:
 		return false, err
+	case result.Signature == "":
+		unsigned := result.Outcome == Succeeded && len(result.Rows) == 0
+		return unsigned && operation.Kind.UsesSlot(), nil
 	}
 	answer := newSignedAnswer(result)
 	known := l.signed.find(answer)
@@ -149,7 +151,7 @@
 	case result.Outcome != Succeeded:
 		return ""
 	case kind.UsesSlot() && result.Signature == "":
-		return "a success without a signature"
+		return "rows without a signature"
 	case !kind.UsesSlot() && result.Signature != "":
 		return "a signature without a statement"
 	case !kind.UsesSlot() && !kind.controls() && len(result.Rows) > 0:
--- a/internal/proxy/upstream/repeated_test.go
+++ b/internal/proxy/upstream/repeated_test.go
@@ -233,3 +233,31 @@
 		}
 	})
 }
+
+// TestStatementIsAnsweredBehindCopies: copies of unsigned answers must not leave the outcome of a
+// write unknown whose answer follows them.
+func TestStatementIsAnsweredBehindCopies(t *testing.T) {
+	repeats := []int{}
+	server := &repeatingServer{
+		repeats: func(int) int {
+			if len(repeats) == 0 {
+				return -1
+			}
+			again := repeats[0]
+			repeats = repeats[1:]
+			return again
+		},
+		refuses:    func() bool { return false },
+		interrupts: func() bool { return false },
+		ran:        map[string]int{},
+	}
+	pool := NewPool(server, Target{}, 1, NewStats())
+	lease, err := pool.Get(Own, time.Now().Add(time.Second))
+	must.NoError(t, err)
+	batch := lease.Run([]Operation{{Kind: Begin}, {Kind: Rollback}, {Kind: ResetSession}}, time.Now().Add(time.Second))
+	must.NoError(t, batch.Err)
+	repeats = []int{2, 0, 1}
+	batch = lease.Run([]Operation{{Kind: SetValue}, {Kind: RunStatement, RequestID: "w"}}, time.Now().Add(time.Second))
+	must.NoError(t, batch.Err)
+	must.Eq(t, "w#1", batch.Last().Signature)
+}
