upstream: tests that fail with copies of refused probes, old copies and refused values

TestRefusedProbeIsNoProof: one copy of an accepted BEGIN, sent before the answers of a probe that is refused: the refusal is read as the answer to PREPARE, whose error nobody looks at, and the probe proves a server that has lost the lead, at its old position.

TestOldCopyIsNotTakenForTheNext: a copy of an answer that is over 256 signed answers old is taken for the answer to the next statement.

proof_test.go:152: expected equality: - "last" + "r0"

TestStatementBehindARefusedValueHasNoResult: a statement that ran behind a refused SET, PREPARE or RESET is reported as a success.

proof_test.go:166: expected non-nil error; got nil; operation 0 was refused

--- /dev/null
+++ b/internal/proxy/upstream/proof_test.go
@@ -0,0 +1,168 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"dewknot/internal/base/position"
+	_ "dewknot/internal/base/propertytest" // fixes the seed
+	"dewknot/internal/proxy/command"
+)
+
+// idleServer is a server whose position moves only when a test moves it, and that sends one earlier
+// answer again when a test asks for it.
+type idleServer struct {
+	primary bool
+	offset  uint64
+	// accepted counts the transactions that the server accepted.
+	accepted int
+	// repeat is the index of the earlier answer that is sent again after a number of answers; -1
+	// for none.
+	repeat int
+	after  int
+	// refuses, if set, reports whether the server answers an operation with an error.
+	refuses func(kind OperationKind) bool
+	signed  int
+	dials   int
+}
+
+func (s *idleServer) position() position.Position { return position.Position{Term: 1, Offset: s.offset} }
+
+func (s *idleServer) Dial(context.Context, Target) (Connection, position.Position, error) {
+	s.dials++
+	return &idleServerConnection{server: s}, s.position(), nil
+}
+
+type idleServerConnection struct {
+	server *idleServer
+	given  []Result
+	queue  []Result
+	state  TransactionState
+}
+
+func (c *idleServerConnection) Send(operations []Operation, _ time.Time) error {
+	for i := range operations {
+		c.queue = append(c.queue, c.run(&operations[i]))
+	}
+	return nil
+}
+
+func (c *idleServerConnection) run(operation *Operation) Result {
+	s := c.server
+	result := Result{Position: s.position()}
+	switch {
+	case s.refuses != nil && s.refuses(operation.Kind):
+		result.Outcome = Rejected
+	case operation.Kind == Begin && !s.primary:
+		result.Outcome = NotPrimary
+	case operation.Kind == Begin:
+		s.accepted++
+		c.state = InTransaction
+	case operation.Kind == Rollback:
+		c.state = Idle
+	case operation.Kind.UsesSlot():
+		s.signed++
+		result.Signature = fmt.Sprintf("s%d", s.signed)
+		result.Rows = [][]byte{[]byte(operation.RequestID)}
+	}
+	result.State = c.state
+	return result
+}
+
+func (c *idleServerConnection) Receive(OperationKind, time.Time) (Result, error) {
+	s := c.server
+	if s.repeat >= 0 && s.repeat < len(c.given) {
+		if s.after == 0 {
+			again := c.given[s.repeat]
+			s.repeat = -1
+			return again, nil
+		}
+		s.after--
+	}
+	if len(c.queue) == 0 {
+		return Result{}, os.ErrDeadlineExceeded
+	}
+	result := c.queue[0]
+	c.queue = slices.Delete(c.queue, 0, 1)
+	c.given = append(c.given, result)
+	return result, nil
+}
+
+func (c *idleServerConnection) Alive() bool { return true }
+
+func (c *idleServerConnection) Close() {}
+
+// TestRefusedProbeIsNoProof: one copy of an answer to an earlier probe must not make a server that
+// has lost the lead, or whose position has moved, prove to be the primary at an old position.
+func TestRefusedProbeIsNoProof(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		server := &idleServer{offset: 1, repeat: -1}
+		pool := NewPool(server, Target{}, 1, NewStats())
+		for range rapid.IntRange(2, 10).Draw(t, "probes") {
+			server.primary = rapid.Bool().Draw(t, "primary")
+			server.offset += rapid.Uint64Range(0, 1).Draw(t, "commits")
+			server.repeat = rapid.IntRange(-1, 30).Draw(t, "copy of the answer")
+			server.after = rapid.IntRange(0, 5).Draw(t, "answers before the copy")
+			lease, err := pool.Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			accepted, at := server.accepted, server.position()
+			batch := lease.Run([]Operation{{Kind: Begin}, {Kind: Rollback}}, time.Now().Add(time.Second))
+			if batch.Err != nil {
+				lease.Discard()
+				continue
+			}
+			if batch.First().Outcome == Succeeded {
+				must.Eq(t, accepted+1, server.accepted, must.Sprint("the server refused the transaction"))
+				must.False(t, batch.First().Position.Less(at))
+			}
+			lease.Settle(batch.Last())
+		}
+	})
+}
+
+// TestOldCopyIsNotTakenForTheNext: a copy must not be taken for the answer to the next request
+// however many requests the connection has answered since.
+func TestOldCopyIsNotTakenForTheNext(t *testing.T) {
+	server := &idleServer{repeat: -1}
+	pool := NewPool(server, Target{}, 1, NewStats())
+	run := func(id string) Batch {
+		lease, err := pool.Get(Own, time.Now().Add(time.Second))
+		must.NoError(t, err)
+		batch := lease.Run([]Operation{{Kind: RunStatement, RequestID: id, Statement: &command.Statement{RequestID: id}}}, time.Now().Add(time.Second))
+		if batch.Err != nil {
+			lease.Discard()
+		} else {
+			lease.Settle(batch.Last())
+		}
+		return batch
+	}
+	for i := range 3 * maxSignatures {
+		run(fmt.Sprintf("r%d", i))
+	}
+	server.repeat = 0
+	batch := run("last")
+	must.NoError(t, batch.Err)
+	must.Eq(t, [][]byte{[]byte("last")}, batch.Last().Rows)
+}
+
+// TestStatementBehindARefusedValueHasNoResult: a statement that ran behind a refused SET, PREPARE
+// or RESET must not be reported as if it had run with the session's values.
+func TestStatementBehindARefusedValueHasNoResult(t *testing.T) {
+	for _, refused := range []OperationKind{ResetSession, SetValue, PrepareStatement} {
+		server := &idleServer{repeat: -1, refuses: func(kind OperationKind) bool { return kind == refused }}
+		lease, err := NewPool(server, Target{}, 1, NewStats()).Get(Own, time.Now().Add(time.Second))
+		must.NoError(t, err)
+		batch := lease.Run([]Operation{
+			{Kind: refused, Name: "v"},
+			{Kind: RunStatement, RequestID: "r", Statement: &command.Statement{RequestID: "r"}},
+		}, time.Now().Add(time.Second))
+		must.Error(t, batch.Err, must.Sprintf("operation %d was refused", refused))
+	}
+}
