backends: the wait for a new primary gives its connection back before it asks for the status

Callers waited for the end of a failover, until the candidate's limit, while all connections to the promoted server were in use: the check with BEGIN kept the reserved connection, and the status request waited for another one. The check now ends before. TestNewPrimaryIsSeenWhileItsConnectionsAreInUse passes.

--- a/internal/proxy/backends/campaign.go
+++ b/internal/proxy/backends/campaign.go
@@ -98,6 +98,8 @@
 	for time.Now().Before(deadline) {
 		target := s.backends.Server(id)
 		if target != nil && check.accepted(target, time.Now().Add(pingTimeout)) {
+			// Only one connection is reserved for such requests.
+			check.end()
 			status := target.requestStatus(upstream.Operation{Kind: upstream.ReportStatus}, time.Now().Add(surveyTimeout))
 			if status != nil && status.Primary && status.Term >= minTerm {
 				return failover.Led{Leads: true, Term: status.Term}
