--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -106,6 +106,8 @@
 	nodes     map[string]*proxy.Node
 	processes map[string]*process
 	links     *slowLinks
+	// dialed, if set, wraps each connection to a server.
+	dialed func(upstream.Connection) upstream.Connection
 	// silenceConfirms breaks the rule on witnesses: a node that doesn't answer counts as one that
 	// confirms that it doesn't reach a server.
 	silenceConfirms bool
@@ -345,6 +347,9 @@
 		Reach:  func(id string) bool { return d.fleet.reaches(from, id) },
 	}
 	connection, at, err := dialer.Dial(ctx, target)
+	if err == nil && d.fleet.dialed != nil {
+		connection = d.fleet.dialed(connection)
+	}
 	if err == nil && isIndirect {
 		d.fleet.indirectConnections.Add(1)
 		return &indirectConnection{Connection: connection, count: &d.fleet.indirectConnections}, at, nil
