proxy: BEGIN alone proves no position

Reads on replicas could miss acknowledged commits: a copy of an earlier BEGIN's answer was recorded as the primary's position at the time of the new BEGIN. Only signed answers to the transaction's statements, and probes, count now; a transaction with a statement gives the same proof one round trip later. TestRepeatedBeginShowsNoCurrentPosition passes. Its condition that there is a proof goes: a transaction whose BEGIN got the copy is lost, so that there may be none; a proof that exists must cover the commit as before.

--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -49,9 +49,6 @@
 		r.handleNotRun(target, begin)
 		return Reply{}, false
 	}
-	if r.service.Covered(r.tenure, time.Now()) {
-		r.service.RecordProof(target, batch.SentAt, begin)
-	}
 	if !r.acquireSlot(target, lease, admission.OnlyHere) {
 		lease.RollBack()
 		return r.refuse(failure.Overloaded), true
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -95,7 +95,6 @@
 				lease.RollBack()
 				continue
 			}
-			r.service.RecordProof(target, batch.SentAt, begin)
 			t.server, t.lease, t.onPrimary, t.tenure = target, lease, true, r.tenure
 			return Reply{}, true
 		}
