upstream: an error for PREPARE, SET or RESET leaves the outcome of what follows unknown

One copy of an accepted BEGIN made a probe prove a server that refused it: the refusal was read as the answer to PREPARE, and nobody looked at it. A statement that ran behind a refused SET was reported as a success with other session values. Servers refuse none of the three unless a transaction has failed, so an error is now a mismatch. Through an owner, a probe that first changes the session was not padded; it is now.

--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -146,6 +146,8 @@
 		return "an error after another error"
 	case result.Outcome.NotRun() && len(result.Rows) > 0:
 		return "rows of a statement that did not run"
+	case result.Outcome != Succeeded && kind.adapts() && l.state != FailedTransaction:
+		return "an error for what prepares the session"
 	case result.Outcome != Succeeded:
 		return ""
 	case kind.UsesSlot() && result.Signature == "":
@@ -187,6 +189,12 @@
 // controls reports whether the operation asks for the server's status or directs its replication.
 func (k OperationKind) controls() bool { return k.ReportsStatus() || k == ResumeReplication }
 
+// adapts reports whether the operation prepares the session for the following ones, which run also
+// if a server refuses it.
+func (k OperationKind) adapts() bool {
+	return k == ResetSession || k == SetValue || k == PrepareStatement
+}
+
 // maxProbePadding is the largest number of operations that pad a probe.
 const maxProbePadding = 4
 
@@ -194,10 +202,11 @@
 // ServerName returns.
 var probePadding = Operation{Kind: PrepareStatement, Name: "p", Definition: command.PreparedStatement{Shape: "p"}}
 
-// isProbe reports whether operations begin a transaction only to learn whether the server is the
-// primary.
+// isProbe reports whether operations end with a transaction that is begun only to learn whether the
+// server is the primary.
 func isProbe(operations []Operation) bool {
-	return len(operations) == 2 && operations[0].Kind == Begin && operations[1].Kind == Rollback
+	last := len(operations) - 1
+	return last > 0 && operations[last-1].Kind == Begin && operations[last].Kind == Rollback
 }
 
 // padProbe returns the operations of a probe with a varying number of operations between them.
@@ -207,21 +216,22 @@
 	padding := 1 + l.probes%maxProbePadding
 	l.probes++
 	padded := make([]Operation, 0, len(operations)+padding)
-	padded = append(padded, operations[0])
+	last := len(operations) - 1
+	padded = append(padded, operations[:last]...)
 	for range padding {
 		padded = append(padded, probePadding)
 	}
-	return append(padded, operations[1])
+	return append(padded, operations[last])
 }
 
-// probeResults returns the results of a probe without those of its padding. At least one answer is
-// no copy, so the newest position is not older than the probe.
-func probeResults(results []Result) []Result {
-	begin, rollback := results[0], results[len(results)-1]
+// probeResults returns the results of the operations of a probe without those of its padding. At least
+// one answer is no copy, so the newest position is not older than the probe.
+func probeResults(results []Result, operations int) []Result {
+	begin := &results[operations-2]
 	for i := range results {
 		begin.Position = position.Max(begin.Position, results[i].Position)
 	}
-	return []Result{begin, rollback}
+	return append(results[:operations-1:operations-1], results[len(results)-1])
 }
 
 // surplusTimeout limits the wait for the rest of an answer that nothing asked for.
--- a/internal/proxy/upstream/batch.go
+++ b/internal/proxy/upstream/batch.go
@@ -70,7 +70,7 @@
 		batch.Results = append(batch.Results, result)
 	}
 	if probes {
-		batch.Results = probeResults(batch.Results)
+		batch.Results = probeResults(batch.Results, len(operations))
 	}
 	l.recordAnswers(operations, &batch)
 	return batch
--- a/internal/proxy/upstream/proof_test.go
+++ b/internal/proxy/upstream/proof_test.go
@@ -115,14 +115,17 @@
 			lease, err := pool.Get(Own, time.Now().Add(time.Second))
 			must.NoError(t, err)
 			accepted, at := server.accepted, server.position()
-			batch := lease.Run([]Operation{{Kind: Begin}, {Kind: Rollback}}, time.Now().Add(time.Second))
+			// Through an owner, a probe may have to change the connection's session first.
+			operations := []Operation{{Kind: ResetSession}, {Kind: Begin}, {Kind: Rollback}}[rapid.IntRange(0, 1).Draw(t, "without a reset"):]
+			batch := lease.Run(operations, time.Now().Add(time.Second))
 			if batch.Err != nil {
 				lease.Discard()
 				continue
 			}
-			if batch.First().Outcome == Succeeded {
+			must.SliceLen(t, len(operations), batch.Results)
+			if begin := batch.Results[len(operations)-2]; begin.Outcome == Succeeded {
 				must.Eq(t, accepted+1, server.accepted, must.Sprint("the server refused the transaction"))
-				must.False(t, batch.First().Position.Less(at))
+				must.False(t, begin.Position.Less(at))
 			}
 			lease.Settle(batch.Last())
 		}
