upstream: a connection is closed when it cannot remember more answers

A copy of an answer that was over 256 signed answers old was taken for the answer to the next statement: its caller got the rows and the signature of another one. A server may repeat an answer at any later time. A connection remembers 1,024 answers now and is closed afterwards. TestOldCopyIsNotTakenForTheNext passes.

--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -33,8 +33,9 @@
 	return fmt.Sprintf("the server's answer does not match the operation: %s; close the connection", e.Reason)
 }
 
-// maxSignatures is the number of signed answers that a connection remembers.
-const maxSignatures = 256
+// maxSignatures is the number of signed answers that a connection remembers. It is closed afterwards,
+// since a copy of a forgotten answer would look like a new one.
+const maxSignatures = 1024
 
 // signatureSeed is the seed of the hashes of signed answers.
 var signatureSeed = maphash.MakeSeed()
@@ -55,32 +56,19 @@
 	return signedAnswer{signature: maphash.String(signatureSeed, result.Signature), rows: rows.Sum64()}
 }
 
-// signedAnswers holds the newest signed answers of a connection.
-type signedAnswers struct {
-	answers []signedAnswer
-	// oldest is the index of the oldest answer once the set is full.
-	oldest int
-}
+// signedAnswers holds the signed answers of a connection.
+type signedAnswers []signedAnswer
 
 // find returns the answer with the same signature, or nil.
-func (s *signedAnswers) find(answer signedAnswer) *signedAnswer {
-	for i := range s.answers {
-		if s.answers[i].signature == answer.signature {
-			return &s.answers[i]
+func (s signedAnswers) find(answer signedAnswer) *signedAnswer {
+	for i := range s {
+		if s[i].signature == answer.signature {
+			return &s[i]
 		}
 	}
 	return nil
 }
 
-func (s *signedAnswers) add(answer signedAnswer) {
-	if len(s.answers) < maxSignatures {
-		s.answers = append(s.answers, answer)
-		return
-	}
-	s.answers[s.oldest] = answer
-	s.oldest = (s.oldest + 1) % maxSignatures
-}
-
 // receive reads the answer to an operation. It drops copies of earlier answers, and returns a
 // MismatchError for an answer that cannot belong to the operation.
 func (l *Lease) receive(operation *Operation, deadline time.Time) (Result, error) {
@@ -102,7 +90,7 @@
 		}
 		l.state, l.newest = result.State, position.Max(l.newest, result.Position)
 		l.failed = l.failed || result.Outcome != Succeeded
-		l.spent = l.spent || l.failed || operation.Kind.controls()
+		l.spent = l.spent || l.failed || operation.Kind.controls() || len(l.signed) >= maxSignatures
 		return result, nil
 	}
 }
@@ -120,7 +108,7 @@
 	known := l.signed.find(answer)
 	switch {
 	case known == nil:
-		l.signed.add(answer)
+		l.signed = append(l.signed, answer)
 		return false, nil
 	case known.rows != answer.rows:
 		return false, l.recordMismatch("a known signature with other rows")
