--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -32,8 +32,9 @@
 	return fmt.Sprintf("the server's answer does not match the operation: %s; close the connection", e.Reason)
 }
 
-// maxSignatures is the number of signed answers that a connection remembers.
-const maxSignatures = 256
+// maxSignatures is the number of signed answers that a connection remembers. It is closed afterwards,
+// since a copy of a forgotten answer would look like a new one.
+const maxSignatures = 1024
 
 // signatureSeed is the seed of the hashes of signed answers.
 var signatureSeed = maphash.MakeSeed()
@@ -54,32 +55,19 @@
 	return signedAnswer{signature: maphash.String(signatureSeed, result.Signature), rows: rows.Sum64()}
 }
 
-// signedAnswers holds the newest signed answers of a connection.
-type signedAnswers struct {
-	answers []signedAnswer
-	// oldest is the index of the oldest answer once the set is full.
-	oldest int
-}
+// signedAnswers holds the signed answers of a connection.
+type signedAnswers []signedAnswer
 
 // find returns the answer with the same signature, or nil.
-func (s *signedAnswers) find(answer signedAnswer) *signedAnswer {
-	for i := range s.answers {
-		if s.answers[i].signature == answer.signature {
-			return &s.answers[i]
+func (s signedAnswers) find(answer signedAnswer) *signedAnswer {
+	for i := range s {
+		if s[i].signature == answer.signature {
+			return &s[i]
 		}
 	}
 	return nil
 }
 
-func (s *signedAnswers) add(answer signedAnswer) {
-	if len(s.answers) < maxSignatures {
-		s.answers = append(s.answers, answer)
-		return
-	}
-	s.answers[s.oldest] = answer
-	s.oldest = (s.oldest + 1) % maxSignatures
-}
-
 // receive reads the answer to an operation. It drops copies of earlier answers, and returns a
 // MismatchError for an answer that cannot belong to the operation.
 func (l *Lease) receive(operation *Operation, deadline time.Time) (Result, error) {
@@ -101,7 +89,7 @@
 		}
 		l.state, l.newest = result.State, position.Max(l.newest, result.Position)
 		l.failed = l.failed || result.Outcome != Succeeded
-		l.spent = l.spent || l.failed || operation.Kind.controls()
+		l.spent = l.spent || l.failed || operation.Kind.controls() || len(l.signed) >= maxSignatures
 		return result, nil
 	}
 }
@@ -122,7 +110,7 @@
 	known := l.signed.find(answer)
 	switch {
 	case known == nil:
-		l.signed.add(answer)
+		l.signed = append(l.signed, answer)
 		return false, nil
 	case known.rows != answer.rows:
 		return false, l.recordMismatch("a known signature with other rows")
@@ -148,6 +136,8 @@
 		return "an error after another error"
 	case result.Outcome.NotRun() && len(result.Rows) > 0:
 		return "rows of a statement that did not run"
+	case result.Outcome != Succeeded && kind.adapts() && l.state != FailedTransaction:
+		return "an error for what prepares the session"
 	case result.Outcome != Succeeded:
 		return ""
 	case kind.UsesSlot() && result.Signature == "":
@@ -189,6 +179,12 @@
 // controls reports whether the operation asks for the server's status or directs its replication.
 func (k OperationKind) controls() bool { return k.ReportsStatus() || k == ResumeReplication }
 
+// adapts reports whether the operation prepares the session for the following ones, which run also
+// if a server refuses it.
+func (k OperationKind) adapts() bool {
+	return k == ResetSession || k == SetValue || k == PrepareStatement
+}
+
 // maxProbePadding is the largest number of operations that pad a probe.
 const maxProbePadding = 4
 
@@ -196,10 +192,11 @@
 // ServerName returns.
 var probePadding = Operation{Kind: PrepareStatement, Name: "p", Definition: command.PreparedStatement{Shape: "p"}}
 
-// isProbe reports whether operations begin a transaction only to learn whether the server is the
-// primary.
+// isProbe reports whether operations end with a transaction that is begun only to learn whether the
+// server is the primary.
 func isProbe(operations []Operation) bool {
-	return len(operations) == 2 && operations[0].Kind == Begin && operations[1].Kind == Rollback
+	last := len(operations) - 1
+	return last > 0 && operations[last-1].Kind == Begin && operations[last].Kind == Rollback
 }
 
 // padProbe returns the operations of a probe with a varying number of operations between them.
@@ -209,21 +206,22 @@
 	padding := 1 + l.probes%maxProbePadding
 	l.probes++
 	padded := make([]Operation, 0, len(operations)+padding)
-	padded = append(padded, operations[0])
+	last := len(operations) - 1
+	padded = append(padded, operations[:last]...)
 	for range padding {
 		padded = append(padded, probePadding)
 	}
-	return append(padded, operations[1])
+	return append(padded, operations[last])
 }
 
-// probeResults returns the results of a probe without those of its padding. At least one answer is
-// no copy, so the newest position is not older than the probe.
-func probeResults(results []Result) []Result {
-	begin, rollback := results[0], results[len(results)-1]
+// probeResults returns the results of the operations of a probe without those of its padding. At least
+// one answer is no copy, so the newest position is not older than the probe.
+func probeResults(results []Result, operations int) []Result {
+	begin := &results[operations-2]
 	for i := range results {
 		begin.Position = position.Max(begin.Position, results[i].Position)
 	}
-	return []Result{begin, rollback}
+	return append(results[:operations-1:operations-1], results[len(results)-1])
 }
 
 // surplusTimeout limits the wait for the rest of an answer that nothing asked for.
