proxy, platform: no message exceeds 1 MiB, and what cannot be passed on is refused

What callers saw: in tests only. EXEC of nearly 1 MiB ended as INDOUBT, a PREPARE of that size was accepted and each EXEC of it failed, and an error that names a caller's text was longer than a message may be.

Cause: a node makes messages longer (AFTER with a position, the name of a prepared statement), and servers close a connection on which a message is over the limit. Details of errors held names of any size.

Change: what does not fit is refused with TOOBIG before anything is sent, and the session and the servers' connections stay open. A read that fits without a position only runs on the primary, as reads of primary routes do. Details have 512 bytes at most.

Evidence: before, TestMessagesStayWithinTheSizeLimit: EXEC s was answered with ERR INDOUBT; TestErrorsAreShort: an error of 1,048,591 bytes.

--- a/internal/base/failure/failure.go
+++ b/internal/base/failure/failure.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"dewknot/internal/base/bounded"
 )
 
 // Kind is the type of a failure.
@@ -75,6 +77,8 @@
 	OverQuota
 	// OutsideHomes: no server that can run the request is in a region that it may use.
 	OutsideHomes
+	// StatementTooLarge: the message to the server would exceed the size limit.
+	StatementTooLarge
 )
 
 type description struct {
@@ -113,6 +117,7 @@
 	UnknownKey:          {"unknown_key", "28000", "the key is not known, or was taken away", "use a key that the operator has given to your tenant; operators see its keys in the configuration", true},
 	OverQuota:           {"over_quota", "53400", "request refused: the tenant has used up its quota", "send the request again after the time given in the detail, or ask the operator for a larger quota", false},
 	OutsideHomes:        {"outside_homes", "57P03", "request refused: no server that can run it stands in a region to which it may go", "send the request again after the time given in the detail; operators see the regions of route and tenant in the configuration", false},
+	StatementTooLarge:   {"statement_too_large", "54000", "the message to the server would exceed the size limit", "send less in one message; the name of a prepared statement is longer on servers", false},
 	TooLarge:            {"too_large", "54000", "message exceeds the size limit", "send less in one message, or raise max_message_bytes in the settings", true},
 }
 
@@ -166,16 +171,20 @@
 // Remedy returns what the caller or operator can do.
 func (e *Error) Remedy() string { return descriptions[e.Kind].remedy }
 
-// FullDetail returns the detail with the retry time, as sent to callers.
+// maxDetailBytes bounds a detail, which may contain a name of any size.
+const maxDetailBytes = 512
+
+// FullDetail returns the detail, shortened if it is long, with the retry time, as sent to callers.
 func (e *Error) FullDetail() string {
+	detail := bounded.Text(e.Detail, maxDetailBytes)
 	if e.RetryAfter <= 0 {
-		return e.Detail
+		return detail
 	}
 	retry := fmt.Sprintf("retry after %d ms", e.RetryAfter.Milliseconds())
-	if e.Detail == "" {
+	if detail == "" {
 		return retry
 	}
-	return e.Detail + "; " + retry
+	return detail + "; " + retry
 }
 
 // Error implements the error interface. The text includes the remedy.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -162,7 +162,7 @@
 func newPorts(loaded *settings.Proxy, dialer upstream.Dialer, peerClient *relay.Client) proxy.Ports {
 	return proxy.Ports{
 		Store: platform.NewStore(loaded.Store, peerClient.Meter), Dialer: dialer,
-		Promoter: platform.NewPromoter(loaded.Promotions), Decoder: platform.Decoder{}, Client: platform.NewCaller,
+		Promoter: platform.NewPromoter(loaded.Promotions), Decoder: platform.Decoder{}, Client: platform.NewCaller, Fits: platform.Fits,
 		Peers: peerClient, Traffic: peerClient.Meter, Connect: platform.ConnectDirectly,
 	}
 }
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -127,6 +127,9 @@
 	Traffic *traffic.Meter
 	// Connect dials an address for a tunnel that another node opened.
 	Connect func(ctx context.Context, address string) (net.Conn, error)
+	// Fits reports whether an operation's message is within the size limit of the servers' protocol.
+	// If it is nil, all are.
+	Fits func(operation *upstream.Operation) bool
 	// Client wraps an accepted connection.
 	Client func(net.Conn) Client
 	// Trace, if not nil, starts recording the failover state machine of a service. rankDelay is the
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/command"
 	"dewknot/internal/proxy/freshness"
@@ -289,6 +291,11 @@
 	if _, exists := s.prepared[received.Name]; !exists && len(s.prepared) >= maxPreparedStatements {
 		return s.fail(failure.New(failure.TooManyValues, received.Name))
 	}
+	if !s.node.fits(&upstream.Operation{
+		Kind: upstream.PrepareStatement, Name: upstream.ServerName(received.Statement), Definition: received.Statement,
+	}) {
+		return s.fail(failure.New(failure.StatementTooLarge, ""))
+	}
 	s.prepared[received.Name] = received.Statement
 	return s.done()
 }
@@ -315,6 +322,10 @@
 		statement.Writes = definition.Writes
 	}
 	run := s.newRun(&statement, arrived)
+	operation := run.operation()
+	if !s.node.fits(&operation) {
+		return s.fail(failure.New(failure.StatementTooLarge, ""))
+	}
 	if s.transaction != nil {
 		return s.transaction.run(run)
 	}
@@ -324,9 +335,21 @@
 	switch {
 	case statement.Writes:
 		return run.write()
-	case s.route.Freshness == catalog.Current:
+	case s.route.Freshness == catalog.Current || !s.node.fitsWithPosition(operation):
 		return run.readCurrent()
 	default:
 		return run.read()
 	}
 }
+
+// fits reports whether an operation's message to a server is within the size limit.
+func (n *Node) fits(operation *upstream.Operation) bool {
+	return n.ports.Fits == nil || n.ports.Fits(operation)
+}
+
+// fitsWithPosition reports whether the operation also fits with any minimum position. A read that
+// does not runs on the primary, which needs no minimum position.
+func (n *Node) fitsWithPosition(operation upstream.Operation) bool {
+	operation.MinimumPosition = position.Position{Term: math.MaxUint64, Offset: math.MaxUint64}
+	return n.fits(&operation)
+}
