eventlog, explain: odd texts make no odd lines

What operators saw: in tests only. A request ID of 1 MiB made a log line of several MiB, and 'dewknot explain' gave up the whole file at a line over 1 MiB; an ID with a line end was shown in two lines, and one that is not UTF-8 was not found.

Cause: texts of callers were logged in any size; the scanner of explain ends at a line that is too long, and its output was not quoted.

Change: a text of a field has 1 KiB at most; explain skips lines that are too long, quotes what is not printable, and looks for an ID as it is logged.

--- a/internal/base/eventlog/eventlog.go
+++ b/internal/base/eventlog/eventlog.go
@@ -16,6 +16,8 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"dewknot/internal/base/bounded"
 )
 
 // Event is the name of an event. docs/OPERATIONS.md lists all of them.
@@ -248,14 +250,25 @@
 	}
 }
 
-// asText replaces an error by its message: a stack trace would make the line ten times as long.
+// maxTextBytes bounds the text of a field, which may come from a caller and have any size.
+const maxTextBytes = 1 << 10
+
+// asText replaces an error by its message, since a stack trace would make the line ten times as long,
+// and shortens long texts.
 func asText(field *zap.Field) zap.Field {
 	if failed, isError := field.Interface.(error); isError && field.Type == zapcore.ErrorType {
-		return zap.String(field.Key, failed.Error())
+		return zap.String(field.Key, Text(failed.Error()))
+	}
+	if field.Type == zapcore.StringType {
+		return zap.String(field.Key, Text(field.String))
 	}
 	return *field
 }
 
+// Text returns a text as it is logged: shortened if it is long, with a replacement character for each
+// byte that is not UTF-8.
+func Text(text string) string { return string([]rune(bounded.Text(text, maxTextBytes))) }
+
 func (l *Log) drop(event Event) {
 	l.total.Add(1)
 	l.mutex.Lock()
--- a/internal/lab/explain/explain.go
+++ b/internal/lab/explain/explain.go
@@ -15,6 +15,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -55,12 +56,22 @@
 	Skipped int
 }
 
-// Read adds the lines of one file.
+// Read adds the lines of one file. It skips lines that are too long.
 func (l *Logs) Read(input io.Reader) error {
-	scanner := bufio.NewScanner(input)
-	scanner.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
-	for scanner.Scan() {
-		line, ok := parseLine(scanner.Text())
+	reader := bufio.NewReaderSize(input, maxLineBytes)
+	for {
+		text, tooLong, err := reader.ReadLine()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read log")
+		}
+		line, ok := parseLine(string(text))
+		ok = ok && !tooLong
+		for tooLong && err == nil {
+			_, tooLong, err = reader.ReadLine()
+		}
 		if !ok {
 			l.Skipped++
 			continue
@@ -68,7 +79,6 @@
 		line.index = len(l.lines)
 		l.lines = append(l.lines, line)
 	}
-	return errors.Wrap(scanner.Err(), "read log; lines may have at most 1 MiB")
 }
 
 func parseLine(text string) (Line, bool) {
@@ -134,6 +144,7 @@
 // Request writes every line that names a request, and the state changes of its nodes that
 // concern its service or servers from shortly before.
 func (l *Logs) Request(out io.Writer, id string) error {
+	id = eventlog.Text(id)
 	lines := l.merge()
 	first, last := -1, -1
 	nodes, services, servers := map[string]bool{}, map[string]bool{}, map[string]bool{}
@@ -225,6 +236,14 @@
 	return writeLines(out, lines, matches)
 }
 
+// printable returns a text that stays on one line: quoted if it has characters that are not printable.
+func printable(text string) string {
+	if strings.ContainsFunc(text, func(r rune) bool { return !strconv.IsPrint(r) }) {
+		return strconv.Quote(text)
+	}
+	return text
+}
+
 func writeLines(out io.Writer, lines []Line, shown func(*Line) bool) error {
 	for i := range lines {
 		line := &lines[i]
@@ -233,7 +252,7 @@
 		}
 		var fields strings.Builder
 		for _, name := range slices.Sorted(maps.Keys(line.Fields)) {
-			fields.WriteString(" " + name + "=" + line.Text(name))
+			fields.WriteString(" " + name + "=" + printable(line.Text(name)))
 		}
 		if _, err := fmt.Fprintf(out, "%s %-20s %s%s\n",
 			line.adjusted.Format("15:04:05.000"), line.Node, line.Event, fields.String()); err != nil {
--- a/internal/lab/explain/explain_test.go
+++ b/internal/lab/explain/explain_test.go
@@ -6,6 +6,9 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"dewknot/internal/base/eventlog"
 )
 
 const sampleLogs = `  24.1 n1 {"time":"2026-12-02T10:00:00.1Z","event":"primary_proved","node":"n1","service":"bookings","server":"s1","position":"1/7"}
@@ -77,3 +80,29 @@
 	must.True(t, errors.As(read(t).Tenant(&strings.Builder{}, "none"), &missing))
 	must.True(t, errors.As(read(t).Failover(&strings.Builder{}, "none"), &missing))
 }
+
+// lineWriter passes on what is written.
+type lineWriter chan string
+
+func (w lineWriter) Write(content []byte) (int, error) {
+	w <- string(content)
+	return len(content), nil
+}
+
+// TestOddIDStaysOnOneLine: a request's ID with line ends, of invalid characters or of any size must be
+// found, and shown in one line; a line that is too long must not end the reading of the others.
+func TestOddIDStaysOnOneLine(t *testing.T) {
+	for _, id := range []string{"a\nb", "\r\n", "\xff\xfe", "\x00", strings.Repeat("\xff", 5000), strings.Repeat("i", 5000)} {
+		written := make(lineWriter, 1)
+		log := eventlog.New(written, eventlog.Config{Node: "n", LinesPerSecond: 100})
+		log.Write(eventlog.RequestFailed, zap.String("request", id), zap.String("tenant", "t"))
+		log.Close()
+		logs := &Logs{}
+		must.NoError(t, logs.Read(strings.NewReader("{"+strings.Repeat("x", 2<<20)+"\n"+<-written)))
+		must.Eq(t, 1, logs.Skipped)
+		var out strings.Builder
+		must.NoError(t, logs.Request(&out, id))
+		must.Eq(t, 1, strings.Count(out.String(), "\n"))
+		must.StrHasSuffix(t, " tenant=t\n", out.String())
+	}
+}
