remote: no request or answer of one caller ends the link for others

What callers saw: in tests only. A read with more than 8 MiB of rows, a statement of a session with more than 62 values, or one of a route with a time-out over a minute ended the link to the owner of the connections: all others on it ended as unknown, again at each retry.

Cause: the limits of a request and of a frame were lower than those of sessions, answers and routes, and the receiver ends the link at what is over a limit. A large frame also took longer than the other node may be silent, since only whole frames counted as a sign of life.

Change: a frame fits the largest answer (upstream.MaxAnswerBytes), a request all values of a session, and the time-out is cut to what an owner accepts. The sender refuses what is still over a limit, which fails only the one who sent it. Data that arrives counts as a sign of life, and the time-out of a write holds for each 256 KiB.

Nodes of an earlier version still end the link at these limits during an upgrade.

--- a/internal/base/framing/framing.go
+++ b/internal/base/framing/framing.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -58,10 +59,24 @@
 	return f, errors.Wrap(err, "read frame body")
 }
 
+// TooLargeError reports a frame that exceeds the writer's limit. It was not written.
+type TooLargeError struct {
+	Bytes int
+	Limit int
+}
+
+// Error implements the error interface.
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("a frame of %d bytes exceeds the limit of %d; send less", e.Bytes, e.Limit)
+}
+
 // Writer writes frames of many goroutines to a connection. A goroutine that finds no write in
 // progress writes its own frame and all frames queued meanwhile. Under load frames share system
 // calls, otherwise they are written at once. Writer is safe for concurrent use.
 type Writer struct {
+	// Limit is the maximum size of a frame's body; 0 means no limit.
+	Limit int
+
 	conn    net.Conn
 	mu      sync.Mutex
 	pending []byte
@@ -74,12 +89,15 @@
 func NewWriter(conn net.Conn) *Writer { return &Writer{conn: conn} }
 
 // Send encodes a frame and writes or queues it. An error of an earlier write is returned to all
-// later callers.
+// later callers. A TooLargeError concerns only the frame.
 func (w *Writer) Send(kind uint8, stream uint64, body any) error {
 	encoded, err := Encode(kind, stream, body)
 	if err != nil {
 		return err
 	}
+	if size := len(encoded) - HeaderBytes; w.Limit > 0 && size > w.Limit {
+		return &TooLargeError{Bytes: size, Limit: w.Limit}
+	}
 	return errors.Wrap(w.write(encoded), "write frame")
 }
 
--- a/internal/proxy/remote/host.go
+++ b/internal/proxy/remote/host.go
@@ -90,7 +90,7 @@
 // Serve serves a link until its connection ends, and then rolls back its open transactions.
 func (o *Owner) Serve(conn net.Conn) {
 	l := &hostLink{
-		host: o.host, conn: conn, w: framing.NewWriter(deadlineWriter{conn}), streams: map[uint64]*hostStream{},
+		host: o.host, conn: conn, w: newWriter(conn), streams: map[uint64]*hostStream{},
 	}
 	o.mu.Lock()
 	o.links[l] = struct{}{}
@@ -171,11 +171,19 @@
 	go func() {
 		resp := l.run(stream, req, received)
 		l.finish(streamID, stream)
-		_ = l.w.Send(frameResponse, streamID, resp)
+		l.respond(streamID, resp)
 	}()
 	return true
 }
 
+// respond sends a response. If it is too large for a frame, its results are lost.
+func (l *hostLink) respond(streamID uint64, resp *response) {
+	var tooLarge *framing.TooLargeError
+	if errors.As(l.w.Send(frameResponse, streamID, resp), &tooLarge) {
+		_ = l.w.Send(frameResponse, streamID, &response{Lost: true})
+	}
+}
+
 // finish ends a batch, and also the stream if it has no open transaction or has to end.
 func (l *hostLink) finish(streamID uint64, stream *hostStream) {
 	l.mu.Lock()
--- a/internal/proxy/remote/link.go
+++ b/internal/proxy/remote/link.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,10 +21,10 @@
 const (
 	// pingInterval is the pause between checks while responses are pending.
 	pingInterval = 100 * time.Millisecond
-	// suspicionTimeout is the time without a frame, while responses are pending, after which new
+	// suspicionTimeout is the time without data, while responses are pending, after which new
 	// work goes to another owner.
 	suspicionTimeout = 300 * time.Millisecond
-	// silenceTimeout is the time without a frame, while responses are pending, after which the link
+	// silenceTimeout is the time without data, while responses are pending, after which the link
 	// counts as lost.
 	silenceTimeout = 800 * time.Millisecond
 	// writeTimeout bounds a write, so that a peer that stops reading doesn't block its callers.
@@ -61,7 +63,7 @@
 	mu      sync.Mutex
 	waiting map[uint64]chan response
 	next    uint64
-	// receivedAt is when the last frame arrived, waitingSince when responses became pending.
+	// receivedAt is when data last arrived, waitingSince when responses became pending.
 	receivedAt   time.Time
 	waitingSince time.Time
 	// watching is set while watch is scheduled.
@@ -71,20 +73,52 @@
 // NewLink returns the requesting node's end of a link over a connection.
 func NewLink(conn net.Conn, onProof ProofFunc, onReport ReportFunc) *Link {
 	l := &Link{
-		conn: conn, w: framing.NewWriter(deadlineWriter{conn}), onProof: onProof, onReport: onReport, incarnation: linkCount.Add(1),
+		conn: conn, w: newWriter(conn), onProof: onProof, onReport: onReport, incarnation: linkCount.Add(1),
 		lost: make(chan struct{}), suspected: make(chan struct{}), waiting: map[uint64]chan response{}, receivedAt: time.Now(),
 	}
 	go l.readLoop()
 	return l
 }
 
-// deadlineWriter sets a deadline for each write to a connection.
+// newWriter returns a writer of frames to the other end of a link.
+func newWriter(conn net.Conn) *framing.Writer {
+	w := framing.NewWriter(deadlineWriter{conn})
+	w.Limit = maxFrameBytes
+	return w
+}
+
+// writeBytes is the number of bytes that must be written within writeTimeout.
+const writeBytes = 256 << 10
+
+// deadlineWriter sets a deadline for each part of what is written to a connection, so that a large
+// frame may take longer on a slow link.
 type deadlineWriter struct{ net.Conn }
 
 // Write implements net.Conn.
 func (w deadlineWriter) Write(content []byte) (int, error) {
-	_ = w.SetWriteDeadline(time.Now().Add(writeTimeout))
-	return w.Conn.Write(content)
+	written := 0
+	for part := range slices.Chunk(content, writeBytes) {
+		_ = w.SetWriteDeadline(time.Now().Add(writeTimeout))
+		n, err := w.Conn.Write(part)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// linkReader reads from a link's connection and records that data arrives, also while a large frame is
+// incomplete.
+type linkReader struct{ link *Link }
+
+// Read implements io.Reader.
+func (r linkReader) Read(content []byte) (int, error) {
+	n, err := r.link.conn.Read(content)
+	if n > 0 {
+		r.link.recordReceived()
+	}
+	return n, err
 }
 
 // Alive reports whether the link is open and its owner is responsive and accepts new work.
@@ -117,13 +151,12 @@
 
 func (l *Link) readLoop() {
 	defer l.Close()
-	r := bufio.NewReaderSize(l.conn, readBufferBytes)
+	r := bufio.NewReaderSize(linkReader{l}, readBufferBytes)
 	for {
 		f, err := framing.Read(r, maxFrameBytes)
 		if err != nil {
 			return
 		}
-		l.recordReceived()
 		switch f.Kind {
 		case frameResponse:
 			var resp response
@@ -138,7 +171,7 @@
 	}
 }
 
-// recordReceived records a received frame, which ends a suspicion.
+// recordReceived records that data arrived, which ends a suspicion.
 func (l *Link) recordReceived() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -244,14 +277,25 @@
 		return ErrLinkLost
 	}
 	s.sentAt = time.Now()
+	req := &request{
+		Server: s.server, Operations: operations, Budget: min(deadline.Sub(s.sentAt), maxBudget), Open: s.open, Ticket: s.ticket, Principal: s.principal,
+	}
+	if !req.valid() {
+		s.cause = ErrInvalidRequest
+		return s.cause
+	}
 	s.pending, s.suspected = s.link.await(s.stream)
 	if s.open || !repeatable(operations) {
 		s.suspected = nil
 	}
-	err := s.link.w.Send(frameRequest, s.stream, &request{
-		Server: s.server, Operations: operations, Budget: deadline.Sub(s.sentAt), Open: s.open, Ticket: s.ticket, Principal: s.principal,
-	})
-	if err != nil {
+	err := s.link.w.Send(frameRequest, s.stream, req)
+	var tooLarge *framing.TooLargeError
+	switch {
+	case err == nil:
+	case errors.As(err, &tooLarge):
+		s.link.cancelWait(s.stream)
+		s.pending, s.cause = nil, err
+	default:
 		s.cause = ErrLinkLost
 		s.link.Close()
 	}
--- a/internal/proxy/remote/protocol.go
+++ b/internal/proxy/remote/protocol.go
@@ -32,8 +32,9 @@
 	frameLeaving
 )
 
-// maxFrameBytes bounds a frame. It fits a few statements of the maximum size.
-const maxFrameBytes = 8 << 20
+// maxFrameBytes bounds a frame. It fits the largest answer of a server, whose encoding here has no
+// more bytes for each row than there. It also fits a statement with all values of a session.
+const maxFrameBytes = upstream.MaxAnswerBytes + 1<<20
 
 // readBufferBytes is the size of a link's read buffer.
 const readBufferBytes = 8 << 10
@@ -64,7 +65,7 @@
 
 // Limits of a request.
 const (
-	maxOperations = 64
+	maxOperations = 320
 	maxBudget     = time.Minute
 )
 
@@ -118,6 +119,9 @@
 // empty is the body of frames without content.
 type empty struct{}
 
+// ErrInvalidRequest is returned for operations that an owner would not run. Nothing was sent.
+var ErrInvalidRequest = errors.New("the operations exceed the limits of a request to an owner; send fewer at once")
+
 // Errors of requests to an owner. After either, the outcome of the operations is in doubt.
 var (
 	// ErrLinkLost is returned if the link ended before an answer arrived.
--- a/internal/proxy/upstream/upstream.go
+++ b/internal/proxy/upstream/upstream.go
@@ -146,6 +146,9 @@
 	Connections int
 }
 
+// MaxAnswerBytes is the size limit of a server's answer to one operation, which connections enforce.
+const MaxAnswerBytes = 16 << 20
+
 // Result is a server's answer to one operation.
 type Result struct {
 	Outcome Outcome
