proxy: the values and statements of a session are bounded by size

What callers saw: in tests only. One session could keep 256 values and 1,024 statements of 1 MiB each, more than a node's memory.

Cause: the limits counted values and statements, not their size.

Change: names, values and shapes of a session have 4 MiB at most together; what is over it is refused as what is over the counts.

Evidence: TestSessionStateIsBounded; without the check (a trial) the state grew over the limit in the first checks.

--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -37,6 +37,8 @@
 	homes    []catalog.Homes
 	values   map[string]string
 	prepared map[string]command.PreparedStatement
+	// stateBytes is the size of values and prepared.
+	stateBytes int
 	// lastCommit is the session's newest commit.
 	lastCommit  freshness.OwnCommit
 	transaction *transaction
@@ -271,13 +273,31 @@
 const (
 	maxSessionValues      = 256
 	maxPreparedStatements = 1024
+	// maxSessionBytes bounds the names, values and shapes together. It fits the largest message a few
+	// times, and all values fit a request to an owner of connections.
+	maxSessionBytes = 4 << 20
 )
 
+// resizeState changes the size of the session's state and reports whether it stays within its limit.
+// If it does not, nothing changes.
+func (s *session) resizeState(change int) bool {
+	if s.stateBytes+change > maxSessionBytes {
+		return false
+	}
+	s.stateBytes += change
+	return true
+}
+
 func (s *session) setValue(received *command.Command) Reply {
 	if s.values == nil {
 		s.values = map[string]string{}
 	}
-	if _, exists := s.values[received.Name]; !exists && len(s.values) >= maxSessionValues {
+	previous, exists := s.values[received.Name]
+	change := len(received.Value) - len(previous)
+	if !exists {
+		change += len(received.Name)
+	}
+	if !exists && len(s.values) >= maxSessionValues || !s.resizeState(change) {
 		return s.fail(failure.New(failure.TooManyValues, received.Name))
 	}
 	s.values[received.Name] = received.Value
@@ -288,22 +308,29 @@
 	if s.prepared == nil {
 		s.prepared = map[string]command.PreparedStatement{}
 	}
-	if _, exists := s.prepared[received.Name]; !exists && len(s.prepared) >= maxPreparedStatements {
-		return s.fail(failure.New(failure.TooManyValues, received.Name))
-	}
 	if !s.node.fits(&upstream.Operation{
 		Kind: upstream.PrepareStatement, Name: upstream.ServerName(received.Statement), Definition: received.Statement,
 	}) {
 		return s.fail(failure.New(failure.StatementTooLarge, ""))
 	}
+	previous, exists := s.prepared[received.Name]
+	change := len(received.Statement.Shape) - len(previous.Shape)
+	if !exists {
+		change += len(received.Name)
+	}
+	if !exists && len(s.prepared) >= maxPreparedStatements || !s.resizeState(change) {
+		return s.fail(failure.New(failure.TooManyValues, received.Name))
+	}
 	s.prepared[received.Name] = received.Statement
 	return s.done()
 }
 
 func (s *session) deallocate(received *command.Command) Reply {
-	if _, found := s.prepared[received.Name]; !found {
+	statement, found := s.prepared[received.Name]
+	if !found {
 		return s.fail(failure.New(failure.UnknownStatement, received.Name))
 	}
+	s.stateBytes -= len(received.Name) + len(statement.Shape)
 	delete(s.prepared, received.Name)
 	return s.done()
 }
