judge: callers send unusual texts, and prepare, execute and deallocate statements

A deallocated name must not run; a name that was acknowledged must be known, also inside transactions, whose reads are checked for their values now. A stand-in runs what is prepared under a name, and the key of a read extends to the end; it compared the definition before, and ran nothing if it differed.

--- a/internal/lab/judge/caller.go
+++ b/internal/lab/judge/caller.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -18,6 +20,8 @@
 	// effect.
 	Failed bool
 	NotRun bool
+	// UnknownStatement is set if the command failed since no statement is prepared under its name.
+	UnknownStatement bool
 
 	Rows      [][]byte
 	Signature string
@@ -38,7 +42,9 @@
 	// Tenant is the caller's tenant; empty if callers need no key.
 	Tenant string
 	Random *rand.Rand
-	Judge  *Judge
+	// Texts draws the texts of the caller's commands. If it is nil, the name determines them.
+	Texts *rand.Rand
+	Judge *Judge
 	// KeepsSessions makes the caller keep each session until it fails or Run ends.
 	KeepsSessions bool
 	// Connect opens a session on some node and returns it with its route. The session is nil
@@ -58,11 +64,20 @@
 
 	session int // number of sessions opened
 	request int // number of requests made
-	values  map[string]string
+	// values and prepared are the session values and the prepared statements that were acknowledged.
+	values   map[string]string
+	prepared map[string]command.PreparedStatement
 }
 
 // NewCaller returns a caller; Run starts it.
-func NewCaller(cfg CallerConfig) *Caller { return &Caller{CallerConfig: cfg} }
+func NewCaller(cfg CallerConfig) *Caller {
+	if cfg.Texts == nil {
+		hash := fnv.New64a()
+		_, _ = hash.Write([]byte(cfg.Name))
+		cfg.Texts = rand.New(rand.NewPCG(hash.Sum64(), 0))
+	}
+	return &Caller{CallerConfig: cfg}
+}
 
 // reconnectDelay is the pause after a rejected session.
 const reconnectDelay = 50 * time.Millisecond
@@ -76,7 +91,7 @@
 			continue
 		}
 		c.session++
-		c.values = map[string]string{}
+		c.values, c.prepared = map[string]string{}, map[string]command.PreparedStatement{}
 		c.runSession(session, route, until)
 		session.Close()
 	}
@@ -98,6 +113,9 @@
 		if !time.Now().Before(until) {
 			return
 		}
+		if !c.prepareStatements(session) {
+			return
+		}
 		healthy := true
 		switch c.Random.IntN(10) {
 		case 0:
@@ -135,28 +153,131 @@
 
 func (c *Caller) setValue(session Session) bool {
 	name, value := fmt.Sprintf("v%d", c.Random.IntN(3)), fmt.Sprint(c.Random.IntN(5))
+	name = field(c.Texts, name)
+	if c.Texts.IntN(2) == 0 {
+		value = text(c.Texts)
+	}
 	answer, open := session.Ask(command.Command{
-		Kind: command.SetValue, RequestID: c.nextID(), Name: name, Value: value,
+		Kind: command.SetValue, RequestID: c.nextID(), Name: name, Value: value, Text: "SET " + name + " " + value,
 	})
+	if !open || answer.Failed {
+		return false
+	}
+	c.values[name] = value
+	return true
+}
+
+// prepareStatements prepares and deallocates statements. It returns false if the session must end.
+func (c *Caller) prepareStatements(session Session) bool {
+	for range c.Texts.IntN(3) {
+		healthy := true
+		if c.Texts.IntN(4) == 0 {
+			healthy = c.deallocate(session)
+		} else {
+			healthy = c.prepare(session)
+		}
+		if !healthy {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Caller) prepare(session Session) bool {
+	name, prepared := statementName(c.Texts), definition(c.Texts)
+	answer, open := session.Ask(command.Command{
+		Kind: command.Prepare, RequestID: c.nextID(), Name: name, Statement: prepared,
+		Text: "PREPARE " + name + " " + access(prepared.Writes) + " " + prepared.Shape,
+	})
+	if !open || answer.Failed {
+		return false
+	}
+	c.prepared[name] = prepared
+	return true
+}
+
+func (c *Caller) deallocate(session Session) bool {
+	name := c.preparedName(func(command.PreparedStatement) bool { return true })
+	if name == "" {
+		return true
+	}
+	answer, open := session.Ask(command.Command{
+		Kind: command.Deallocate, RequestID: c.nextID(), Name: name, Text: "DEALLOC " + name,
+	})
+	if open && answer.UnknownStatement {
+		c.Judge.RecordViolation("%s: %q is unknown although it was prepared", c.sessionName(), name)
+	}
+	if !open || answer.Failed {
+		return false
+	}
+	delete(c.prepared, name)
+	if c.Texts.IntN(2) == 0 {
+		return true
+	}
+	// The request is not recorded, so it must not run on a server.
+	answer, open = session.Ask(execute(c.nextID(), name, "t1 "+text(c.Texts)))
 	if open && !answer.Failed {
-		c.values[name] = value
+		c.Judge.RecordViolation("%s: %q was executed after it was deallocated", c.sessionName(), name)
 	}
 	return open
 }
 
-// statement returns a read or write of a random key.
+func access(writes bool) string {
+	if writes {
+		return "WRITE"
+	}
+	return "READ"
+}
+
+func execute(id, name, arguments string) command.Command {
+	return command.Command{
+		Kind: command.Execute, RequestID: id, Name: name, Value: arguments, Text: "EXEC " + name + " " + arguments,
+	}
+}
+
+// preparedName returns a random name among those of the prepared statements that fit, or "".
+func (c *Caller) preparedName(fits func(command.PreparedStatement) bool) string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(c.prepared)) {
+		if fits(c.prepared[name]) {
+			names = append(names, name)
+		}
+	}
+	if len(names) == 0 {
+		return ""
+	}
+	return names[c.Texts.IntN(len(names))]
+}
+
+// statement returns a read or write of a random key, as a text or by a prepared statement.
 func (c *Caller) statement(id string, writes bool) command.Command {
-	key := fmt.Sprintf("t%d", c.Random.IntN(maxKeys))
+	arguments := field(c.Texts, fmt.Sprintf("t%d", c.Random.IntN(maxKeys)))
+	switch {
+	case writes && c.Texts.IntN(2) == 0:
+		arguments += " " + id + text(c.Texts)
+	case writes:
+		arguments += " " + id
+	case c.Texts.IntN(oddOneOf) == 0:
+		// The key of a read is its last field. No write has this key.
+		arguments = withoutLineEnds(arguments + text(c.Texts))
+	}
+	if c.Texts.IntN(2) == 0 {
+		name := c.preparedName(func(prepared command.PreparedStatement) bool { return prepared.Writes == writes })
+		if name != "" {
+			return execute(id, name, arguments)
+		}
+	}
+	kind := command.Read
 	if writes {
-		return command.Command{Kind: command.Write, RequestID: id, Text: "WRITE " + key + " " + id}
+		kind = command.Write
 	}
-	return command.Command{Kind: command.Read, RequestID: id, Text: "READ " + key}
+	return command.Command{Kind: kind, RequestID: id, Text: access(writes) + " " + arguments}
 }
 
 func (c *Caller) singleStatement(session Session, route *catalog.Route, writes bool) bool {
 	id := c.nextID()
 	c.recordRequest(id, route, time.Now())
-	answer, open := session.Ask(c.statement(id, writes))
+	answer, open := c.run(session, id, writes)
 	if !open {
 		return false
 	}
@@ -167,6 +288,16 @@
 	return answer.State == upstream.Idle
 }
 
+// run sends a statement and returns its answer.
+func (c *Caller) run(session Session, id string, writes bool) (Answer, bool) {
+	cmd := c.statement(id, writes)
+	answer, open := session.Ask(cmd)
+	if open && answer.UnknownStatement {
+		c.Judge.RecordViolation("request %s: %q is unknown although it was prepared", id, cmd.Name)
+	}
+	return answer, open
+}
+
 // recordAnswer counts the final answer to an operation and reports to the judge what it states
 // about the operation's writes.
 func (c *Caller) recordAnswer(answer *Answer, ids []string, wrote bool) {
@@ -227,13 +358,16 @@
 	}
 	var writes []string
 	for range c.Random.IntN(maxStatements) {
+		if c.Texts.IntN(4) == 0 && !c.prepareStatements(session) {
+			return false
+		}
 		id := c.nextID()
 		c.recordRequest(id, route, began)
 		writing := kind == command.Begin && c.Random.IntN(2) == 0
 		if writing {
 			writes = append(writes, id)
 		}
-		answer, open := session.Ask(c.statement(id, writing))
+		answer, open := c.run(session, id, writing)
 		if !open {
 			return false
 		}
@@ -241,6 +375,9 @@
 			c.recordAnswer(&answer, writes, true)
 			return c.rollBack(session)
 		}
+		if !writing {
+			c.checkRows(id, &answer)
+		}
 		c.pause(maxStatementPauseMillis)
 	}
 	if c.Random.IntN(5) == 0 {
--- a/internal/lab/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -398,7 +398,10 @@
 		}
 	}
 	_, arguments, _ := strings.Cut(text, " ")
-	key, data, _ := strings.Cut(arguments, " ")
+	key, data := arguments, ""
+	if statement.Writes {
+		key, data, _ = strings.Cut(arguments, " ")
+	}
 	readWrite := s.state == upstream.InTransaction && !s.readOnly
 	if readWrite && !s.stillPrimary() {
 		s.state = upstream.FailedTransaction
@@ -431,9 +434,8 @@
 		definition, found := s.prepared[operation.Name]
 		return definition, found
 	}
-	wanted := operation.Statement.Definition
-	definition, found := s.prepared[upstream.ServerName(wanted)]
-	return definition, found && definition == wanted
+	definition, found := s.prepared[upstream.ServerName(operation.Statement.Definition)]
+	return definition, found
 }
 
 // writable reports whether a write is allowed.
--- a/internal/proxy/caller_test.go
+++ b/internal/proxy/caller_test.go
@@ -144,6 +144,7 @@
 	answer := judge.Answer{Rows: reply.Rows, Signature: reply.Signature, State: reply.State}
 	if reply.Failure != nil {
 		answer.Failed, answer.NotRun = true, reply.Failure.Kind.NotRun()
+		answer.UnknownStatement = reply.Failure.Kind == failure.UnknownStatement
 	}
 	return answer
 }
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -153,6 +153,7 @@
 	var working sync.WaitGroup
 	for i := range 9 {
 		caller := fleet.caller(fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(seed, uint64(i))))
+		caller.Texts = rand.New(rand.NewPCG(seed, uint64(2000+i)))
 		callers = append(callers, caller)
 		working.Go(func() { caller.Run(until) })
 	}
