managed, platform: stand-in servers send answers again

Change: while the fault AnswersRepeated lasts, servers repeat one of 1 to 12 answers, of operations of any kind and that to START, once or twice, 0 to 400 ms later, a quarter of them in the middle of another answer: in sessions of package managed the rows that were sent before seem to belong to the copy, on the wire a copy comes between any two messages. The fault's seed, the connection's number and the answer's number draw it.

--- a/internal/lab/standin/managed/faults.go
+++ b/internal/lab/standin/managed/faults.go
@@ -34,6 +34,8 @@
 	ServerDegraded
 	// ServerFlapping repeatedly ends and restarts a server.
 	ServerFlapping
+	// AnswersRepeated makes all servers send some answers again, see Server.RepeatOneOf.
+	AnswersRepeated
 )
 
 // Limits of random faults.
@@ -43,6 +45,7 @@
 	maxStoreDelayMs = 400
 	maxSlowdown     = 10
 	maxFailOneOf    = 4 // at least one of this many statements fails
+	maxRepeatOneOf  = 12
 	flapInterval    = 400 * time.Millisecond
 )
 
@@ -99,6 +102,16 @@
 		degraded.FailOneOf(0)
 	case ServerFlapping:
 		t.flap(t.anyServer(random), duration)
+	case AnswersRepeated:
+		oneOf, seed := 1+random.IntN(maxRepeatOneOf), random.Uint64()
+		during(duration, func(on bool) {
+			if !on {
+				oneOf = 0
+			}
+			for i := range t.Group.settings.Zones {
+				t.Group.Server(i).RepeatOneOf(oneOf, seed)
+			}
+		})
 	}
 }
 
--- a/internal/lab/standin/managed/server.go
+++ b/internal/lab/standin/managed/server.go
@@ -37,6 +37,9 @@
 	slowdown    int
 	failOneOf   int
 	failCounter int
+	// One of repeatOneOf answers is repeated, none if it is 0.
+	repeatOneOf int
+	repeatSeed  uint64
 	applyDelay  time.Duration
 	busyUntil   time.Time
 	// crashes counts the crashes, so that the entry only expires after the latest one.
@@ -47,9 +50,11 @@
 	// statements counts the callers' statements that ran.
 	statements int
 	// runs counts the signed answers to each request.
-	runs     map[string]int
-	running  int
-	queued   int
+	runs    map[string]int
+	running int
+	queued  int
+	// opened counts the connections opened.
+	opened   int
 	sessions map[*Session]struct{}
 }
 
--- a/internal/lab/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -22,6 +22,9 @@
 	Groups map[string]*Group
 	// Reach, if set, reports whether the node can reach a server.
 	Reach func(serverID string) bool
+	// SendsCopies makes the sessions send the copies of repeated answers. Otherwise who serves a
+	// session sends those that its Repetitions returns.
+	SendsCopies bool
 }
 
 var errReset = errors.New("connection reset by the server")
@@ -55,6 +58,9 @@
 	}
 	session := newSession(server, target.Principal, func() bool { return d.Reach == nil || d.Reach(address) })
 	server.sessions[session] = struct{}{}
+	server.opened++
+	session.serial, session.sendsCopies = server.opened, d.SendsCopies
+	go session.serve()
 	return session, server.position(), nil
 }
 
@@ -77,6 +83,13 @@
 	broken   chan struct{}
 	once     sync.Once
 
+	// serial is the number of the connection on its server.
+	serial      int
+	sendsCopies bool
+	// interrupting holds the copies that are sent in the middle of the next answers.
+	interruptingMutex sync.Mutex
+	interrupting      []upstream.Result
+
 	// The following fields are used by the goroutine of serve only.
 	values   map[string]string
 	prepared map[string]command.PreparedStatement
@@ -86,10 +99,13 @@
 	writes   []write
 	// ran reports whether a statement of the open transaction ran.
 	ran bool
+	// answered counts the answers, including that to the opening of the connection.
+	answered int
 }
 
 type answer struct {
 	result upstream.Result
+	err    error
 	lost   bool
 }
 
@@ -97,13 +113,11 @@
 const sessionBacklog = 64
 
 func newSession(server *Server, principal upstream.Principal, canReach func() bool) *Session {
-	session := &Session{
+	return &Session{
 		server: server, principal: principal, canReach: canReach,
 		requests: make(chan upstream.Operation, sessionBacklog), answers: make(chan answer, sessionBacklog),
 		broken: make(chan struct{}), values: map[string]string{}, prepared: map[string]command.PreparedStatement{},
 	}
-	go session.serve()
-	return session
 }
 
 func (s *Session) disconnect() { s.once.Do(func() { close(s.broken) }) }
@@ -133,7 +147,7 @@
 			<-timer.C
 			return upstream.Result{}, os.ErrDeadlineExceeded
 		}
-		return received.result, nil
+		return received.result, received.err
 	case <-s.broken:
 		return upstream.Result{}, errReset
 	case <-timer.C:
@@ -159,6 +173,7 @@
 }
 
 func (s *Session) serve() {
+	s.repeat(answer{err: upstream.ErrNoResult})
 	for {
 		select {
 		case <-s.broken:
@@ -173,7 +188,9 @@
 			if !s.awaitReachable() {
 				return
 			}
-			s.answers <- answer{result, lost}
+			given := answer{result: result, lost: lost}
+			s.send(given)
+			s.repeat(given)
 		}
 	}
 }
--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -101,6 +101,8 @@
 	// degradedServers makes a third of the faults degraded servers: slow ones, ones that fail some
 	// statements, and ones that flap.
 	degradedServers bool
+	// repeatedAnswers makes half of the faults servers that send answers again.
+	repeatedAnswers bool
 	restarting      sync.Mutex
 	// nodes holds the running nodes by name, processes their processes.
 	nodes     map[string]*proxy.Node
@@ -342,7 +344,7 @@
 	}
 	dialer := &managed.Dialer{
 		Groups: d.fleet.promoter.Groups,
-		Reach:  func(id string) bool { return d.fleet.reaches(from, id) },
+		Reach:  func(id string) bool { return d.fleet.reaches(from, id) }, SendsCopies: true,
 	}
 	connection, at, err := dialer.Dial(ctx, target)
 	if err == nil && isIndirect {
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -43,6 +43,11 @@
 		targets.Inject(serverDegradations[random.IntN(len(serverDegradations))], random, duration)
 		return
 	}
+	if f.repeatedAnswers && random.IntN(2) == 0 {
+		targets := managed.FaultTargets{Group: f.group, Store: f.store, Promoter: f.promoter}
+		targets.Inject(managed.AnswersRepeated, random, duration)
+		return
+	}
 	kinds := faultKinds
 	if f.unfencedFaults {
 		kinds += unfencedFaultKinds
