upstream: the answer to a retried request is not awaited in vain

What callers saw: a read that is retried on the same connection waited for its deadline if the server signs all runs of a request in the same way.

Cause: the second answer was dropped as a copy of the first one. Whether it is one cannot be told.

Change: the request ID is remembered with the signature; a known signature for the same ID leaves the outcome unknown at once, so that the read is sent elsewhere.

Evidence: TestRetriedRequestIsNotAwaited failed before (os.ErrDeadlineExceeded in place of a MismatchError) and passes.

--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -39,20 +39,24 @@
 // signatureSeed is the seed of the hashes of signed answers.
 var signatureSeed = maphash.MakeSeed()
 
-// signedAnswer holds the hashes of a signed answer.
+// signedAnswer holds the hashes of a signed answer and of the ID of its request.
 type signedAnswer struct {
 	signature uint64
-	rows      uint64
+	rows      uint32
+	request   uint32
 }
 
-func newSignedAnswer(result *Result) signedAnswer {
+func newSignedAnswer(requestID string, result *Result) signedAnswer {
 	var rows maphash.Hash
 	rows.SetSeed(signatureSeed)
 	for _, row := range result.Rows {
 		maphash.WriteComparable(&rows, len(row))
 		_, _ = rows.Write(row)
 	}
-	return signedAnswer{signature: maphash.String(signatureSeed, result.Signature), rows: rows.Sum64()}
+	return signedAnswer{
+		signature: maphash.String(signatureSeed, result.Signature), rows: uint32(rows.Sum64()),
+		request: uint32(maphash.String(signatureSeed, requestID)),
+	}
 }
 
 // signedAnswers holds the signed answers of a connection.
@@ -106,7 +110,7 @@
 		unsigned := result.Outcome == Succeeded && len(result.Rows) == 0
 		return unsigned && operation.Kind.UsesSlot(), nil
 	}
-	answer := newSignedAnswer(result)
+	answer := newSignedAnswer(operation.RequestID, result)
 	known := l.signed.find(answer)
 	switch {
 	case known == nil:
@@ -114,6 +118,9 @@
 		return false, nil
 	case known.rows != answer.rows:
 		return false, l.recordMismatch("a known signature with other rows")
+	case known.request == answer.request && operation.Kind.UsesSlot():
+		// A server may sign both answers to a retried request in the same way.
+		return false, l.recordMismatch("a known signature for a retried request")
 	default:
 		return true, nil
 	}
--- a/internal/proxy/upstream/repeated_test.go
+++ b/internal/proxy/upstream/repeated_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -24,8 +25,10 @@
 	interrupts func() bool
 	// refuses reports whether a statement is answered with Busy, and does not run.
 	refuses func() bool
-	offset  uint64
-	signed  int
+	// signsAlike makes all runs of a request have the same signature.
+	signsAlike bool
+	offset     uint64
+	signed     int
 	// ran counts how often each request ran.
 	ran         map[string]int
 	connections int
@@ -74,6 +77,9 @@
 		s.ran[operation.RequestID]++
 		s.signed++
 		result.Signature = fmt.Sprintf("%s#%d", operation.RequestID, s.signed)
+		if s.signsAlike {
+			result.Signature = operation.RequestID
+		}
 		result.Rows = [][]byte{[]byte(operation.RequestID)}
 	case ReportStatus:
 		result.Status = &Status{Received: result.Position}
@@ -261,3 +267,18 @@
 	must.NoError(t, batch.Err)
 	must.Eq(t, "w#1", batch.Last().Signature)
 }
+
+// TestRetriedRequestIsNotAwaited: if a server gives two answers to a retried request the same
+// signature, the second one must not be dropped as a copy, so that the request waits for its deadline.
+func TestRetriedRequestIsNotAwaited(t *testing.T) {
+	server := &repeatingServer{
+		repeats: func(int) int { return -1 }, refuses: func() bool { return false }, interrupts: func() bool { return false },
+		ran: map[string]int{}, signsAlike: true,
+	}
+	lease, err := NewPool(server, Target{}, 1, NewStats()).Get(Own, time.Now().Add(time.Second))
+	must.NoError(t, err)
+	read := []Operation{{Kind: RunStatement, RequestID: "r"}}
+	must.NoError(t, lease.Run(read, time.Now().Add(time.Second)).Err)
+	var mismatch *MismatchError
+	must.True(t, errors.As(lease.Run(read, time.Now().Add(time.Second)).Err, &mismatch))
+}
