--- a/internal/proxy/upstream/repeated_test.go
+++ b/internal/proxy/upstream/repeated_test.go
@@ -56,6 +56,10 @@
 	result := Result{Position: position.Position{Term: 1, Offset: s.offset}}
 	switch operation.Kind {
 	case Begin, BeginReadOnly:
+		if s.refuses() {
+			result.Outcome = NotPrimary
+			break
+		}
 		c.state = InTransaction
 	case Rollback:
 		c.state = Idle
@@ -205,3 +209,55 @@
 		}
 	})
 }
+
+// TestRefusedTransactionIsNotOpen: an answer to an earlier BEGIN must not hide that a server has
+// refused a transaction, whose statements would run outside of one.
+func TestRefusedTransactionIsNotOpen(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		server := newRepeatingServer(t)
+		pool := NewPool(server, Target{}, 1, NewStats())
+		for range rapid.IntRange(2, 10).Draw(t, "requests") {
+			lease, err := pool.Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			batch := lease.Run([]Operation{{Kind: Begin}}, time.Now().Add(time.Second))
+			if batch.Err != nil {
+				lease.Discard()
+				continue
+			}
+			if batch.Last().Outcome == Succeeded {
+				must.Eq(t, InTransaction, lease.Connection.(*repeatingConnection).state)
+				lease.RollBack()
+				continue
+			}
+			lease.Settle(batch.Last())
+		}
+	})
+}
+
+// TestStatementIsAnsweredBehindCopies: copies of unsigned answers must not leave the outcome of a
+// write unknown whose answer follows them.
+func TestStatementIsAnsweredBehindCopies(t *testing.T) {
+	repeats := []int{}
+	server := &repeatingServer{
+		repeats: func(int) int {
+			if len(repeats) == 0 {
+				return -1
+			}
+			again := repeats[0]
+			repeats = repeats[1:]
+			return again
+		},
+		refuses:    func() bool { return false },
+		interrupts: func() bool { return false },
+		ran:        map[string]int{},
+	}
+	pool := NewPool(server, Target{}, 1, NewStats())
+	lease, err := pool.Get(Own, time.Now().Add(time.Second))
+	must.NoError(t, err)
+	batch := lease.Run([]Operation{{Kind: Begin}, {Kind: Rollback}, {Kind: ResetSession}}, time.Now().Add(time.Second))
+	must.NoError(t, batch.Err)
+	repeats = []int{2, 0, 1}
+	batch = lease.Run([]Operation{{Kind: SetValue}, {Kind: RunStatement, RequestID: "w"}}, time.Now().Add(time.Second))
+	must.NoError(t, batch.Err)
+	must.Eq(t, "w#1", batch.Last().Signature)
+}
