settings: a node's name is one word, and odd durations name their key

What callers could see: with a blank in a node's name, no server reachable for the node's own connections, since the fields of START move; with a control character, no change of primary by the node, since its promotions are never sent and count as unanswered; with " n1" and "n1" in a fleet, two holders that look like one (ONE). Not reported.

Cause: the name was checked for its length only, while it is a word of START and the value of Dewknot-Lease-Holder, which is trimmed and has no control characters. Names of tenants are checked in the same way already. And the decoder's error for a duration does not say which key it is.

Change: a name with white space or control characters is refused at the start, with the remedy. Durations are checked by key before they are decoded.

Evidence: before, TestNodeNameIsOneWord failed (" ": "expected non-nil error; got nil"), and TestOddValueNamesItsKey with "quota_window -1 settings file ...: time: missing unit in duration". A trial on the code before, with blanks and control characters in names, showed START as ["START" "bookings" "" "" "i-1"] and a promotion that ended as "unanswered" without being sent. TestNamesArriveUnchanged passes before as well.

--- a/internal/base/settings/proxy.go
+++ b/internal/base/settings/proxy.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
+	"unicode"
 )
 
 // Proxy holds the settings of a node that connects to its servers directly (dewknot-proxy).
 type Proxy struct {
-	// Name is the node's name. It must be unique in the fleet.
+	// Name is the node's name, a single word. It must be unique in the fleet.
 	Name string `toml:"name" validate:"required,max=128"`
 	Zone string `toml:"zone" validate:"required,max=64"`
 	// Callers, Readiness and Metrics are the listen addresses for callers, for the readiness
@@ -103,6 +105,10 @@
 // Check returns an error that names all invalid values with a remedy for each.
 func (p *Proxy) Check() error {
 	lines := checkTags(p)
+	// The name is sent to servers as a word of a line and to the platform in a header.
+	if strings.ContainsFunc(p.Name, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) }) {
+		lines = append(lines, fmt.Sprintf("name = %q: use a name without white space and control characters", p.Name))
+	}
 	bounds := []struct {
 		key   string
 		value Duration
--- a/internal/base/settings/settings.go
+++ b/internal/base/settings/settings.go
@@ -83,6 +83,9 @@
 	if err != nil {
 		return errors.Wrap(err, "read settings; name the file with --settings")
 	}
+	if err := invalidSettings(invalidDurations(content, target)); err != nil {
+		return errors.Wrapf(err, "settings file %s", path)
+	}
 	decoder := toml.NewDecoder(bytes.NewReader(content))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(target); err != nil {
@@ -91,6 +94,29 @@
 	return nil
 }
 
+// invalidDurations returns a line for each duration in a settings file for target that can't be parsed.
+// The decoder's own error doesn't name the key.
+func invalidDurations(content []byte, target any) []string {
+	var values map[string]any
+	if toml.Unmarshal(content, &values) != nil {
+		// The decoder reports the position.
+		return nil
+	}
+	var lines []string
+	fields := reflect.TypeOf(target).Elem()
+	for i := range fields.NumField() {
+		key := fields.Field(i).Tag.Get("toml")
+		value, set := values[key]
+		if !set || fields.Field(i).Type != reflect.TypeFor[Duration]() {
+			continue
+		}
+		if _, err := time.ParseDuration(fmt.Sprint(value)); err != nil {
+			lines = append(lines, fmt.Sprintf("%s = %v: write a number and a unit in quotes, such as \"250ms\"", key, value))
+		}
+	}
+	return lines
+}
+
 // describeDecodeError returns an error with a line for each fault, with its file and position.
 func describeDecodeError(path string, err error) error {
 	var strict *toml.StrictMissingError
