--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/eventlog"
 	"dewknot/internal/base/failure"
+	"dewknot/internal/base/position"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/command"
 	"dewknot/internal/proxy/freshness"
@@ -35,6 +37,8 @@
 	homes    []catalog.Homes
 	values   map[string]string
 	prepared map[string]command.PreparedStatement
+	// stateBytes is the size of values and prepared.
+	stateBytes int
 	// lastCommit is the session's newest commit.
 	lastCommit  freshness.OwnCommit
 	transaction *transaction
@@ -269,13 +273,31 @@
 const (
 	maxSessionValues      = 256
 	maxPreparedStatements = 1024
+	// maxSessionBytes bounds the names, values and shapes together. It fits the largest message a few
+	// times, and all values fit a request to an owner of connections.
+	maxSessionBytes = 4 << 20
 )
 
+// resizeState changes the size of the session's state and reports whether it stays within its limit.
+// If it does not, nothing changes.
+func (s *session) resizeState(change int) bool {
+	if s.stateBytes+change > maxSessionBytes {
+		return false
+	}
+	s.stateBytes += change
+	return true
+}
+
 func (s *session) setValue(received *command.Command) Reply {
 	if s.values == nil {
 		s.values = map[string]string{}
 	}
-	if _, exists := s.values[received.Name]; !exists && len(s.values) >= maxSessionValues {
+	previous, exists := s.values[received.Name]
+	change := len(received.Value) - len(previous)
+	if !exists {
+		change += len(received.Name)
+	}
+	if !exists && len(s.values) >= maxSessionValues || !s.resizeState(change) {
 		return s.fail(failure.New(failure.TooManyValues, received.Name))
 	}
 	s.values[received.Name] = received.Value
@@ -286,7 +308,17 @@
 	if s.prepared == nil {
 		s.prepared = map[string]command.PreparedStatement{}
 	}
-	if _, exists := s.prepared[received.Name]; !exists && len(s.prepared) >= maxPreparedStatements {
+	if !s.node.fits(&upstream.Operation{
+		Kind: upstream.PrepareStatement, Name: upstream.ServerName(received.Statement), Definition: received.Statement,
+	}) {
+		return s.fail(failure.New(failure.StatementTooLarge, ""))
+	}
+	previous, exists := s.prepared[received.Name]
+	change := len(received.Statement.Shape) - len(previous.Shape)
+	if !exists {
+		change += len(received.Name)
+	}
+	if !exists && len(s.prepared) >= maxPreparedStatements || !s.resizeState(change) {
 		return s.fail(failure.New(failure.TooManyValues, received.Name))
 	}
 	s.prepared[received.Name] = received.Statement
@@ -294,9 +326,11 @@
 }
 
 func (s *session) deallocate(received *command.Command) Reply {
-	if _, found := s.prepared[received.Name]; !found {
+	statement, found := s.prepared[received.Name]
+	if !found {
 		return s.fail(failure.New(failure.UnknownStatement, received.Name))
 	}
+	s.stateBytes -= len(received.Name) + len(statement.Shape)
 	delete(s.prepared, received.Name)
 	return s.done()
 }
@@ -315,6 +349,10 @@
 		statement.Writes = definition.Writes
 	}
 	run := s.newRun(&statement, arrived)
+	operation := run.operation()
+	if !s.node.fits(&operation) {
+		return s.fail(failure.New(failure.StatementTooLarge, ""))
+	}
 	if s.transaction != nil {
 		return s.transaction.run(run)
 	}
@@ -324,9 +362,21 @@
 	switch {
 	case statement.Writes:
 		return run.write()
-	case s.route.Freshness == catalog.Current:
+	case s.route.Freshness == catalog.Current || !s.node.fitsWithPosition(operation):
 		return run.readCurrent()
 	default:
 		return run.read()
 	}
 }
+
+// fits reports whether an operation's message to a server is within the size limit.
+func (n *Node) fits(operation *upstream.Operation) bool {
+	return n.ports.Fits == nil || n.ports.Fits(operation)
+}
+
+// fitsWithPosition reports whether the operation also fits with any minimum position. A read that
+// does not runs on the primary, which needs no minimum position.
+func (n *Node) fitsWithPosition(operation upstream.Operation) bool {
+	operation.MinimumPosition = position.Position{Term: math.MaxUint64, Offset: math.MaxUint64}
+	return n.fits(&operation)
+}
--- a/internal/proxy/simulation_test.go
+++ b/internal/proxy/simulation_test.go
@@ -43,6 +43,11 @@
 		targets.Inject(serverDegradations[random.IntN(len(serverDegradations))], random, duration)
 		return
 	}
+	if f.repeatedAnswers && random.IntN(2) == 0 {
+		targets := managed.FaultTargets{Group: f.group, Store: f.store, Promoter: f.promoter}
+		targets.Inject(managed.AnswersRepeated, random, duration)
+		return
+	}
 	kinds := faultKinds
 	if f.unfencedFaults {
 		kinds += unfencedFaultKinds
@@ -153,6 +158,7 @@
 	var working sync.WaitGroup
 	for i := range 9 {
 		caller := fleet.caller(fmt.Sprintf("c%d", i), rand.New(rand.NewPCG(seed, uint64(i))))
+		caller.Texts = rand.New(rand.NewPCG(seed, uint64(2000+i)))
 		callers = append(callers, caller)
 		working.Go(func() { caller.Run(until) })
 	}
