routing: the slots of an entry do not end the process

What callers would see: nodes that end by themselves when a read may run on a server with such an entry as well as on another one (fault: processes that end by themselves). A server that never answers is no choice for most reads; one whose own entry is odd is.

Cause: pick draws a number below the sum of all slots. Servers' entries were accepted with any slots; with twice the sum is negative and rand.IntN panics. Below that, one server took nearly all draws.

Change: a server's weight in the draw is 256 slots at most.

Evidence: TestHugeSlotsEndNoProcess on: panic after 4 tests: invalid argument to IntN, at routing.pick. It passes now, with 20,000 checks too.

--- a/internal/proxy/routing/routing.go
+++ b/internal/proxy/routing/routing.go
@@ -59,6 +59,8 @@
 const (
 	// defaultSlots is used for servers with an unknown number of slots.
 	defaultSlots = 4
+	// maxSlots limits a server's weight in the draw. Any program may write a server's entry.
+	maxSlots = 256
 	// minServiceTime is the minimum time that a statement is assumed to use a slot, so that work in
 	// flight counts even before there are samples.
 	minServiceTime = time.Millisecond
@@ -182,5 +184,5 @@
 	if c.Slots <= 0 {
 		return defaultSlots
 	}
-	return c.Slots
+	return min(c.Slots, maxSlots)
 }
