backends: the slots of an entry do not exhaust memory

What callers would see: nodes that run out of memory and end, where they agree on tenures: they open connections in advance at the first session after a start, and while a holder of the lease has no tenure.

Cause: Prewarm starts a goroutine for each slot of each server of a service, whatever number stands in the entry.

Evidence: TestHugeSlotsExhaustNoMemory checks the number of connections. With the former formula it failed: 1 for -1 slots, where 2 are expected; for 1<<40 slots the formula gives 1<<40 + 2, which was not played.

--- a/internal/proxy/backends/prewarm.go
+++ b/internal/proxy/backends/prewarm.go
@@ -18,12 +18,16 @@
 		if target == nil || entry.Gone {
 			continue
 		}
-		for range entry.Slots + spareConnections {
+		for range prewarmCount(entry.Slots) {
 			go s.backends.prewarmConnection(target, principal)
 		}
 	}
 }
 
+// prewarmCount returns how many connections are opened to a server with a number of slots. The gate
+// admits no more than maxStatements at a time.
+func prewarmCount(slots int) int { return min(max(slots, 0), maxStatements) + spareConnections }
+
 // spareConnections is how many connections are opened in addition to one for each slot, for
 // transactions that are idle between statements.
 const spareConnections = 2
