backends: the slots of an entry close no gate

What callers would see: BUSY for all work on a server whose entry has many slots.

Cause: twice the number of slots overflows, and the gate's limit is negative.

Change: the number is limited before it is multiplied.

Evidence: TestHugeSlotsCloseNoGate failed for slots (the gate admits no work) and passes now.

--- a/internal/proxy/backends/service.go
+++ b/internal/proxy/backends/service.go
@@ -225,7 +225,7 @@
 func newGate(slots int) *admission.Gate {
 	ceiling := maxStatements
 	if slots > 0 {
-		ceiling = min(ceiling, statementsPerSlot*slots)
+		ceiling = min(ceiling, statementsPerSlot*min(slots, maxStatements))
 	}
 	return admission.NewGate(min(initialStatements, ceiling), ceiling)
 }
