platform, network: a refused entry is logged in a short line

What operators would see: log lines of the size of the entry, 1 MB, with which the log displaces others.

Cause: a rejection quotes the value and the name that it rejects.

--- a/internal/proxy/network/follow.go
+++ b/internal/proxy/network/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -210,6 +211,9 @@
 	s.Log.Write(eventlog.StoreRegained, zap.String("watch", "directory"))
 }
 
+// maxLoggedName limits the length of an entry's name in the log.
+const maxLoggedName = 100
+
 // RefuseEntry logs and counts an unreadable entry, once for each of its revisions.
 func (n *Network) RefuseEntry(kind string, object *objectstore.Object, reason error) {
 	if !n.refusedEntries.First(kind, object) {
@@ -218,6 +222,6 @@
 	if counter := n.ports.EntriesRefused; counter != nil {
 		counter.WithLabelValues(kind).Inc()
 	}
-	n.Log.Write(eventlog.EntryRefused, zap.String("kind", kind), zap.String("entry", object.Name),
+	n.Log.Write(eventlog.EntryRefused, zap.String("kind", kind), zap.String("entry", fmt.Sprintf("%.*s", maxLoggedName, object.Name)),
 		zap.Stringer("revision", object.Revision), zap.Error(reason))
 }
--- a/internal/proxy/objectstore/refused.go
+++ b/internal/proxy/objectstore/refused.go
@@ -17,9 +17,12 @@
 
 // Error implements the error interface.
 func (e *EntryError) Error() string {
-	return fmt.Sprintf("entry %q of %s is left out: %s; its writer must correct or remove it", e.Name, e.Kind, e.Reason)
+	return fmt.Sprintf("entry %.*q of %s is left out: %s; its writer must correct or remove it", maxShownLength, e.Name, e.Kind, e.Reason)
 }
 
+// maxShownLength limits the part of a name that is shown.
+const maxShownLength = 100
+
 // maxRefused limits the refused entries that are remembered.
 const maxRefused = 256
 
