catalog, network: an odd entry takes no known server away

What callers would see: BUSY for writes, and a needless change of the primary, if another program writes over the entry of a server in service.

Cause: a server whose entry could not be read counted as gone at once. The server itself is well, and replaces the entry at its next heartbeat.

Change: an entry that cannot be read changes nothing for a known server, which keeps what its last readable entry said until its next one or until its entry is removed. If the entry's state can be read and is another than ready, the server counts as gone, so that a draining server gets no requests because another of its fields is odd.

--- a/internal/proxy/catalog/catalog.go
+++ b/internal/proxy/catalog/catalog.go
@@ -113,6 +113,9 @@
 	LeavingSince time.Time
 	// Gone is set if the directory no longer has the entry.
 	Gone bool
+	// Unreadable is set in listings and changes if the entry can't be read. Only the ID and the
+	// revision are known then.
+	Unreadable bool
 	// EvacuatedSince is when this node learned that the server's zone is being evacuated; zero if
 	// it isn't.
 	EvacuatedSince time.Time
@@ -178,7 +181,7 @@
 }
 
 // ReplaceDirectory applies a complete listing of the directory. Servers missing in it are marked as
-// gone.
+// gone. An unreadable entry changes nothing.
 func (c *Catalog) ReplaceDirectory(servers []Server, revision era.Revision, now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -199,8 +202,9 @@
 }
 
 // MergeDirectory applies changes of the directory in order: new or changed entries, and for removed
-// entries the ID with Gone set. It publishes one snapshot for all changes, since each one copies
-// the directory and changes arrive in large batches when a fleet starts.
+// entries the ID with Gone set. An unreadable entry changes nothing. It publishes one snapshot for
+// all changes, since each one copies the directory and changes arrive in large batches when a fleet
+// starts.
 func (c *Catalog) MergeDirectory(changes []Server, now time.Time) {
 	if len(changes) == 0 {
 		return
@@ -228,6 +232,9 @@
 	c.changeDirectory(now, func(directory map[string]*Server) {
 		for i := range servers {
 			previous := directory[servers[i].ID]
+			if servers[i].Unreadable {
+				continue
+			}
 			if previous == nil || (previous.Gone && previous.Revision == servers[i].Revision) {
 				delete(directory, servers[i].ID)
 				mergeServer(directory, servers[i], now)
--- a/internal/proxy/catalog/merge.go
+++ b/internal/proxy/catalog/merge.go
@@ -10,6 +10,8 @@
 func mergeServer(directory map[string]*Server, server Server, now time.Time) {
 	previous := directory[server.ID]
 	switch {
+	case server.Unreadable:
+		// Another program may have written it. The server's own next entry replaces it.
 	case previous == nil || server.Incarnation > previous.Incarnation:
 		// A new or restarted server takes over nothing from an earlier incarnation.
 		directory[server.ID] = newEntry(server, now)
--- a/internal/proxy/network/follow.go
+++ b/internal/proxy/network/follow.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/era"
@@ -168,37 +169,39 @@
 			changes = append(changes, catalog.Server{ID: event.Name, Gone: true, Revision: event.Revision})
 			continue
 		}
-		server, ok := s.decode(event)
-		if !ok {
-			// A server whose entry became unreadable is no longer used.
-			changes = append(changes, catalog.Server{ID: event.Name, Gone: true, Revision: event.Revision})
+		server := s.decode(event)
+		changes = append(changes, server)
+		if server.Unreadable || server.Gone {
 			continue
 		}
 		s.Log.Write(eventlog.ServerChanged, zap.String("server", server.ID), zap.String("service", server.Service),
 			zap.Stringer("role", server.Role), zap.Bool("draining", server.Draining), zap.Stringer("revision", server.Revision))
-		changes = append(changes, server)
 	}
 	s.Catalog.MergeDirectory(changes, time.Now())
 }
 
-// decodeAll returns the servers of a listing and skips unreadable entries.
+// decodeAll returns the servers of a listing.
 func (s *directorySink) decodeAll(objects []objectstore.Object) []catalog.Server {
 	servers := make([]catalog.Server, 0, len(objects))
 	for _, object := range objects {
-		if server, ok := s.decode(object); ok {
+		if server := s.decode(object); !server.Gone {
 			servers = append(servers, server)
 		}
 	}
 	return servers
 }
 
-func (s *directorySink) decode(object objectstore.Object) (catalog.Server, bool) {
+// decode returns the server of an entry. If the entry can't be read, the server is unreadable, or
+// gone if it takes no new work.
+func (s *directorySink) decode(object objectstore.Object) catalog.Server {
 	server, err := s.ports.Decoder.Server(object)
-	if err != nil {
-		s.RefuseEntry(s.options.Kinds.Servers, &object, err)
-		return server, false
+	if err == nil {
+		return server
 	}
-	return server, true
+	s.RefuseEntry(s.options.Kinds.Servers, &object, err)
+	var entryErr *objectstore.EntryError
+	notReady := errors.As(err, &entryErr) && entryErr.NotReady
+	return catalog.Server{ID: object.Name, Revision: object.Revision, Gone: notReady, Unreadable: !notReady}
 }
 
 // Lost implements objectstore.Sink.
--- /dev/null
+++ b/internal/proxy/network/oddentries_test.go
@@ -0,0 +1,88 @@
+package network
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/shoenig/test/must"
+
+	"dewknot/internal/base/era"
+	"dewknot/internal/base/eventlog"
+	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/objectstore"
+)
+
+// wordDecoder decodes servers' entries that consist of one word.
+type wordDecoder struct{ Decoder }
+
+// Server implements Decoder.
+func (wordDecoder) Server(object objectstore.Object) (catalog.Server, error) {
+	switch string(object.Content) {
+	case "ready":
+		return catalog.Server{ID: object.Name, Service: "bookings", Revision: object.Revision}, nil
+	case "odd and draining":
+		return catalog.Server{}, &objectstore.EntryError{Name: object.Name, Reason: "odd", NotReady: true}
+	default:
+		return catalog.Server{}, &objectstore.EntryError{Name: object.Name, Reason: "odd"}
+	}
+}
+
+// newDirectoryNode returns a node that lists servers of a service, and its count of refused entries.
+func newDirectoryNode(t *testing.T) (*directorySink, func() float64) {
+	refused := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "refused"}, []string{"kind"})
+	n := New(Options{Name: "a0", DrainBound: time.Second, Kinds: Kinds{Servers: "servers", Configuration: "config"}},
+		Ports{Decoder: wordDecoder{}, EntriesRefused: refused}, stubDelegate{}, catalog.New(time.Minute), time.Now(),
+		eventlog.New(io.Discard, eventlog.Config{Node: "a0", LinesPerSecond: 100}))
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(refused)
+	return &directorySink{n}, func() float64 {
+		families, err := registry.Gather()
+		must.NoError(t, err)
+		must.Len(t, 1, families)
+		return families[0].GetMetric()[0].GetCounter().GetValue()
+	}
+}
+
+func entryOf(name, content string, revision uint64) objectstore.Object {
+	return objectstore.Object{Name: name, Content: []byte(content), Revision: era.Revision(revision)}
+}
+
+// TestOddEntryTakesNoServerAway: a known server must be used on while an entry that can't be read
+// stands in place of its own, unless the entry says that the server takes no new work.
+func TestOddEntryTakesNoServerAway(t *testing.T) {
+	sink, refused := newDirectoryNode(t)
+	used := func(name string) bool {
+		server := sink.Catalog.Current().Servers[name]
+		return server != nil && !server.Leaving()
+	}
+	sink.Reset([]objectstore.Object{entryOf("s1", "ready", 1), entryOf("s2", "ready", 2), entryOf("new", "odd", 3)}, 3)
+	must.True(t, used("s1") && used("s2"))
+	must.MapNotContainsKey(t, sink.Catalog.Current().Servers, "new")
+	must.Eq(t, 1, refused())
+
+	odd := entryOf("s1", "odd", 4)
+	sink.Apply([]objectstore.Object{odd}, 4)
+	must.True(t, used("s1") && used("s2"))
+	must.Eq(t, 2, refused())
+	sink.Reset([]objectstore.Object{odd, entryOf("s2", "ready", 2)}, 5)
+	must.True(t, used("s1") && used("s2"))
+	must.Eq(t, 2, refused())
+
+	sink.Apply([]objectstore.Object{{Name: "s1", Revision: 6, Deleted: true}}, 6)
+	must.False(t, used("s1"))
+	sink.Apply([]objectstore.Object{entryOf("s1", "odd", 7)}, 7)
+	must.False(t, used("s1"))
+	sink.Catalog.ReinstateServers(sink.decodeAll([]objectstore.Object{entryOf("s1", "odd", 6)}), time.Now())
+	must.False(t, used("s1"))
+	must.MapContainsKey(t, sink.Catalog.Current().Servers, "s1")
+	sink.Apply([]objectstore.Object{entryOf("s1", "ready", 8)}, 8)
+	must.True(t, used("s1"))
+
+	sink.Apply([]objectstore.Object{entryOf("s1", "odd and draining", 9)}, 9)
+	must.False(t, used("s1"))
+	sink.Reset([]objectstore.Object{entryOf("s1", "ready", 10), entryOf("s2", "odd and draining", 11)}, 11)
+	must.True(t, used("s1"))
+	must.False(t, used("s2"))
+}
--- a/internal/proxy/objectstore/refused.go
+++ b/internal/proxy/objectstore/refused.go
@@ -13,6 +13,8 @@
 	Kind   string
 	Name   string
 	Reason string
+	// NotReady is set if the entry says that its server takes no new work.
+	NotReady bool
 }
 
 // Error implements the error interface.
