network: an odd object replaces no configuration

What callers would see: NODB on all nodes for all databases, and no later configuration in force (CONFIG, LOST), until the nodes start again without the odd object.

Cause: the configuration was taken from any object of its kind. It is kept in config/main; another object with a higher version replaced it for good, since versions never decrease.

Change: Kinds names the object, and others of the kind are refused with the line entry_refused.

Evidence: TestOddObjectReplacesNoConfiguration failed on the commit before: version, where 7 is expected.

--- a/internal/proxy/network/follow.go
+++ b/internal/proxy/network/follow.go
@@ -123,6 +123,12 @@
 		if object.Deleted {
 			continue
 		}
+		if name := s.options.Kinds.ConfigurationName; name != "" && object.Name != name {
+			s.RefuseEntry(s.options.Kinds.Configuration, &object, &objectstore.EntryError{
+				Kind: s.options.Kinds.Configuration, Name: object.Name, Reason: "the configuration has another name",
+			})
+			continue
+		}
 		configuration, err := s.ports.Decoder.Configuration(object.Content)
 		if err != nil {
 			s.Log.Write(eventlog.ConfigurationRefused, zap.String("object", object.Name), zap.Stringer("revision", object.Revision), zap.Error(err))
--- a/internal/proxy/network/network.go
+++ b/internal/proxy/network/network.go
@@ -56,9 +56,12 @@
 // Kinds names the kinds of objects in the store.
 type Kinds struct {
 	Configuration string
-	Servers       string
-	Leases        string
-	Members       string
+	// ConfigurationName is the name of the object that holds the configuration. If it is empty, any
+	// object of the kind does.
+	ConfigurationName string
+	Servers           string
+	Leases            string
+	Members           string
 	// Voters is the table of the nodes that agree on tenures.
 	Voters string
 	// Readers is the object that lists the readers of a large fleet.
--- a/internal/proxy/network/oddentries_test.go
+++ b/internal/proxy/network/oddentries_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -17,6 +19,12 @@
 // wordDecoder decodes servers' entries that consist of one word.
 type wordDecoder struct{ Decoder }
 
+// Configuration implements Decoder. The word is the version.
+func (wordDecoder) Configuration(content []byte) (*catalog.Configuration, error) {
+	version, err := strconv.ParseUint(string(content), 10, 64)
+	return &catalog.Configuration{Version: version}, err
+}
+
 // Server implements Decoder.
 func (wordDecoder) Server(object objectstore.Object) (catalog.Server, error) {
 	switch string(object.Content) {
@@ -32,7 +40,7 @@
 // newDirectoryNode returns a node that lists servers of a service, and its count of refused entries.
 func newDirectoryNode(t *testing.T) (*directorySink, func() float64) {
 	refused := prometheus.NewCounterVec(prometheus.CounterOpts{Name: "refused"}, []string{"kind"})
-	n := New(Options{Name: "a0", DrainBound: time.Second, Kinds: Kinds{Servers: "servers", Configuration: "config"}},
+	n := New(Options{Name: "a0", DrainBound: time.Second, Kinds: Kinds{Servers: "servers", Configuration: "config", ConfigurationName: "main"}},
 		Ports{Decoder: wordDecoder{}, EntriesRefused: refused}, stubDelegate{}, catalog.New(time.Minute), time.Now(),
 		eventlog.New(io.Discard, eventlog.Config{Node: "a0", LinesPerSecond: 100}))
 	registry := prometheus.NewRegistry()
@@ -86,3 +94,18 @@
 	must.True(t, used("s1"))
 	must.False(t, used("s2"))
 }
+
+// TestOddObjectReplacesNoConfiguration: an object beside the configuration must not be taken for it,
+// or later versions of the configuration would be ignored.
+func TestOddObjectReplacesNoConfiguration(t *testing.T) {
+	directory, _ := newDirectoryNode(t)
+	sink := &configurationSink{directory.Network}
+	version := func() uint64 { return sink.Catalog.Current().Configuration.Version }
+	highest := strconv.FormatUint(math.MaxUint64, 10)
+	sink.Reset([]objectstore.Object{entryOf("copy", highest, 2), entryOf("main", "7", 1), entryOf("", highest, 3)}, 3)
+	must.Eq(t, 7, version())
+	sink.Apply([]objectstore.Object{entryOf("copy", highest, 4), entryOf("main", "odd", 5)}, 5)
+	must.Eq(t, 7, version())
+	sink.Apply([]objectstore.Object{entryOf("main", "8", 6)}, 6)
+	must.Eq(t, 8, version())
+}
