network: an odd object of readers ends no process

What callers would see: nodes of a large fleet that end by themselves when no reader answers them, again after each start.

Cause: the pause before a listing at the store grows with the number of nodes that the object states. The product overflowed, and rand.N panics for a negative one.

--- a/internal/proxy/network/listings.go
+++ b/internal/proxy/network/listings.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -251,12 +252,32 @@
 
 func decodeReaders(content []byte) (readersObject, error) {
 	var decoded readersObject
+	reason := ""
 	if err := json.Unmarshal(content, &decoded); err != nil {
-		return decoded, &objectstore.EntryError{Kind: "readers", Name: readersObjectName, Reason: err.Error()}
+		reason = err.Error()
+	} else {
+		reason = decoded.invalidReason()
+	}
+	if reason != "" {
+		return readersObject{}, &objectstore.EntryError{Kind: "readers", Name: readersObjectName, Reason: reason}
 	}
 	return decoded, nil
 }
 
+// maxFleetNodes limits the number of nodes that the object may state. Pauses grow with it.
+const maxFleetNodes = 1 << 16
+
+// invalidReason returns why the object can't be used, or "" if it can.
+func (r *readersObject) invalidReason() string {
+	if r.Nodes < 0 || r.Nodes > maxFleetNodes {
+		return "its number of nodes is out of range: " + strconv.Itoa(r.Nodes)
+	}
+	if slices.ContainsFunc(r.Readers, func(m namedMember) bool { return m.Name == "" || m.Address == "" }) {
+		return "a reader has no name or no address"
+	}
+	return ""
+}
+
 // answerListing answers a request for a listing whose age is limited by MaxAge. It lists at the
 // store if the cached listing is older.
 func (n *Network) answerListing(ctx context.Context, request *relay.Request) relay.Answer {
--- a/internal/proxy/network/oddentries_test.go
+++ b/internal/proxy/network/oddentries_test.go
@@ -1,17 +1,21 @@
 package network
 
 import (
+	"fmt"
 	"io"
 	"math"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"dewknot/internal/base/era"
 	"dewknot/internal/base/eventlog"
+	_ "dewknot/internal/base/propertytest"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/objectstore"
 )
@@ -109,3 +113,28 @@
 	sink.Apply([]objectstore.Object{entryOf("main", "8", 6)}, 6)
 	must.Eq(t, 8, version())
 }
+
+// TestOddReadersObjectEndsNoProcess: no content of the object that lists the readers may make the
+// pause before a listing at the store panic, or last for good.
+func TestOddReadersObjectEndsNoProcess(t *testing.T) {
+	for _, nodes := range []string{"-1", "-9223372036854775808", "65537", "1844674407", "9223372036854775807", "1e999", "1.5", `"64"`, "{}"} {
+		_, err := decodeReaders([]byte(`{"nodes":` + nodes + `,"readers":[]}`))
+		var entryErr *objectstore.EntryError
+		must.True(t, errors.As(err, &entryErr), must.Sprint(nodes))
+	}
+	for _, readers := range []string{`[{}]`, `[null]`, `[{"name":"n1"}]`, `[{"address":"10.0.0.1:80"}]`, `7`} {
+		_, err := decodeReaders([]byte(`{"nodes":64,"readers":` + readers + `}`))
+		must.ErrorContains(t, err, "its writer must correct or remove it", must.Sprint(readers))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		content := fmt.Sprintf(`{"nodes":%d,"readers":[{"name":"n1","address":"10.0.0.1:80"}]}`, rapid.OneOf(rapid.Int(), rapid.IntRange(0, 1<<16)).Draw(t, "nodes"))
+		decoded, err := decodeReaders([]byte(content))
+		if err != nil {
+			return
+		}
+		n := newTestNetwork([]string{"a1"}, nil)
+		n.received.nodes = decoded.Nodes
+		pause := time.Duration(n.fleetSize()) * storeListInterval
+		must.Between(t, 1, pause, 6*time.Minute)
+	})
+}
