network: a large odd entry is not sent from node to node

Cause: nodes pass on objects as they stand in the store, whether they can be read or not.

Change: the cache of servers keeps and passes on entries above 16 KiB without their content, so that all nodes refuse them alike, with the line entry_refused.

Evidence: TestLargeOddEntryIsNotSentToNodes failed without the limit (one object of 1 in pieces, none expected) and passes.

--- a/internal/proxy/network/network.go
+++ b/internal/proxy/network/network.go
@@ -197,9 +197,13 @@
 		n.caches[options.Kinds.Evacuations] = objectstore.NewCache(&evacuationSink{n})
 	}
 	n.caches[options.Kinds.Configuration].KeepNewest(n.isOlderConfiguration)
+	n.caches[options.Kinds.Servers].LimitContent(maxServerEntryBytes)
 	return n
 }
 
+// maxServerEntryBytes limits a server's entry. Larger ones are refused.
+const maxServerEntryBytes = 16 << 10
+
 // Store returns the store as this node accesses it: calls are metered and answers of old eras
 // rejected.
 func (n *Network) Store() objectstore.Store { return n.store }
--- a/internal/proxy/network/oddentries_test.go
+++ b/internal/proxy/network/oddentries_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	_ "dewknot/internal/base/propertytest"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/objectstore"
+	"dewknot/internal/proxy/relay"
 )
 
 // wordDecoder decodes servers' entries that consist of one word.
@@ -99,6 +101,25 @@
 	must.False(t, used("s2"))
 }
 
+// TestLargeOddEntryIsNotSentToNodes guards against an entry of 1 MB that every node fetches from
+// others, in pieces, before it learns of any change of servers.
+func TestLargeOddEntryIsNotSentToNodes(t *testing.T) {
+	sink, refused := newDirectoryNode(t)
+	cache := sink.caches["servers"]
+	large := strings.Repeat("odd", 1<<18)
+	cache.Reset([]objectstore.Object{entryOf("s1", "ready", 1), entryOf("large", large, 2)}, 2)
+	answer := sink.Answer(t.Context(), relay.Request{Kind: "servers", AcceptPieces: true})
+	must.SliceEmpty(t, answer.Large)
+	must.Eq(t, []objectstore.Object{{Name: "large", Revision: 2}, entryOf("s1", "ready", 1)}, answer.Objects)
+	cache.Apply([]objectstore.Object{entryOf("large", large+"er", 3), entryOf("s2", "ready", 4)}, 4)
+	answer = sink.Answer(t.Context(), relay.Request{Kind: "servers", Changes: true, After: 2, AcceptPieces: true, AcceptPatches: true})
+	must.SliceEmpty(t, answer.Large)
+	must.SliceEmpty(t, answer.Patched)
+	must.Eq(t, []objectstore.Object{{Name: "large", Revision: 3}, entryOf("s2", "ready", 4)}, answer.Objects)
+	must.Eq(t, 2, refused())
+	must.MapLen(t, 2, sink.Catalog.Current().Servers)
+}
+
 // TestOddObjectReplacesNoConfiguration: an object beside the configuration must not be taken for it,
 // or later versions of the configuration would be ignored.
 func TestOddObjectReplacesNoConfiguration(t *testing.T) {
--- a/internal/proxy/objectstore/cache.go
+++ b/internal/proxy/objectstore/cache.go
@@ -31,6 +31,8 @@
 	previousEraEnd era.Revision
 	// isNewer is nil if content of a later era always replaces the cached content.
 	isNewer func(cached, listed []byte) bool
+	// maxContentBytes is 0 without a limit.
+	maxContentBytes int
 }
 
 // maxRemovals limits the removals that a cache remembers.
@@ -46,8 +48,29 @@
 // forwards the cached content. It must be called before the cache is used.
 func (c *Cache) KeepNewest(isNewer func(cached, listed []byte) bool) { c.isNewer = isNewer }
 
+// LimitContent makes the cache drop the content of larger objects, which are kept and forwarded
+// without it. An object that any program may write then takes no more of the links between nodes
+// than others. It must be called before the cache is used.
+func (c *Cache) LimitContent(maxBytes int) { c.maxContentBytes = maxBytes }
+
+// limitContent returns the objects without the content of those above the limit.
+func (c *Cache) limitContent(objects []Object) []Object {
+	isTooLarge := func(object Object) bool { return c.maxContentBytes > 0 && len(object.Content) > c.maxContentBytes }
+	if !slices.ContainsFunc(objects, isTooLarge) {
+		return objects
+	}
+	limited := slices.Clone(objects)
+	for i := range limited {
+		if isTooLarge(limited[i]) {
+			limited[i].Content = nil
+		}
+	}
+	return limited
+}
+
 // Reset implements Sink.
 func (c *Cache) Reset(objects []Object, revision era.Revision) {
+	objects = c.limitContent(objects)
 	c.mutex.Lock()
 	if c.enterEra(revision) {
 		objects = c.carryOver(objects, revision)
@@ -74,6 +97,7 @@
 
 // Apply implements Sink.
 func (c *Cache) Apply(events []Object, revision era.Revision) {
+	events = c.limitContent(events)
 	c.mutex.Lock()
 	if c.enterEra(revision) {
 		events = c.keepNewest(events)
