--- a/internal/proxy/network/network.go
+++ b/internal/proxy/network/network.go
@@ -56,9 +56,12 @@
 // Kinds names the kinds of objects in the store.
 type Kinds struct {
 	Configuration string
-	Servers       string
-	Leases        string
-	Members       string
+	// ConfigurationName is the name of the object that holds the configuration. If it is empty, any
+	// object of the kind does.
+	ConfigurationName string
+	Servers           string
+	Leases            string
+	Members           string
 	// Voters is the table of the nodes that agree on tenures.
 	Voters string
 	// Readers is the object that lists the readers of a large fleet.
@@ -194,9 +197,13 @@
 		n.caches[options.Kinds.Evacuations] = objectstore.NewCache(&evacuationSink{n})
 	}
 	n.caches[options.Kinds.Configuration].KeepNewest(n.isOlderConfiguration)
+	n.caches[options.Kinds.Servers].LimitContent(maxServerEntryBytes)
 	return n
 }
 
+// maxServerEntryBytes limits a server's entry. Larger ones are refused.
+const maxServerEntryBytes = 16 << 10
+
 // Store returns the store as this node accesses it: calls are metered and answers of old eras
 // rejected.
 func (n *Network) Store() objectstore.Store { return n.store }
