upstream, proxy: a refused session value or PREPARE runs no statement

What callers saw: in tests only. If a server refuses a SET, RESET or PREPARE, the statement that followed it ran with other values or an unknown name (PINNED) and was answered as served. A refused PREPARE was also tried again without a pause until the time-out, on a new connection each time, and a statement that a server refuses as malformed closed its session.

Cause: these operations are sent in one batch with the statement, and only the answer to the last one was looked at.

Change: a server's pool remembers which setups (kind, name, value) it has accepted. A statement is sent together with those, and after the answer to any other one; if one is refused, the statement is not sent and has the outcome of the refusal. If a server refuses what it accepted before, the outcome is unknown, the connection is closed, and statements to this server always wait from then on. BEGIN is sent together with setups, since nothing of a caller runs with it. Work that a server refuses as malformed is answered at once, and the session goes on.

Cost: the first use of a session value or statement on a server takes one more round trip, except where BEGIN is sent first (transactions, reads of primary routes).

Evidence: before (TestRefusedSetupRunsNoStatement): a statement ran with the shape "" instead of "b"; TestRefusedValueFailsOnlyItsStatements: EXEC s a ended as BUSY after its time-out. Both pass, the properties of the package with 20,000 checks too.

The stand-in servers on loopback can refuse values and shapes.

--- a/internal/proxy/read.go
+++ b/internal/proxy/read.go
@@ -43,6 +43,9 @@
 	begin := batch.Last()
 	if !r.service.CheckBegin(target, begin) {
 		lease.Settle(begin)
+		if begin.Outcome == upstream.Rejected {
+			return r.answer(begin), true
+		}
 		if r.connectionRefused(target, begin) {
 			return r.refuse(failure.Overloaded), true
 		}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -204,7 +204,7 @@
 	case upstream.TimedOut:
 		return r.session.fail(failure.New(failure.ServerTimedOut, result.Detail))
 	default:
-		return r.session.fail(failure.New(failure.Protocol, result.Detail))
+		return r.session.fail(failure.New(failure.InvalidCommand, result.Detail))
 	}
 }
 
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -100,6 +100,10 @@
 			return Reply{}, true
 		}
 		lease.Settle(begin)
+		if begin.Outcome == upstream.Rejected {
+			t.failed = true
+			return r.answer(begin), false
+		}
 		if r.connectionRefused(target, begin) {
 			break
 		}
@@ -129,6 +133,10 @@
 			return Reply{}, true
 		}
 		lease.Settle(begin)
+		if begin.Outcome == upstream.Rejected {
+			t.failed = true
+			return r.answer(begin), false
+		}
 		if r.connectionRefused(target, begin) {
 			break
 		}
--- a/internal/proxy/upstream/batch.go
+++ b/internal/proxy/upstream/batch.go
@@ -45,8 +45,17 @@
 	return errors.As(b.Err, &mismatch)
 }
 
-// Run sends operations and waits for all their answers.
+// Run sends operations and waits for all their answers. If the server refuses session state that the
+// operations need, the others have the outcome of that refusal.
 func (l *Lease) Run(operations []Operation, deadline time.Time) Batch {
+	if setup := setupLength(operations); setup > 0 && !l.Remote() {
+		return l.runWithSetup(operations, setup, deadline)
+	}
+	return l.run(operations, deadline)
+}
+
+// run sends operations at once and waits for all their answers.
+func (l *Lease) run(operations []Operation, deadline time.Time) Batch {
 	sent, probes := operations, isProbe(operations) && !l.Remote()
 	if probes {
 		sent = l.padProbe(operations)
@@ -175,13 +184,10 @@
 // statement if it executes a prepared one that the connection lacks.
 func (l *Lease) Adapt(values map[string]string, statement *command.Statement) []Operation {
 	var operations []Operation
-	for name := range l.Values {
-		if _, wanted := values[name]; !wanted {
-			operations = append(operations, Operation{Kind: ResetSession})
-			clear(l.Values)
-			clear(l.Prepared)
-			break
-		}
+	if l.needsReset(values) {
+		operations = append(operations, Operation{Kind: ResetSession})
+		clear(l.Values)
+		clear(l.Prepared)
 	}
 	for name, value := range values {
 		if present, set := l.Values[name]; !set || present != value {
@@ -197,6 +203,16 @@
 	return operations
 }
 
+// needsReset reports whether a connection must be reset: it has values that are not wanted.
+func (l *Lease) needsReset(values map[string]string) bool {
+	for name := range l.Values {
+		if _, wanted := values[name]; !wanted {
+			return true
+		}
+	}
+	return false
+}
+
 // nameBytes is the length of the digests in the names of prepared statements. It makes collisions
 // infeasible, also between shapes that callers choose.
 const nameBytes = 16
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -14,6 +14,7 @@
 	dialer Dialer
 	target Target
 	stats  *Stats
+	setups setupHistory
 
 	mutex sync.Mutex
 	// idle holds the unused connections, the one idle for longest first.
--- a/internal/proxy/write.go
+++ b/internal/proxy/write.go
@@ -75,6 +75,8 @@
 		r.awaitPrimary()
 	case upstream.Unreached:
 		r.awaitPrimary()
+	case upstream.StatementMissing, upstream.Failed, upstream.TimedOut:
+		r.pause(backends.BusyPause)
 	default:
 	}
 }
