upstream: statements prepared on a connection are bounded

What callers saw: in tests only. A connection kept every statement that any caller had ever executed on it: on the server, and with its shape on the node.

Cause: only RESET drops them, and it was sent only for session values that are not wanted.

Change: a connection with 256 statements is reset before its next use outside of a transaction. The node keeps names, not shapes.

Evidence: before, TestPreparedStatementsAreBounded: 1,536 statements on a connection.

--- a/internal/proxy/upstream/batch.go
+++ b/internal/proxy/upstream/batch.go
@@ -175,7 +175,7 @@
 	case SetValue:
 		l.Values[operation.Name] = operation.Value
 	case PrepareStatement:
-		l.Prepared[operation.Name] = operation.Definition
+		l.Prepared[operation.Name] = struct{}{}
 	default:
 	}
 }
@@ -203,8 +203,15 @@
 	return operations
 }
 
-// needsReset reports whether a connection must be reset: it has values that are not wanted.
+// maxPrepared is the number of prepared statements from which a connection is reset.
+const maxPrepared = 256
+
+// needsReset reports whether a connection must be reset: it has values that are not wanted, or many
+// prepared statements and no open transaction.
 func (l *Lease) needsReset(values map[string]string) bool {
+	if len(l.Prepared) >= maxPrepared && l.state == Idle && !l.Remote() {
+		return true
+	}
 	for name := range l.Values {
 		if _, wanted := values[name]; !wanted {
 			return true
--- a/internal/proxy/upstream/lease.go
+++ b/internal/proxy/upstream/lease.go
@@ -1,10 +1,6 @@
 package upstream
 
-import (
-	"time"
-
-	"dewknot/internal/proxy/command"
-)
+import "time"
 
 // Lease is a connection to a server that one user has acquired, with the session state that the
 // server keeps for it. The connection belongs to a pool or goes through another node.
@@ -12,8 +8,8 @@
 	Connection
 	// Values are the session values set on the connection.
 	Values map[string]string
-	// Prepared holds the statements prepared on the connection, by name.
-	Prepared map[string]command.PreparedStatement
+	// Prepared holds the names of the statements prepared on the connection.
+	Prepared map[string]struct{}
 
 	// state is the connection's state after the last answer.
 	state TransactionState
@@ -43,7 +39,7 @@
 func NewRemoteLease(connection Connection, stats *Stats, onUnreachable func()) *Lease {
 	return &Lease{
 		Connection: connection, stats: stats, onUnreachable: onUnreachable,
-		Values: map[string]string{}, Prepared: map[string]command.PreparedStatement{},
+		Values: map[string]string{}, Prepared: map[string]struct{}{},
 	}
 }
 
--- a/internal/proxy/upstream/pool.go
+++ b/internal/proxy/upstream/pool.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"dewknot/internal/proxy/command"
 )
 
 // Pool manages connections to one server. Each connection is opened for one principal. Pool is safe
@@ -243,7 +241,7 @@
 	p.stats.recordDialTime(now.Sub(began))
 	lease := &Lease{
 		Connection: connection, principal: principal, stats: p.stats, pool: p, generation: generation,
-		Values: map[string]string{}, Prepared: map[string]command.PreparedStatement{},
+		Values: map[string]string{}, Prepared: map[string]struct{}{},
 	}
 	p.deliver(lease)
 }
--- a/internal/proxy/upstream/setup_test.go
+++ b/internal/proxy/upstream/setup_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
@@ -184,3 +185,34 @@
 	must.Eq(t, Busy, batch.Last().Outcome)
 	must.Eq(t, 4, ran)
 }
+
+// TestPreparedStatementsAreBounded: callers that prepare without end must not fill a server's
+// connection, and a transaction must keep its statements.
+func TestPreparedStatementsAreBounded(t *testing.T) {
+	server := &pickyServer{refuses: func(*Operation) Outcome { return Succeeded }}
+	values := map[string]string{"v": "1"}
+	server.ran = func(operation *Operation, present map[string]string, prepared map[string]command.PreparedStatement) {
+		must.True(t, maps.Equal(values, present))
+		must.Eq(t, operation.Statement.Definition, prepared[ServerName(operation.Statement.Definition)])
+	}
+	pool := NewPool(server, Target{}, 1, NewStats())
+	shapes := 0
+	next := func() (*command.Statement, Operation) {
+		shapes++
+		statement := &command.Statement{Prepared: true, Definition: command.PreparedStatement{Shape: fmt.Sprint(shapes)}}
+		return statement, Operation{Kind: RunStatement, Statement: statement}
+	}
+	for range 3 * maxPrepared {
+		lease, err := pool.Get(Own, time.Now().Add(time.Second))
+		must.NoError(t, err)
+		statement, run := next()
+		must.NoError(t, lease.Run(append(lease.Adapt(values, statement), Operation{Kind: Begin}), time.Now().Add(time.Second)).Err)
+		for range 2 {
+			must.NoError(t, lease.Run(append(lease.Adapt(values, statement), run), time.Now().Add(time.Second)).Err)
+			statement, run = next()
+		}
+		lease.RollBack()
+	}
+	must.LessEq(t, maxPrepared+2, server.largest)
+	must.Eq(t, 1, server.connections)
+}
