postgres: a statement's name separates its text from its parameter types

What callers saw: nothing so far. "SELECT 1" with a parameter of type 0x20202020 and "SELECT 1" with four blanks at its end had the same name on servers' connections, which callers share: one ran the other's statement (PINNED).

Cause: the digest was one of the text and the types without a separator.

Change: the digest begins with the length of the text.

Evidence: before, TestStatementsHaveDifferentNames failed in its first check.

--- a/internal/postgres/listener/extended.go
+++ b/internal/postgres/listener/extended.go
@@ -43,6 +43,8 @@
 func backendName(query string, oids []uint32) string {
 	const nameBytes = 16
 	digest := sha256.New()
+	// The length separates the text from the types.
+	_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, uint64(len(query))))
 	_, _ = digest.Write([]byte(query))
 	for _, oid := range oids {
 		_, _ = digest.Write(binary.BigEndian.AppendUint32(nil, oid))
