postgres: answers that nothing asked for reach no caller

What callers saw: nothing so far. A server that sends an answer again while its connection is idle gave the next caller the rows of the one before (MIXED), and a copy of ParseComplete ended the process (index out of range, LOST).

Cause: connections were used again without a look at what had arrived meanwhile, and the answer reader took messages that cannot follow each other.

Change: a connection with unread data is closed, in the pool and before each batch and status query; nothing was sent then, so work goes to another connection.

Evidence: before, TestAnswerSentTwiceReachesNobodyElse: expected non-nil error; TestMessagesOutOfOrderEndTheConnection: an ErrorResponse before BindComplete was accepted, and with a copy of ParseComplete: panic, index out of range [1] with length 1.

Open: a copy that arrives while the next answer is awaited is taken for that answer if it has the same form, since the protocol has no IDs. A notice between the statements of a transaction ends it.

--- a/internal/base/liveness/liveness.go
+++ b/internal/base/liveness/liveness.go
@@ -54,3 +54,24 @@
 	}
 	return errors.Wrap(setErr, "set TCP_USER_TIMEOUT on a socket")
 }
+
+// Quiet reports whether a connection is open and has no unread data. It reports false for a connection
+// without a socket.
+func Quiet(conn net.Conn) bool {
+	accessible, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := accessible.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	// Unlike Read, Control ignores an expired read deadline.
+	err = raw.Control(func(descriptor uintptr) {
+		var peeked [1]byte
+		_, _, recvErr := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(recvErr, syscall.EAGAIN)
+	})
+	return quiet && err == nil
+}
--- a/internal/postgres/backend/conn.go
+++ b/internal/postgres/backend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/pkg/errors"
 
+	"dewknot/internal/base/liveness"
 	"dewknot/internal/base/position"
 	"dewknot/internal/postgres/replication"
 )
@@ -91,6 +93,14 @@
 	_ = c.net.Close()
 }
 
+// ErrUnexpectedData is returned if a server has sent data or closed the connection while nothing was
+// asked. An answer cannot be told from what the server sent before.
+var ErrUnexpectedData = errors.New("the server sent data that nothing asked for, or closed the connection; use another connection")
+
+// Quiet reports whether the connection is open and has no unread data. Asynchronous messages of the
+// server count as data.
+func (c *Conn) Quiet() bool { return c.frontend.ReadBufferLen() == 0 && liveness.Quiet(c.net) }
+
 // Cancel asks the server to cancel the running query of the connection.
 func (c *Conn) Cancel(ctx context.Context) error {
 	dialer := net.Dialer{}
@@ -129,6 +139,9 @@
 // trip. After an error the connection must be closed.
 func (c *Conn) Run(batch Batch, withPosition bool, sink func([]byte) error) (RunReport, error) {
 	report := RunReport{Status: Idle}
+	if !c.Quiet() {
+		return report, ErrUnexpectedData
+	}
 	planned, err := planBatch(batch, c.prepared)
 	if err != nil {
 		return report, err
@@ -160,6 +173,9 @@
 
 // Status queries the server's status.
 func (c *Conn) Status(deadline time.Time) (replication.Report, error) {
+	if !c.Quiet() {
+		return replication.Report{}, ErrUnexpectedData
+	}
 	if err := c.net.SetDeadline(deadline); err != nil {
 		return replication.Report{}, errors.Wrap(err, "set deadline")
 	}
@@ -226,7 +242,9 @@
 	report      *RunReport
 	sink        func([]byte) error
 	parsedCount int // count of plan.parses that were answered or skipped
-	buffer      []byte
+	// failed is set after an error until ReadyForQuery, complete after the result of a query.
+	failed, complete bool
+	buffer           []byte
 }
 
 func (r *answerReader) readAll() error {
@@ -284,6 +302,9 @@
 
 func (r *answerReader) handle(message pgproto3.BackendMessage) error {
 	head := r.plan.expected[0]
+	if !r.fits(message, head) {
+		return &OrderError{Message: message}
+	}
 	switch typed := message.(type) {
 	case *pgproto3.ParseComplete:
 		return r.handleParseComplete()
@@ -295,6 +316,7 @@
 		r.pop()
 	case *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse, *pgproto3.PortalSuspended:
 		r.report.CommandCompleted = true
+		r.complete = true
 		if head == expectExecute {
 			r.pop()
 		}
@@ -310,6 +332,50 @@
 	return r.emit(message)
 }
 
+// OrderError reports a message that cannot be part of the answer that is awaited, such as a copy of an
+// earlier one. The connection must be closed.
+type OrderError struct{ Message pgproto3.BackendMessage }
+
+// Error implements the error interface.
+func (e *OrderError) Error() string {
+	return fmt.Sprintf("the server sent %T out of order; close the connection", e.Message)
+}
+
+// fits reports whether a message can be part of the answer that is awaited.
+func (r *answerReader) fits(message pgproto3.BackendMessage, head expectation) bool {
+	switch message.(type) {
+	case *pgproto3.ParameterStatus, *pgproto3.NotificationResponse, *pgproto3.NoticeResponse:
+		return true
+	case *pgproto3.ReadyForQuery:
+		// The answer to a query is complete only with its result or error.
+		return head == expectSync || (head == expectQuery && (r.complete || r.failed))
+	}
+	if r.failed {
+		return false
+	}
+	switch message.(type) {
+	case *pgproto3.ErrorResponse:
+		return true
+	case *pgproto3.ParseComplete:
+		return head == expectParse || head == expectSilentParse
+	case *pgproto3.BindComplete:
+		return head == expectBind
+	case *pgproto3.CloseComplete:
+		return head == expectClose
+	case *pgproto3.ParameterDescription, *pgproto3.NoData:
+		return head == expectDescribe
+	case *pgproto3.RowDescription:
+		return head == expectDescribe || head == expectQuery
+	case *pgproto3.PortalSuspended:
+		return head == expectExecute
+	case *pgproto3.DataRow, *pgproto3.CommandComplete, *pgproto3.EmptyQueryResponse,
+		*pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
+		return head == expectExecute || head == expectQuery
+	default:
+		return false
+	}
+}
+
 func (r *answerReader) handleParseComplete() error {
 	r.conn.prepared[r.plan.parses[r.parsedCount]] = struct{}{}
 	r.parsedCount++
@@ -324,6 +390,7 @@
 	if r.report.FirstError == "" {
 		r.report.FirstError = message.Code
 	}
+	r.failed = true
 	for len(r.plan.expected) > 0 {
 		head := r.plan.expected[0]
 		if head == expectSync || head == expectQuery {
@@ -337,10 +404,8 @@
 }
 
 func (r *answerReader) handleReady(message *pgproto3.ReadyForQuery) error {
-	head := r.pop()
-	if head != expectSync && head != expectQuery {
-		return errors.New("the server sent ReadyForQuery while other answers were outstanding")
-	}
+	r.pop()
+	r.failed, r.complete = false, false
 	r.report.Status = message.TxStatus
 	r.report.Synced = true
 	return r.emit(message)
--- a/internal/postgres/backend/pool.go
+++ b/internal/postgres/backend/pool.go
@@ -30,14 +30,18 @@
 	return &Pool{address: address, all: map[*Conn]struct{}{}}
 }
 
-// Acquire returns an idle connection or dials a new one.
+// Acquire returns an idle connection or dials a new one. Connections on which data arrived while they
+// were idle are closed.
 func (p *Pool) Acquire(ctx context.Context) (*Conn, error) {
 	p.mu.Lock()
-	if last := len(p.idle) - 1; last >= 0 {
+	for last := len(p.idle) - 1; last >= 0; last-- {
 		conn := p.idle[last]
 		p.idle = p.idle[:last]
-		p.mu.Unlock()
-		return conn, nil
+		if conn.Quiet() {
+			p.mu.Unlock()
+			return conn, nil
+		}
+		p.discard(conn)
 	}
 	generation := p.generation
 	p.mu.Unlock()
