postgres: a late cancel request reaches no other caller's statement

What callers saw: nothing so far. A statement could end with 57014 because another caller had canceled one on the same connection before.

Cause: a cancel request takes a connection of its own and names the server's process. It was sent in the background, while the connection was released to the pool once the canceled statement had ended.

Change: a connection for which a cancel request may be on its way is closed when it is released.

--- a/internal/postgres/backend/conn.go
+++ b/internal/postgres/backend/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -45,6 +46,8 @@
 	pid      uint32
 	secret   []byte
 	prepared map[string]struct{} // names of the prepared statements
+	// canceled is set once a cancel request may be on its way.
+	canceled atomic.Bool
 	lastUsed time.Time
 	out      []byte // buffer of Status
 }
@@ -101,7 +104,12 @@
 // server count as data.
 func (c *Conn) Quiet() bool { return c.frontend.ReadBufferLen() == 0 && liveness.Quiet(c.net) }
 
-// Cancel asks the server to cancel the running query of the connection.
+// ExpectCancel marks a connection for which Cancel will be called. The request may reach the server at
+// any later time, so a pool closes the connection instead of giving it to others.
+func (c *Conn) ExpectCancel() { c.canceled.Store(true) }
+
+// Cancel asks the server to cancel the running query of the connection. ExpectCancel must have been
+// called before the connection could be released.
 func (c *Conn) Cancel(ctx context.Context) error {
 	dialer := net.Dialer{}
 	conn, err := dialer.DialContext(ctx, "tcp", c.address.Server)
--- a/internal/postgres/backend/pool.go
+++ b/internal/postgres/backend/pool.go
@@ -66,7 +66,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_, inPool := p.all[conn]
-	if !inPool || len(conn.prepared) > maxPrepared {
+	if !inPool || conn.canceled.Load() || len(conn.prepared) > maxPrepared {
 		p.discard(conn)
 		return
 	}
--- a/internal/postgres/owner/server.go
+++ b/internal/postgres/owner/server.go
@@ -179,6 +179,7 @@
 	defer current.mu.Unlock()
 	current.canceled = true
 	if conn := current.conn; conn != nil {
+		conn.ExpectCancel()
 		go func() {
 			ctx, cancel := context.WithTimeout(s.ctx, cancelTimeout)
 			defer cancel()
