postgres: the ends of comments and names are those of the server

What callers saw: nothing so far. "SELECT 1 -- c" followed by a lone CR and "; DELETE FROM t" was taken for a read, as was "SELECT 1 AS x$$; DELETE FROM t; SELECT 2 AS y$$": writes went to a replica or were sent again as reads, a COMMIT was not seen, and a session-level SET reached a connection that callers share (PINNED).

Cause: the scanner ended a line comment at LF only, while servers end it at CR too; it did not skip vertical tabs, which are white space since PostgreSQL 16; and it took a dollar sign within a name for the beginning of a quoted text.

Change: a line comment ends at CR or LF, a vertical tab is white space, and a name goes on at a dollar sign.

Evidence: before, TestLineEndsHideNoStatement failed with "\r" and TestDollarSignsInNamesHideNoStatement with its first text.

--- a/internal/postgres/statement/classify_test.go
+++ b/internal/postgres/statement/classify_test.go
@@ -74,9 +74,32 @@
 	})
 }
 
+// TestDollarSignsInNamesHideNoStatement: a name with dollar signs must not be taken for the beginning of
+// a quoted text that hides a statement.
+func TestDollarSignsInNamesHideNoStatement(t *testing.T) {
+	for _, sql := range []string{"SELECT 1 AS x$$; DELETE FROM t; SELECT 2 AS y$$", "SELECT 1 AS x$t$; DELETE FROM t; SELECT 2 AS y$t$", "SELECT é$$; DELETE FROM t; SELECT y$$"} {
+		must.False(t, Classify(sql).ReadOnly, must.Sprint(sql))
+	}
+	must.True(t, Classify("SELECT $$; DELETE FROM t$$, $t$COMMIT$t$, 1").ReadOnly)
+}
+
 // Guards against panics and endless loops on arbitrary text.
 func FuzzClassify(f *testing.F) {
 	f.Add("SELECT 1")
 	f.Add("$a$ /* ' \" E'\\")
 	f.Fuzz(func(_ *testing.T, sql string) { Classify(sql) })
 }
+
+// TestLineEndsHideNoStatement: what a server takes for the end of a comment or for white space must
+// not hide a statement that writes, ends a transaction or changes the session of other callers.
+func TestLineEndsHideNoStatement(t *testing.T) {
+	for _, end := range []string{"\n", "\r", "\r\n", "\n\r"} {
+		must.False(t, Classify("SELECT 1 -- c"+end+"; DELETE FROM t").ReadOnly, must.Sprintf("%q", end))
+		must.True(t, Classify("SELECT 1 -- c"+end+"; COMMIT").MayCommit, must.Sprintf("%q", end))
+		must.Eq(t, "session-level SET", Classify("-- c"+end+"SET x = 1").Unsupported, must.Sprintf("%q", end))
+	}
+	for _, blank := range []string{" ", "\t", "\n", "\r", "\f", "\v"} {
+		must.Eq(t, "session-level SET", Classify(blank+"SET"+blank+"x = 1").Unsupported, must.Sprintf("%q", blank))
+		must.Eq(t, Commit, Classify(blank+"COMMIT"+blank).Control, must.Sprintf("%q", blank))
+	}
+}
--- a/internal/postgres/statement/scan.go
+++ b/internal/postgres/statement/scan.go
@@ -32,7 +32,7 @@
 	for s.offset < len(s.text) {
 		char := s.text[s.offset]
 		switch {
-		case char == ' ' || char == '\t' || char == '\n' || char == '\r' || char == '\f':
+		case char == ' ' || char == '\t' || char == '\n' || char == '\r' || char == '\f' || char == '\v':
 			s.offset++
 		case s.peekIs("--"):
 			s.skipLineComment()
@@ -57,7 +57,7 @@
 }
 
 func (s *scanner) skipLineComment() {
-	end := strings.IndexByte(s.text[s.offset:], '\n')
+	end := strings.IndexAny(s.text[s.offset:], "\r\n")
 	if end < 0 {
 		end = len(s.text) - s.offset
 	}
@@ -136,7 +136,9 @@
 
 func (s *scanner) word() token {
 	start := s.offset
-	for s.offset < len(s.text) && isWordByte(s.text[s.offset]) {
+	// A name may contain a dollar sign, a number may not.
+	isName := !isDigit(s.text[start])
+	for s.offset < len(s.text) && (isWordByte(s.text[s.offset]) || isName && s.text[s.offset] == '$') {
 		s.offset++
 	}
 	return token{text: strings.ToUpper(s.text[start:s.offset]), word: true}
