--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -99,6 +99,10 @@
 			return Reply{}, true
 		}
 		lease.Settle(begin)
+		if begin.Outcome == upstream.Rejected {
+			t.failed = true
+			return r.answer(begin), false
+		}
 		if r.connectionRefused(target, begin) {
 			break
 		}
@@ -128,6 +132,10 @@
 			return Reply{}, true
 		}
 		lease.Settle(begin)
+		if begin.Outcome == upstream.Rejected {
+			t.failed = true
+			return r.answer(begin), false
+		}
 		if r.connectionRefused(target, begin) {
 			break
 		}
--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -143,8 +143,8 @@
 		return "an error after another error"
 	case result.Outcome.NotRun() && len(result.Rows) > 0:
 		return "rows of a statement that did not run"
-	case result.Outcome != Succeeded && kind.adapts() && l.state != FailedTransaction:
-		return "an error for what prepares the session"
+	case result.Outcome != Succeeded && operation.Name == probePadding.Name && l.state == InTransaction:
+		return "an error within an accepted probe"
 	case result.Outcome != Succeeded:
 		return ""
 	case kind.UsesSlot() && result.Signature == "":
@@ -186,12 +186,6 @@
 // controls reports whether the operation asks for the server's status or directs its replication.
 func (k OperationKind) controls() bool { return k.ReportsStatus() || k == ResumeReplication }
 
-// adapts reports whether the operation prepares the session for the following ones, which run also
-// if a server refuses it.
-func (k OperationKind) adapts() bool {
-	return k == ResetSession || k == SetValue || k == PrepareStatement
-}
-
 // maxProbePadding is the largest number of operations that pad a probe.
 const maxProbePadding = 4
 
