upstream: a test that fails if an earlier BEGIN's answer hides a refusal at the same position

TestRefusedTransactionIsNotOpen passes only since its server's position moves with every operation. The statement behind a hidden refusal gets the refusal as its answer, so its caller is told "not run" though it ran outside a transaction.

--- a/internal/proxy/upstream/proof_test.go
+++ b/internal/proxy/upstream/proof_test.go
@@ -171,3 +171,30 @@
 		must.Error(t, batch.Err, must.Sprintf("operation %d was refused", refused))
 	}
 }
+
+// TestRefusalIsNotHiddenByAnEarlierBegin: one copy of the answer to an earlier BEGIN must not hide that
+// a server whose position has not moved has refused a transaction, so that its statements run outside of one.
+func TestRefusalIsNotHiddenByAnEarlierBegin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		server := &idleServer{offset: 1, repeat: -1}
+		pool := NewPool(server, Target{}, 1, NewStats())
+		for range rapid.IntRange(2, 10).Draw(t, "transactions") {
+			server.primary = rapid.Bool().Draw(t, "primary")
+			server.repeat = rapid.IntRange(-1, 30).Draw(t, "copy of the answer")
+			server.after = rapid.IntRange(0, 5).Draw(t, "answers before the copy")
+			lease, err := pool.Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			batch := lease.Run([]Operation{{Kind: Begin}}, time.Now().Add(time.Second))
+			if batch.Err != nil {
+				lease.Discard()
+				continue
+			}
+			must.SliceLen(t, 1, batch.Results)
+			if batch.Last().Outcome == Succeeded {
+				must.Eq(t, InTransaction, lease.Connection.(*idleServerConnection).state)
+			}
+			server.repeat = -1
+			lease.RollBack()
+		}
+	})
+}
