upstream: BEGIN is followed by a PREPARE that shows whether it was accepted

One copy of an earlier BEGIN's answer hid a refusal if the server's position had not moved: the transaction's first statement ran outside of it, and got the refusal as its answer, so that its caller was told "not run". A PREPARE in the same batch now gets the refusal, which is a mismatch. It costs a message, but no round trip.

--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"hash/maphash"
+	"slices"
 	"time"
 
 	"dewknot/internal/base/position"
@@ -186,9 +187,39 @@
 // maxProbePadding is the largest number of operations that pad a probe.
 const maxProbePadding = 4
 
-// probePadding is an operation without an effect on callers. Its name differs from those that
-// ServerName returns.
-var probePadding = Operation{Kind: PrepareStatement, Name: "p", Definition: command.PreparedStatement{Shape: "p"}}
+// padding is an operation without an effect on callers. Its name differs from those that ServerName
+// returns.
+var padding = Operation{Kind: PrepareStatement, Name: "p", Definition: command.PreparedStatement{Shape: "p"}}
+
+// pad returns operations with padding behind a BEGIN at their end, so that its answer is not the
+// only one that shows whether the server accepted the transaction.
+func (l *Lease) pad(operations []Operation) []Operation {
+	switch {
+	case l.Remote():
+		return operations
+	case isProbe(operations):
+		return l.padProbe(operations)
+	case operations[len(operations)-1].Kind.begins():
+		return append(slices.Clone(operations), padding)
+	default:
+		return operations
+	}
+}
+
+// unpad returns the results of operations without those of their padding.
+func unpad(results []Result, operations []Operation) []Result {
+	switch {
+	case len(results) == len(operations):
+		return results
+	case isProbe(operations):
+		return probeResults(results, len(operations))
+	default:
+		return results[:len(operations)]
+	}
+}
+
+// begins reports whether the operation begins a transaction.
+func (k OperationKind) begins() bool { return k == Begin || k == BeginReadOnly }
 
 // isProbe reports whether operations end with a transaction that is begun only to learn whether the
 // server is the primary.
@@ -201,13 +232,13 @@
 // Without signed answers, only its length distinguishes a probe's answers from those of an earlier
 // one.
 func (l *Lease) padProbe(operations []Operation) []Operation {
-	padding := 1 + l.probes%maxProbePadding
+	count := 1 + l.probes%maxProbePadding
 	l.probes++
-	padded := make([]Operation, 0, len(operations)+padding)
 	last := len(operations) - 1
+	padded := make([]Operation, 0, len(operations)+count)
 	padded = append(padded, operations[:last]...)
-	for range padding {
-		padded = append(padded, probePadding)
+	for range count {
+		padded = append(padded, padding)
 	}
 	return append(padded, operations[last])
 }
--- a/internal/proxy/upstream/batch.go
+++ b/internal/proxy/upstream/batch.go
@@ -47,10 +47,7 @@
 
 // Run sends operations and waits for all their answers.
 func (l *Lease) Run(operations []Operation, deadline time.Time) Batch {
-	sent, probes := operations, isProbe(operations) && !l.Remote()
-	if probes {
-		sent = l.padProbe(operations)
-	}
+	sent := l.pad(operations)
 	batch := Batch{SentAt: time.Now(), Results: make([]Result, 0, len(sent))}
 	l.recordSent(batch.SentAt)
 	if batch.Err = l.Send(sent, deadline); batch.Err != nil {
@@ -69,9 +66,7 @@
 		l.trackSessionState(&sent[i], &result)
 		batch.Results = append(batch.Results, result)
 	}
-	if probes {
-		batch.Results = probeResults(batch.Results, len(operations))
-	}
+	batch.Results = unpad(batch.Results, operations)
 	l.recordAnswers(operations, &batch)
 	return batch
 }
