upstream: a second error is confirmed instead of being taken for unknown

A server that was busy for 100 ms ended a COMMIT that it refused twice as unknown, and a transaction with a statement that it refused twice as lost; before the rule on errors both were retried. An error after another one is now followed by four PREPARE: if it was a copy, the statement's own answer is read as one of theirs. This costs a round trip after a second error only.

TestCommitOnABusyServerHasAKnownOutcome passes.

--- a/internal/proxy/busycommit_test.go
+++ b/internal/proxy/busycommit_test.go
@@ -25,8 +25,10 @@
 				session := memorySession{client}
 				defer session.Close()
 				for _, each := range []command.Command{
-					{Kind: command.Begin, RequestID: "b", Text: "BEGIN"}, {Kind: command.Read, RequestID: "r", Text: "READ 1"},
-					{Kind: command.Write, RequestID: "w", Text: "WRITE 1 x"}, {Kind: command.Commit, RequestID: "c", Text: "COMMIT"},
+					{Kind: command.Begin, RequestID: "b", Text: "BEGIN"},
+					{Kind: command.Read, RequestID: "r", Text: "READ 1"},
+					{Kind: command.Write, RequestID: "w", Text: "WRITE 1 x"},
+					{Kind: command.Commit, RequestID: "c", Text: "COMMIT"},
 				} {
 					if each.Kind == busyAt {
 						fleet.group.Primary().SetBusy(time.Now().Add(100 * time.Millisecond))
--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -19,8 +19,8 @@
 //   - An answer to a statement or commit is signed or an error, the others are unsigned. A copy that
 //     is accepted in place of another answer shifts the following ones, so it is noticed at the
 //     next signed answer at the latest.
-//   - Errors look alike, so only the first error of a connection is believed to say whether a
-//     statement ran, and the connection is closed afterwards.
+//   - Errors look alike, so a connection is closed after an error. Until then, another error is
+//     believed only if further operations are answered as if nothing was left over.
 //   - A connection reports its status only once.
 
 // MismatchError reports an answer that cannot belong to the operation. What became of the operation
@@ -90,12 +90,31 @@
 			return result, l.recordMismatch(reason)
 		}
 		l.state, l.newest = result.State, position.Max(l.newest, result.Position)
-		l.failed = l.failed || result.Outcome != Succeeded
+		if result.Outcome != Succeeded {
+			l.unconfirmed = l.unconfirmed || (l.failed && operation.Kind.UsesSlot())
+			l.failed = true
+		}
 		l.spent = l.spent || l.failed || operation.Kind.controls() || len(l.signed) >= maxSignatures
 		return result, nil
 	}
 }
 
+// confirm checks that an error after another one was the answer to the last statement, not a copy
+// of the first: otherwise, the statement's own answer comes before those to further operations.
+func (l *Lease) confirm(deadline time.Time) error {
+	l.unconfirmed = false
+	markers := slices.Repeat([]Operation{padding}, maxPadding)
+	if err := l.Send(markers, deadline); err != nil {
+		return err
+	}
+	for i := range markers {
+		if _, err := l.receive(&markers[i], deadline); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // isRepeated reports whether what was received is a copy of an earlier answer. It remembers an answer
 // that is not. A copy with other rows was sent in the middle of another answer, which is lost.
 func (l *Lease) isRepeated(result *Result, err error) (bool, error) {
@@ -131,7 +150,7 @@
 func (l *Lease) mismatch(operation *Operation, result *Result) string {
 	kind := operation.Kind
 	switch {
-	case result.Outcome != Succeeded && kind.UsesSlot() && l.failed:
+	case result.Outcome != Succeeded && kind.UsesSlot() && l.failed && result.State == FailedTransaction:
 		return "an error after another error"
 	case result.Outcome.NotRun() && len(result.Rows) > 0:
 		return "rows of a statement that did not run"
@@ -184,8 +203,8 @@
 	return k == ResetSession || k == SetValue || k == PrepareStatement
 }
 
-// maxProbePadding is the largest number of operations that pad a probe.
-const maxProbePadding = 4
+// maxPadding is the largest number of operations that are added to others.
+const maxPadding = 4
 
 // padding is an operation without an effect on callers. Its name differs from those that ServerName
 // returns.
@@ -232,7 +251,7 @@
 // Without signed answers, only its length distinguishes a probe's answers from those of an earlier
 // one.
 func (l *Lease) padProbe(operations []Operation) []Operation {
-	count := 1 + l.probes%maxProbePadding
+	count := 1 + l.probes%maxPadding
 	l.probes++
 	last := len(operations) - 1
 	padded := make([]Operation, 0, len(operations)+count)
--- a/internal/proxy/upstream/batch.go
+++ b/internal/proxy/upstream/batch.go
@@ -57,20 +57,31 @@
 	for i := range sent {
 		result, err := l.receive(&sent[i], deadline)
 		if err != nil {
-			batch.Err = err
-			if !batch.TimedOut() && !batch.mismatched() {
-				l.recordBroken()
-			}
-			return batch
+			return l.endUnanswered(batch, err)
 		}
 		l.trackSessionState(&sent[i], &result)
 		batch.Results = append(batch.Results, result)
 	}
+	if l.unconfirmed {
+		if err := l.confirm(deadline); err != nil {
+			batch.Results = nil
+			return l.endUnanswered(batch, err)
+		}
+	}
 	batch.Results = unpad(batch.Results, operations)
 	l.recordAnswers(operations, &batch)
 	return batch
 }
 
+// endUnanswered returns a batch that has not got all its answers.
+func (l *Lease) endUnanswered(batch Batch, err error) Batch {
+	batch.Err = err
+	if !batch.TimedOut() && !batch.mismatched() {
+		l.recordBroken()
+	}
+	return batch
+}
+
 // rollbackTimeout limits the wait for the answer to a rollback.
 const rollbackTimeout = 500 * time.Millisecond
 
--- a/internal/proxy/upstream/lease.go
+++ b/internal/proxy/upstream/lease.go
@@ -26,6 +26,8 @@
 	// may be confused with earlier ones, so that the connection must not be used again.
 	failed bool
 	spent  bool
+	// unconfirmed is set while a later error may be a copy of the first.
+	unconfirmed bool
 	// probes counts the probes sent.
 	probes int
 
--- a/internal/proxy/upstream/proof_test.go
+++ b/internal/proxy/upstream/proof_test.go
@@ -198,3 +198,36 @@
 		}
 	})
 }
+
+// TestRepeatedErrorIsNotTakenForTheRetry: a copy of a statement's refusal must not be taken for the answer
+// to a retry that runs, but a server that refuses it again must be believed.
+func TestRepeatedErrorIsNotTakenForTheRetry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		refused, repeated := false, false
+		server := &idleServer{offset: 1, primary: true, repeat: -1, refuses: func(kind OperationKind) bool { return refused && kind.UsesSlot() }}
+		lease, err := NewPool(server, Target{}, 1, NewStats()).Get(Own, time.Now().Add(time.Second))
+		must.NoError(t, err)
+		must.NoError(t, runOne(lease, Operation{Kind: Begin}).Err)
+		for i := range rapid.IntRange(1, 6).Draw(t, "attempts") {
+			refused = rapid.IntRange(0, 3).Draw(t, "runs") > 0
+			server.repeat = rapid.IntRange(-1, 12).Draw(t, "copy of the answer")
+			server.after = rapid.IntRange(0, 2).Draw(t, "answers before the copy")
+			repeated = repeated || server.repeat >= 0
+			ran := server.signed
+			id := fmt.Sprintf("r%d", i)
+			batch := runOne(lease, Operation{Kind: RunStatement, RequestID: id, Statement: &command.Statement{RequestID: id}})
+			if batch.Err != nil {
+				must.True(t, repeated, must.Sprintf("no answer was repeated: %v", batch.Err))
+				return
+			}
+			must.Eq(t, batch.Last().Outcome == Succeeded, server.signed > ran)
+			if batch.Last().Outcome == Succeeded {
+				must.Eq(t, [][]byte{[]byte(id)}, batch.Last().Rows)
+			}
+		}
+	})
+}
+
+func runOne(lease *Lease, operation Operation) Batch {
+	return lease.Run([]Operation{operation}, time.Now().Add(time.Second))
+}
