--- a/internal/proxy/upstream/proof_test.go
+++ b/internal/proxy/upstream/proof_test.go
@@ -69,6 +69,8 @@
 		c.state = InTransaction
 	case operation.Kind == Rollback:
 		c.state = Idle
+	case operation.Kind.ReportsStatus():
+		result.Status = &Status{Received: result.Position}
 	case operation.Kind.UsesSlot():
 		s.signed++
 		result.Signature = fmt.Sprintf("s%d", s.signed)
@@ -231,3 +233,19 @@
 func runOne(lease *Lease, operation Operation) Batch {
 	return lease.Run([]Operation{operation}, time.Now().Add(time.Second))
 }
+
+// TestStatusOfARolledBackReplicaIsReceived: a replica that was ahead of a new primary is rolled back. Its
+// status must reach the next survey of the replicas although its position is lower than before.
+func TestStatusOfARolledBackReplicaIsReceived(t *testing.T) {
+	for _, kind := range []OperationKind{ReportStatus, HoldReplication, StepDown, ResumeReplication} {
+		server := &idleServer{offset: 9, repeat: -1}
+		pool := NewPool(server, Target{}, 1, NewStats())
+		lease, err := pool.Get(Own, time.Now().Add(time.Second))
+		must.NoError(t, err)
+		lease.Return()
+		server.offset = 7
+		lease, err = pool.Reserve(time.Now().Add(time.Second))
+		must.NoError(t, err)
+		must.NoError(t, runOne(lease, Operation{Kind: kind}).Err, must.Sprintf("operation %d", kind))
+	}
+}
