--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"hash/maphash"
+	"slices"
 	"time"
 
 	"dewknot/internal/base/position"
@@ -17,8 +18,8 @@
 //     an answer without a result, which is one to the opening of the connection.
 //   - A success of a statement or commit is signed, all others are not. An unsigned copy may be
 //     accepted in place of another unsigned answer. That one is then dropped at the next statement.
-//   - Errors look alike, so only the first error of a connection is believed to say whether a
-//     statement ran, and the connection is closed afterwards.
+//   - Errors look alike, so a connection is closed after an error. Until then, another error is
+//     believed only if further operations are answered as if nothing was left over.
 //   - A connection reports its status only once.
 
 // MismatchError reports an answer that cannot belong to the operation. What became of the operation
@@ -92,12 +93,31 @@
 			return result, l.recordMismatch(reason)
 		}
 		l.state, l.newest = result.State, position.Max(l.newest, result.Position)
-		l.failed = l.failed || result.Outcome != Succeeded
+		if result.Outcome != Succeeded {
+			l.unconfirmed = l.unconfirmed || (l.failed && operation.Kind.UsesSlot())
+			l.failed = true
+		}
 		l.spent = l.spent || l.failed || operation.Kind.controls() || len(l.signed) >= maxSignatures
 		return result, nil
 	}
 }
 
+// confirm checks that an error after another one was the answer to the last statement, not a copy
+// of the first: otherwise, the statement's own answer comes before those to further operations.
+func (l *Lease) confirm(deadline time.Time) error {
+	l.unconfirmed = false
+	markers := slices.Repeat([]Operation{padding}, maxPadding)
+	if err := l.Send(markers, deadline); err != nil {
+		return err
+	}
+	for i := range markers {
+		if _, err := l.receive(&markers[i], deadline); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // isRepeated reports whether what was received is a copy of an earlier answer. It remembers a signed
 // answer that is not. A copy with other rows was sent in the middle of another answer, which is lost.
 func (l *Lease) isRepeated(operation *Operation, result *Result, err error) (bool, error) {
@@ -139,12 +159,12 @@
 func (l *Lease) mismatch(operation *Operation, result *Result) string {
 	kind := operation.Kind
 	switch {
-	case result.Outcome != Succeeded && kind.UsesSlot() && l.failed:
+	case result.Outcome != Succeeded && kind.UsesSlot() && l.failed && result.State == FailedTransaction:
 		return "an error after another error"
 	case result.Outcome.NotRun() && len(result.Rows) > 0:
 		return "rows of a statement that did not run"
-	case result.Outcome != Succeeded && operation.Name == probePadding.Name && l.state == InTransaction:
-		return "an error within an accepted probe"
+	case result.Outcome != Succeeded && kind == PrepareStatement && operation.Name == padding.Name && l.state != FailedTransaction:
+		return "an error for an operation that servers accept"
 	case result.Outcome != Succeeded:
 		return ""
 	case kind.UsesSlot() && result.Signature == "":
@@ -159,7 +179,7 @@
 	if expected := stateAfter(kind, l.state); result.State != expected {
 		return fmt.Sprintf("state %d instead of %d", result.State, expected)
 	}
-	if result.Position.IsZero() || kind.UsesSlot() {
+	if result.Position.IsZero() || kind.UsesSlot() || kind.controls() {
 		return ""
 	}
 	switch {
@@ -186,12 +206,42 @@
 // controls reports whether the operation asks for the server's status or directs its replication.
 func (k OperationKind) controls() bool { return k.ReportsStatus() || k == ResumeReplication }
 
-// maxProbePadding is the largest number of operations that pad a probe.
-const maxProbePadding = 4
+// maxPadding is the largest number of operations that are added to others.
+const maxPadding = 4
+
+// padding is an operation without an effect on callers. Its name differs from those that ServerName
+// returns.
+var padding = Operation{Kind: PrepareStatement, Name: "p", Definition: command.PreparedStatement{Shape: "p"}}
+
+// pad returns operations with padding behind a BEGIN at their end, so that its answer is not the
+// only one that shows whether the server accepted the transaction.
+func (l *Lease) pad(operations []Operation) []Operation {
+	switch {
+	case l.Remote():
+		return operations
+	case isProbe(operations):
+		return l.padProbe(operations)
+	case operations[len(operations)-1].Kind.begins():
+		return append(slices.Clone(operations), padding)
+	default:
+		return operations
+	}
+}
+
+// unpad returns the results of operations without those of their padding.
+func unpad(results []Result, operations []Operation) []Result {
+	switch {
+	case len(results) == len(operations):
+		return results
+	case isProbe(operations):
+		return probeResults(results, len(operations))
+	default:
+		return results[:len(operations)]
+	}
+}
 
-// probePadding is an operation without an effect on callers. Its name differs from those that
-// ServerName returns.
-var probePadding = Operation{Kind: PrepareStatement, Name: "p", Definition: command.PreparedStatement{Shape: "p"}}
+// begins reports whether the operation begins a transaction.
+func (k OperationKind) begins() bool { return k == Begin || k == BeginReadOnly }
 
 // isProbe reports whether operations end with a transaction that is begun only to learn whether the
 // server is the primary.
@@ -204,13 +254,13 @@
 // Without signed answers, only its length distinguishes a probe's answers from those of an earlier
 // one.
 func (l *Lease) padProbe(operations []Operation) []Operation {
-	padding := 1 + l.probes%maxProbePadding
+	count := 1 + l.probes%maxPadding
 	l.probes++
-	padded := make([]Operation, 0, len(operations)+padding)
 	last := len(operations) - 1
+	padded := make([]Operation, 0, len(operations)+count)
 	padded = append(padded, operations[:last]...)
-	for range padding {
-		padded = append(padded, probePadding)
+	for range count {
+		padded = append(padded, padding)
 	}
 	return append(padded, operations[last])
 }
--- a/internal/proxy/upstream/proof_test.go
+++ b/internal/proxy/upstream/proof_test.go
@@ -69,6 +69,8 @@
 		c.state = InTransaction
 	case operation.Kind == Rollback:
 		c.state = Idle
+	case operation.Kind.ReportsStatus():
+		result.Status = &Status{Received: result.Position}
 	case operation.Kind.UsesSlot():
 		s.signed++
 		result.Signature = fmt.Sprintf("s%d", s.signed)
@@ -185,3 +187,79 @@
 		must.Error(t, run().Err, must.Sprintf("operation %d was refused later", refused))
 	}
 }
+
+// TestRefusalIsNotHiddenByAnEarlierBegin: one copy of the answer to an earlier BEGIN must not hide that
+// a server whose position has not moved has refused a transaction, so that its statements run outside of one.
+func TestRefusalIsNotHiddenByAnEarlierBegin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		server := &idleServer{offset: 1, repeat: -1}
+		pool := NewPool(server, Target{}, 1, NewStats())
+		for range rapid.IntRange(2, 10).Draw(t, "transactions") {
+			server.primary = rapid.Bool().Draw(t, "primary")
+			server.repeat = rapid.IntRange(-1, 30).Draw(t, "copy of the answer")
+			server.after = rapid.IntRange(0, 5).Draw(t, "answers before the copy")
+			lease, err := pool.Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			batch := lease.Run([]Operation{{Kind: Begin}}, time.Now().Add(time.Second))
+			if batch.Err != nil {
+				lease.Discard()
+				continue
+			}
+			must.SliceLen(t, 1, batch.Results)
+			if batch.Last().Outcome == Succeeded {
+				must.Eq(t, InTransaction, lease.Connection.(*idleServerConnection).state)
+			}
+			server.repeat = -1
+			lease.RollBack()
+		}
+	})
+}
+
+// TestRepeatedErrorIsNotTakenForTheRetry: a copy of a statement's refusal must not be taken for the answer
+// to a retry that runs, but a server that refuses it again must be believed.
+func TestRepeatedErrorIsNotTakenForTheRetry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		refused, repeated := false, false
+		server := &idleServer{offset: 1, primary: true, repeat: -1, refuses: func(kind OperationKind) bool { return refused && kind.UsesSlot() }}
+		lease, err := NewPool(server, Target{}, 1, NewStats()).Get(Own, time.Now().Add(time.Second))
+		must.NoError(t, err)
+		must.NoError(t, runOne(lease, Operation{Kind: Begin}).Err)
+		for i := range rapid.IntRange(1, 6).Draw(t, "attempts") {
+			refused = rapid.IntRange(0, 3).Draw(t, "runs") > 0
+			server.repeat = rapid.IntRange(-1, 12).Draw(t, "copy of the answer")
+			server.after = rapid.IntRange(0, 2).Draw(t, "answers before the copy")
+			repeated = repeated || server.repeat >= 0
+			ran := server.signed
+			id := fmt.Sprintf("r%d", i)
+			batch := runOne(lease, Operation{Kind: RunStatement, RequestID: id, Statement: &command.Statement{RequestID: id}})
+			if batch.Err != nil {
+				must.True(t, repeated, must.Sprintf("no answer was repeated: %v", batch.Err))
+				return
+			}
+			must.Eq(t, batch.Last().Outcome == Succeeded, server.signed > ran)
+			if batch.Last().Outcome == Succeeded {
+				must.Eq(t, [][]byte{[]byte(id)}, batch.Last().Rows)
+			}
+		}
+	})
+}
+
+func runOne(lease *Lease, operation Operation) Batch {
+	return lease.Run([]Operation{operation}, time.Now().Add(time.Second))
+}
+
+// TestStatusOfARolledBackReplicaIsReceived: a replica that was ahead of a new primary is rolled back. Its
+// status must reach the next survey of the replicas although its position is lower than before.
+func TestStatusOfARolledBackReplicaIsReceived(t *testing.T) {
+	for _, kind := range []OperationKind{ReportStatus, HoldReplication, StepDown, ResumeReplication} {
+		server := &idleServer{offset: 9, repeat: -1}
+		pool := NewPool(server, Target{}, 1, NewStats())
+		lease, err := pool.Get(Own, time.Now().Add(time.Second))
+		must.NoError(t, err)
+		lease.Return()
+		server.offset = 7
+		lease, err = pool.Reserve(time.Now().Add(time.Second))
+		must.NoError(t, err)
+		must.NoError(t, runOne(lease, Operation{Kind: kind}).Err, must.Sprintf("operation %d", kind))
+	}
+}
