judge: what servers run and answer is compared with what callers sent and got

The judge saw signatures that begin with the request's ID and the rows of single reads. It did not see what a server ran under an ID, in which transaction, with which values in transactions, or the answers to writes and COMMIT.

Change: servers report each statement and COMMIT with its text, or what they know as the prepared statement and its arguments, the session values and the open transaction, and each signed answer with its rows. The judge checks that the ID was sent, that text, shape, arguments and values are the caller's (UNASKED, PINNED), that a statement ran inside its caller's transaction, which stays on one connection, and inside no other, and that each success has a signature and the rows that a server gave for this request (MIXED). Callers set values inside transactions too.

--- a/internal/lab/judge/caller.go
+++ b/internal/lab/judge/caller.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"dewknot/internal/lab/standin/managed"
 	"dewknot/internal/proxy/catalog"
 	"dewknot/internal/proxy/command"
 	"dewknot/internal/proxy/upstream"
@@ -145,14 +146,27 @@
 
 func (c *Caller) sessionName() string { return fmt.Sprintf("%s.%d", c.Name, c.session) }
 
-func (c *Caller) recordRequest(id string, route *catalog.Route, began time.Time) {
+// recordRequest records a statement or COMMIT before it is sent.
+func (c *Caller) recordRequest(cmd *command.Command, route *catalog.Route, transaction string, began time.Time) {
+	statement := command.Statement{RequestID: cmd.RequestID, Text: cmd.Text, Writes: cmd.Kind == command.Write}
+	if cmd.Kind == command.Execute {
+		definition := c.prepared[cmd.Name]
+		statement = command.Statement{
+			RequestID: cmd.RequestID, Prepared: true, Definition: definition, Writes: definition.Writes, Arguments: cmd.Value,
+		}
+	}
 	c.Judge.RecordRequest(Request{
-		ID: id, Session: c.sessionName(), Tenant: c.Tenant, Route: route, Began: began,
+		ID: cmd.RequestID, Session: c.sessionName(), Tenant: c.Tenant, Route: route, Began: began,
+		Statement: statement, Commit: cmd.Kind == command.Commit, Values: managed.ValuesText(c.values), Transaction: transaction,
 	})
 }
 
 func (c *Caller) setValue(session Session) bool {
-	name, value := fmt.Sprintf("v%d", c.Random.IntN(3)), fmt.Sprint(c.Random.IntN(5))
+	return c.set(session, fmt.Sprintf("v%d", c.Random.IntN(3)), fmt.Sprint(c.Random.IntN(5)))
+}
+
+// set sets a session value. Its name and value may become unusual.
+func (c *Caller) set(session Session, name, value string) bool {
 	name = field(c.Texts, name)
 	if c.Texts.IntN(2) == 0 {
 		value = text(c.Texts)
@@ -276,8 +290,7 @@
 
 func (c *Caller) singleStatement(session Session, route *catalog.Route, writes bool) bool {
 	id := c.nextID()
-	c.recordRequest(id, route, time.Now())
-	answer, open := c.run(session, id, writes)
+	answer, open := c.run(session, c.statement(id, writes), route, "", time.Now())
 	if !open {
 		return false
 	}
@@ -288,12 +301,15 @@
 	return answer.State == upstream.Idle
 }
 
-// run sends a statement and returns its answer.
-func (c *Caller) run(session Session, id string, writes bool) (Answer, bool) {
-	cmd := c.statement(id, writes)
+// run sends a statement or COMMIT and returns its answer.
+func (c *Caller) run(session Session, cmd command.Command, route *catalog.Route, transaction string, began time.Time) (Answer, bool) {
+	c.recordRequest(&cmd, route, transaction, began)
 	answer, open := session.Ask(cmd)
 	if open && answer.UnknownStatement {
-		c.Judge.RecordViolation("request %s: %q is unknown although it was prepared", id, cmd.Name)
+		c.Judge.RecordViolation("request %s: %q is unknown although it was prepared", cmd.RequestID, cmd.Name)
+	}
+	if open && !answer.Failed {
+		c.Judge.CheckAnswer(cmd.RequestID, &answer)
 	}
 	return answer, open
 }
@@ -322,7 +338,7 @@
 		c.Judge.RecordViolation("the answer to %s has signature %s and %d rows", id, answer.Signature, len(answer.Rows))
 		return
 	}
-	if expected := valuesText(c.values); string(answer.Rows[1]) != expected {
+	if expected := managed.ValuesText(c.values); string(answer.Rows[1]) != expected {
 		c.Judge.RecordViolation("read %s ran with values %q, the session has %q", id, answer.Rows[1], expected)
 	}
 }
@@ -333,27 +349,15 @@
 	return found && (rest == "" || rest[0] == '#')
 }
 
-func valuesText(values map[string]string) string {
-	var names []string
-	for name := range values {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	var text strings.Builder
-	for _, name := range names {
-		text.WriteString(name + "=" + values[name] + ";")
-	}
-	return text.String()
-}
-
 // transaction runs a random transaction. It returns false if the session has ended.
 func (c *Caller) transaction(session Session, route *catalog.Route) bool {
 	began := time.Now()
-	kind, text := command.Begin, "BEGIN"
+	kind, begin := command.Begin, "BEGIN"
 	if c.Random.IntN(3) == 0 {
-		kind, text = command.BeginReadOnly, "BEGIN READ"
+		kind, begin = command.BeginReadOnly, "BEGIN READ"
 	}
-	if answer, open := session.Ask(command.Command{Kind: kind, RequestID: c.nextID(), Text: text}); !open || answer.Failed {
+	name := c.nextID()
+	if answer, open := session.Ask(command.Command{Kind: kind, RequestID: name, Text: begin}); !open || answer.Failed {
 		return open
 	}
 	var writes []string
@@ -361,13 +365,15 @@
 		if c.Texts.IntN(4) == 0 && !c.prepareStatements(session) {
 			return false
 		}
+		if c.Texts.IntN(6) == 0 && !c.set(session, fmt.Sprintf("v%d", c.Texts.IntN(3)), fmt.Sprint(c.Texts.IntN(5))) {
+			return false
+		}
 		id := c.nextID()
-		c.recordRequest(id, route, began)
 		writing := kind == command.Begin && c.Random.IntN(2) == 0
 		if writing {
 			writes = append(writes, id)
 		}
-		answer, open := c.run(session, id, writing)
+		answer, open := c.run(session, c.statement(id, writing), route, name, began)
 		if !open {
 			return false
 		}
@@ -383,7 +389,8 @@
 	if c.Random.IntN(5) == 0 {
 		return c.rollBack(session)
 	}
-	answer, open := session.Ask(command.Command{Kind: command.Commit, RequestID: c.nextID(), Text: "COMMIT"})
+	commit := command.Command{Kind: command.Commit, RequestID: c.nextID(), Text: "COMMIT"}
+	answer, open := c.run(session, commit, route, name, began)
 	if open {
 		c.recordAnswer(&answer, writes, len(writes) > 0)
 	}
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"dewknot/internal/base/position"
-	"dewknot/internal/lab/standin/managed"
 	"dewknot/internal/proxy/catalog"
+	"dewknot/internal/proxy/command"
 )
 
 // Judge checks callers' answers against what servers ran. It implements managed.Observer and
@@ -22,6 +22,10 @@
 	operations map[string][]operation
 	// commits holds every commit by its position.
 	commits map[position.Position]*Commit
+	// owners holds the callers' transaction, or the single request, of each transaction of a server.
+	owners map[int]string
+	// transactions holds the servers' transaction of each transaction of a caller.
+	transactions map[string]int
 	// Violations describes the broken promises. It may be read once all callers are done.
 	Violations []string
 	// Reads counts the reads that servers ran, Writes the writes that they committed.
@@ -38,6 +42,14 @@
 	freshness catalog.Freshness
 	staleness time.Duration
 	began     time.Time
+	// statement is what the caller sent, and values are the session values acknowledged before.
+	statement command.Statement
+	commit    bool
+	values    string
+	// transaction identifies the caller's transaction; it is empty for a single statement.
+	transaction string
+	// given holds the signed answers of servers.
+	given     []givenAnswer
 	committed int
 	// ran is set once a server has run the request, if it is a read.
 	ran bool
@@ -62,7 +74,7 @@
 func New() *Judge {
 	return &Judge{
 		requests: map[string]*requestState{}, operations: map[string][]operation{},
-		commits: map[position.Position]*Commit{},
+		commits: map[position.Position]*Commit{}, owners: map[int]string{}, transactions: map[string]int{},
 	}
 }
 
@@ -84,6 +96,14 @@
 	// Tenant is the caller's tenant; empty if callers need no key.
 	Tenant string
 	Route  *catalog.Route
+	// Statement is what is sent. If it is prepared, it has the caller's definition and no text.
+	Statement command.Statement
+	// Commit is set for a COMMIT.
+	Commit bool
+	// Values are the session values that were acknowledged to the caller, see managed.ValuesText.
+	Values string
+	// Transaction identifies the transaction; it is empty for a single statement.
+	Transaction string
 	// Began is when the request began; for a statement of a transaction, when the transaction
 	// began.
 	Began time.Time
@@ -96,23 +116,7 @@
 	j.requests[sent.ID] = &requestState{
 		session: sent.Session, tenant: sent.Tenant,
 		freshness: sent.Route.Freshness, staleness: sent.Route.MaxStaleness, began: sent.Began,
-	}
-}
-
-// StatementRan implements managed.Observer.
-func (j *Judge) StatementRan(run managed.Run) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	request := j.requests[run.RequestID]
-	if request == nil || request.tenant == "" {
-		return
-	}
-	if string(run.Principal) != request.tenant {
-		j.recordViolation("request %s of tenant %q ran as principal %q", run.RequestID, request.tenant, run.Principal)
-	}
-	if run.First {
-		j.operations[request.tenant] = append(j.operations[request.tenant],
-			operation{began: request.began, ran: run.At})
+		statement: sent.Statement, commit: sent.Commit, values: sent.Values, transaction: sent.Transaction,
 	}
 }
 
--- a/internal/lab/standin/managed/managed.go
+++ b/internal/lab/standin/managed/managed.go
@@ -13,12 +13,22 @@
 	"time"
 
 	"dewknot/internal/base/position"
+	"dewknot/internal/proxy/command"
 	"dewknot/internal/proxy/upstream"
 )
 
-// Run describes a caller's statement that a server has started to run.
+// Run describes a caller's statement or COMMIT that a server has started to run.
 type Run struct {
-	RequestID string
+	// Statement is what the server runs. If it is prepared, its definition is the one that the server
+	// knows under its name.
+	Statement command.Statement
+	// Commit is set for a COMMIT.
+	Commit bool
+	// Values are the connection's session values, see ValuesText.
+	Values string
+	// Transaction identifies the transaction that is open on the connection among those of the
+	// service's servers; 0 if none is.
+	Transaction int
 	// Principal is the identity under which the connection was opened.
 	Principal upstream.Principal
 	At        time.Time
@@ -29,8 +39,10 @@
 // Observer is notified of what the servers run. Its methods are called with the group's lock held
 // and must not call the group.
 type Observer interface {
-	// StatementRan reports each statement that a server runs, except COMMIT and ROLLBACK.
+	// StatementRan reports each statement and COMMIT that a server runs.
 	StatementRan(run Run)
+	// AnswerGiven reports a signed answer before it is sent.
+	AnswerGiven(requestID, signature string, rows [][]byte)
 	// ReadRan reports a caller's read. contains reports whether the server has applied a commit
 	// at the time of the read.
 	ReadRan(requestID string, at time.Time, contains func(position.Position) bool)
@@ -103,6 +115,8 @@
 	fence uint64
 	// serial is the number of servers started; it makes their IDs unique.
 	serial int
+	// transactions counts the transactions that servers have begun.
+	transactions int
 	// loweredTokens counts the orders whose token was lower than that of an earlier order.
 	loweredTokens int
 	// highestToken is the highest token of all orders received, including rejected ones.
--- a/internal/lab/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -99,6 +99,8 @@
 	writes   []write
 	// ran reports whether a statement of the open transaction ran.
 	ran bool
+	// transaction is the number of the open transaction, 0 without one.
+	transaction int
 	// answered counts the answers, including that to the opening of the connection.
 	answered int
 }
@@ -307,16 +309,17 @@
 		if !primary {
 			return s.result(upstream.NotPrimary)
 		}
-		s.state, s.readOnly, s.term = upstream.InTransaction, false, s.server.primaryTerm
+		s.begin(false)
+		s.term = s.server.primaryTerm
 	case upstream.BeginReadOnly:
 		if !s.server.hasApplied(operation.MinimumPosition) {
 			return s.result(upstream.Behind)
 		}
-		s.state, s.readOnly = upstream.InTransaction, true
+		s.begin(true)
 	case upstream.Rollback:
 		s.end()
 	case upstream.Commit:
-		return s.commit(operation.RequestID)
+		return s.commit(operation.RequestID, operation.Text)
 	case upstream.RunStatement:
 		return s.statement(operation)
 	case upstream.ReportStatus, upstream.HoldReplication, upstream.StepDown:
@@ -338,18 +341,41 @@
 
 // signed returns the successful answer to a request. Its signature is the request's ID, with the
 // number of the run if the server has run the request before. The lock must be held.
-func (s *Session) signed(requestID string) upstream.Result {
+func (s *Session) signed(requestID string, rows ...[]byte) upstream.Result {
 	result := s.result(upstream.Succeeded)
+	result.Rows = rows
 	result.Signature = requestID
 	s.server.runs[requestID]++
 	if run := s.server.runs[requestID]; run > 1 {
 		result.Signature += "#" + strconv.Itoa(run)
 	}
+	s.server.group.observer.AnswerGiven(requestID, result.Signature, rows)
 	return result
 }
 
+// begin begins a transaction. One that is open stays the same.
+func (s *Session) begin(readOnly bool) {
+	if s.transaction == 0 {
+		s.server.group.transactions++
+		s.transaction = s.server.group.transactions
+	}
+	s.state, s.readOnly = upstream.InTransaction, readOnly
+}
+
 func (s *Session) end() {
-	s.state, s.writes, s.ran = upstream.Idle, nil, false
+	s.state, s.writes, s.ran, s.transaction = upstream.Idle, nil, false, 0
+}
+
+// observe reports a statement or COMMIT that the server runs.
+func (s *Session) observe(statement command.Statement, commit bool) {
+	if statement.Prepared {
+		// The text has the caller's name of the statement.
+		statement.Text = ""
+	}
+	s.server.group.observer.StatementRan(Run{
+		Statement: statement, Commit: commit, Values: ValuesText(s.values), Transaction: s.transaction,
+		Principal: s.principal, At: time.Now(), First: !s.ran,
+	})
 }
 
 // stillPrimary reports whether the server is still the primary of the term in which the open
@@ -368,7 +394,7 @@
 	s.awaitReplicas(s.server.group.commit(writes))
 }
 
-func (s *Session) commit(requestID string) upstream.Result {
+func (s *Session) commit(requestID, text string) upstream.Result {
 	if s.state != upstream.InTransaction {
 		return s.result(upstream.Rejected)
 	}
@@ -377,6 +403,7 @@
 		s.end()
 		return s.result(upstream.NotPrimary)
 	}
+	s.observe(command.Statement{RequestID: requestID, Text: text}, true)
 	s.end()
 	if len(writes) > 0 {
 		s.commitWrites(writes)
@@ -433,15 +460,13 @@
 	if s.server.fails() {
 		return s.result(upstream.Failed)
 	}
-	s.server.group.observer.StatementRan(Run{RequestID: operation.RequestID, Principal: s.principal, At: time.Now(), First: !s.ran})
+	s.observe(*statement, false)
 	s.ran = s.state == upstream.InTransaction
 	if statement.Writes {
 		return s.write(write{requestID: operation.RequestID, key: key, data: data}, readWrite)
 	}
 	s.server.group.observer.ReadRan(operation.RequestID, time.Now(), s.server.hasApplied)
-	result := s.signed(operation.RequestID)
-	result.Rows = [][]byte{[]byte(s.server.value(key)), []byte(sessionValues(s.values))}
-	return result
+	return s.signed(operation.RequestID, []byte(s.server.value(key)), []byte(ValuesText(s.values)))
 }
 
 // preparedStatement returns the statement that an operation executes. Over the line protocol, the
@@ -469,8 +494,8 @@
 	return s.signed(added.requestID)
 }
 
-// sessionValues formats session values in a fixed order.
-func sessionValues(values map[string]string) string {
+// ValuesText formats session values in a fixed order.
+func ValuesText(values map[string]string) string {
 	var text strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(values)) {
 		text.WriteString(name + "=" + values[name] + ";")
--- a/internal/lab/standin/managed/session_test.go
+++ b/internal/lab/standin/managed/session_test.go
@@ -18,6 +18,7 @@
 type noopObserver struct{}
 
 func (noopObserver) StatementRan(managed.Run)                                {}
+func (noopObserver) AnswerGiven(string, string, [][]byte)                    {}
 func (noopObserver) ReadRan(string, time.Time, func(position.Position) bool) {}
 func (noopObserver) WritesCommitted([]string, position.Position)             {}
 func (noopObserver) RolledBack(position.Position)                            {}
--- a/internal/proxy/caller_test.go
+++ b/internal/proxy/caller_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -141,7 +142,8 @@
 }
 
 func answerOf(reply *proxy.Reply) judge.Answer {
-	answer := judge.Answer{Rows: reply.Rows, Signature: reply.Signature, State: reply.State}
+	answer := judge.Answer{Rows: reply.Rows, State: reply.State}
+	answer.Signature, _, _ = strings.Cut(reply.Signature, uniqueSuffix)
 	if reply.Failure != nil {
 		answer.Failed, answer.NotRun = true, reply.Failure.Kind.NotRun()
 		answer.UnknownStatement = reply.Failure.Kind == failure.UnknownStatement
--- a/internal/proxy/interruptedchange_test.go
+++ b/internal/proxy/interruptedchange_test.go
@@ -156,7 +156,10 @@
 			continue
 		}
 		id := fmt.Sprintf("%s-%d", name, i)
-		f.check.RecordRequest(judge.Request{ID: id, Session: id, Tenant: "amber", Route: &route, Began: time.Now()})
+		f.check.RecordRequest(judge.Request{
+			ID: id, Session: id, Tenant: "amber", Route: &route, Began: time.Now(),
+			Statement: command.Statement{RequestID: id, Writes: true, Text: "WRITE 1 x"},
+		})
 		answer, open := session.Ask(command.Command{Kind: command.Write, RequestID: id, Text: "WRITE 1 x"})
 		switch {
 		case !open:
