proxy: a COMMIT runs with the session values acknowledged before it

What callers would see: a COMMIT that runs where a session value is not the one acknowledged (PINNED), if SET comes between the last statement and the COMMIT.

Cause: only statements and BEGIN adapted the connection to the session's values, on the node and on the owner of a server's connections.

Change: COMMIT adapts it too, on both.

--- a/internal/lab/judge/caller.go
+++ b/internal/lab/judge/caller.go
@@ -389,6 +389,9 @@
 	if c.Random.IntN(5) == 0 {
 		return c.rollBack(session)
 	}
+	if c.Texts.IntN(6) == 0 && !c.set(session, "v0", fmt.Sprint(c.Texts.IntN(5))) {
+		return false
+	}
 	commit := command.Command{Kind: command.Commit, RequestID: c.nextID(), Text: "COMMIT"}
 	answer, open := c.run(session, commit, route, name, began)
 	if open {
--- a/internal/proxy/remote/host.go
+++ b/internal/proxy/remote/host.go
@@ -427,7 +427,7 @@
 			continue
 		case upstream.RunStatement:
 			p.operations = append(p.operations, s.lease.Adapt(s.values, operation.Statement)...)
-		case upstream.Begin, upstream.BeginReadOnly:
+		case upstream.Begin, upstream.BeginReadOnly, upstream.Commit:
 			p.operations = append(p.operations, s.lease.Adapt(s.values, nil)...)
 		default:
 		}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -262,11 +262,11 @@
 		if !r.acquireSlot(t.server, t.lease, admission.Continuation) {
 			return t.failNotRun(r)
 		}
+		operations := append(t.lease.Adapt(r.session.values, nil), upstream.Operation{
+			Kind: upstream.Commit, RequestID: received.RequestID, Text: received.Text,
+		})
 		endWatch := r.service.WatchCommit()
-		batch := t.lease.Run([]upstream.Operation{{
-			Kind: upstream.Commit, RequestID: received.RequestID,
-			Text: received.Text,
-		}}, r.deadline)
+		batch := t.lease.Run(operations, r.deadline)
 		endWatch()
 		arrived := time.Now()
 		r.releaseSlot(t.server, t.lease, admission.Continuation, &batch, batch.Last())
