--- a/internal/proxy/mutation_test.go
+++ b/internal/proxy/mutation_test.go
@@ -186,7 +186,7 @@
 	switch {
 	case c.broken == rollbackIgnored && kind == upstream.Rollback:
 		result.State = upstream.Idle
-	case c.broken == beginIgnored && (kind == upstream.Begin || kind == upstream.RunStatement) && c.inTransaction:
+	case c.broken == beginIgnored && c.inTransaction:
 		result.State = upstream.InTransaction
 	case c.broken == commitAnswered && kind == upstream.Commit:
 		result.Signature = "commit" + strconv.Itoa(c.answers)
