--- a/internal/proxy/network/follow.go
+++ b/internal/proxy/network/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -163,7 +164,8 @@
 func (s *directorySink) Reset(objects []objectstore.Object, revision era.Revision) {
 	servers := s.decodeAll(objects)
 	s.Catalog.ReplaceDirectory(servers, revision, time.Now())
-	s.Log.Write(eventlog.DirectoryListed, zap.Int("servers", len(servers)))
+	readable := slices.DeleteFunc(servers, func(server catalog.Server) bool { return server.Unreadable })
+	s.Log.Write(eventlog.DirectoryListed, zap.Int("servers", len(readable)))
 }
 
 // Apply implements objectstore.Sink.
