postgres: the statements of a session are bounded

What callers saw: nothing so far. A session could prepare statements without end, each of up to the size of a message, and the node kept all of them.

Change: a session has 4,096 statements at most, whose names and texts have the size of two of the largest messages; what is over that is refused as too_many_values.

--- a/internal/postgres/listener/extended.go
+++ b/internal/postgres/listener/extended.go
@@ -114,7 +114,10 @@
 		s.batch.problem = problem
 		return
 	}
-	s.statements[message.Name] = prepared
+	if !s.keepStatement(message.Name, prepared) {
+		s.batch.problem = failure.New(failure.TooManyValues, message.Name)
+		return
+	}
 	if prepared.info.Parameter != nil {
 		s.batch.parameter = prepared.info.Parameter
 	}
@@ -122,6 +125,42 @@
 	s.append(&pgproto3.Parse{Name: prepared.definition.Name, Query: message.Query, ParameterOIDs: oids})
 }
 
+// Limits of the statements that a node keeps for a session.
+const (
+	maxStatements = 4096
+	// maxStatementMessages is the size of their names and texts, in messages of the maximum size.
+	maxStatementMessages = 2
+	minStatementBytes    = 1 << 20
+)
+
+// maxStatementBytes returns the maximum size of the names and texts of a session's statements.
+func (s *session) maxStatementBytes() int {
+	return max(maxStatementMessages*s.server.settings.MaxMessageBytes, minStatementBytes)
+}
+
+// keepStatement keeps a prepared statement and reports whether the session's limits allow it.
+func (s *session) keepStatement(name string, prepared preparedStatement) bool {
+	previous, exists := s.statements[name]
+	change := len(prepared.definition.Query) - len(previous.definition.Query)
+	if !exists {
+		change += len(name)
+	}
+	if !exists && len(s.statements) >= maxStatements || s.statementBytes+change > s.maxStatementBytes() {
+		return false
+	}
+	s.statements[name] = prepared
+	s.statementBytes += change
+	return true
+}
+
+// dropStatement ends a prepared statement, if there is one.
+func (s *session) dropStatement(name string) {
+	if dropped, exists := s.statements[name]; exists {
+		delete(s.statements, name)
+		s.statementBytes -= len(name) + len(dropped.definition.Query)
+	}
+}
+
 // lookupStatement returns a prepared statement and adds its definition to the batch.
 func (s *session) lookupStatement(name string) (preparedStatement, bool) {
 	found, ok := s.statements[name]
@@ -184,7 +223,7 @@
 
 func (s *session) collectClose(message *pgproto3.Close) {
 	if message.ObjectType == 'S' {
-		delete(s.statements, message.Name)
+		s.dropStatement(message.Name)
 	} else {
 		delete(s.portals, message.Name)
 	}
--- a/internal/postgres/listener/session.go
+++ b/internal/postgres/listener/session.go
@@ -49,8 +49,10 @@
 	// uncommitted is set when statements before a Flush are committed by the next Sync.
 	uncommitted bool
 	statements  map[string]preparedStatement
-	portals     map[string]statement.Info
-	batch       pendingBatch
+	// statementBytes is the size of the names and texts in statements.
+	statementBytes int
+	portals        map[string]statement.Info
+	batch          pendingBatch
 
 	mu sync.Mutex // guards busy, current, currentOwner and ended, which cancel and drain use
 	// busy is true from the arrival of a message until its answer is sent.
