upstream: a refused session value runs no COMMIT

What callers would see: a COMMIT that runs where a session value is not the one acknowledged (PINNED), if the server refuses a value that was set before it.

Cause: only statements were sent after the answer to a value that the server has not accepted before.

Change: commits wait as statements do.

Evidence: TestRefusedValueRunsNoCommit failed before (one COMMIT ran) and passes.

--- a/internal/proxy/upstream/setup.go
+++ b/internal/proxy/upstream/setup.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/maphash"
+	"slices"
 	"sync"
 	"time"
 )
@@ -100,7 +101,7 @@
 // of these, the others have its outcome.
 func (l *Lease) runWithSetup(operations []Operation, setup int, deadline time.Time) Batch {
 	history := &l.pool.setups
-	if !runsStatement(operations) {
+	if !usesSlot(operations) {
 		batch := l.run(operations, deadline)
 		if batch.Err == nil {
 			batch.refuse(history.record(operations[:setup], batch.Results), setup)
@@ -133,6 +134,11 @@
 	return rest
 }
 
+// usesSlot reports whether a statement or commit is among operations.
+func usesSlot(operations []Operation) bool {
+	return slices.ContainsFunc(operations, func(operation Operation) bool { return operation.Kind.UsesSlot() })
+}
+
 // refuse gives the outcome of a refused setup to the results after the setup.
 func (b *Batch) refuse(refused *Result, setup int) {
 	if refused == nil {
--- a/internal/proxy/upstream/setup_test.go
+++ b/internal/proxy/upstream/setup_test.go
@@ -22,6 +22,8 @@
 	refuses func(operation *Operation) Outcome
 	// ran is called for each statement that runs, with the connection's state.
 	ran func(operation *Operation, values map[string]string, prepared map[string]command.PreparedStatement)
+	// committed is called for each COMMIT that runs.
+	committed func()
 	// largest is the largest number of statements prepared on a connection.
 	largest     int
 	signatures  int
@@ -63,6 +65,11 @@
 		c.state = InTransaction
 	case Rollback:
 		c.state = Idle
+	case Commit:
+		c.server.committed()
+		c.state = Idle
+		c.server.signatures++
+		result.Signature = fmt.Sprint(c.server.signatures)
 	case RunStatement:
 		c.server.ran(operation, c.values, c.prepared)
 		c.server.signatures++
@@ -186,6 +193,27 @@
 	must.Eq(t, 4, ran)
 }
 
+// TestRefusedValueRunsNoCommit: if a server refuses a session value that was set in a transaction, its
+// COMMIT must not run with another one.
+func TestRefusedValueRunsNoCommit(t *testing.T) {
+	server := &pickyServer{refuses: func(operation *Operation) Outcome {
+		if operation.Value == "refused" {
+			return Rejected
+		}
+		return Succeeded
+	}}
+	committed := 0
+	server.committed = func() { committed++ }
+	lease, err := NewPool(server, Target{}, 1, NewStats()).Get(Own, time.Now().Add(time.Second))
+	must.NoError(t, err)
+	must.NoError(t, lease.Run([]Operation{{Kind: Begin}}, time.Now().Add(time.Second)).Err)
+	operations := append(lease.Adapt(map[string]string{"v": "refused"}, nil), Operation{Kind: Commit, RequestID: "c"})
+	batch := lease.Run(operations, time.Now().Add(time.Second))
+	must.NoError(t, batch.Err)
+	must.Eq(t, Rejected, batch.Last().Outcome)
+	must.Eq(t, 0, committed)
+}
+
 // TestPreparedStatementsAreBounded: callers that prepare without end must not fill a server's
 // connection, and a transaction must keep its statements.
 func TestPreparedStatementsAreBounded(t *testing.T) {
