upstream: a commit has a position after those of earlier answers

What callers would see: a read that misses a write of its own session (STALE).

Cause: a copy of READY, or of any answer's end, between DONE and READY of a write's answer gave the write the position of an earlier answer. The rest of its answer was then dropped as a READY on its own.

Change: the position of a signed success may not be before that of an earlier answer either, and that of a commit which writes has to be after it.

--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -93,6 +93,7 @@
 			return result, l.recordMismatch(reason)
 		}
 		l.state, l.newest = result.State, position.Max(l.newest, result.Position)
+		l.wrote = l.state == InTransaction && (l.wrote || operation.writes())
 		if result.Outcome != Succeeded {
 			l.unconfirmed = l.unconfirmed || (l.failed && operation.Kind.UsesSlot())
 			l.failed = true
@@ -179,18 +180,30 @@
 	if expected := stateAfter(kind, l.state); result.State != expected {
 		return fmt.Sprintf("state %d instead of %d", result.State, expected)
 	}
-	if result.Position.IsZero() || kind.UsesSlot() || kind.controls() {
+	if result.Position.IsZero() || kind.controls() {
 		return ""
 	}
 	switch {
 	case result.Position.Less(l.newest):
 		return "a position before that of an earlier answer"
+	case l.commits(operation) && !l.newest.Less(result.Position):
+		return "a position without the commit"
 	case kind == BeginReadOnly && result.Position.Less(operation.MinimumPosition):
 		return "a position before the minimum"
 	}
 	return ""
 }
 
+// commits reports whether the operation commits a write, which advances the server's position.
+func (l *Lease) commits(operation *Operation) bool {
+	return (l.wrote && operation.Kind == Commit) || (l.state == Idle && operation.writes())
+}
+
+// writes reports whether the operation is a writing statement.
+func (o *Operation) writes() bool {
+	return o.Kind == RunStatement && o.Statement != nil && o.Statement.Writes
+}
+
 // stateAfter returns the state of a connection after a successful operation.
 func stateAfter(kind OperationKind, before TransactionState) TransactionState {
 	switch kind {
--- a/internal/proxy/upstream/lease.go
+++ b/internal/proxy/upstream/lease.go
@@ -17,6 +17,8 @@
 
 	// state is the connection's state after the last answer.
 	state TransactionState
+	// wrote is set once a statement of the open transaction wrote.
+	wrote bool
 	// newest is the newest position of all answers.
 	newest position.Position
 	// signed holds the signed answers received.
--- a/internal/proxy/upstream/proof_test.go
+++ b/internal/proxy/upstream/proof_test.go
@@ -72,6 +72,9 @@
 	case operation.Kind.ReportsStatus():
 		result.Status = &Status{Received: result.Position}
 	case operation.Kind.UsesSlot():
+		if operation.Kind == Commit {
+			c.state = Idle
+		}
 		s.signed++
 		result.Signature = fmt.Sprintf("s%d", s.signed)
 		result.Rows = [][]byte{[]byte(operation.RequestID)}
@@ -263,3 +266,24 @@
 		must.NoError(t, runOne(lease, Operation{Kind: kind}).Err, must.Sprintf("operation %d", kind))
 	}
 }
+
+// TestRepeatedReadyHidesNoCommit: a copy of the end of an earlier answer in the middle of that to a
+// write or COMMIT must not give it a position before the commit, so that the session's next read may
+// miss it.
+func TestRepeatedReadyHidesNoCommit(t *testing.T) {
+	write := Operation{Kind: RunStatement, RequestID: "w", Statement: &command.Statement{RequestID: "w", Writes: true}}
+	for _, operations := range [][]Operation{{write}, {{Kind: Begin}, write, {Kind: Commit, RequestID: "c"}}} {
+		for _, copied := range []bool{false, true} {
+			server := &idleServer{primary: true, offset: 7, repeat: -1}
+			lease, err := NewPool(server, Target{}, 1, NewStats()).Get(Own, time.Now().Add(time.Second))
+			must.NoError(t, err)
+			for _, operation := range operations {
+				if operation.Kind != Begin && operation.RequestID == operations[len(operations)-1].RequestID && !copied {
+					server.offset++
+				}
+				err = lease.Run([]Operation{operation}, time.Now().Add(time.Second)).Err
+			}
+			must.Eq(t, copied, err != nil)
+		}
+	}
+}
