--- a/internal/lab/standin/managed/server.go
+++ b/internal/lab/standin/managed/server.go
@@ -47,6 +47,8 @@
 
 	log     []entry
 	applied int
+	// dropped holds the entries of the logs without which the server restarted since the last promotion.
+	dropped []entry
 	// statements counts the callers' statements that ran.
 	statements int
 	// runs counts the signed answers to each request.
@@ -110,6 +112,7 @@
 // RestartEmpty starts a crashed server with the same ID and an empty log.
 func (s *Server) RestartEmpty() {
 	unlock := s.lock()
+	s.dropped = append(s.dropped, s.log...)
 	s.log, s.applied, s.replicationHeld, s.receiveBlocked = nil, 0, false, false
 	unlock()
 	s.Restart()
