backends: a primary that lost its log proves no position by a write

What callers would see: a read of bounded staleness that misses a commit that is older than it may miss (STALE), after the primary restarted without its log.

Cause: a single write needs no BEGIN, whose position is compared with what was known before the restart. Its answer was recorded as a proof of the service's current position, which was that of the few writes since the restart, so replicas that lack commits seemed to be recent enough.

Trace of a failing run (TestPrimaryRestartsWithoutItsLog): a write is answered by the emptied primary at 25.315 with position 1/5; other nodes deny that server, known 1/99 to 1/112; three reads of the same session then have the minimum position 1/5 at an age of 40 to 84 ms, and miss 1/112.

Change: RecordProof ignores answers of a server whose log misses entries, as CheckBegin does.

Evidence: TestWriteOnAPrimaryWithoutItsLogProvesNothing failed before (8 violations with the write 0 ms after the restart) and passes. TestPrimaryRestartsWithoutItsLog failed in 4 of 200 runs before and in none of 400 with it.

--- a/internal/proxy/backends/survey.go
+++ b/internal/proxy/backends/survey.go
@@ -311,9 +311,10 @@
 }
 
 // RecordProof records an answer that only the primary gives to a request sent at sentAt. If nodes
-// agree on tenures, the caller must have confirmed the answer.
+// agree on tenures, the caller must have confirmed the answer. A primary that lost entries of its log
+// proves nothing.
 func (s *Service) RecordProof(target *Server, sentAt time.Time, result *upstream.Result) {
-	if !s.backends.isCurrent(target) {
+	if !s.backends.isCurrent(target) || target.logLoss.missingAt(result.Position) {
 		return
 	}
 	if s.backends.Tenures == nil && s.PrimaryView.Confirm(target.ID, result.Position.Term) {
