managed: a test reads what was rolled back under a lock

The race detector found that TestCommitsLostWithALogAreReported read the observer's slice while a promotion could append to it. The test only; its check is the same.

--- a/internal/lab/standin/managed/dropped_test.go
+++ b/internal/lab/standin/managed/dropped_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,10 +19,21 @@
 // rollbackObserver keeps the commits that were rolled back.
 type rollbackObserver struct {
 	noopObserver
+	mutex      sync.Mutex
 	rolledBack []position.Position
 }
 
-func (o *rollbackObserver) RolledBack(at position.Position) { o.rolledBack = append(o.rolledBack, at) }
+func (o *rollbackObserver) RolledBack(at position.Position) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.rolledBack = append(o.rolledBack, at)
+}
+
+func (o *rollbackObserver) commits() []position.Position {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return slices.Clone(o.rolledBack)
+}
 
 // TestCommitsLostWithALogAreReported: a commit that only a server without its log had must count as rolled
 // back once another one is promoted, and not before; one that the other server has must not.
@@ -48,9 +61,9 @@
 		write("w2")
 		first.Crash()
 		first.RestartEmpty()
-		must.SliceEmpty(t, observer.rolledBack)
+		must.SliceEmpty(t, observer.commits())
 		must.True(t, group.Order(second.ID(), 1))
 		time.Sleep(time.Second)
-		must.Eq(t, []position.Position{{Term: 1, Offset: 2}}, observer.rolledBack)
+		must.Eq(t, []position.Position{{Term: 1, Offset: 2}}, observer.commits())
 	})
 }
