upstream: status requests are told apart by their length, not by their connection

What callers would see: longer failovers where servers accept few connections. After each status request closed its connection, so that surveys and the wait for a new primary had to open new ones at servers whose connections owners hold.

Change: behind a request that controls a server, none to three PREPARE, in turn, and an empty transaction are sent, so that its answers differ from those to the three before. The connection is used on. The wait for a new primary asks for the status on the connection on which the server accepted BEGIN.

The model's tests pass with 30,000 checks.

--- a/internal/proxy/backends/campaign.go
+++ b/internal/proxy/backends/campaign.go
@@ -98,9 +98,7 @@
 	for time.Now().Before(deadline) {
 		target := s.backends.Server(id)
 		if target != nil && check.accepted(target, time.Now().Add(pingTimeout)) {
-			// Only one connection is reserved for such requests.
-			check.end()
-			status := target.requestStatus(upstream.Operation{Kind: upstream.ReportStatus}, time.Now().Add(surveyTimeout))
+			status := check.status(time.Now().Add(surveyTimeout))
 			if status != nil && status.Primary && status.Term >= minTerm {
 				return failover.Led{Leads: true, Term: status.Term}
 			}
@@ -130,21 +128,35 @@
 		c.server, c.lease = target, lease
 	}
 	batch := c.lease.Run([]upstream.Operation{{Kind: upstream.Begin}, {Kind: upstream.Rollback}}, deadline)
-	if batch.Err != nil {
-		c.end()
+	if batch.Err != nil || batch.Last().State != upstream.Idle {
+		c.discard()
 		return false
 	}
 	return batch.First().Outcome == upstream.Succeeded
 }
 
-// end closes the connection.
+// status returns the status of a server that accepted the transaction, or nil if it gives none.
+func (c *beginCheck) status(deadline time.Time) *upstream.Status {
+	status, open := statusOf(c.lease, upstream.Operation{Kind: upstream.ReportStatus}, deadline)
+	if !open {
+		c.discard()
+	}
+	return status
+}
+
+// end gives the connection back.
 func (c *beginCheck) end() {
 	if c.lease != nil {
-		c.lease.Discard()
+		c.lease.Return()
 		c.lease = nil
 	}
 }
 
+func (c *beginCheck) discard() {
+	c.lease.Discard()
+	c.lease = nil
+}
+
 // stepDownTimeout bounds the attempt to make a primary step down.
 const stepDownTimeout = 500 * time.Millisecond
 
--- a/internal/proxy/backends/survey.go
+++ b/internal/proxy/backends/survey.go
@@ -215,25 +215,35 @@
 	return position.Position{}, false
 }
 
-// requestStatus sends a request that returns a status until it is answered or the deadline passes. All
-// attempts use one connection, since any of their answers is one to the same request.
+// requestStatus sends a request that returns a status until it is answered or the deadline passes.
 func (t *Server) requestStatus(operation upstream.Operation, deadline time.Time) *upstream.Status {
 	lease, err := t.Pool.Reserve(deadline)
 	if err != nil {
 		return nil
 	}
-	defer lease.Discard()
+	status, open := statusOf(lease, operation, deadline)
+	if open {
+		lease.Return()
+	} else {
+		lease.Discard()
+	}
+	return status
+}
+
+// statusOf sends a request that returns a status over a connection until it is answered or the deadline
+// passes. It reports whether the connection can still be used.
+func statusOf(lease *upstream.Lease, operation upstream.Operation, deadline time.Time) (*upstream.Status, bool) {
 	for time.Now().Before(deadline) {
 		batch := lease.Run([]upstream.Operation{operation}, deadline)
 		if batch.Err != nil {
-			return nil
+			return nil, false
 		}
 		if result := batch.Last(); result.Outcome == upstream.Succeeded {
-			return result.Status
+			return result.Status, true
 		}
 		time.Sleep(BusyPause)
 	}
-	return nil
+	return nil, true
 }
 
 // probeResult is the result of a check whether a server is the primary.
--- a/internal/proxy/upstream/answers.go
+++ b/internal/proxy/upstream/answers.go
@@ -18,7 +18,8 @@
 //     accepted in place of another unsigned answer. That one is then dropped at the next statement.
 //   - Errors look alike, so a connection is closed after an error. Until then, another error is
 //     believed only if further operations are answered as if nothing was left over.
-//   - A connection reports its status only once.
+//   - Reports of a status and probes of the primary have no signature. They are sent with a varying
+//     number of other operations (padding.go), so that their answers differ from earlier ones.
 
 // MismatchError reports an answer that cannot belong to the operation. What became of the operation
 // is unknown, and the connection must be closed.
@@ -96,7 +97,7 @@
 			l.unconfirmed = l.unconfirmed || (l.failed && operation.Kind.UsesSlot())
 			l.failed = true
 		}
-		l.spent = l.spent || l.failed || operation.Kind.controls() || len(l.signed) >= maxSignatures
+		l.spent = l.spent || l.failed || len(l.signed) >= maxSignatures
 		return result, nil
 	}
 }
@@ -146,7 +147,7 @@
 		return "an error after another error"
 	case result.Outcome.NotRun() && len(result.Rows) > 0:
 		return "rows of a statement that did not run"
-	case result.Outcome != Succeeded && kind == PrepareStatement && operation.Name == padding.Name && l.state != FailedTransaction:
+	case result.Outcome != Succeeded && operation.accepted() && l.state != FailedTransaction:
 		return "an error for an operation that servers accept"
 	case result.Outcome != Succeeded:
 		return ""
--- a/internal/proxy/upstream/lease.go
+++ b/internal/proxy/upstream/lease.go
@@ -29,7 +29,7 @@
 	spent  bool
 	// unconfirmed is set while a later error may be a copy of the first.
 	unconfirmed bool
-	// probes counts the probes sent.
+	// probes counts the probes and controlling operations sent.
 	probes int
 
 	stats *Stats
--- a/internal/proxy/upstream/padding.go
+++ b/internal/proxy/upstream/padding.go
@@ -15,14 +15,16 @@
 // returns.
 var padding = Operation{Kind: PrepareStatement, Name: "p", Definition: command.PreparedStatement{Shape: "p"}}
 
-// pad returns operations with padding behind a BEGIN at their end, so that its answer is not the
-// only one that shows whether the server accepted the transaction.
+// pad returns operations with others that tell their answers from earlier ones: behind a BEGIN at the
+// end, one that shows whether the server accepted the transaction.
 func (l *Lease) pad(operations []Operation) []Operation {
 	switch {
 	case l.Remote():
 		return operations
 	case isProbe(operations):
 		return l.padProbe(operations)
+	case operations[0].Kind.controls():
+		return l.padControl(operations[0])
 	case operations[len(operations)-1].Kind.begins():
 		return append(slices.Clone(operations), padding)
 	default:
@@ -42,6 +44,11 @@
 	}
 }
 
+// accepted reports whether a server accepts the operation unless a transaction has failed.
+func (o *Operation) accepted() bool {
+	return o.Kind == PrepareStatement && o.Name == padding.Name || o.Kind == BeginReadOnly && o.MinimumPosition.IsZero()
+}
+
 // begins reports whether the operation begins a transaction.
 func (k OperationKind) begins() bool { return k == Begin || k == BeginReadOnly }
 
@@ -67,6 +74,20 @@
 	return append(padded, operations[last])
 }
 
+// padControl returns an operation that controls the server, with a varying number of operations and an
+// empty transaction behind it, which ends the answers of every such batch.
+func (l *Lease) padControl(operation Operation) []Operation {
+	// A rolled back server's positions go down.
+	l.newest = position.Position{}
+	count := l.probes % maxPadding
+	l.probes++
+	padded := []Operation{operation}
+	for range count {
+		padded = append(padded, padding)
+	}
+	return append(padded, Operation{Kind: BeginReadOnly}, Operation{Kind: Rollback})
+}
+
 // probeResults returns the results of the operations of a probe without those of its padding. At least
 // one answer is no copy, so the newest position is not older than the probe.
 func probeResults(results []Result, operations int) []Result {
--- a/internal/proxy/upstream/proof_test.go
+++ b/internal/proxy/upstream/proof_test.go
@@ -67,6 +67,8 @@
 	case operation.Kind == Begin:
 		s.accepted++
 		c.state = InTransaction
+	case operation.Kind == BeginReadOnly:
+		c.state = InTransaction
 	case operation.Kind == Rollback:
 		c.state = Idle
 	case operation.Kind.ReportsStatus():
