--- a/internal/proxy/upstream/padding.go
+++ b/internal/proxy/upstream/padding.go
@@ -74,8 +74,9 @@
 	return append(padded, operations[last])
 }
 
-// padControl returns an operation that controls the server, with a varying number of operations and an
-// empty transaction behind it, which ends the answers of every such batch.
+// padControl returns an operation that controls the server, which is alone in its batch, with a
+// varying number of operations and an empty transaction behind it, which ends the answers of every
+// such batch.
 func (l *Lease) padControl(operation Operation) []Operation {
 	// A rolled back server's positions go down.
 	l.newest = position.Position{}
