--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(w *World) (bool, error){
 	"cut-replica":     playCutReplica,
 	"leaving-replica": playLeavingReplica,
+	"rolling-release": playRollingRelease,
 	"stop":            playStop,
 	"public":          playPublic,
 }
@@ -156,6 +157,54 @@
 	return w.lostWrites(service) > 0, nil
 }
 
+// releaseGap is the time between the steps of a release.
+const releaseGap = 1500 * time.Millisecond
+
+// playRollingRelease replaces a replica and then the primary as planned. The replica's process serves
+// on for a while. With the trouble it never says that it drains, so its entry is gone.
+func playRollingRelease(w *World) (bool, error) {
+	const database = "orders-db"
+	service, err := syncService(w, database)
+	if err != nil {
+		return false, err
+	}
+	if err := w.startNodes(); err != nil {
+		return false, err
+	}
+	time.Sleep(10 * time.Second)
+	wait := w.writers(6, database, 10*time.Millisecond)
+	time.Sleep(4 * time.Second)
+	if len(w.acks.all()) == 0 {
+		return false, errors.New("no write was acknowledged before the release")
+	}
+	primary, replica := service.servers[0], service.servers[1]
+	if _, err := service.AddServer("127.0.0.104", zones[1], 2*time.Millisecond); err != nil {
+		return false, err
+	}
+	time.Sleep(releaseGap)
+	if w.trouble {
+		replica.LeaveSilently()
+	} else {
+		replica.Drain()
+	}
+	time.Sleep(releaseGap)
+	if _, err := service.AddServer("127.0.0.105", zones[0], 2*time.Millisecond); err != nil {
+		return false, err
+	}
+	time.Sleep(releaseGap)
+	primary.Drain()
+	time.Sleep(16 * time.Second)
+	close(w.ending)
+	wait()
+	service.mu.Lock()
+	promoted := len(service.promotions)
+	service.mu.Unlock()
+	if promoted == 0 {
+		return false, errors.New("no server was promoted")
+	}
+	return w.lostWrites(service) > 0, nil
+}
+
 // Figures of the case of a planned stop.
 const (
 	// lookupWork is how long each statement of a transaction runs.
