--- a/review/6/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 world=target/review-2/world
 node=target/dewknot-proxy
 [ -x "$world" ] && [ -x "$node" ] || exit 2
-"$world" public review/6/record.txt "$node"
+"$world" stop review/8/record.txt "$node"
