failover: a primary that still runs steps down before its successor is ordered

Cause: holdsAllCommits accepted a target that had received what the live primary reported in the survey. The primary commits on until the promotion takes effect, a second later, and every replica that is not held acknowledges these commits: one that is silent to the nodes, draining and silent, gone from the directory though it runs, or new. Second part: after a failure of the primary only servers that stay were eligible, so commits that only a leaving replica had received were lost when it ended.

Change, for services with synchronous replicas only: - Platforms that check fences: survey until a target has received what the primary had, order the present primary (changes nothing, shows that the platform carries out orders), DEMOTE, wait for the end of its log at the target, order. A primary that has stepped down acknowledges nothing, whichever replicas receive it. If it does not confirm, the replicas are held, and those that may acknowledge and have not reported have to be fewer than the synchronous ones. They are held only once enough of them answer. - Without fences the same counts for campaigns: the replicas are held only if the step-down fails. - Servers that left the directory within twice the drain bound are asked, held and counted, unless their address refuses connections or has another server. - Orders of an earlier holder are fenced off before a handover, and the replicas resume then. - A leaving server is promoted if only it holds all commits; it hands over afterwards.

--- a/internal/lab/standin/managed/session.go
+++ b/internal/lab/standin/managed/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"dewknot/internal/base/position"
@@ -46,7 +47,7 @@
 	defer group.mutex.Unlock()
 	switch {
 	case !server.up:
-		return nil, position.Position{}, errReset
+		return nil, position.Position{}, syscall.ECONNREFUSED
 	case server.id != target.Server:
 		return nil, position.Position{}, &upstream.RefusedError{Outcome: upstream.WrongServer}
 	case len(server.sessions) >= group.settings.Connections:
--- a/internal/proxy/backends/campaign.go
+++ b/internal/proxy/backends/campaign.go
@@ -34,8 +34,6 @@
 			effect.Term, effect.Loose)
 		s.logRound("open", effect.Ballot, effect.Primary, &result, began)
 		s.submit(failover.Opened{Agreed: result.Agreed})
-	case failover.StepDown:
-		s.submit(s.stepDown(effect.Server))
 	case failover.AwaitLead:
 		s.submit(s.awaitPrimary(effect.Target, effect.Least, began.Add(effect.Limit)))
 	default:
@@ -197,10 +195,10 @@
 }
 
 // Demote makes a server step down and returns its status, which shows that it is not the primary.
-// It returns nil if the server did not answer, or if the nodes do not agree on tenures.
+// It returns nil if the server did not answer or did not obey.
 func (b *Backends) Demote(id string) *upstream.Status {
 	target := b.Server(id)
-	if target == nil || b.Tenures == nil {
+	if target == nil {
 		return nil
 	}
 	deadline := time.Now().Add(stepDownTimeout)
--- a/internal/proxy/backends/health.go
+++ b/internal/proxy/backends/health.go
@@ -190,6 +190,9 @@
 			observation.LeaderAway = !s.backends.Allows(entry.Zone, homes...)
 		}
 		if entry.Gone {
+			if entry.ID != primary && observation.SynchronousReplicas > 0 {
+				observation.Departed = append(observation.Departed, entry.ID)
+			}
 			continue
 		}
 		observation.Servers = append(observation.Servers, failover.Server{
--- a/internal/proxy/backends/service.go
+++ b/internal/proxy/backends/service.go
@@ -406,6 +406,8 @@
 		s.writeLease(effect)
 	case failover.Survey:
 		s.submit(failover.Surveyed{Reports: s.survey(effect)})
+	case failover.StepDown:
+		s.submit(s.stepDown(effect.Server))
 	case failover.Resume:
 		s.resumeReplication()
 	case failover.Order:
--- a/internal/proxy/backends/survey.go
+++ b/internal/proxy/backends/survey.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,14 +30,17 @@
 
 // survey asks the servers of the service for their status. For a server that does not answer in
 // time, but has recently answered other requests, its last known applied position is used instead.
+// Servers that left the directory recently may still run, and acknowledge commits as synchronous
+// replicas.
 func (s *Service) survey(effect failover.Survey) []failover.Report {
 	s.replicationLock <- struct{}{}
 	defer func() { <-s.replicationLock }()
+	asksDeparted := s.synchronousReplicas() > 0
 	var reports []failover.Report
 	var mutex sync.Mutex
 	var requests sync.WaitGroup
 	for _, entry := range s.backends.catalog.Current().ByService[s.Name] {
-		if entry.ID == effect.Except || entry.Gone {
+		if entry.ID == effect.Except || (entry.Gone && !asksDeparted) || (effect.Only != "" && entry.ID != effect.Only) {
 			continue
 		}
 		target := s.backends.Server(entry.ID)
@@ -45,24 +49,16 @@
 		}
 		requests.Go(func() {
 			deadline := time.Now().Add(surveyTimeout)
-			status := target.requestStatus(upstream.Operation{Kind: upstream.ReportStatus}, deadline)
-			if status != nil && effect.Hold && !status.Primary {
-				status = target.requestStatus(upstream.Operation{Kind: upstream.HoldReplication, Term: status.Term + 1}, deadline)
+			report, answered := target.report(effect.Hold, deadline)
+			if !answered && entry.Gone && target.hasEnded(deadline) {
+				report, answered = failover.Report{ID: target.ID, Ended: true}, true
 			}
-			assumed := false
-			if status == nil && !effect.Hold {
-				status = target.lastKnownStatus(time.Now())
-				assumed = true
-			}
-			if status == nil {
+			if !answered {
 				return
 			}
 			mutex.Lock()
 			defer mutex.Unlock()
-			reports = append(reports, failover.Report{
-				ID: target.ID, Primary: status.Primary, Term: status.Term,
-				Received: status.Received, Assumed: assumed, Lost: target.logLoss.missingAt(status.Received),
-			})
+			reports = append(reports, report)
 		})
 	}
 	requests.Wait()
@@ -70,6 +66,39 @@
 	return reports
 }
 
+// report asks the server for its status. If hold is set, a replica stops receiving before. It reports
+// false if the position of the server is not known.
+func (t *Server) report(hold bool, deadline time.Time) (failover.Report, bool) {
+	status := t.requestStatus(upstream.Operation{Kind: upstream.ReportStatus}, deadline)
+	if status != nil && hold && !status.Primary {
+		status = t.requestStatus(upstream.Operation{Kind: upstream.HoldReplication, Term: status.Term + 1}, deadline)
+	}
+	assumed := false
+	if status == nil && !hold {
+		status = t.lastKnownStatus(time.Now())
+		assumed = true
+	}
+	if status == nil {
+		return failover.Report{}, false
+	}
+	return failover.Report{
+		ID: t.ID, Primary: status.Primary, Term: status.Term,
+		Received: status.Received, Assumed: assumed, Lost: t.logLoss.missingAt(status.Received),
+	}, true
+}
+
+// hasEnded reports whether the server's process has certainly ended: its address refuses connections, or
+// another server has it.
+func (t *Server) hasEnded(deadline time.Time) bool {
+	lease, err := t.Pool.Reserve(deadline)
+	if err == nil {
+		lease.Return()
+		return false
+	}
+	outcome, refused := upstream.RefusalOf(err)
+	return errors.Is(err, syscall.ECONNREFUSED) || (refused && outcome == upstream.WrongServer)
+}
+
 // maxStatusAge is how old a server's last answer may be for its last known position to be used.
 const maxStatusAge = time.Second
 
@@ -91,7 +120,7 @@
 	var requests sync.WaitGroup
 	for _, entry := range s.backends.catalog.Current().ByService[s.Name] {
 		target := s.backends.Server(entry.ID)
-		if target == nil || entry.Gone {
+		if target == nil {
 			continue
 		}
 		requests.Go(func() { target.resume(deadline) })
--- a/internal/proxy/failover/events.go
+++ b/internal/proxy/failover/events.go
@@ -103,9 +103,12 @@
 	Brief bool `json:",omitempty"`
 }
 
-// Survey asks all servers of the service except one for their status.
+// Survey asks all servers of the service except one for their status. Those of a service with
+// synchronous replicas that left the directory recently are asked too.
 type Survey struct {
 	Except string
+	// Only is the one server that is asked, or "" if all are.
+	Only string `json:",omitempty"`
 	// Hold stops the replicas from receiving until a promotion or Resume, so that no commit can
 	// be acknowledged that the survey does not show.
 	Hold bool
--- a/internal/proxy/failover/machine.go
+++ b/internal/proxy/failover/machine.go
@@ -44,6 +44,8 @@
 	unansweredTimeout = 1200 * time.Millisecond
 	// pauseAfterFailure is the pause after a step that failed.
 	pauseAfterFailure = 300 * time.Millisecond
+	// returnedPause is the pause after a primary that had stepped down has taken the role again.
+	returnedPause = time.Second
 	// rejectionTTL is how long a target that the platform rejected is avoided.
 	rejectionTTL = 2 * time.Second
 )
@@ -92,8 +94,11 @@
 	LeaderGone     bool
 	// LeaderAway is set if work of some route may not go to the primary's region.
 	LeaderAway bool `json:",omitempty"`
-	// Servers are all servers of the service known to the node.
+	// Servers are the servers of the service that are in the directory.
 	Servers []Server
+	// Departed are servers that left the directory recently. They may still run, and receive and
+	// acknowledge commits.
+	Departed []string `json:",omitempty"`
 	// SynchronousReplicas is the number of replicas that hold a commit when it is acknowledged.
 	SynchronousReplicas int
 	// ReplicationStalled is set if too few replicas receive what the primary commits, though they
@@ -168,6 +173,9 @@
 	orderUnanswered    bool
 	earlierHolderActed bool
 	replicasHeld       bool
+	// handover is the state of a change of a primary that still runs, for services with synchronous
+	// replicas.
+	handover handover
 	// resumeAt is when held replicas may receive again after earlier orders were fenced off; zero
 	// if none were. repairNotBefore is the earliest time of the next repair of the replication.
 	resumeAt        time.Time
@@ -328,6 +336,9 @@
 	if m.phase == Surveying && m.usesTenures && m.campaign.surveyed {
 		return m.decideTarget(now)
 	}
+	if m.phase == Surveying && m.handover.from != "" {
+		return m.continueHandover(now)
+	}
 	if m.phase == Clearing {
 		return m.orderIfReady(now)
 	}
@@ -376,7 +387,12 @@
 
 // finishChange ends a successful change of the primary.
 func (m *Machine) finishChange(now time.Time) []Effect {
-	m.watchAgain(now, 0)
+	pause := time.Duration(0)
+	if m.target == m.handover.from {
+		pause = returnedPause
+	}
+	m.handover = handover{}
+	m.watchAgain(now, pause)
 	m.needSince = time.Time{}
 	m.repairNotBefore = now.Add(repairPause)
 	m.orderUnanswered, m.earlierHolderActed = false, false
@@ -393,18 +409,25 @@
 		return m.prepare(now)
 	}
 	if m.holdsLease {
-		m.phase = Surveying
 		m.leaseRenewed, m.confirmedDown = false, ""
+		if m.isHandover(now) {
+			return m.beginHandover(now)
+		}
+		m.phase, m.handover = Surveying, handover{}
 		return []Effect{m.survey(now)}
 	}
 	m.phase = ReadingLease
 	return []Effect{ReadLease{}}
 }
 
-// survey asks the servers for their reports; synchronous replicas stop receiving if the primary may
-// be changed.
+// survey asks the servers for their reports. Synchronous replicas stop receiving if the primary may be
+// changed and no longer runs. While it runs, that would stop its commits before it is certain that it
+// can be replaced.
 func (m *Machine) survey(now time.Time) Survey {
-	hold := m.observation.SynchronousReplicas > 0 && !m.onlyRepairs(now)
+	return m.surveyWith(m.observation.SynchronousReplicas > 0 && !m.onlyRepairs(now) && m.handover.from == "" && !m.awaitsStepDown())
+}
+
+func (m *Machine) surveyWith(hold bool) Survey {
 	m.replicasHeld = m.replicasHeld || hold
 	return Survey{Except: m.downPrimary(), Hold: hold}
 }
--- a/internal/proxy/failover/order.go
+++ b/internal/proxy/failover/order.go
@@ -66,6 +66,9 @@
 	if m.phase == Withdrawing {
 		return m.handleWithdrawn(now, event)
 	}
+	if m.phase == Surveying && m.handover.step == checkingPlatform {
+		return m.handlePlatformChecked(now, event.Outcome)
+	}
 	if m.phase != Promoting {
 		return nil
 	}
@@ -83,15 +86,20 @@
 			m.settleUntil = now.Add(unansweredTimeout)
 		}
 	case Rejected:
-		// Either the target does not run, or another node holds a newer token.
-		m.rejectedAt[m.target] = now
-		if m.actingAsDeputy {
-			m.watchAgain(now, deputyRejectionPause)
-			return nil
-		}
-		m.holdsLease, m.needsNewEpoch = false, true
-		m.phase = ReadingLease
-		return []Effect{ReadLease{}}
+		return m.handleRejected(now)
 	}
 	return nil
 }
+
+// handleRejected processes the rejection of an order: either its target does not run, or another node
+// holds a newer token.
+func (m *Machine) handleRejected(now time.Time) []Effect {
+	m.rejectedAt[m.target] = now
+	if m.actingAsDeputy {
+		m.watchAgain(now, deputyRejectionPause)
+		return nil
+	}
+	m.holdsLease, m.needsNewEpoch = false, true
+	m.phase = ReadingLease
+	return []Effect{ReadLease{}}
+}
--- a/internal/proxy/failover/tenure.go
+++ b/internal/proxy/failover/tenure.go
@@ -79,6 +79,9 @@
 	leasesCleared   bool
 	// stepDownPending is set while StepDown has not been answered.
 	stepDownPending bool
+	// inconclusive is set if commits can be acknowledged that the reports do not show: the replicas were
+	// not held, and the primary had not stepped down before.
+	inconclusive bool
 }
 
 // prepare starts a campaign.
@@ -117,6 +120,7 @@
 	}
 	c.replacing, c.planned = m.primaryToReplace(), !m.observation.LeaderDown
 	m.phase = Surveying
+	c.inconclusive = m.observation.SynchronousReplicas > 0 && m.awaitsStepDown()
 	effects := []Effect{m.survey(now)}
 	if c.replacing != "" {
 		c.stepDownPending = true
@@ -174,6 +178,9 @@
 
 // handleSteppedDown processes the primary's answer to StepDown.
 func (m *Machine) handleSteppedDown(now time.Time, event SteppedDown) []Effect {
+	if !m.usesTenures {
+		return m.handlePrimarySteppedDown(now, event)
+	}
 	c := &m.campaign
 	if event.Server != c.replacing || c.replacing == "" {
 		return nil
@@ -207,8 +214,13 @@
 	}
 	best := m.mostAdvanced(now, c.reports)
 	if best != nil && m.mustCatchUp(best, now) {
-		c.surveyed = false
-		return []Effect{m.survey(now)}
+		return m.surveyAgain(false)
+	}
+	if c.inconclusive && !m.hasWholeLog(best) && m.enoughReplicasReported() {
+		return m.surveyAgain(!c.steppedDown)
+	}
+	if !c.planned {
+		best = m.chooseTarget(now, c.reports)
 	}
 	switch {
 	case best != nil && m.holdsAllCommits(best, c.reports):
@@ -222,6 +234,27 @@
 	}
 }
 
+// awaitsStepDown reports whether the replicas need not be held yet, since the primary of a planned change
+// is asked to step down.
+func (m *Machine) awaitsStepDown() bool {
+	return m.usesTenures && m.campaign.planned && m.campaign.replacing != ""
+}
+
+// surveyAgain asks the servers for newer reports once the primary has stepped down or the replicas have
+// to be held.
+func (m *Machine) surveyAgain(hold bool) []Effect {
+	c := &m.campaign
+	c.surveyed, c.inconclusive = false, false
+	return []Effect{m.surveyWith(hold)}
+}
+
+// enoughReplicasReported reports whether the replicas that have not reported are too few to acknowledge
+// a commit alone. Otherwise holding the others would only delay all commits.
+func (m *Machine) enoughReplicasReported() bool {
+	c := &m.campaign
+	return len(m.unreportedReplicas(c.replacing, c.reports)) < m.observation.SynchronousReplicas
+}
+
 // mustCatchUp reports whether the target of a planned change has not received the end of the
 // primary's log yet, and the wait for it has not timed out.
 func (m *Machine) mustCatchUp(target *Report, now time.Time) bool {
@@ -242,8 +275,8 @@
 			return m.choose(id, false)
 		}
 	}
-	best := m.mostAdvanced(now, c.reports)
-	if best == nil || (!reported && now.Sub(m.needSince) < missingReportsDelay) || !m.holdsAllCommits(best, c.reports) {
+	best := m.chooseTarget(now, c.reports)
+	if best == nil || (!reported && now.Sub(m.needSince) < missingReportsDelay) {
 		return m.giveUp(now)
 	}
 	return m.choose(best.ID, true)
--- a/internal/proxy/failover/terms.go
+++ b/internal/proxy/failover/terms.go
@@ -10,14 +10,7 @@
 }
 
 // reportOf returns a server's own report, or nil if it has not reported.
-func (m *Machine) reportOf(id string) *Report {
-	for i := range m.campaign.reports {
-		if report := &m.campaign.reports[i]; report.ID == id && !report.Assumed {
-			return report
-		}
-	}
-	return nil
-}
+func (m *Machine) reportOf(id string) *Report { return findReport(m.campaign.reports, id) }
 
 // newestTerm returns the newest term that a server has reported.
 func (m *Machine) newestTerm() uint64 {
--- a/internal/proxy/failover/withdrawal.go
+++ b/internal/proxy/failover/withdrawal.go
@@ -88,7 +88,7 @@
 }
 
 // resumeIfSettled lets the replicas receive again once no earlier order can take effect any more. If
-// the primary has to be replaced meanwhile, they stay held for that.
+// the primary has failed meanwhile, they stay held until it is replaced.
 func (m *Machine) resumeIfSettled(now time.Time) []Effect {
 	if now.Before(m.resumeAt) {
 		return nil
@@ -96,6 +96,9 @@
 	m.resumeAt = time.Time{}
 	m.watchAgain(now, 0)
 	m.orderUnanswered, m.earlierHolderActed = false, false
+	if m.isHandover(now) {
+		return append(m.resumeReplicas(), m.handleObserved(now)...)
+	}
 	if needed, _ := m.needsOtherPrimary(now); needed {
 		return m.handleObserved(now)
 	}
--- a/internal/proxy/network/network.go
+++ b/internal/proxy/network/network.go
@@ -42,8 +42,7 @@
 	AwaitCatalogLoaded()
 	// Reaches reports whether this node reaches a server directly.
 	Reaches(server string) bool
-	// Demote ends a server's primary role. It returns nil if that failed or if nodes do not agree
-	// on primaries.
+	// Demote ends a server's primary role. It returns nil if that failed.
 	Demote(server string) *upstream.Status
 }
 
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -159,10 +159,14 @@
 	previousMembers int
 }
 
+// departedRetention is how long a server that left the directory stays known, as a multiple of
+// DrainBound. Such a server may run for DrainBound and some seconds more.
+const departedRetention = 2
+
 // New returns a node. Run starts it.
 func New(options Options, ports Ports, log *eventlog.Log) *Node {
 	node := &Node{
-		options: options, ports: ports, log: log, catalog: catalog.New(options.DrainBound), started: time.Now(),
+		options: options, ports: ports, log: log, catalog: catalog.New(departedRetention * options.DrainBound), started: time.Now(),
 	}
 	node.metrics = newMetrics(node)
 	networkPorts := network.Ports{
