proxy: a stopping node refuses what it cannot end and answers what it cuts off

Cause: session.next looked at the node's phase only when ReadCommand returned ErrIdle. An interrupt that comes while a command runs is overwritten by the next read's deadline, so a caller that sends the next statement within 50 ms is never found idle. Its transaction outlived the phase in which transactions are rolled back, and the process ended with the statement under way. On the same path: whatever still ran at the end was cut without an answer (statements, COMMITs, work that waits for a slot, also of other nodes through an owner).

Change: - The phase is looked at before each command.

--- a/internal/proxy/fleet_test.go
+++ b/internal/proxy/fleet_test.go
@@ -58,6 +58,8 @@
 
 // simulatedFleet is a fleet of real nodes in one process, on virtual time.
 type simulatedFleet struct {
+	// ended holds by node when its process ended last.
+	ended    sync.Map
 	store    *managed.Store
 	group    *managed.Group
 	promoter *managed.Promoter
@@ -148,6 +150,8 @@
 	evacuationBound  time.Duration
 	// trustsServers makes nodes on an unfenced platform trust the servers' own statements.
 	trustsServers bool
+	// workTime, if set, returns how long a server works on an operation.
+	workTime func(requestID string) time.Duration
 	// ignoresStepDown is set for servers that keep their role when they are ordered to step down.
 	ignoresStepDown bool
 }
@@ -198,7 +202,7 @@
 		StatementTime: 4 * time.Millisecond, Handshake: 5 * time.Millisecond, ReceiveDelay: 3 * time.Millisecond,
 		ApplyDelay: 8 * time.Millisecond, PromotionDelay: 600 * time.Millisecond,
 		NetworkDelay: 2 * time.Millisecond, SynchronousReplicas: synchronousReplicas,
-		Unfenced: cfg.unfenced, IgnoresStepDown: cfg.ignoresStepDown,
+		Unfenced: cfg.unfenced, IgnoresStepDown: cfg.ignoresStepDown, WorkTime: cfg.workTime,
 	}, fleet.check, fleet.store.PublishEntry)
 	groups := map[string]*managed.Group{testService: fleet.group}
 	fleet.promoter = &managed.Promoter{Groups: groups}
@@ -248,7 +252,10 @@
 		Trace: f.traceOf(name, strconv.Itoa(f.incarnations)),
 	}, f.log)
 	f.nodes[name] = node
-	f.running.Go(func() { _ = node.Run(ctx, listener) })
+	f.running.Go(func() {
+		_ = node.Run(ctx, listener)
+		f.ended.Store(name, time.Now())
+	})
 }
 
 // traceOf returns the trace of the machines of one incarnation of a node; nil without one.
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -149,8 +149,12 @@
 
 	sessions     sync.Map // *session to struct{}
 	sessionCount atomic.Int64
-	closing      atomic.Bool
-	aborting     atomic.Bool
+	// closing, aborting and ending are the phases of a planned stop, see stop.go. endsAt is when the
+	// process ends.
+	closing  atomic.Bool
+	aborting atomic.Bool
+	ending   atomic.Bool
+	endsAt   atomic.Pointer[time.Time]
 	// quotas is nil if there are no quotas. hasShare is set once the node has its share of them,
 	// previousMembers is the number of members in the previous list. Only the goroutine that
 	// follows the members uses hasShare and previousMembers.
--- a/internal/proxy/remote/host.go
+++ b/internal/proxy/remote/host.go
@@ -8,6 +8,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dewknot/internal/base/codec"
@@ -51,6 +52,8 @@
 	mu      sync.Mutex
 	links   map[*hostLink]struct{}
 	leaving bool
+	// aborting is set once open transactions are rolled back.
+	aborting atomic.Bool
 }
 
 // NewOwner returns an owner of a host's connections.
@@ -67,6 +70,17 @@
 	}
 }
 
+// Abort rolls back the open transactions and refuses all further work. Running batches continue.
+func (o *Owner) Abort() {
+	o.aborting.Store(true)
+	o.mu.Lock()
+	links := maps.Clone(o.links)
+	o.mu.Unlock()
+	for l := range links {
+		l.endAll()
+	}
+}
+
 // Close ends all links.
 func (o *Owner) Close() {
 	o.mu.Lock()
@@ -90,7 +104,7 @@
 // Serve serves a link until its connection ends, and then rolls back its open transactions.
 func (o *Owner) Serve(conn net.Conn) {
 	l := &hostLink{
-		host: o.host, conn: conn, w: newWriter(conn), streams: map[uint64]*hostStream{},
+		host: o.host, aborting: &o.aborting, conn: conn, w: newWriter(conn), streams: map[uint64]*hostStream{},
 	}
 	o.mu.Lock()
 	o.links[l] = struct{}{}
@@ -110,8 +124,10 @@
 // hostLink is the owner's end of a link.
 type hostLink struct {
 	host Host
-	conn net.Conn
-	w    *framing.Writer
+	// aborting is that of the owner.
+	aborting *atomic.Bool
+	conn     net.Conn
+	w        *framing.Writer
 
 	mu      sync.Mutex
 	streams map[uint64]*hostStream
@@ -199,6 +215,11 @@
 }
 
 func (l *hostLink) run(stream *hostStream, req *request, received time.Time) *response {
+	if l.aborting.Load() {
+		// The rollback of an open transaction makes it certain that nothing of it is kept.
+		stream.end()
+		return &response{Results: notRun(req.Operations, upstream.Unreached, upstream.Idle)}
+	}
 	target := l.host.Owned(req.Server)
 	if req.Open != (stream.lease != nil) {
 		// One side assumes a transaction that the other one has ended.
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -46,6 +46,8 @@
 	record commandRecord
 	// pendingRollback is a transaction that is rolled back after the reply was sent.
 	pendingRollback *transaction
+	// command is the state of the current command.
+	command commandState
 }
 
 // serve runs a session until it ends.
@@ -146,10 +148,15 @@
 
 // next serves one command and reports whether the session continues.
 func (s *session) next() bool {
-	received, err := s.client.ReadCommand(s.idleDeadline())
+	deadline := s.idleDeadline()
+	if s.shouldClose() && !s.awaitsRefusal() {
+		// The caller may send the next command at once, so that no wait for one is interrupted.
+		deadline = time.Now().Add(finalReadTimeout)
+	}
+	received, err := s.client.ReadCommand(deadline)
 	if errors.Is(err, ErrIdle) && s.shouldClose() {
 		if s.node.aborting.Load() {
-			return false
+			return s.awaitRefusal()
 		}
 		// A command may have arrived while the previous one was served.
 		received, err = s.client.ReadCommand(time.Now().Add(finalReadTimeout))
@@ -170,9 +177,21 @@
 	}
 	arrived := time.Now()
 	s.record = commandRecord{}
+	if refusal := s.refuseBeforeEnd(&received, arrived); refusal != nil {
+		reply := Reply{Failure: refusal, State: upstream.Idle}
+		s.report(&received, &reply, arrived)
+		_ = s.client.Reply(reply)
+		return false
+	}
+	s.command.begin(s.cutOffFailure(&received))
 	reply := s.handle(&received, arrived)
 	s.report(&received, &reply, arrived)
-	if err := s.client.Reply(reply); err != nil {
+	if !s.command.claim() {
+		return false
+	}
+	err = s.client.Reply(reply)
+	s.command.end()
+	if err != nil {
 		return false
 	}
 	s.afterReply()
