--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -2,11 +2,15 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"dewknot/internal/base/eventlog"
+	"dewknot/internal/base/failure"
+	"dewknot/internal/proxy/command"
+	"dewknot/internal/proxy/upstream"
 )
 
 // Parts of the grace period at which the phases of a planned stop end.
@@ -65,3 +69,135 @@
 		return true
 	})
 }
+
+// A stopping node refuses commands that may not end before its process does, and answers those that are
+// still running then. Either answer is the last one of its session.
+
+// commandPhase is a phase of a session's current command.
+type commandPhase uint32
+
+const (
+	// noCommand: the session waits for a command.
+	noCommand commandPhase = iota
+	runningCommand
+	// replying: the session's own goroutine sends the reply.
+	replying
+	// cutOff: the stopping node has taken over the reply.
+	cutOff
+)
+
+// commandState decides who replies to a session's current command: the goroutine of the session, or the
+// node that stops before it has done so.
+type commandState struct {
+	phase atomic.Uint32
+	// failure is the reply if the command is cut off. It is set before the phase.
+	failure *failure.Error
+}
+
+// begin starts a command that is answered with a failure if it is cut off.
+func (c *commandState) begin(failed *failure.Error) {
+	c.failure = failed
+	c.phase.Store(uint32(runningCommand))
+}
+
+// claim reports whether the session's own goroutine sends the reply.
+func (c *commandState) claim() bool {
+	return c.phase.CompareAndSwap(uint32(runningCommand), uint32(replying))
+}
+
+func (c *commandState) end() { c.phase.Store(uint32(noCommand)) }
+
+// cutOff reports whether the node sends the reply to a command that is still running.
+func (c *commandState) cutOff() bool {
+	return c.phase.CompareAndSwap(uint32(runningCommand), uint32(cutOff))
+}
+
+func (c *commandState) isReplying() bool { return c.phase.Load() == uint32(replying) }
+
+// cutOffFailure returns the reply to a command that is still running when the process ends. A transaction
+// keeps nothing if its COMMIT was not sent.
+func (s *session) cutOffFailure(received *command.Command) *failure.Error {
+	t := s.transaction
+	if t != nil && (received.Kind != command.Commit || !t.wrote) {
+		return failure.Refuse(failure.TransactionLost, withJitter(minRetryAfter))
+	}
+	return failure.New(failure.OutcomeUnknown, "")
+}
+
+// refuseBeforeEnd returns the refusal of a command that is not run because the process ends soon, or nil
+// if it is run. A transaction that is open may still be ended.
+func (s *session) refuseBeforeEnd(received *command.Command, now time.Time) *failure.Error {
+	t := s.transaction
+	endsTransaction := received.Kind == command.Commit || received.Kind == command.Rollback
+	if t == nil {
+		if s.node.aborting.Load() {
+			return failure.Refuse(failure.Stopping, withJitter(minRetryAfter))
+		}
+		return nil
+	}
+	if endsTransaction && !s.node.ending.Load() {
+		return nil
+	}
+	if !s.node.aborting.Load() && !s.outlastsProcess(t, now) {
+		return nil
+	}
+	return failure.Refuse(failure.TransactionLost, withJitter(minRetryAfter))
+}
+
+// outlastsProcess reports whether a statement of a transaction is expected to run longer than the
+// process of a stopping node.
+func (s *session) outlastsProcess(t *transaction, now time.Time) bool {
+	endsAt := s.node.endsAt.Load()
+	return endsAt != nil && s.node.closing.Load() && t.server != nil && now.Add(t.server.Stats.Latency(now)).After(*endsAt)
+}
+
+// awaitRefusal rolls back an open transaction without a command. It reports whether the session waits for
+// the next command, which is refused: the caller then knows that nothing was kept.
+func (s *session) awaitRefusal() bool {
+	if s.transaction == nil || s.node.ending.Load() {
+		return false
+	}
+	if !s.transaction.failed {
+		s.transaction.fail(s, "stopping")
+	}
+	return true
+}
+
+// awaitsRefusal reports whether awaitRefusal has rolled back the transaction.
+func (s *session) awaitsRefusal() bool {
+	return s.node.aborting.Load() && s.transaction != nil && s.transaction.failed
+}
+
+// cutOffCommands answers all commands that are still running. It returns once the replies are sent or the
+// limit has passed.
+func (n *Node) cutOffCommands(limit time.Time) {
+	var pending atomic.Int64
+	n.sessions.Range(func(key, _ any) bool {
+		s := key.(*session)
+		if s.command.cutOff() {
+			pending.Add(1)
+			go func() {
+				defer pending.Add(-1)
+				_ = s.client.Reply(Reply{Failure: s.command.failure, State: upstream.Idle})
+				s.client.Close()
+			}()
+		}
+		return true
+	})
+	for (pending.Load() > 0 || n.isReplying()) && time.Now().Before(limit) {
+		time.Sleep(cutOffPollInterval)
+	}
+}
+
+// cutOffPollInterval is the pause between checks whether the last replies are sent.
+const cutOffPollInterval = 5 * time.Millisecond
+
+// isReplying reports whether a session sends a reply.
+func (n *Node) isReplying() bool {
+	replying := false
+	n.sessions.Range(func(key, _ any) bool {
+		replying = key.(*session).command.isReplying()
+		return !replying
+	})
+	return replying
+}
