listener: open transactions are ended with an error before the end of a drain

Callers saw: at the end of drain_limit, the connection of a transaction that goes on closed without an answer to the statement under way ("unexpected EOF").

Change: after 0.8 of drain_limit a session with an open transaction ends with 57P01 as soon as its last message is answered, as idle ones do from the start. The transaction is rolled back; its COMMIT was not received.

Measured: fleet.TestPlannedStopAnswersOpenTransactions failed before ("unexpected EOF"), and passes in three runs and with the race detector.

--- a/internal/lab/fleet/callers_test.go
+++ b/internal/lab/fleet/callers_test.go
@@ -240,6 +240,31 @@
 	must.NoError(t, <-result)
 }
 
+// TestPlannedStopAnswersOpenTransactions guards against a transaction that is cut off without an answer at the
+// end of a planned stop, since its caller sends the next statement at once.
+func TestPlannedStopAnswersOpenTransactions(t *testing.T) {
+	f := start(t, nil)
+	ctx := context.Background()
+	conn := connect(t, f, 0, "ann")
+	_, err := conn.Exec(ctx, "CREATE TABLE seats (id INTEGER PRIMARY KEY)")
+	must.NoError(t, err)
+	transaction, err := conn.Begin(ctx)
+	must.NoError(t, err)
+	drained := make(chan struct{})
+	go func() {
+		f.Nodes[0].Callers().Drain(2 * time.Second)
+		close(drained)
+	}()
+	for i := 0; err == nil; i++ {
+		_, err = transaction.Exec(ctx, "INSERT INTO seats VALUES ($1)", i)
+	}
+	requireCode(t, err, "57P01")
+	<-drained
+	var count int64
+	must.NoError(t, connect(t, f, 1, "ann").QueryRow(ctx, "SELECT count(*) FROM seats").Scan(&count))
+	must.Zero(t, count, must.Sprint("the transaction was not committed"))
+}
+
 // A planned stop must let open transactions finish and end idle callers with SQLSTATE 57P01.
 func TestPlannedStop(t *testing.T) {
 	f := start(t, nil)
--- a/internal/postgres/listener/server.go
+++ b/internal/postgres/listener/server.go
@@ -62,6 +62,8 @@
 
 	nextSession atomic.Uint64
 	stopping    atomic.Bool
+	// endsTransactions is set once callers with an open transaction are disconnected too.
+	endsTransactions atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[uint64]*session // by session number
@@ -160,14 +162,22 @@
 	}
 }
 
+// transactionShare is the part of a drain during which open transactions may continue. The rest of it is
+// for the answers to messages that have arrived before.
+const transactionShare = 0.8
+
 // Drain stops accepting callers and waits until all are disconnected. Idle callers are
-// disconnected at once, others when their transaction ends. Connections that remain after
+// disconnected at once, others when their transaction ends. Near the timeout, open transactions
+// are rolled back as soon as the last message is answered. Connections that remain after
 // the timeout are closed.
 func (s *Server) Drain(timeout time.Duration) {
 	s.stopping.Store(true)
 	_ = s.socket.Close()
-	deadline := time.Now().Add(timeout)
+	began := time.Now()
+	deadline := began.Add(timeout)
+	endTransactionsAt := began.Add(time.Duration(transactionShare * float64(timeout)))
 	for {
+		s.endsTransactions.Store(time.Now().After(endTransactionsAt))
 		s.closeIdle()
 		if s.Connected() == 0 {
 			break
--- a/internal/postgres/listener/session.go
+++ b/internal/postgres/listener/session.go
@@ -117,12 +117,16 @@
 	return !s.ended
 }
 
-// closeIfIdle ends a session that has no work and no open transaction. Setting ended and
-// busy under the same lock ensures that a message received before the end is served.
+// closeIfIdle ends a session that has no work and no open transaction, or no work if the server
+// ends transactions. Setting ended and busy under the same lock ensures that a message received
+// before the end is served.
 func (s *session) closeIfIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.busy || s.ended || s.status != backend.Idle || s.unsynced || s.batch.started() {
+	if s.busy || s.ended {
+		return
+	}
+	if open := s.status != backend.Idle || s.unsynced || s.batch.started(); open && !s.server.endsTransactions.Load() {
 		return
 	}
 	s.ended = true
