--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -2,6 +2,7 @@
 # Runs random faults against real processes (docs/SOAK.md): scripts/soak.sh [SECONDS [SEED [NODES]]].
 # With DEWKNOT_SOAK_SERVED=1 it measures what share of the load is served by a fleet of 9 nodes instead,
 # under the faults that DEWKNOT_SOAK_FAULTS names ("calm", "series", names; all, one by one, by default).
+# With DEWKNOT_SOAK_PLANNED=1 it plays planned work only, with at most one server that does not answer.
 # With DEWKNOT_SOAK_UNFENCED=1 the platform does not check fencing tokens.
 # Nodes that end are restarted. The logs of a failed run are kept, and their folder is printed. The
 # script only terminates processes that it started, by their ids.
