--- a/internal/proxy/backends/survey.go
+++ b/internal/proxy/backends/survey.go
@@ -207,7 +207,7 @@
 	received, behind := 0, 0
 	for _, report := range s.survey(failover.Survey{Except: primary}) {
 		switch {
-		case report.Assumed:
+		case report.Assumed, report.Ended:
 		case report.Received.Covers(at):
 			received++
 		default:
--- a/internal/proxy/failover/handover.go
+++ b/internal/proxy/failover/handover.go
@@ -12,9 +12,10 @@
 //	survey until a target has received what the primary had -> order the present primary -> step down ->
 //	wait until the target has received the rest of the log -> order
 //
-// The first order changes nothing, but shows that the platform carries out orders now. A primary that has stepped down acknowledges no more commits, whichever replicas receive them: those
-// that do not answer, that have just started or that have left the directory. If it does not confirm
-// that, the replicas are held, and enough of them have to report.
+// The first order changes nothing, but shows that the platform carries out orders now. A primary that
+// has stepped down acknowledges no more commits, whichever replicas receive them: those that do not
+// answer, that have just started or that have left the directory. If it does not confirm that, the
+// replicas are held, and enough of them have to report.
 
 // handoverStep is what a handover is waiting for.
 type handoverStep uint8
@@ -46,7 +47,8 @@
 	primaryAt       position.Position
 	primaryReported bool
 	target          string
-	reports         []Report
+	// reports are those of the survey in which the target was chosen.
+	reports []Report
 	// steppedDown is set once the primary has given up its role, at steppedDownAt. finalPosition is the
 	// end of its log.
 	steppedDown   bool
--- a/internal/proxy/failover/handover_test.go
+++ b/internal/proxy/failover/handover_test.go
@@ -121,3 +121,14 @@
 	must.SliceContains(t, effects, Effect(Resume{}), must.Sprint("the primary goes on to commit"))
 	must.Eq(t, []Effect{Survey{}}, completeRenewal(t, machine, at(1210), effects[1:]))
 }
+
+// TestEndedServerDoesNotStallTheReplication guards against needless orders: a server that has ended receives
+// nothing, which says nothing about the replicas.
+func TestEndedServerDoesNotStallTheReplication(t *testing.T) {
+	machine := newHolder(t)
+	beginRepair(t, machine, 100)
+	reports := surveyedReplicas(0, 0)
+	reports.Reports = append(reports.Reports[2:], Report{ID: "d", Ended: true})
+	must.SliceEmpty(t, machine.Step(at(150), reports))
+	must.Eq(t, Watching, machine.Phase())
+}
--- a/internal/proxy/failover/withdrawal.go
+++ b/internal/proxy/failover/withdrawal.go
@@ -40,7 +40,7 @@
 	received, behind := 0, 0
 	for _, report := range reports {
 		switch {
-		case report.ID == primary.ID || report.Assumed:
+		case report.ID == primary.ID || report.Assumed || report.Ended:
 		case report.Received.Covers(primary.Received):
 			received++
 		default:
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -178,12 +178,14 @@
 	arrived := time.Now()
 	s.record = commandRecord{}
 	if refusal := s.refuseBeforeEnd(&received, arrived); refusal != nil {
+		s.command.refuse()
 		reply := Reply{Failure: refusal, State: upstream.Idle}
 		s.report(&received, &reply, arrived)
 		_ = s.client.Reply(reply)
+		s.command.end()
 		return false
 	}
-	s.command.begin(s.cutOffFailure(&received))
+	s.command.begin(s.cutOffKind(&received))
 	reply := s.handle(&received, arrived)
 	s.report(&received, &reply, arrived)
 	if !s.command.claim() {
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -90,16 +90,20 @@
 // node that stops before it has done so.
 type commandState struct {
 	phase atomic.Uint32
-	// failure is the reply if the command is cut off. It is set before the phase.
-	failure *failure.Error
+	// cutOffKind is the failure with which the command is answered if it is cut off. It is set before
+	// the phase.
+	cutOffKind failure.Kind
 }
 
 // begin starts a command that is answered with a failure if it is cut off.
-func (c *commandState) begin(failed *failure.Error) {
-	c.failure = failed
+func (c *commandState) begin(kind failure.Kind) {
+	c.cutOffKind = kind
 	c.phase.Store(uint32(runningCommand))
 }
 
+// refuse notes that the session's own goroutine refuses a command that was not begun.
+func (c *commandState) refuse() { c.phase.Store(uint32(replying)) }
+
 // claim reports whether the session's own goroutine sends the reply.
 func (c *commandState) claim() bool {
 	return c.phase.CompareAndSwap(uint32(runningCommand), uint32(replying))
@@ -114,14 +118,14 @@
 
 func (c *commandState) isReplying() bool { return c.phase.Load() == uint32(replying) }
 
-// cutOffFailure returns the reply to a command that is still running when the process ends. A transaction
-// keeps nothing if its COMMIT was not sent.
-func (s *session) cutOffFailure(received *command.Command) *failure.Error {
+// cutOffKind returns the failure with which a command is answered that is still running when the process
+// ends. A transaction keeps nothing if its COMMIT was not sent.
+func (s *session) cutOffKind(received *command.Command) failure.Kind {
 	t := s.transaction
 	if t != nil && (received.Kind != command.Commit || !t.wrote) {
-		return failure.Refuse(failure.TransactionLost, withJitter(minRetryAfter))
+		return failure.TransactionLost
 	}
-	return failure.New(failure.OutcomeUnknown, "")
+	return failure.OutcomeUnknown
 }
 
 // refuseBeforeEnd returns the refusal of a command that is not run because the process ends soon, or nil
@@ -178,17 +182,26 @@
 			pending.Add(1)
 			go func() {
 				defer pending.Add(-1)
-				_ = s.client.Reply(Reply{Failure: s.command.failure, State: upstream.Idle})
+				_ = s.client.Reply(Reply{Failure: cutOffFailure(s.command.cutOffKind), State: upstream.Idle})
 				s.client.Close()
 			}()
 		}
 		return true
 	})
+	// A command that has just been read is refused meanwhile.
+	time.Sleep(cutOffPollInterval)
 	for (pending.Load() > 0 || n.isReplying()) && time.Now().Before(limit) {
 		time.Sleep(cutOffPollInterval)
 	}
 }
 
+func cutOffFailure(kind failure.Kind) *failure.Error {
+	if kind == failure.OutcomeUnknown {
+		return failure.New(kind, "")
+	}
+	return failure.Refuse(kind, withJitter(minRetryAfter))
+}
+
 // cutOffPollInterval is the pause between checks whether the last replies are sent.
 const cutOffPollInterval = 5 * time.Millisecond
 
