--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -149,14 +149,14 @@
 // next serves one command and reports whether the session continues.
 func (s *session) next() bool {
 	deadline := s.idleDeadline()
-	if s.shouldClose() && !s.awaitsRefusal() {
-		// The caller may send the next command at once, so that no wait for one is interrupted.
+	if s.shouldClose() && !s.rolledBackBeforeEnd() {
+		// An interrupt does not reach a session whose caller sends each command at once.
 		deadline = time.Now().Add(finalReadTimeout)
 	}
 	received, err := s.client.ReadCommand(deadline)
 	if errors.Is(err, ErrIdle) && s.shouldClose() {
 		if s.node.aborting.Load() {
-			return s.awaitRefusal()
+			return s.rollBackBeforeEnd()
 		}
 		// A command may have arrived while the previous one was served.
 		received, err = s.client.ReadCommand(time.Now().Add(finalReadTimeout))
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -155,9 +155,9 @@
 	return endsAt != nil && s.node.closing.Load() && t.server != nil && now.Add(t.server.Stats.Latency(now)).After(*endsAt)
 }
 
-// awaitRefusal rolls back an open transaction without a command. It reports whether the session waits for
+// rollBackBeforeEnd rolls back an open transaction without a command. It reports whether the session waits for
 // the next command, which is refused: the caller then knows that nothing was kept.
-func (s *session) awaitRefusal() bool {
+func (s *session) rollBackBeforeEnd() bool {
 	if s.transaction == nil || s.node.ending.Load() {
 		return false
 	}
@@ -167,8 +167,8 @@
 	return true
 }
 
-// awaitsRefusal reports whether awaitRefusal has rolled back the transaction.
-func (s *session) awaitsRefusal() bool {
+// rolledBackBeforeEnd reports whether rollBackBeforeEnd has rolled back the transaction.
+func (s *session) rolledBackBeforeEnd() bool {
 	return s.node.aborting.Load() && s.transaction != nil && s.transaction.failed
 }
 
